--- /dev/null
+++ b/internal/errkind/errkind.go
@@ -0,0 +1,246 @@
+// Package errkind owns the closed list of error kinds and the table that maps
+// each kind to the answer a caller or an operator gets.
+//
+// Every error that leaves a package of this module carries exactly one kind.
+// The list is closed: a new kind needs a row in the table and in docs/ERRORS.md,
+// and a test compares the two.
+package errkind
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind is the number of one error kind. Numbers are stable across releases and
+// are never reused.
+type Kind uint16
+
+// Outcome says what is known about the execution of a request. It is sent to
+// callers in the Knapweedpier-Outcome header.
+type Outcome string
+
+// The outcomes that an answer can state.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Request kinds: answers of an agent to a caller.
+const (
+	BackendFull      Kind = 101 // no slot free here, nor at the peer that was asked
+	BackendLeaving   Kind = 102 // the backend server takes no new work
+	BackendDown      Kind = 103 // no connection to the backend server could be opened
+	BackendShed      Kind = 104 // the backend server refused and said that it did not run
+	BackendLost      Kind = 105 // the connection failed after a byte had been sent
+	DeadlineNotRun   Kind = 106 // the deadline passed before the first byte was sent
+	DeadlineUnknown  Kind = 107 // the deadline passed while the request was in progress
+	TicketExpired    Kind = 108 // the ticket's issuer is gone and nothing was sent before
+	TicketUnknown    Kind = 109 // the ticket's issuer is gone after an earlier attempt
+	TicketInvalid    Kind = 110 // the ticket's tag or form is wrong
+	DomainOut        Kind = 111 // the failure domain has been taken out
+	AgentFenced      Kind = 112 // the agent was paused longer than its lease
+	RetryBudget      Kind = 113 // the retry budget is spent
+	ConnectionsFull  Kind = 114 // the backend server's connection limit is reached
+	RequestTooLarge  Kind = 115 // the request body exceeds the limit for kept requests
+	CallerCancelled  Kind = 116 // the caller cancelled the request
+	RelayNotPossible Kind = 117 // a relayed request cannot be relayed again
+)
+
+// Packet kinds: malformed or unauthenticated input on the data path.
+const (
+	PacketMalformed   Kind = 201 // not a QUIC packet
+	PacketUnsteerable Kind = 202 // the connection ID fails its tag
+	PacketWrongTarget Kind = 203 // the packet belongs to another service
+	TunnelMalformed   Kind = 204 // the tunnel header does not parse
+	TunnelTag         Kind = 205 // the tunnel header fails its tag
+	PacketDomainOut   Kind = 206 // the packet's failure domain is out
+	PacketNoAgent     Kind = 207 // no agent is a candidate for the new flow
+	PacketIsolated    Kind = 208 // the balancer is isolated and forwards nothing
+)
+
+// Control kinds: platform, peers and configuration.
+const (
+	PlatformDown      Kind = 301 // the platform cannot be reached or answers 5xx
+	PlatformLimited   Kind = 302 // the platform refused a call because of its rate limit
+	VersionConflict   Kind = 303 // a conditional update lost against another writer
+	OutcomeUnread     Kind = 304 // an update's answer was lost and could not be read back
+	NotFound          Kind = 305 // the object does not exist
+	ConfigInvalid     Kind = 306 // a configuration fails its checks
+	ConfigOlder       Kind = 307 // a configuration is older than the one in force
+	PeerUnauthorized  Kind = 308 // a peer without a key of the ring
+	PeerMalformed     Kind = 309 // a peer message does not parse
+	PeerDown          Kind = 310 // a peer cannot be reached
+	KeyRingInvalid    Kind = 311 // the key ring does not parse
+	NotInForce        Kind = 312 // a generation is not in force everywhere in time
+	CertificateFailed Kind = 313 // a TLS certificate cannot be loaded
+)
+
+// Operator kinds: input of operators.
+const (
+	SheetInvalid   Kind = 401 // a sheet has faults
+	SheetStale     Kind = 402 // a sheet was made on an older base
+	SettingInvalid Kind = 403 // a setting is missing, malformed or contradictory
+	ServiceDown    Kind = 404 // status found a service that is down
+	PromiseBroken  Kind = 405 // quickstart saw a broken promise
+	ReportFailed   Kind = 406 // a report could not be written
+)
+
+// Internal is the kind of an error that no rule expects.
+const Internal Kind = 901
+
+// Answer is what a kind means to the one who asked.
+type Answer struct {
+	Kind       Kind
+	Name       string        // stable, lower case with hyphens
+	HTTPStatus int           // status sent to callers, 0 where no caller is involved
+	Outcome    Outcome       // what is known about the execution, empty where no request is involved
+	RetryAfter time.Duration // when a caller may try again, 0 for no advice
+	ExitCode   int           // exit code of a program that ends with this kind
+	Meaning    string        // one sentence for docs/ERRORS.md
+}
+
+// Exit codes of the programs.
+const (
+	ExitFailure  = 1 // a check failed or a promise was broken
+	ExitUsage    = 2 // bad settings or a faulty sheet
+	ExitConflict = 3 // another operator was faster
+	ExitPlatform = 4 // the platform cannot be reached
+	ExitLagging  = 5 // a generation is not in force everywhere
+)
+
+const retrySoon = time.Second
+
+var table = []Answer{
+	{BackendFull, "backend-full", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "No slot is free at the backend server, nor at the peer that was asked."},
+	{BackendLeaving, "backend-leaving", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The backend server takes no new work and no peer had room."},
+	{BackendDown, "backend-down", http.StatusBadGateway, OutcomeNotRun, retrySoon, ExitFailure, "No connection to the backend server could be opened."},
+	{BackendShed, "backend-shed", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The backend server refused the request and said that it did not run."},
+	{BackendLost, "backend-lost", http.StatusBadGateway, OutcomeUnknown, 0, ExitFailure, "The connection to the backend server failed after a byte had been sent."},
+	{DeadlineNotRun, "deadline-not-run", http.StatusGatewayTimeout, OutcomeNotRun, retrySoon, ExitFailure, "The deadline passed before the request was sent to the backend server."},
+	{DeadlineUnknown, "deadline-unknown", http.StatusGatewayTimeout, OutcomeUnknown, 0, ExitFailure, "The deadline passed while the request was in progress."},
+	{TicketExpired, "ticket-expired", http.StatusConflict, OutcomeNotRun, 0, ExitFailure, "The ticket's issuer is gone and no earlier attempt was made; ask for a new ticket."},
+	{TicketUnknown, "ticket-unknown", http.StatusConflict, OutcomeUnknown, 0, ExitFailure, "The ticket's issuer is gone after an earlier attempt; the outcome is final."},
+	{TicketInvalid, "ticket-invalid", http.StatusBadRequest, OutcomeNotRun, 0, ExitFailure, "The ticket does not parse or its tag is wrong."},
+	{DomainOut, "domain-out", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The failure domain has been taken out; open a new flow."},
+	{AgentFenced, "agent-fenced", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The agent was paused longer than its lease and does not act on old requests."},
+	{RetryBudget, "retry-budget", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The retry budget is spent."},
+	{ConnectionsFull, "connections-full", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The backend server's connection limit is reached."},
+	{RequestTooLarge, "request-too-large", http.StatusRequestEntityTooLarge, OutcomeNotRun, 0, ExitFailure, "The request body is larger than a relayed or ticketed request may be."},
+	{CallerCancelled, "caller-cancelled", 499, OutcomeUnknown, 0, ExitFailure, "The caller cancelled the request."},
+	{RelayNotPossible, "relay-not-possible", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "A relayed request found no room and is not relayed again."},
+
+	{PacketMalformed, "packet-malformed", 0, "", 0, ExitFailure, "A datagram is not a QUIC packet."},
+	{PacketUnsteerable, "packet-unsteerable", 0, "", 0, ExitFailure, "A packet's connection ID fails its tag."},
+	{PacketWrongTarget, "packet-wrong-target", 0, "", 0, ExitFailure, "A packet belongs to another service or backend server."},
+	{TunnelMalformed, "tunnel-malformed", 0, "", 0, ExitFailure, "A tunnel header does not parse."},
+	{TunnelTag, "tunnel-tag", 0, "", 0, ExitFailure, "A tunnel header fails its tag: the sender lacks a key of the ring."},
+	{PacketDomainOut, "packet-domain-out", 0, "", 0, ExitFailure, "A packet's failure domain has been taken out."},
+	{PacketNoAgent, "packet-no-agent", 0, "", 0, ExitFailure, "No agent is a candidate for a new flow."},
+	{PacketIsolated, "packet-isolated", 0, "", 0, ExitFailure, "The balancer is isolated and forwards nothing."},
+
+	{PlatformDown, "platform-down", http.StatusBadGateway, "", retrySoon, ExitPlatform, "The platform cannot be reached or fails."},
+	{PlatformLimited, "platform-limited", http.StatusTooManyRequests, "", retrySoon, ExitPlatform, "The platform refused a call because of its rate limit."},
+	{VersionConflict, "version-conflict", http.StatusPreconditionFailed, "", 0, ExitConflict, "A conditional update lost against another writer."},
+	{OutcomeUnread, "outcome-unread", http.StatusBadGateway, "", 0, ExitPlatform, "An update's answer was lost and could not be read back."},
+	{NotFound, "not-found", http.StatusNotFound, "", 0, ExitFailure, "The object does not exist."},
+	{ConfigInvalid, "config-invalid", http.StatusBadRequest, "", 0, ExitUsage, "A configuration fails its checks."},
+	{ConfigOlder, "config-older", 0, "", 0, ExitConflict, "A configuration is older than the one in force and is refused."},
+	{PeerUnauthorized, "peer-unauthorized", 0, "", 0, ExitFailure, "A peer holds no key of the ring."},
+	{PeerMalformed, "peer-malformed", 0, "", 0, ExitFailure, "A peer message does not parse."},
+	{PeerDown, "peer-down", 0, "", 0, ExitFailure, "A peer cannot be reached."},
+	{KeyRingInvalid, "key-ring-invalid", 0, "", 0, ExitUsage, "The key ring does not parse."},
+	{NotInForce, "not-in-force", 0, "", 0, ExitLagging, "A generation is not in force everywhere within the time asked for."},
+	{CertificateFailed, "certificate-failed", 0, "", 0, ExitUsage, "A TLS certificate or key cannot be loaded."},
+
+	{SheetInvalid, "sheet-invalid", 0, "", 0, ExitUsage, "A sheet has faults, which are listed by line and column."},
+	{SheetStale, "sheet-stale", 0, "", 0, ExitConflict, "A sheet was made on an older base than what is accepted now."},
+	{SettingInvalid, "setting-invalid", 0, "", 0, ExitUsage, "A setting is missing, malformed or contradicts another."},
+	{ServiceDown, "service-down", 0, "", 0, ExitFailure, "A service has no backend server that takes requests."},
+	{PromiseBroken, "promise-broken", 0, "", 0, ExitFailure, "A run saw a broken promise."},
+	{ReportFailed, "report-failed", 0, "", 0, ExitFailure, "A report could not be written."},
+
+	{Internal, "internal", http.StatusInternalServerError, OutcomeUnknown, 0, ExitFailure, "An error that no rule expects."},
+}
+
+var byKind = index(table)
+
+func index(rows []Answer) map[Kind]Answer {
+	m := make(map[Kind]Answer, len(rows))
+	for _, row := range rows {
+		m[row.Kind] = row
+	}
+	return m
+}
+
+// Table returns a copy of all rows, ordered by kind.
+func Table() []Answer {
+	return append([]Answer(nil), table...)
+}
+
+// Answer returns the row of k, or the row of Internal for an unlisted kind.
+func (k Kind) Answer() Answer {
+	if a, ok := byKind[k]; ok {
+		return a
+	}
+	return byKind[Internal]
+}
+
+// String returns the stable name of k.
+func (k Kind) String() string { return k.Answer().Name }
+
+// Error is an error with a kind. Its cause, if any, is reachable with errors.As.
+type Error struct {
+	Kind  Kind
+	cause error
+}
+
+// New returns an error of kind k with a message.
+func New(k Kind, msg string) error {
+	return &Error{Kind: k, cause: eris.New(msg)}
+}
+
+// Errorf returns an error of kind k with a formatted message.
+func Errorf(k Kind, format string, args ...any) error {
+	return &Error{Kind: k, cause: eris.Errorf(format, args...)}
+}
+
+// Wrap returns an error of kind k around err, or nil for a nil err.
+func Wrap(err error, k Kind, msg string) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Kind: k, cause: eris.Wrap(err, msg)}
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Kind.String() + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Of returns the kind of the outermost kinded error in err's chain, or
+// Internal. It must not be called with nil.
+func Of(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
+
+// Is reports whether err carries kind k.
+func Is(err error, k Kind) bool {
+	return err != nil && Of(err) == k
+}
+
+// ExitCode returns the exit code for err; 0 for nil.
+func ExitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	return Of(err).Answer().ExitCode
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,128 @@
+package event
+
+import "github.com/apex/log"
+
+// Definition describes one event for the log and for docs/EVENTS.md.
+type Definition struct {
+	ID      ID
+	Level   log.Level
+	Limited bool   // written at most once per 10 s
+	Message string // fixed text of the log line
+	Action  string // what an operator should do
+}
+
+// Events of all programs.
+const (
+	Started           ID = 1000
+	Stopping          ID = 1001
+	Stopped           ID = 1002
+	SettingRefused    ID = 1003
+	KeyRingReloaded   ID = 1004
+	CertificateLoaded ID = 1005
+	ReloadFailed      ID = 1006
+)
+
+// Events of the control path.
+const (
+	GenerationInForce   ID = 1100
+	GenerationRefused   ID = 1101
+	PlatformLost        ID = 1102
+	PlatformBack        ID = 1103
+	PeerRefused         ID = 1104
+	PeerLost            ID = 1105
+	MemberChanged       ID = 1106
+	ClockOff            ID = 1107
+	Isolated            ID = 1108
+	IsolationOver       ID = 1109
+	AnnouncementFailed  ID = 1110
+	PeerMessageRefused  ID = 1111
+	PlannedChangeActive ID = 1112
+)
+
+// Events of the balancer.
+const (
+	PacketDropped   ID = 1200
+	TunnelReopened  ID = 1201
+	ListenerChanged ID = 1202
+)
+
+// Events of the agent.
+const (
+	ColdStart         ID = 1300
+	WarmedUp          ID = 1301
+	Leaving           ID = 1302
+	DomainOutActive   ID = 1303
+	Fenced            ID = 1304
+	RequestRefused    ID = 1305
+	RelayFailed       ID = 1306
+	BackendConnFailed ID = 1307
+)
+
+// Events of operators' commands.
+const (
+	ChangeAccepted ID = 1400
+	ChangeReadBack ID = 1401
+	ChangeConflict ID = 1402
+)
+
+var catalogue = []Definition{
+	{Started, log.InfoLevel, false, "process started", "None."},
+	{Stopping, log.InfoLevel, false, "graceful shutdown started", "None."},
+	{Stopped, log.InfoLevel, false, "process stopped", "None."},
+	{SettingRefused, log.ErrorLevel, false, "setting refused", "Correct the setting that the message names."},
+	{KeyRingReloaded, log.InfoLevel, false, "key ring reloaded", "None."},
+	{CertificateLoaded, log.InfoLevel, false, "certificate loaded", "None."},
+	{ReloadFailed, log.ErrorLevel, true, "reload failed, previous value stays in use", "Correct the file that the message names."},
+
+	{GenerationInForce, log.InfoLevel, false, "configuration generation in force", "None."},
+	{GenerationRefused, log.WarnLevel, true, "configuration generation refused", "Look for an object restored to an older state in the platform."},
+	{PlatformLost, log.WarnLevel, true, "platform not reachable", "See OPERATIONS.md, platform outage."},
+	{PlatformBack, log.InfoLevel, false, "platform reachable again", "None."},
+	{PeerRefused, log.WarnLevel, true, "peer without a valid key refused", "Compare the key rings of both processes."},
+	{PeerLost, log.WarnLevel, true, "peer not reachable", "None, unless it lasts: check the peer's host."},
+	{MemberChanged, log.InfoLevel, false, "member changed state", "None."},
+	{ClockOff, log.WarnLevel, true, "clock differs from peers by more than 1 s", "Correct the host's clock: planned changes depend on it."},
+	{Isolated, log.ErrorLevel, false, "isolated from the platform and from peers", "See OPERATIONS.md, isolated process."},
+	{IsolationOver, log.InfoLevel, false, "no longer isolated", "None."},
+	{AnnouncementFailed, log.WarnLevel, true, "announcement to the platform failed", "None while the platform is down."},
+	{PeerMessageRefused, log.WarnLevel, true, "peer message refused", "Compare the versions of both processes."},
+	{PlannedChangeActive, log.InfoLevel, false, "planned change in force", "None."},
+
+	{PacketDropped, log.WarnLevel, true, "packet dropped", "See ERRORS.md for the kind."},
+	{TunnelReopened, log.WarnLevel, true, "tunnel socket reopened", "Look for a device that lost the UDP flow."},
+	{ListenerChanged, log.InfoLevel, false, "service address opened or closed", "None."},
+
+	{ColdStart, log.WarnLevel, true, "backend server is in a cold start", "None, unless it repeats: check the backend server."},
+	{WarmedUp, log.InfoLevel, true, "backend server is warm", "None."},
+	{Leaving, log.InfoLevel, false, "backend server is leaving", "None."},
+	{DomainOutActive, log.InfoLevel, false, "failure domain is out, closing flows", "None."},
+	{Fenced, log.WarnLevel, false, "process was paused longer than its lease", "Look for the cause of the pause on the host."},
+	{RequestRefused, log.InfoLevel, true, "request refused", "See ERRORS.md for the kind."},
+	{RelayFailed, log.WarnLevel, true, "relay to a peer failed", "None, unless it lasts: check the peer."},
+	{BackendConnFailed, log.WarnLevel, true, "connection to the backend server failed", "Check the backend server."},
+
+	{ChangeAccepted, log.InfoLevel, false, "change accepted", "None."},
+	{ChangeReadBack, log.WarnLevel, false, "answer lost, change found accepted by reading back", "None."},
+	{ChangeConflict, log.WarnLevel, false, "change refused because of another operator's change", "Read the difference, then apply again."},
+}
+
+var byID = index(catalogue)
+
+func index(defs []Definition) map[ID]Definition {
+	m := make(map[ID]Definition, len(defs))
+	for _, def := range defs {
+		m[def.ID] = def
+	}
+	return m
+}
+
+// Catalogue returns all definitions, ordered by ID.
+func Catalogue() []Definition {
+	return append([]Definition(nil), catalogue...)
+}
+
+// Lookup returns the definition of id.
+func Lookup(id ID) (Definition, bool) {
+	def, ok := byID[id]
+	return def, ok
+}
