Add the stand-in of the packet-spraying network

Cause: balancers are designed for a network that sprays each packet of a flow over all of them. Tests and quickstart need such a network on loopback.

Change: standin/fabric listens on the service addresses, opens one UDP socket for each caller and service, sends each packet to a randomly chosen live balancer and returns answers from the service address. Delay and loss are optional and seeded. The number of callers is bounded and idle sockets are closed. standin-fabric is its thin main.

Ruled out: one shared socket towards the balancers, because a balancer could then not tell callers apart. Passing on packets from unknown senders, because that would hide a balancer that answers from a wrong address; they are counted as stray instead.

--- /dev/null
+++ b/standin/cmd/standin-fabric/main.go
@@ -0,0 +1,75 @@
+// Command standin-fabric runs the stand-in of the packet-spraying network.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/standin/fabric"
+)
+
+type settings struct {
+	Service  []string      `required:"" help:"Service address to listen on, IP:port; repeatable."`
+	Balancer []string      `required:"" help:"Balancer's host IP, with =URL for a health URL; repeatable."`
+	Seed     uint64        `default:"1" help:"Seed of choices and losses."`
+	Delay    time.Duration `default:"0s" help:"One-way delay of each packet."`
+	Loss     float64       `default:"0" help:"Share of packets lost in each direction, 0 to 1."`
+}
+
+func main() {
+	var s settings
+	kong.Parse(&s, kong.Name("standin-fabric"), kong.UsageOnError())
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(errkind.ExitCode(err))
+	}
+}
+
+func run(s settings) error {
+	opt, err := s.options()
+	if err != nil {
+		return err
+	}
+	f, err := fabric.New(opt)
+	if err != nil {
+		return err
+	}
+	if err := f.Start(); err != nil {
+		return err
+	}
+	fmt.Println("ready")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	<-stop
+	f.Close()
+	return json.NewEncoder(os.Stdout).Encode(f.Ledger())
+}
+
+func (s settings) options() (fabric.Options, error) {
+	opt := fabric.Options{Seed: s.Seed, Delay: s.Delay, Loss: s.Loss}
+	for _, text := range s.Service {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return opt, errkind.Wrap(err, errkind.SettingInvalid, "service")
+		}
+		opt.Services = append(opt.Services, addr)
+	}
+	for _, text := range s.Balancer {
+		host, health, _ := strings.Cut(text, "=")
+		addr, err := netip.ParseAddr(host)
+		if err != nil {
+			return opt, errkind.Wrap(err, errkind.SettingInvalid, "balancer")
+		}
+		opt.Balancers = append(opt.Balancers, fabric.Balancer{ID: host, Health: health, Addr: fabric.HostAddr(addr)})
+	}
+	return opt, nil
+}
--- /dev/null
+++ b/standin/fabric/ledger.go
@@ -0,0 +1,49 @@
+package fabric
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Ledger counts packets since Start.
+type Ledger struct {
+	Balancers      []BalancerLedger `json:"balancers"`       // ordered by ID
+	Callers        int              `json:"callers"`         // caller sockets open now
+	NoBalancer     uint64           `json:"no_balancer"`     // dropped because no balancer was live
+	Lost           uint64           `json:"lost"`            // dropped by the seeded loss
+	RefusedCallers uint64           `json:"refused_callers"` // dropped because all caller sockets were in use
+	Stray          uint64           `json:"stray"`           // dropped because the sender was no balancer
+	Overflow       uint64           `json:"overflow"`        // dropped because too many packets were being delayed
+}
+
+// BalancerLedger counts the packets of one balancer.
+type BalancerLedger struct {
+	ID        string `json:"id"`
+	Live      bool   `json:"live"`
+	Forwarded uint64 `json:"forwarded"` // from callers to the balancer
+	Returned  uint64 `json:"returned"`  // from the balancer to callers
+}
+
+// Ledger returns the counts so far.
+func (f *Fabric) Ledger() Ledger {
+	return Ledger{
+		Balancers:      f.pool.ledger(),
+		Callers:        int(f.callers.Load()),
+		NoBalancer:     f.counts.noBalancer.Load(),
+		Lost:           f.counts.lost.Load(),
+		RefusedCallers: f.counts.refusedCallers.Load(),
+		Stray:          f.counts.stray.Load(),
+		Overflow:       f.counts.overflow.Load(),
+	}
+}
+
+func (p *pool) ledger() []BalancerLedger {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]BalancerLedger, 0, len(p.entries))
+	for _, e := range p.entries {
+		out = append(out, BalancerLedger{e.id, e.healthy && !e.removed, e.forwarded.Load(), e.returns.Load()})
+	}
+	slices.SortFunc(out, func(a, b BalancerLedger) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
