Add connection IDs, tunnel header, candidate tables, steering and placement

Balancers steer established flows by the connection ID alone, and openings by a per-service table of ranked agents. The agent that gets an opening accepts it or passes it to the agent with the fewest flows per slot.

Ruled out: a Maglev-style table of 65,537 entries for each of 340 services, which needs 44 MB of the 64 MB that a node may spend on control.

--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func agent(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 9000)
+}
+
+// Guards against an opening whose packets reach two agents, or that travels
+// without end, whatever the reports say.
+func TestOpeningStaysTogether(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		now := start
+		dcid := []byte("opening")
+		hop := rapid.Uint8Range(0, 3).Draw(t, "hop")
+		var first *choice
+		for range rapid.IntRange(2, 8).Draw(t, "packets") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			for i := range rapid.IntRange(0, 3).Draw(t, "reports") {
+				table.Reported(now, agent(i), tunnel.Load{Flows: rapid.Uint16().Draw(t, "flows"), Limit: 9})
+			}
+			own := Own{Load: tunnel.Load{Flows: rapid.Uint16().Draw(t, "own"), Limit: 9}}
+			verdict, next := table.Decide(now, own, dcid, hop)
+			if hop >= MaxHops && verdict != Accept {
+				t.Fatal("passed on after the last hop")
+			}
+			if first == nil {
+				first = &choice{verdict, next}
+			}
+			if *first != (choice{verdict, next}) {
+				t.Fatalf("decided %v %v, first %v", verdict, next, *first)
+			}
+		}
+	})
+}
+
+// Guards against openings that pile up at one agent between two load reports.
+func TestOpeningsSpreadBetweenReports(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for i := range 6 {
+		table.Reported(start, agent(i), tunnel.Load{Limit: 9})
+	}
+	own := Own{Load: tunnel.Load{Limit: 9}}
+	passed := map[netip.AddrPort]int{}
+	for i := range 70 {
+		verdict, next := table.Decide(start, own, fmt.Appendf(nil, "dcid-%d", i), 0)
+		if verdict == Accept {
+			own.Load.Flows++
+			continue
+		}
+		passed[next]++
+	}
+	is.Equal(own.Load.Flows, uint16(10))
+	for i := range 6 {
+		is.Equal(passed[agent(i)], 10)
+	}
+}
+
+// Guards against openings sent to an agent that is leaving or silent, and
+// against a leaving agent that keeps openings while another could take them.
+func TestUnsuitableAgents(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Reported(start, agent(1), tunnel.Load{Limit: 9, Flags: tunnel.FlagLeaving})
+	table.Reported(start.Add(-staleAfter), agent(2), tunnel.Load{Limit: 9})
+	verdict, _ := table.Decide(start, Own{Full: true}, []byte("a"), 0)
+	is.Equal(verdict, Accept) // nobody else: the flow is refused truthfully
+
+	table.Reported(start, agent(3), tunnel.Load{Limit: 9, Flows: 500})
+	leaving := Own{Load: tunnel.Load{Limit: 9, Flags: tunnel.FlagLeaving}}
+	verdict, next := table.Decide(start, leaving, []byte("b"), 0)
+	is.Equal(verdict, PassOn)
+	is.Equal(next, agent(3))
+
+	cold := Own{Load: tunnel.Load{Limit: 2, Flows: 200}}
+	verdict, _ = table.Decide(start, cold, []byte("c"), 0)
+	is.Equal(verdict, PassOn)
+	is.Equal(len(table.Peers(start)), 2)
+}
--- /dev/null
+++ b/internal/tunnel/tunnel.go
@@ -0,0 +1,180 @@
+// Package tunnel owns the header that balancers and agents put before each
+// packet that they exchange over UDP.
+//
+// The header is authenticated by a keyed tag that also covers the length of
+// the payload. The payload is a QUIC packet, which the flow's ends
+// authenticate themselves. Replayed headers are not detected: they can only
+// repeat a packet that QUIC discards, or a load report.
+package tunnel
+
+import (
+	"crypto/subtle"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/dchest/siphash"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+)
+
+// Type says what a datagram is.
+type Type uint8
+
+// The datagram types.
+const (
+	Forward  Type = 1 // a caller's packet, towards an agent
+	Return   Type = 2 // an agent's packet, towards a caller
+	Hello    Type = 3 // an agent's sign of life and load, without payload
+	HelloAck Type = 4 // a balancer's answer to Hello, without payload
+)
+
+// Flag bits of the sender's state.
+type Flag uint8
+
+// The flags.
+const (
+	FlagLeaving Flag = 1 << iota // the sender takes no new work
+	FlagCold                     // the sender's backend server is in a cold start
+)
+
+// Load is what an agent says of its backend server.
+type Load struct {
+	InProgress uint16 // requests
+	Limit      uint16 // current limit of requests in progress
+	Flows      uint16 // open flows, 65535 for more
+	Flags      Flag
+}
+
+// MaxCandidates is the number of agents that an opening names.
+const MaxCandidates = 3
+
+// Header precedes the payload of each datagram. Addresses are IPv4.
+type Header struct {
+	Type       Type
+	Hop        uint8 // agents that passed the opening on so far
+	Caller     netip.AddrPort
+	Service    uint32 // ServiceID of the service's address
+	Generation uint64 // configuration that the sender has in force
+	Load       Load
+	Candidates [MaxCandidates]netip.AddrPort // of an opening, in order
+	Count      uint8                         // of Candidates in use
+}
+
+const (
+	version     = 1
+	addressSize = 6
+	fixedSize   = 29
+	tagSize     = 8
+
+	// MaxSize is the largest header in bytes.
+	MaxSize = fixedSize + MaxCandidates*addressSize + tagSize
+)
+
+// ServiceID reduces a service's address to 32 bits.
+func ServiceID(service netip.AddrPort) uint32 {
+	var b [addressSize]byte
+	putAddress(b[:], service)
+	return uint32(siphash.Hash(0, 0, b[:]))
+}
+
+// Codec writes and verifies headers with the keys of one ring. It is
+// immutable and safe for concurrent use.
+type Codec struct {
+	macs keyring.MACs
+}
+
+// NewCodec derives the keys for headers from ring.
+func NewCodec(ring *keyring.Ring) *Codec {
+	return &Codec{macs: ring.MACs("tunnel")}
+}
+
+func (h *Header) size() int {
+	return fixedSize + int(h.Count)*addressSize + tagSize
+}
+
+// Prepend writes h before buf[payloadStart:] and returns where the datagram
+// starts. There must be MaxSize bytes before payloadStart.
+func (c *Codec) Prepend(buf []byte, payloadStart int, h *Header) int {
+	start := payloadStart - h.size()
+	b := buf[start:payloadStart]
+	b[0] = version
+	b[1] = c.macs.SigningID()
+	b[2] = byte(h.Type)
+	b[3] = h.Hop<<4 | h.Count
+	putAddress(b[4:10], h.Caller)
+	binary.BigEndian.PutUint32(b[10:14], h.Service)
+	binary.BigEndian.PutUint64(b[14:22], h.Generation)
+	binary.BigEndian.PutUint16(b[22:24], h.Load.InProgress)
+	binary.BigEndian.PutUint16(b[24:26], h.Load.Limit)
+	binary.BigEndian.PutUint16(b[26:28], h.Load.Flows)
+	b[28] = byte(h.Load.Flags)
+	for i := range int(h.Count) {
+		putAddress(b[fixedSize+i*addressSize:], h.Candidates[i])
+	}
+	signed := len(b) - tagSize
+	tag, _ := c.tag(b[:signed], len(buf)-payloadStart)
+	binary.BigEndian.PutUint64(b[signed:], tag)
+	return start
+}
+
+// Parse verifies a datagram, fills h and returns the payload, which aliases
+// the datagram. The kind is 0, TunnelMalformed or TunnelTag.
+func (c *Codec) Parse(datagram []byte, h *Header) (payload []byte, kind errkind.Kind) {
+	if len(datagram) < fixedSize+tagSize || datagram[0] != version {
+		return nil, errkind.TunnelMalformed
+	}
+	h.Hop, h.Count = datagram[3]>>4, datagram[3]&0x0f
+	h.Type = Type(datagram[2])
+	if h.Count > MaxCandidates || len(datagram) < h.size() || h.Type < Forward || h.Type > HelloAck {
+		return nil, errkind.TunnelMalformed
+	}
+	signed := h.size() - tagSize
+	payload = datagram[h.size():]
+	if !c.verify(datagram[:signed], len(payload), datagram[signed:h.size()]) {
+		return nil, errkind.TunnelTag
+	}
+	h.Caller = address(datagram[4:10])
+	h.Service = binary.BigEndian.Uint32(datagram[10:14])
+	h.Generation = binary.BigEndian.Uint64(datagram[14:22])
+	h.Load = Load{
+		InProgress: binary.BigEndian.Uint16(datagram[22:24]),
+		Limit:      binary.BigEndian.Uint16(datagram[24:26]),
+		Flows:      binary.BigEndian.Uint16(datagram[26:28]),
+		Flags:      Flag(datagram[28]),
+	}
+	for i := range int(h.Count) {
+		h.Candidates[i] = address(datagram[fixedSize+i*addressSize:])
+	}
+	return payload, 0
+}
+
+// tag covers the header and the length of the payload, under the key that the
+// header names.
+func (c *Codec) tag(header []byte, payloadSize int) (uint64, bool) {
+	var input [fixedSize + MaxCandidates*addressSize + 2]byte
+	n := copy(input[:], header)
+	binary.BigEndian.PutUint16(input[n:], uint16(payloadSize))
+	return c.macs.Sum(header[1], input[:n+2])
+}
+
+func (c *Codec) verify(header []byte, payloadSize int, tag []byte) bool {
+	mac, ok := c.tag(header, payloadSize)
+	var want [tagSize]byte
+	binary.BigEndian.PutUint64(want[:], mac)
+	return ok && subtle.ConstantTimeCompare(want[:], tag) == 1
+}
+
+func putAddress(b []byte, a netip.AddrPort) {
+	if !a.Addr().Is4() {
+		clear(b[:addressSize])
+		return
+	}
+	ip := a.Addr().As4()
+	copy(b, ip[:])
+	binary.BigEndian.PutUint16(b[4:], a.Port())
+}
+
+func address(b []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
+}
