Keep placement decisions by hop, and test the packet path end to end

Cause: two agents whose load reports were stale passed an opening to each other without end, because a remembered decision ignored the hop count. A caller's handshake timed out (TestFlowsSpreadEvenly, 5 s). Change: decisions are remembered by opening and hop, and load alone moves an opening only at its first agent. Ruled out: loss in the fabric or in the return path; the other path tests passed with the same fabric and balancers. Before: TestOpeningEndsAtOneAgent fails (passed on too often), flows time out. After: it passes, and 12 flows spread 3 to 5 over three agents.

The path tests replace every balancer under running feeds, kill an agent and start its successor, and take a failure domain out, through a fabric that sprays each packet.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -91,12 +91,14 @@
 }
 
 // Decide answers one packet of the opening dcid, which passed hop agents
-// before. All packets of one opening get the same answer. An opening that may
-// not be passed on any more is accepted: the request is then refused on the
-// flow, which tells the caller truthfully that it did not run.
+// before. All packets of one opening get the same answer at the same hop. An
+// opening that may not be passed on any more is accepted: the request is then
+// refused on the flow, which tells the caller truthfully that it did not run.
 func (t *Table) Decide(now time.Time, own Own, dcid []byte, hop uint8) (Verdict, netip.AddrPort) {
 	t.rotate(now)
-	key := string(dcid)
+	// Two agents whose reports are stale may pass an opening to each other.
+	// Decisions are kept by hop, so that it still ends after the last one.
+	key := string(append(dcid[:len(dcid):len(dcid)], hop))
 	c, ok := t.current[key]
 	if !ok {
 		c, ok = t.last[key]
@@ -119,7 +121,8 @@
 		return choice{verdict: Accept}
 	}
 	unable := own.Full || own.Load.Flags&tunnel.FlagLeaving != 0
-	if unable || share < flowShare(own.Load, 1) {
+	busier := hop == 0 && share < flowShare(own.Load, 1)
+	if unable || busier {
 		t.peers[next].sent++
 		return choice{PassOn, next}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -48,6 +48,45 @@
 	})
 }
 
+// Guards against two agents that pass an opening to each other without end:
+// each packet of it must end at the same agent after MaxHops at most.
+func TestOpeningEndsAtOneAgent(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		const agents = 3
+		tables, owns := [agents]*Table{}, [agents]Own{}
+		for i := range tables {
+			tables[i] = NewTable()
+			owns[i] = Own{
+				Load: tunnel.Load{Flows: rapid.Uint16Range(0, 9).Draw(t, "flows"), Limit: 9},
+				Full: rapid.Bool().Draw(t, "full"),
+			}
+			for j := range agents {
+				if j != i {
+					tables[i].Reported(start, agent(j), tunnel.Load{Flows: rapid.Uint16Range(0, 9).Draw(t, "stale"), Limit: 9})
+				}
+			}
+		}
+		ends := map[int]bool{}
+		for range 3 {
+			at, hop := 0, uint8(0)
+			for {
+				verdict, next := tables[at].Decide(start, owns[at], []byte("dcid"), hop)
+				if verdict == Accept {
+					break
+				}
+				if hop++; hop > MaxHops {
+					t.Fatal("passed on too often")
+				}
+				at = int(next.Addr().As4()[3])
+			}
+			ends[at] = true
+		}
+		if len(ends) != 1 {
+			t.Fatalf("ended at %v", ends)
+		}
+	})
+}
+
 // Guards against openings that pile up at one agent between two load reports.
 func TestOpeningsSpreadBetweenReports(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/pkg/agent/path_test.go
@@ -0,0 +1,304 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/steering"
+	"github.com/knapweedpier/knapweedpier/internal/testcert"
+	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/pkg/balancer"
+	"github.com/knapweedpier/knapweedpier/standin/fabric"
+)
+
+const feedLines = 40
+
+// testPath is a fabric, balancers and agents without a control plane.
+type testPath struct {
+	is        *is.I
+	service   netip.AddrPort
+	ring      *keyring.Ring
+	cert      *testcert.Pair
+	fabric    *fabric.Fabric
+	balancers map[string]*balancer.Forwarder
+	agents    []*testAgent
+	plan      balancer.Plan
+}
+
+type testAgent struct {
+	endpoint *Endpoint
+	flows    *flowServer
+	open     atomic.Int64
+	limit    int64 // open flows; 0 for none
+}
+
+func newTestPath(t *testing.T, agents int) *testPath {
+	p := &testPath{is: is.New(t), balancers: map[string]*balancer.Forwarder{}}
+	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
+	p.is.NoErr(err)
+	p.ring = ring
+	p.cert, err = testcert.New("service.test")
+	p.is.NoErr(err)
+	p.service = freeAddress(p.is)
+	p.fabric, err = fabric.New(fabric.Options{Services: []netip.AddrPort{p.service}, Seed: 1})
+	p.is.NoErr(err)
+	p.is.NoErr(p.fabric.Start())
+	t.Cleanup(p.fabric.Close)
+	for i := range agents {
+		p.agents = append(p.agents, p.startAgent(t, i, "127.0.0.1:0"))
+	}
+	p.setCandidates(true)
+	return p
+}
+
+func freeAddress(is *is.I) netip.AddrPort {
+	s, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	is.NoErr(err)
+	defer s.Close()
+	return udp.LocalAddress(s)
+}
+
+func (p *testPath) setCandidates(openings bool) {
+	sp := balancer.ServicePlan{Address: p.service}
+	for i, a := range p.agents {
+		sp.Candidates = append(sp.Candidates, balancer.Candidate{
+			ID: fmt.Sprintf("a-%d", i), Tunnel: a.endpoint.Address(), Weight: 9, Openings: openings,
+		})
+	}
+	p.plan = balancer.Plan{Ring: p.ring, Generation: 1, Services: []balancer.ServicePlan{sp}}
+	for _, b := range p.balancers {
+		p.is.NoErr(b.Apply(p.plan))
+	}
+}
+
+func (p *testPath) startBalancer(host string) {
+	f, err := balancer.NewForwarder(netip.MustParseAddrPort(host+":0"), netip.MustParseAddr(host), udp.Listen, event.Discard())
+	p.is.NoErr(err)
+	p.is.NoErr(f.Apply(p.plan))
+	p.balancers[host] = f
+	p.fabric.Add(fabric.Balancer{ID: host, Addr: func(s netip.AddrPort) netip.AddrPort {
+		return netip.AddrPortFrom(netip.MustParseAddr(host), s.Port())
+	}})
+}
+
+func (p *testPath) stopBalancer(host string) {
+	p.balancers[host].Close()
+	delete(p.balancers, host)
+	p.fabric.Remove(host)
+}
+
+func (p *testPath) startAgent(t *testing.T, index int, address string) *testAgent {
+	a := &testAgent{}
+	endpoint, err := NewEndpoint(EndpointOptions{
+		Listen:  netip.MustParseAddrPort(address),
+		Service: p.service,
+		Ring:    p.ring,
+		Self: func() Self {
+			return Self{Load: tunnel.Load{Limit: 9, Flows: uint16(a.open.Load())}, Full: a.limit > 0 && a.open.Load() >= a.limit}
+		},
+		Paused: func() bool { return false },
+		Open:   udp.Listen,
+		Logger: event.Discard(),
+	})
+	p.is.NoErr(err)
+	a.endpoint = endpoint
+	a.flows, err = newFlowServer(flowOptions{
+		endpoint: endpoint, ring: p.ring, incarnation: uint64(time.Now().UnixNano()),
+		tls:     &tls.Config{Certificates: []tls.Certificate{p.cert.Certificate}},
+		handler: testHandler(index),
+		openFlow: func() (func(), error) {
+			a.open.Add(1)
+			return func() { a.open.Add(-1) }, nil
+		},
+	})
+	p.is.NoErr(err)
+	t.Cleanup(func() { a.stop() })
+	return a
+}
+
+func (a *testAgent) stop() {
+	a.flows.close()
+	a.endpoint.Close()
+}
+
+func testHandler(index int) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/echo", func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "%d %s", index, r.URL.Query().Get("n"))
+	})
+	mux.HandleFunc("/feed", func(w http.ResponseWriter, r *http.Request) {
+		for i := range feedLines {
+			fmt.Fprintf(w, "line %d\n", i)
+			w.(http.Flusher).Flush()
+			time.Sleep(25 * time.Millisecond)
+		}
+	})
+	return mux
+}
+
+// helloLoop keeps the agents known to the balancers.
+func (p *testPath) helloLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, a := range p.agents {
+			for _, b := range p.balancers {
+				a.endpoint.Hello(b.TunnelAddress())
+			}
+			for _, other := range p.agents {
+				if other != a {
+					a.endpoint.Hello(other.endpoint.Address())
+				}
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (p *testPath) caller(t *testing.T) (*http.Client, *quic.Conn) {
+	conn, err := quic.DialAddr(t.Context(), p.service.String(), &tls.Config{
+		RootCAs: p.cert.Pool, ServerName: "service.test", NextProtos: []string{http3.NextProtoH3},
+	}, &quic.Config{KeepAlivePeriod: keepAlive})
+	p.is.NoErr(err)
+	t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
+	transport := &http3.Transport{}
+	return &http.Client{Transport: transport.NewClientConn(conn)}, conn
+}
+
+func (p *testPath) echo(c *http.Client, n string) (string, error) {
+	resp, err := c.Get("https://service.test/echo?n=" + n)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// Guards against a flow that depends on the balancer it started with: every
+// balancer is replaced while feeds run and requests go on.
+func TestFlowsSurviveReplacedBalancers(t *testing.T) {
+	p := newTestPath(t, 3)
+	for _, host := range []string{"127.0.0.11", "127.0.0.12"} {
+		p.startBalancer(host)
+	}
+	defer func() {
+		for host := range p.balancers {
+			p.stopBalancer(host)
+		}
+	}()
+	client, _ := p.caller(t)
+	first, err := p.echo(client, "0")
+	p.is.NoErr(err)
+	feed, err := client.Get("https://service.test/feed")
+	p.is.NoErr(err)
+	defer feed.Body.Close()
+
+	p.startBalancer("127.0.0.13")
+	p.startBalancer("127.0.0.14")
+	p.stopBalancer("127.0.0.11")
+	p.stopBalancer("127.0.0.12")
+	for i := range 20 {
+		got, err := p.echo(client, fmt.Sprint(i))
+		p.is.NoErr(err)
+		p.is.Equal(got, fmt.Sprintf("%s %d", first[:1], i))
+	}
+	lines := 0
+	for scan := bufio.NewScanner(feed.Body); scan.Scan(); lines++ {
+		p.is.Equal(scan.Text(), fmt.Sprintf("line %d", lines))
+	}
+	p.is.Equal(lines, feedLines)
+}
+
+// Guards against flows that pile up at one agent.
+func TestFlowsSpreadEvenly(t *testing.T) {
+	p := newTestPath(t, 3)
+	p.startBalancer("127.0.0.11")
+	defer p.stopBalancer("127.0.0.11")
+	ctx, cancel := context.WithCancel(t.Context())
+	var hellos sync.WaitGroup
+	hellos.Go(func() { p.helloLoop(ctx) })
+	defer hellos.Wait()
+	defer cancel()
+	time.Sleep(150 * time.Millisecond)
+	for range 12 {
+		client, _ := p.caller(t)
+		_, err := p.echo(client, "1")
+		p.is.NoErr(err)
+	}
+	for _, a := range p.agents {
+		p.is.True(a.open.Load() >= 3 && a.open.Load() <= 5)
+	}
+}
+
+// Guards against a successor at the same address that receives, or silently
+// ignores, the flows of its predecessor.
+func TestSuccessorResetsPredecessorsFlows(t *testing.T) {
+	p := newTestPath(t, 1)
+	p.startBalancer("127.0.0.11")
+	defer p.stopBalancer("127.0.0.11")
+	client, conn := p.caller(t)
+	_, err := p.echo(client, "1")
+	p.is.NoErr(err)
+
+	address := p.agents[0].endpoint.Address().String()
+	p.agents[0].endpoint.Close() // dies: its flows are not told
+	p.agents[0].flows.close()
+	p.agents[0] = p.startAgent(t, 7, address)
+	began := time.Now()
+	_, err = p.echo(client, "2")
+	p.is.True(err != nil)
+	<-conn.Context().Done()
+	p.is.True(time.Since(began) < 3*time.Second)
+
+	next, _ := p.caller(t)
+	got, err := p.echo(next, "3")
+	p.is.NoErr(err)
+	p.is.Equal(got, "7 3")
+}
+
+// Guards against an agent that died without warning and swallows new flows.
+func TestOpeningsAvoidADeadAgent(t *testing.T) {
+	p := newTestPath(t, 2)
+	p.startBalancer("127.0.0.11")
+	defer p.stopBalancer("127.0.0.11")
+	p.agents[0].stop()
+	for range 6 {
+		client, _ := p.caller(t) // fails after the handshake timeout of 5 s
+		_, err := p.echo(client, "1")
+		p.is.NoErr(err)
+	}
+}
+
+// Guards against traffic of a failure domain that is out.
+func TestCutDomain(t *testing.T) {
+	p := newTestPath(t, 1)
+	p.startBalancer("127.0.0.11")
+	defer p.stopBalancer("127.0.0.11")
+	client, _ := p.caller(t)
+	_, err := p.echo(client, "1")
+	p.is.NoErr(err)
+
+	p.plan.Domains = steering.Domains{0: 1}
+	p.is.NoErr(p.balancers["127.0.0.11"].Apply(p.plan))
+	before := p.balancers["127.0.0.11"].Counters().Forwarded.Load()
+	client.Timeout = 300 * time.Millisecond
+	_, err = p.echo(client, "2")
+	p.is.True(err != nil)
+	p.is.Equal(p.balancers["127.0.0.11"].Counters().Forwarded.Load(), before)
+}
--- /dev/null
+++ b/pkg/balancer/plan.go
@@ -0,0 +1,77 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/steering"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+// excludeSuspectAfter is how long an agent may be suspected before it gets no
+// openings at all.
+const excludeSuspectAfter = 30 * time.Second
+
+// PlanInput is everything that a plan depends on.
+type PlanInput struct {
+	Now     time.Time
+	Ring    *keyring.Ring
+	View    config.View
+	Members membership.Snapshot
+	Mode    steering.Mode
+	Policy  steering.Policy
+}
+
+// BuildPlan resolves configuration and membership into what the packet loops
+// follow.
+func BuildPlan(in PlanInput) Plan {
+	p := Plan{Ring: in.Ring, Generation: in.View.Generation, Mode: in.Mode, Policy: in.Policy}
+	indexes := map[string]uint8{}
+	for _, d := range in.View.Domains {
+		indexes[d.Name] = d.Index
+		if since, out := in.View.DomainOut(d.Name); out {
+			p.Domains[d.Index] = since.Add(steering.DomainCut).UnixNano()
+		}
+	}
+	byService := map[string][]Candidate{}
+	for _, m := range in.Members.Members {
+		index, known := indexes[m.Domain]
+		if m.Role != membership.RoleAgent || m.State == membership.StateGone || !known {
+			continue
+		}
+		byService[m.Service] = append(byService[m.Service], candidate(in, m, index))
+	}
+	for _, s := range in.View.Services {
+		agents := byService[s.Name]
+		for i := range agents {
+			agents[i].Weight = float64(s.Limits.Slots)
+		}
+		p.Services = append(p.Services, ServicePlan{Address: s.Address, Candidates: agents})
+	}
+	return p
+}
+
+func candidate(in PlanInput, m membership.Member, domain uint8) Candidate {
+	return Candidate{
+		ID:       m.ID,
+		Tunnel:   m.Tunnel,
+		Domain:   domain,
+		Suspect:  m.Suspect(),
+		Openings: takesOpenings(in, m),
+	}
+}
+
+// takesOpenings reports whether an agent may get new flows.
+func takesOpenings(in PlanInput, m membership.Member) bool {
+	if _, out := in.View.DomainOut(m.Domain); out {
+		return false
+	}
+	if _, leaving := in.View.BackendLeaving(m.ID); leaving {
+		return false
+	}
+	if m.State == membership.StateLeaving || !in.View.BackendJoined(m.ID) {
+		return false
+	}
+	return !m.Suspect() || in.Now.Sub(m.SuspectSince) < excludeSuspectAfter
+}
