Add settings of the balancer and the agent

Cause: the daemons need one place that reads flags and KNAPWEEDPIER_* variables and refuses unsafe values before anything is opened.

Change: package settings with kong structs Common, Balancer and Agent, Check with all faults at once, Parse for mains (exit code 2), RingSource and CertificateSource that re-read their files every 5 s, and docs/SETTINGS.md generated from the structs.

Ruled out: typed kong fields (netip.AddrPort, time.Duration) and kong's "required" and "enum" tags, because kong stops at the first fault; a reload to a key ring that shares no key with the one in use, because it would cut every open flow.

--- /dev/null
+++ b/internal/settings/reload_test.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+)
+
+func write(t *testing.T, path, text string, mode os.FileMode) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), mode); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a broken or unrelated key ring file that replaces the ring in
+// use, and against a rotation that is not noticed.
+func TestRingSourceFollowsFile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "ring")
+	write(t, path, "1:"+secretA+"\n", 0o600)
+	var lines bytes.Buffer
+	log, err := event.New(&lines, "json")
+	is.NoErr(err)
+	source, err := (&Common{KeyringFile: path}).OpenRing(log)
+	is.NoErr(err)
+	first := source.Ring()
+
+	for _, broken := range []string{"", "1:zz", "2:" + secretB, "1:" + secretB} {
+		write(t, path, broken, 0o600)
+		source.reload()
+		is.True(source.Ring() == first) // previous ring stays
+	}
+	is.True(strings.Contains(lines.String(), `"event":1006`))
+
+	write(t, path, "2:"+secretB+",1:"+secretA, 0o600)
+	source.reload()
+	is.Equal(source.Ring().Signing().ID, uint8(2))
+	is.True(strings.Contains(lines.String(), `"event":1004`))
+	is.True(!strings.Contains(lines.String(), secretA))
+}
+
+// Guards against a key file that every user of the host can read.
+func TestSecretFileModes(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "ring")
+	write(t, path, "1:"+secretA, 0o644)
+	_, err := (&Common{KeyringFile: path}).OpenRing(event.Discard())
+	is.True(errkind.Is(err, errkind.KeyRingInvalid))
+	is.NoErr(os.Chmod(path, 0o640))
+	_, err = (&Common{KeyringFile: path}).OpenRing(event.Discard())
+	is.NoErr(err)
+}
+
+func certificate(t *testing.T, serial int64) (certPEM, keyPEM string) {
+	t.Helper()
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certPEM = string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
+	return certPEM, string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}))
+}
+
+// Guards against a reload that hands out a half-replaced pair, or that misses
+// a new one.
+func TestCertificateSourceFollowsFiles(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	a := &Agent{TLSCertFile: filepath.Join(dir, "cert"), TLSKeyFile: filepath.Join(dir, "key")}
+	_, err := a.OpenCertificate(event.Discard())
+	is.True(errkind.Is(err, errkind.CertificateFailed))
+
+	cert, key := certificate(t, 1)
+	write(t, a.TLSCertFile, cert, 0o644)
+	write(t, a.TLSKeyFile, key, 0o600)
+	source, err := a.OpenCertificate(event.Discard())
+	is.NoErr(err)
+	serial := func() int64 {
+		c, err := source.GetCertificate(nil)
+		is.NoErr(err)
+		return c.Leaf.SerialNumber.Int64()
+	}
+
+	cert, key = certificate(t, 2)
+	write(t, a.TLSCertFile, cert, 0o644)
+	source.reload()
+	is.Equal(serial(), int64(1)) // the key does not match yet
+	write(t, a.TLSKeyFile, key, 0o600)
+	source.reload()
+	is.Equal(serial(), int64(2))
+}
--- /dev/null
+++ b/internal/settings/ring.go
@@ -0,0 +1,102 @@
+package settings
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+)
+
+// reloadInterval is how often files are re-read.
+const reloadInterval = 5 * time.Second
+
+// RingSource holds the key ring in use and follows its file. It is safe for
+// concurrent use.
+type RingSource struct {
+	path string // empty for a fixed ring
+	log  *event.Logger
+	ring atomic.Pointer[keyring.Ring]
+}
+
+// OpenRing returns the source for --keyring or --keyring-file. Its errors have
+// kind KeyRingInvalid.
+func (c *Common) OpenRing(log *event.Logger) (*RingSource, error) {
+	s := &RingSource{path: c.KeyringFile, log: log}
+	ring, err := s.load(c.Keyring)
+	if err != nil {
+		return nil, err
+	}
+	s.ring.Store(ring)
+	return s, nil
+}
+
+// FixedRing returns a source that always returns ring.
+func FixedRing(ring *keyring.Ring) *RingSource {
+	s := &RingSource{}
+	s.ring.Store(ring)
+	return s
+}
+
+func (s *RingSource) load(text string) (*keyring.Ring, error) {
+	if s.path == "" {
+		return parseRing(text)
+	}
+	return readRing(s.path)
+}
+
+// Ring returns the key ring in use. The pointer changes only when the keys do.
+func (s *RingSource) Ring() *keyring.Ring { return s.ring.Load() }
+
+// Run re-reads the file every 5 s until ctx ends. A broken file keeps the
+// previous ring and is logged as ReloadFailed.
+func (s *RingSource) Run(ctx context.Context) {
+	if s.path == "" {
+		<-ctx.Done()
+		return
+	}
+	every(ctx, reloadInterval, s.reload)
+}
+
+func (s *RingSource) reload() {
+	next, err := s.load("")
+	if err == nil {
+		err = s.admit(next)
+	}
+	if err != nil {
+		s.log.Failure(event.ReloadFailed, err, event.Fields{"file": s.path})
+	}
+}
+
+// admit puts next in use if the keys changed. A ring that shares no key with
+// the one in use is refused: it would cut every open flow at once, while a
+// rotation keeps the old key as the second one.
+func (s *RingSource) admit(next *keyring.Ring) error {
+	current := s.Ring().Keys()
+	if slices.Equal(current, next.Keys()) {
+		return nil
+	}
+	if !slices.ContainsFunc(next.Keys(), func(k keyring.Key) bool { return slices.Contains(current, k) }) {
+		return errkind.New(errkind.KeyRingInvalid, "shares no key with the ring in use: keep the old key as the second one while rotating")
+	}
+	s.ring.Store(next)
+	s.log.Emit(event.KeyRingReloaded, event.Fields{"file": s.path, "signing_key_id": next.Signing().ID})
+	return nil
+}
+
+// every calls step each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, step func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			step()
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,152 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+)
+
+var update = flag.Bool("update", false, "rewrite the page")
+
+var secretA = strings.Repeat("a1", 32)
+var secretB = strings.Repeat("b2", 32)
+
+// balancerArgs are valid; a later flag overrides an earlier one.
+func balancerArgs(extra ...string) []string {
+	return append([]string{
+		"--id=bal-1", "--failure-domain=tr-centre", "--region=mauricie",
+		"--peer-listen=127.0.0.1:7001", "--ops-listen=127.0.0.1:7002", "--tunnel-listen=127.0.0.1:7003",
+		"--platform=http://127.0.0.1:7000", "--keyring=1:" + secretA,
+	}, extra...)
+}
+
+// Guards against a setting that is accepted although a daemon could not work
+// safely with it, and against a refusal that does not name the flag.
+func TestRefusedSettings(t *testing.T) {
+	dir := t.TempDir()
+	open := filepath.Join(dir, "open")
+	if err := os.WriteFile(open, []byte("1:"+secretA), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ flag, value string }{
+		"empty ID":              {"id", ""},
+		"ID with a space":       {"id", "bal 1"},
+		"long ID":               {"id", strings.Repeat("a", 64)},
+		"peer all interfaces":   {"peer-listen", "0.0.0.0:7001"},
+		"peer port 0":           {"peer-listen", "127.0.0.1:0"},
+		"peer host name":        {"peer-listen", "localhost:7001"},
+		"ops all interfaces":    {"ops-listen", "[::]:7002"},
+		"ops same as peer":      {"ops-listen", "127.0.0.1:7001"},
+		"platform host name":    {"platform", "http://platform:7000"},
+		"platform password":     {"platform", "http://a:b@127.0.0.1:7000"},
+		"platform other scheme": {"platform", "ftp://127.0.0.1"},
+		"seed without port":     {"seeds", "127.0.0.9:7001,127.0.0.8"},
+		"seed twice":            {"seeds", "127.0.0.9:7001,127.0.0.9:7001"},
+		"two key rings":         {"keyring-file", open},
+		"short key":             {"keyring", "1:a1"},
+		"zero key":              {"keyring", "1:" + strings.Repeat("0", 64)},
+		"log format":            {"log-format", "xml"},
+		"grace without unit":    {"shutdown-grace", "30"},
+		"grace too long":        {"shutdown-grace", "25h"},
+		"bind host IPv6":        {"bind-host", "::1"},
+		"bind all interfaces":   {"bind-host", "0.0.0.0"},
+		"tunnel IPv6":           {"tunnel-listen", "[::1]:7003"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out, errs bytes.Buffer
+			exit, done := Parse(&Balancer{}, "knapweedpier-balancer", balancerArgs("--"+c.flag+"="+c.value), &out, &errs)
+			is.True(done)
+			is.Equal(exit, errkind.ExitUsage)
+			is.True(strings.Contains(errs.String(), "--"+c.flag)) // names the field
+			is.True(!strings.Contains(errs.String(), secretA))    // hides the secret
+		})
+	}
+}
+
+// Guards against a start that reports one fault at a time.
+func TestAllFaultsAtOnce(t *testing.T) {
+	is := is.New(t)
+	var errs bytes.Buffer
+	exit, done := Parse(&Agent{}, "knapweedpier-agent", []string{"--backend=192.0.2.1:80"}, &errs, &errs)
+	is.True(done)
+	is.Equal(exit, errkind.ExitUsage)
+	for _, field := range []string{"id", "failure-domain", "region", "peer-listen", "ops-listen", "platform",
+		"keyring", "service", "backend", "tunnel-listen", "tls-cert-file", "tls-key-file"} {
+		is.True(strings.Contains(errs.String(), "--"+field+" ("+variable(field)+"): ")) // each fault
+	}
+}
+
+// Guards against a fault list that callers of Check cannot read.
+func TestCheckReturnsTypedFaults(t *testing.T) {
+	is := is.New(t)
+	err := (&Balancer{}).Check()
+	is.True(errkind.Is(err, errkind.SettingInvalid))
+	var faults Faults
+	is.True(errors.As(err, &faults))
+	is.Equal(faults[0].Field, "id")
+}
+
+// Guards against environment variables that are ignored or that win over
+// flags, and against lost defaults.
+func TestEnvironmentAndDefaults(t *testing.T) {
+	is := is.New(t)
+	t.Setenv("KNAPWEEDPIER_ID", "from-env")
+	t.Setenv("KNAPWEEDPIER_SEEDS", "127.0.0.8:7001,127.0.0.9:7001")
+	t.Setenv("KNAPWEEDPIER_BIND_HOST", "127.0.0.7")
+	var b Balancer
+	var out, errs bytes.Buffer
+	_, done := Parse(&b, "knapweedpier-balancer", balancerArgs()[1:], &out, &errs)
+	is.Equal(errs.String(), "")
+	is.True(!done)
+	is.Equal(b.ID, "from-env")
+	is.Equal(len(b.Seeds), 2)
+	is.Equal(b.LogFormat, "text")
+	is.Equal(b.ShutdownGrace.String(), "30s")
+	is.Equal(b.Bind(ParseAddr("192.0.2.1:443").AddrPort).String(), "127.0.0.7:443")
+
+	_, done = Parse(&b, "knapweedpier-balancer", balancerArgs(), &out, &errs)
+	is.True(!done)
+	is.Equal(b.ID, "bal-1")
+}
+
+// Guards against --help or --version that fails because required settings are
+// missing.
+func TestHelpAndVersion(t *testing.T) {
+	for flag, expected := range map[string]string{"--help": "--shutdown-grace", "--version": "knapweedpier-agent "} {
+		is := is.New(t)
+		var out, errs bytes.Buffer
+		exit, done := Parse(&Agent{}, "knapweedpier-agent", []string{flag}, &out, &errs)
+		is.True(done)
+		is.Equal(exit, 0)
+		is.True(strings.Contains(out.String(), expected))
+		is.Equal(errs.String(), "")
+	}
+	is := is.New(t)
+	var errs bytes.Buffer
+	exit, done := Parse(&Agent{}, "knapweedpier-agent", []string{"--no-such-flag"}, &errs, &errs)
+	is.True(done)
+	is.Equal(exit, errkind.ExitUsage)
+}
+
+// Guards against a settings page that no longer matches the flags.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := Page()
+	is.NoErr(err)
+	path := filepath.Join("..", "..", "docs", "SETTINGS.md")
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(page), 0o644))
+	}
+	committed, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(string(committed), page) // run with -update
+}
