Add metrics of the balancer, the agent and the control path

Cause: operators need counts by error kind and direction from every process, and the data path must not allocate for them.

Change: package metrics wraps a go-metrics registry with typed names and one struct for each role, and serves /metrics (JSON or text exposition) and /healthz for the operators' address.

Ruled out: registering a kind's counter at its first use, which would allocate and lock on the data path; counters for all kinds are registered up front, and a kind outside its family counts as internal.

--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,91 @@
+package metrics
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+)
+
+// Guards against allocations for each packet or request, which would make the
+// cost of forwarding depend on the garbage collector.
+func TestUpdatesDoNotAllocate(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	b, a := NewBalancer(r), NewAgent(r)
+	allocs := testing.AllocsPerRun(1000, func() {
+		b.Forward.Inc(1)
+		b.Drop(errkind.PacketUnsteerable)
+		a.Requests.Inc(errkind.OutcomeDone)
+		a.Refusals.Inc(errkind.BackendFull)
+		a.Latency.Update(1500)
+		a.Limit.Update(9)
+	})
+	is.Equal(allocs, 0.0)
+}
+
+// Guards against a count that is lost because its kind is outside the family.
+func TestUnexpectedKindCountsAsInternal(t *testing.T) {
+	is := is.New(t)
+	b := NewBalancer(New())
+	b.Drop(errkind.TunnelTag)
+	b.Drop(errkind.TunnelTag)
+	b.Drop(errkind.BackendFull) // no packet kind
+	is.Equal(b.Drops.Counts(), []KindCount{{errkind.TunnelTag, 2}, {errkind.Internal, 1}})
+	a := NewAgent(New())
+	a.Requests.Inc("unheard of")
+	is.Equal(a.Requests.Count(errkind.OutcomeUnknown), uint64(1))
+}
+
+// Guards against two roles that cannot live in one process, and against
+// registering a role twice, which would split its counts.
+func TestNamesAreDistinct(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	NewBalancer(r)
+	NewAgent(r)
+	NewControl(r)
+	defer func() { is.True(recover() != nil) }()
+	NewControl(r)
+}
+
+func get(h http.Handler, path, accept string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(http.MethodGet, path, nil)
+	req.Header.Set("Accept", accept)
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, req)
+	return rec
+}
+
+// Guards against an operators' address that hides a metric or answers 200
+// while the process is unhealthy.
+func TestHandler(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	a := NewAgent(r)
+	a.Refusals.Inc(errkind.BackendFull)
+	a.Latency.Update(2000)
+	var state error
+	h := Handler(r, func() error { return state })
+
+	var metrics map[string]map[string]any
+	is.NoErr(json.Unmarshal(get(h, "/metrics", "").Body.Bytes(), &metrics))
+	is.Equal(len(metrics), len(r.entries))
+	is.Equal(metrics["agent.refusals.backend-full"]["count"], 1.0)
+
+	text := get(h, "/metrics", "text/plain").Body.String()
+	is.True(strings.Contains(text, "\nknapweedpier_agent_refusals{kind=\"backend-full\"} 1\n"))
+	is.True(strings.Contains(text, "\nknapweedpier_agent_latency_us{quantile=\"0.99\"} 2000\n"))
+	is.Equal(strings.Count(text, "# TYPE knapweedpier_agent_refusals "), 1)
+
+	is.Equal(get(h, "/healthz", "").Code, http.StatusOK)
+	state = errkind.New(errkind.PacketIsolated, "no contact to peers")
+	rec := get(h, "/healthz", "")
+	is.Equal(rec.Code, http.StatusServiceUnavailable)
+	is.True(strings.Contains(rec.Body.String(), "packet-isolated"))
+}
--- /dev/null
+++ b/internal/metrics/names.go
@@ -0,0 +1,49 @@
+package metrics
+
+// Name is the name of one metric, or of a family with one metric for each
+// error kind or outcome. Names end in their unit unless they count things.
+type Name string
+
+// Metrics of the balancer.
+const (
+	BalancerForwardPackets Name = "balancer.forward_packets" // packets from callers sent to agents
+	BalancerReturnPackets  Name = "balancer.return_packets"  // packets from agents sent to callers
+	BalancerDrops          Name = "balancer.drops"           // packets dropped, by error kind
+	BalancerOpenings       Name = "balancer.openings"        // packets that open a flow
+	BalancerUnsteerable    Name = "balancer.unsteerable"     // packets whose connection ID fails its tag
+	BalancerAgents         Name = "balancer.agents"          // agents in the candidate tables
+)
+
+// Metrics of the agent.
+const (
+	AgentRequests     Name = "agent.requests"      // requests answered, by outcome
+	AgentRefusals     Name = "agent.refusals"      // requests not answered by the backend server, by error kind
+	AgentRelaysOut    Name = "agent.relays_out"    // requests relayed to a peer
+	AgentRelaysIn     Name = "agent.relays_in"     // requests relayed from a peer
+	AgentRetries      Name = "agent.retries"       // attempts after the first
+	AgentFeeds        Name = "agent.feeds"         // open feeds
+	AgentFlows        Name = "agent.flows"         // open flows
+	AgentFlowsBroken  Name = "agent.flows_broken"  // flows that ended in an error
+	AgentPassedOn     Name = "agent.passed_on"     // openings passed on to the next candidate
+	AgentDrops        Name = "agent.drops"         // packets dropped, by error kind
+	AgentLatency      Name = "agent.latency_us"    // microseconds from request to response header
+	AgentLimit        Name = "agent.limit"         // requests that may be in progress now
+	AgentInProgress   Name = "agent.in_progress"   // requests in progress
+	AgentIncarnations Name = "agent.incarnations"  // incarnations taken since the process started
+	AgentBackendConns Name = "agent.backend_conns" // open connections to the backend server
+)
+
+// Metrics of the control path of every process.
+const (
+	ControlPulls            Name = "control.pulls"             // pulls answered by partners
+	ControlPullFailures     Name = "control.pull_failures"     // pulls failed, by error kind
+	ControlPullsServed      Name = "control.pulls_served"      // pulls answered to others
+	ControlBytesIn          Name = "control.in_bytes"          // bytes of peer messages received
+	ControlBytesOut         Name = "control.out_bytes"         // bytes of peer messages sent
+	ControlPlatformCalls    Name = "control.platform_calls"    // calls to the platform
+	ControlPlatformFailures Name = "control.platform_failures" // calls to the platform that failed, by error kind
+	ControlGeneration       Name = "control.generation"        // configuration generation in force
+	ControlMembers          Name = "control.members"           // members known
+	ControlSuspects         Name = "control.suspects"          // members suspected
+	ControlClockOffset      Name = "control.clock_offset_us"   // microseconds ahead of the median of peers
+)
