Add stand-in of the platform's object API

Cause: every process needs the platform, and the platform is met through its published protocol only.

--- /dev/null
+++ b/standin/cmd/standin-platform/main.go
@@ -0,0 +1,58 @@
+// Command standin-platform runs the stand-in of the platform's object API on a
+// loopback address. SIGUSR1 toggles an outage.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/standin/platform"
+)
+
+type settings struct {
+	Listen string `help:"Loopback address and port." default:"127.0.0.1:0" env:"KNAPWEEDPIER_STANDIN_LISTEN"`
+	Writes int    `help:"Write calls a second." default:"300" env:"KNAPWEEDPIER_STANDIN_WRITES"`
+	Reads  int    `help:"Read calls a second; a waiting watch counts as one." default:"2000" env:"KNAPWEEDPIER_STANDIN_READS"`
+}
+
+// Validate checks the settings before anything opens.
+func (s *settings) Validate() error {
+	if s.Writes < 1 || s.Reads < 1 {
+		return errkind.New(errkind.SettingInvalid, "--writes and --reads: must be at least 1 a second")
+	}
+	return nil
+}
+
+func main() {
+	var s settings
+	kong.Parse(&s, kong.Description("Stand-in of the platform's object API."))
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(errkind.ExitCode(err))
+	}
+}
+
+func run(s settings) error {
+	server := platform.New(platform.Options{WritesPerSecond: s.Writes, ReadsPerSecond: s.Reads})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGTERM, os.Interrupt)
+	addr, err := server.Start(s.Listen)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	fmt.Println("listening", addr)
+	for outage := false; ; {
+		if <-signals != syscall.SIGUSR1 {
+			return nil
+		}
+		outage = !outage
+		server.SetOutage(outage)
+		fmt.Println("outage", outage)
+	}
+}
