--- /dev/null
+++ b/internal/fence/fence_test.go
@@ -0,0 +1,66 @@
+package fence
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+)
+
+// Guards against work that runs after a pause longer than the lease, whoever
+// notices the pause first, and against a fence that opens by itself.
+func TestGapClosesUntilRenewed(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		f, paused := New(1, now), false
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			gap := time.Duration(rapid.SampledFrom([]int{50, 100, 4900, 5000, 5001, 60000}).Draw(t, "gap")) * time.Millisecond
+			now = now.Add(gap)
+			paused = paused || gap > Limit
+			switch rapid.SampledFrom([]string{"tick", "check", "renew"}).Draw(t, "step") {
+			case "tick":
+				f.Tick(now)
+			case "check":
+				if err := f.Check(now); errkind.Is(err, errkind.AgentFenced) != paused {
+					t.Fatalf("check gives %v, paused = %v", err, paused)
+				}
+			case "renew":
+				if old := f.Incarnation(); f.Renew(now) <= old {
+					t.Fatalf("incarnation is not raised")
+				}
+				paused = false
+			}
+		}
+	})
+}
+
+// Guards against a pause that is only detected and never reported, and against
+// more than one report for one incarnation.
+func TestRunReportsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var skipped, reports atomic.Int64
+		now := func() time.Time { return time.Now().Add(time.Duration(skipped.Load())) }
+		f := New(1, now())
+		go Run(ctx, f, now, func() { reports.Add(1) })
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(reports.Load(), int64(0))
+		skipped.Store(int64(2 * Limit))
+		is.True(f.Check(now()) != nil) // before any tick
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(reports.Load(), int64(1))
+		is.True(!f.Holds(1, now()))
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/isolation/isolation_test.go
@@ -0,0 +1,65 @@
+package isolation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// Guards against a platform outage that isolates a process with a majority in
+// reach, and against a cut-off process that is not isolated: the status must
+// follow from the contacts of the last 3 s alone.
+func TestRule(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "domains")
+		tracker, names := New("d0", "r", start), []string{}
+		for i := range n {
+			names = append(names, fmt.Sprint("d", i))
+		}
+		alone := rapid.Bool().Draw(t, "alone")
+		tracker.SetDomains(names, alone)
+		now := start.Add(time.Minute)
+		ago := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 6000).Draw(t, name)) * time.Millisecond
+		}
+		reached := 0
+		for i, name := range names {
+			d := ago(name)
+			tracker.Process(name, "r", now.Add(-d))
+			tracker.Process(name, "elsewhere", now)
+			if d < After || (alone && i == 0) {
+				reached++
+			}
+		}
+		platform := ago("platform")
+		tracker.Platform(now.Add(-platform))
+		want := platform >= After && 2*reached <= n
+		status := tracker.Status(now)
+		if status.Isolated != want {
+			t.Fatalf("isolated = %v with %d of %d domains, platform %v ago", status.Isolated, reached, n, platform)
+		}
+		if want && status.Since.After(now) {
+			t.Fatalf("isolated since %v, which is in the future", status.Since)
+		}
+	})
+}
+
+// Guards against a balancer that opens flows after 3 s without contact or
+// forwards after 4 s.
+func TestPhases(t *testing.T) {
+	is := is.New(t)
+	tracker := New("d", "r", start)
+	for after, want := range map[time.Duration]Phase{
+		After - 1: PhaseNormal, After: PhaseNoNewFlows, SilentAfter - 1: PhaseNoNewFlows, SilentAfter: PhaseSilent,
+	} {
+		now := start.Add(after)
+		is.Equal(tracker.Status(now).Phase(now), want)
+	}
+}
