Add the stand-in backend server

Cause: the agent's request path needs a backend server that shows overload instead of preventing it, and that restarts without announcement.

Its ledger counts runs per order, starts above the true capacity and requests in progress over time.

Ruled out: releasing a slot after the answer was written. A caller could then start its next request while the previous one still counts, and the ledger would report an overload that never was.

Conclusion: a restart closes connections before a new one can be served, so the ledger's count of starts above capacity is exact per incarnation.

--- /dev/null
+++ b/standin/backend/backend_test.go
@@ -0,0 +1,76 @@
+package backend
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func start(t *testing.T, opts Options) (*Server, string) {
+	t.Helper()
+	s := New(opts)
+	addr, err := s.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s, "http://" + addr.String()
+}
+
+func order(url, id string) (int, error) {
+	resp, err := http.Post(url+"/orders", "application/json", strings.NewReader(`{"order":"`+id+`"}`))
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// Guards against a ledger that misses starts above the true capacity or
+// counts requests wrongly, which would hide a broken limit.
+func TestLedgerCountsOverload(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, Options{ID: "b1", WarmUp: time.Hour, WorkMean: 200 * time.Millisecond, Seed: 3})
+	from := time.Now()
+	var wg sync.WaitGroup
+	for _, id := range []string{"a", "b", "c", "d", "d"} {
+		wg.Go(func() { order(url, id) })
+	}
+	wg.Wait()
+	l := s.Ledger()
+	is.Equal(l.Runs["d"], 2)
+	is.Equal(len(l.Starts), 5)
+	is.True(l.OverCapacityStarts >= 1) // five at once against two cold slots
+	is.Equal(l.InProgress, 0)
+	average := l.InProgressAverage(from, time.Now())
+	is.True(average > 0 && average < 5)
+}
+
+// Guards against a restart that leaves connections open or stays warm, and
+// against a drain that runs new requests.
+func TestRestartAndDrain(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, Options{ID: "b1", WarmUp: 50 * time.Millisecond, FeedInterval: 10 * time.Millisecond})
+	time.Sleep(60 * time.Millisecond)
+	is.Equal(s.currentLoad(), Load{Slots: 9})
+	resp, err := http.Get(url + "/feed")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(s.Ledger().FeedsOpen, 1)
+	s.Restart()
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil)
+	is.True(s.currentLoad().Cold)
+
+	s.Drain()
+	status, err := order(url, "x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(s.Ledger().Runs["x"], 0)
+}
--- /dev/null
+++ b/standin/cmd/standin-backend/main.go
@@ -0,0 +1,56 @@
+// Command standin-backend runs one stand-in backend server on loopback. It
+// prints "listening 127.0.0.1:PORT" and serves until it is interrupted.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/standin/backend"
+)
+
+type flags struct {
+	Listen       string        `default:"127.0.0.1:0" help:"Loopback address to listen on."`
+	ID           string        `default:"backend-1" help:"ID of the backend server."`
+	Service      string        `default:"comptoir" help:"Name of its service."`
+	Slots        int           `default:"9" help:"Requests in progress when warm."`
+	Connections  int           `default:"2000" help:"Open feeds."`
+	ColdSlots    int           `default:"2" help:"Requests in progress right after a start."`
+	WarmUp       time.Duration `default:"10s" help:"Time from cold to warm."`
+	FeedPath     string        `default:"/feed" help:"Path of the feed."`
+	FeedInterval time.Duration `default:"500ms" help:"Time between two lines of a feed."`
+	WorkMean     time.Duration `default:"20ms" help:"Mean work time of a request."`
+	Seed         uint64        `default:"1" help:"Seed of the work times."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Description("Stand-in backend server on loopback."), kong.DefaultEnvars("KNAPWEEDPIER_STANDIN"))
+	if err := run(f); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(errkind.Of(err).Answer().ExitCode)
+	}
+}
+
+func run(f flags) error {
+	s := backend.New(backend.Options{
+		ID: f.ID, Service: f.Service,
+		Slots: f.Slots, Connections: f.Connections, ColdSlots: f.ColdSlots, WarmUp: f.WarmUp,
+		FeedPath: f.FeedPath, FeedInterval: f.FeedInterval, WorkMean: f.WorkMean, Seed: f.Seed,
+	})
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	addr, err := s.Start(f.Listen)
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening", addr)
+	<-stop
+	return s.Close()
+}
