--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -74,16 +75,33 @@
 // openings (leaving, not joined, of a failure domain that is out) are left out
 // by the caller.
 func NewService(address netip.AddrPort, agents []Agent) *Service {
-	nodes := make([]rendezvous.Node, len(agents))
-	for i, a := range agents {
-		nodes[i] = rendezvous.Node{ID: a.ID, Weight: max(a.Weight, 1)}
-	}
 	return &Service{
 		Address: address,
 		ID:      tunnel.ServiceID(address),
 		agents:  agents,
-		table:   rendezvous.NewTable(nodes),
+		table:   rendezvous.NewTable(nodes(agents)),
+	}
+}
+
+// WithAgents returns the service with other agents. The table is built again
+// only if an agent joined, left or changed its weight: at the target size the
+// tables of all services take tens of milliseconds, while suspicions and
+// addresses change far more often.
+func (s *Service) WithAgents(agents []Agent) *Service {
+	if !slices.Equal(nodes(s.agents), nodes(agents)) {
+		return NewService(s.Address, agents)
+	}
+	next := *s
+	next.agents = agents
+	return &next
+}
+
+func nodes(agents []Agent) []rendezvous.Node {
+	out := make([]rendezvous.Node, len(agents))
+	for i, a := range agents {
+		out[i] = rendezvous.Node{ID: a.ID, Weight: max(a.Weight, 1)}
 	}
+	return out
 }
 
 // Agents returns the number of agents that openings can go to.
--- a/pkg/agent/path_test.go
+++ b/pkg/agent/path_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/steering"
 	"github.com/knapweedpier/knapweedpier/internal/testcert"
 	"github.com/knapweedpier/knapweedpier/internal/tunnel"
@@ -40,6 +41,7 @@
 	balancers map[string]*balancer.Forwarder
 	agents    []*testAgent
 	plan      balancer.Plan
+	counters  *metrics.Balancer // of the balancer started last
 }
 
 type testAgent struct {
@@ -89,8 +91,16 @@
 }
 
 func (p *testPath) startBalancer(host string) {
-	f, err := balancer.NewForwarder(netip.MustParseAddrPort(host+":0"), netip.MustParseAddr(host), udp.Listen, event.Discard())
+	counters := metrics.NewBalancer(metrics.New())
+	f, err := balancer.NewForwarder(balancer.ForwarderOptions{
+		TunnelListen: netip.MustParseAddrPort(host + ":0"),
+		BindHost:     netip.MustParseAddr(host),
+		Listen:       udp.Listen,
+		Logger:       event.Discard(),
+		Metrics:      counters,
+	})
 	p.is.NoErr(err)
+	p.counters = counters
 	p.is.NoErr(f.Apply(p.plan))
 	p.balancers[host] = f
 	p.fabric.Add(fabric.Balancer{ID: host, Addr: func(s netip.AddrPort) netip.AddrPort {
@@ -296,9 +306,9 @@
 
 	p.plan.Domains = steering.Domains{0: 1}
 	p.is.NoErr(p.balancers["127.0.0.11"].Apply(p.plan))
-	before := p.balancers["127.0.0.11"].Counters().Forwarded.Load()
+	before := p.counters.Forward.Count()
 	client.Timeout = 300 * time.Millisecond
 	_, err = p.echo(client, "2")
 	p.is.True(err != nil)
-	p.is.Equal(p.balancers["127.0.0.11"].Counters().Forwarded.Load(), before)
+	p.is.Equal(p.counters.Forward.Count(), before)
 }
--- a/pkg/balancer/forwarder.go
+++ b/pkg/balancer/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/steering"
 	"github.com/knapweedpier/knapweedpier/internal/tunnel"
 	"github.com/knapweedpier/knapweedpier/internal/udp"
@@ -22,7 +23,7 @@
 	bindHost netip.Addr // invalid: bind to the services' own addresses
 	listen   udp.ListenFunc
 	logger   *event.Logger
-	counters Counters
+	counters *metrics.Balancer
 	openings *steering.Openings
 	tunnel   *tunnelSocket
 
@@ -78,18 +79,28 @@
 	Openings bool // false: only packets of established flows are exchanged
 }
 
+// ForwarderOptions configure a Forwarder.
+type ForwarderOptions struct {
+	TunnelListen netip.AddrPort // IPv4 address of the tunnel to agents
+	BindHost     netip.Addr     // bound in place of the services' own addresses; invalid for those
+	Listen       udp.ListenFunc
+	Logger       *event.Logger
+	Metrics      *metrics.Balancer
+}
+
 // NewForwarder opens the tunnel socket. It forwards nothing before Apply.
-func NewForwarder(tunnelListen netip.AddrPort, bindHost netip.Addr, listen udp.ListenFunc, logger *event.Logger) (*Forwarder, error) {
+func NewForwarder(o ForwarderOptions) (*Forwarder, error) {
 	f := &Forwarder{
-		bindHost:  bindHost,
-		listen:    listen,
-		logger:    logger,
+		bindHost:  o.BindHost,
+		listen:    o.Listen,
+		logger:    o.Logger,
+		counters:  o.Metrics,
 		openings:  steering.NewOpenings(),
 		listeners: map[netip.AddrPort]*listener{},
 		evidence:  map[netip.AddrPort]*steering.Evidence{},
 	}
 	f.routes.Store(&routes{})
-	socket, err := listen(tunnelListen)
+	socket, err := f.listen(o.TunnelListen)
 	if err != nil {
 		return nil, err
 	}
@@ -101,9 +112,6 @@
 // TunnelAddress returns the address that agents reach this balancer at.
 func (f *Forwarder) TunnelAddress() netip.AddrPort { return f.tunnel.address }
 
-// Counters returns the forwarder's counters.
-func (f *Forwarder) Counters() *Counters { return &f.counters }
-
 // Apply puts a plan in force. Sockets of services that are no longer listed
 // are closed. An address that cannot be opened is reported and tried again at
 // the next Apply; the other services are not affected.
@@ -131,13 +139,12 @@
 	wanted := map[netip.AddrPort]bool{}
 	for _, sp := range plan.Services {
 		wanted[sp.Address] = true
-		svc := steering.NewService(sp.Address, f.agents(sp, next))
-		l, err := f.listener(sp.Address, svc)
+		l, err := f.listener(sp.Address, f.agents(sp, next))
 		if err != nil {
 			firstErr = errkind.Wrap(err, errkind.Of(err), "service address")
 			continue
 		}
-		next.byID[svc.ID] = l
+		next.byID[l.service.Load().ID] = l
 	}
 	f.evidence = next.evidence
 	f.routes.Store(next)
@@ -163,9 +170,9 @@
 	return out
 }
 
-func (f *Forwarder) listener(address netip.AddrPort, svc *steering.Service) (*listener, error) {
+func (f *Forwarder) listener(address netip.AddrPort, agents []steering.Agent) (*listener, error) {
 	if l, ok := f.listeners[address]; ok {
-		l.service.Store(svc)
+		l.service.Store(l.service.Load().WithAgents(agents))
 		return l, nil
 	}
 	bind := address
@@ -177,7 +184,7 @@
 		return nil, err
 	}
 	l := &listener{socket: socket}
-	l.service.Store(svc)
+	l.service.Store(steering.NewService(address, agents))
 	f.listeners[address] = l
 	f.logger.Emit(event.ListenerChanged, event.Fields{"service_address": address.String(), "bound": bind.String(), "open": true})
 	f.done.Go(func() { f.forwardLoop(l) })
@@ -217,7 +224,7 @@
 }
 
 func (f *Forwarder) drop(kind errkind.Kind) {
-	f.counters.drop(kind)
+	f.counters.Drop(kind)
 	f.logger.Failure(event.PacketDropped, errkind.New(kind, "packet dropped"), nil)
 }
 
@@ -253,11 +260,11 @@
 		Count:      d.Count,
 	}
 	if d.Opening {
-		f.counters.Openings.Add(1)
+		f.counters.Openings.Inc(1)
 	}
 	start := r.codec.Prepend(buf, tunnel.MaxSize, header)
 	f.tunnel.send(buf[start:], d.Agent)
-	f.counters.Forwarded.Add(1)
+	f.counters.Forward.Inc(1)
 }
 
 // returnLoop carries agents' packets back to callers and notes what agents say
@@ -312,7 +319,7 @@
 		}
 	}
 	if _, err := l.socket.WriteToUDPAddrPort(payload, header.Caller); err == nil {
-		f.counters.Returned.Add(1)
+		f.counters.Return.Inc(1)
 	}
 }
 
