Reopen the balancer's sending socket when a tunnel path falls silent

A device between balancer and agent may lose one UDP flow for good while new flows pass. Agents answer to the address they hear from, so nothing else changes.

--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -47,10 +47,11 @@
 	NothingForward             // nothing
 )
 
-// Evidence is what a balancer itself heard from one agent. Its fields are
-// written by the return path while packets are steered.
+// Evidence is what a balancer itself saw of one agent. Its fields are written
+// by the packet loops.
 type Evidence struct {
 	Heard atomic.Int64 // Unix nanoseconds, 0 for never
+	Sent  atomic.Int64 // Unix nanoseconds of a packet sent to the agent, 0 for never
 	Flows atomic.Int64 // open flows at the agent's last word
 }
 
--- a/pkg/balancer/forwarder.go
+++ b/pkg/balancer/forwarder.go
@@ -34,8 +34,13 @@
 	evidence  map[netip.AddrPort]*steering.Evidence
 	done      sync.WaitGroup
 	closed    bool
+	reopened  time.Time // when the sending socket was last replaced
 }
 
+// sentSampling is how many packets pass for each one whose agent is noted, to
+// keep the map lookup off the path of most packets.
+const sentSampling = 16
+
 // routes is what the packet loops read. It is replaced as a whole.
 type routes struct {
 	router     steering.Router
@@ -50,6 +55,7 @@
 type listener struct {
 	socket  udp.Socket
 	service atomic.Pointer[steering.Service]
+	packets uint64 // used by the forward loop only
 }
 
 // Plan is what the packet loops have to follow from now on.
@@ -262,11 +268,22 @@
 	if d.Opening {
 		f.counters.Openings.Inc(1)
 	}
+	l.packets++
+	if l.packets%sentSampling == 1 {
+		r.noteSent(now, d.Agent)
+	}
 	start := r.codec.Prepend(buf, tunnel.MaxSize, header)
 	f.tunnel.send(buf[start:], d.Agent)
 	f.counters.Forward.Inc(1)
 }
 
+// noteSent records that an agent is being sent to.
+func (r *routes) noteSent(now time.Time, agent netip.AddrPort) {
+	if ev := r.evidence[agent]; ev != nil {
+		ev.Sent.Store(now.UnixNano())
+	}
+}
+
 // returnLoop carries agents' packets back to callers and notes what agents say
 // of themselves.
 func (f *Forwarder) returnLoop(socket udp.Socket) {
--- /dev/null
+++ b/pkg/balancer/relay_bench_test.go
@@ -0,0 +1,122 @@
+package balancer
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/connid"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/steering"
+	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/udp"
+)
+
+const (
+	benchBatch   = 64   // packets that wait in the socket before each timed part
+	benchPayload = 1200 // bytes, a full QUIC packet
+)
+
+type benchSockets struct {
+	sender, relay, receiver udp.Socket
+}
+
+func openBenchSockets(b *testing.B) benchSockets {
+	open := func() udp.Socket {
+		s, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { s.Close() })
+		return s
+	}
+	return benchSockets{open(), open(), open()}
+}
+
+// timeBatches sends batches of packets to the relay socket and returns the
+// time that step takes for each, without the time of sending and receiving.
+func timeBatches(b *testing.B, s benchSockets, packet []byte, step func()) time.Duration {
+	var spent time.Duration
+	drain := make([]byte, 4096)
+	for range b.N {
+		for range benchBatch {
+			if _, err := s.sender.WriteToUDPAddrPort(packet, udp.LocalAddress(s.relay)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		began := time.Now()
+		for range benchBatch {
+			step()
+		}
+		spent += time.Since(began)
+		for range benchBatch {
+			if _, _, err := s.receiver.ReadFromUDPAddrPort(drain); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	return spent
+}
+
+// Guards against a balancer that costs much more than the two system calls
+// that any relay needs: the ratio must be at least 0.9.
+func BenchmarkForwardAgainstBareRelay(b *testing.B) {
+	s := openBenchSockets(b)
+	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
+	if err != nil {
+		b.Fatal(err)
+	}
+	service := udp.LocalAddress(s.relay)
+	id := connid.NewCodec(ring).Encode(connid.Fields{Agent: udp.LocalAddress(s.receiver)}, service)
+	packet := append([]byte{0x40}, id[:]...)
+	packet = append(packet, make([]byte, benchPayload-len(packet))...)
+
+	buf := make([]byte, tunnel.MaxSize+udp.MaxDatagram)
+	to := udp.LocalAddress(s.receiver)
+	bare := func() {
+		n, _, _ := s.relay.ReadFromUDPAddrPort(buf)
+		_, _ = s.relay.WriteToUDPAddrPort(buf[:n], to)
+	}
+
+	f, err := NewForwarder(ForwarderOptions{
+		TunnelListen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Listen:       udp.Listen,
+		Logger:       event.Discard(),
+		Metrics:      metrics.NewBalancer(metrics.New()),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.Apply(Plan{Ring: ring}); err != nil {
+		b.Fatal(err)
+	}
+	l := &listener{socket: s.relay}
+	l.service.Store(steering.NewService(service, nil))
+	var header tunnel.Header
+	forward := func() {
+		n, caller, _ := s.relay.ReadFromUDPAddrPort(buf[tunnel.MaxSize:])
+		f.forward(l, buf[:tunnel.MaxSize+n], udp.Unmap(caller), &header)
+	}
+	if allocs := testing.AllocsPerRun(100, func() {
+		_, _ = s.sender.WriteToUDPAddrPort(packet, service)
+		forward()
+	}); allocs != 0 {
+		b.Fatalf("%v allocations a packet", allocs)
+	}
+	drain := make([]byte, 4096)
+	for range 101 { // AllocsPerRun runs once more than asked for
+		_, _, _ = s.receiver.ReadFromUDPAddrPort(drain)
+	}
+
+	bareTime := timeBatches(b, s, packet, bare)
+	forwardTime := timeBatches(b, s, packet, forward)
+	packets := float64(b.N * benchBatch)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(bareTime.Nanoseconds())/packets, "bare-ns/packet")
+	b.ReportMetric(float64(forwardTime.Nanoseconds())/packets, "forward-ns/packet")
+	b.ReportMetric(bareTime.Seconds()/forwardTime.Seconds(), "of-bare-relay")
+}
--- /dev/null
+++ b/pkg/balancer/tunnelwatch_test.go
@@ -0,0 +1,70 @@
+package balancer
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/udp"
+)
+
+// Guards against a balancer that goes on sending into a UDP flow that a device
+// on the path has lost, and against reopening while the agent answers.
+func TestSilentTunnelIsReopened(t *testing.T) {
+	is := is.New(t)
+	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
+	is.NoErr(err)
+	f, err := NewForwarder(ForwarderOptions{
+		TunnelListen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Listen:       udp.Listen,
+		Logger:       event.Discard(),
+		Metrics:      metrics.NewBalancer(metrics.New()),
+	})
+	is.NoErr(err)
+	defer f.Close()
+	agent, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	is.NoErr(err)
+	defer agent.Close()
+	address := udp.LocalAddress(agent)
+	is.NoErr(f.Apply(Plan{Ring: ring, Services: []ServicePlan{{
+		Address:    netip.MustParseAddrPort("127.0.0.1:0"),
+		Candidates: []Candidate{{ID: "a", Tunnel: address}},
+	}}}))
+	now := time.Now()
+	ev := f.evidence[address]
+
+	ev.Sent.Store(now.UnixNano())
+	ev.Heard.Store(now.Add(-time.Second).UnixNano())
+	f.WatchTunnel(now)
+	is.Equal(*f.tunnel.sender.Load(), f.tunnel.first)
+
+	ev.Heard.Store(now.Add(-3 * time.Second).UnixNano())
+	f.WatchTunnel(now)
+	is.True(*f.tunnel.sender.Load() != f.tunnel.first)
+
+	// The agent's answers arrive at the new socket.
+	f.tunnel.send([]byte("probe"), address)
+	buf := make([]byte, 100)
+	_, from, err := agent.ReadFromUDPAddrPort(buf)
+	is.NoErr(err)
+	is.True(from != f.TunnelAddress())
+	hello := make([]byte, tunnel.MaxSize)
+	at := tunnel.NewCodec(ring).Prepend(hello, tunnel.MaxSize, &tunnel.Header{Type: tunnel.Hello})
+	before := ev.Heard.Load()
+	_, err = agent.WriteToUDPAddrPort(hello[at:], from)
+	is.NoErr(err)
+	for range 100 {
+		if ev.Heard.Load() > before {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the new socket is not read")
+}
