--- /dev/null
+++ b/internal/change/single.go
@@ -0,0 +1,105 @@
+package change
+
+import (
+	"strings"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+	"github.com/knapweedpier/knapweedpier/pkg/sheet"
+)
+
+// clockDifference is how far the clocks of two hosts may differ.
+const clockDifference = time.Second
+
+// Planned returns the edit that plans one change at c.At.
+func Planned(c sheet.Change) Edit {
+	return func(base *config.Config) (*config.Config, error) {
+		next := sheet.Copy(base)
+		if err := checkSubject(next, c); err != nil {
+			return nil, err
+		}
+		sheet.AddChange(next, c)
+		return next, nil
+	}
+}
+
+// Immediate returns the edit that makes one change at now, whatever c.At is.
+// It changes nothing if the subject is already in that state. The time is
+// moved behind an earlier change of the subject made by a host whose clock is
+// ahead, because the latest change decides.
+func Immediate(c sheet.Change, now time.Time) Edit {
+	return func(base *config.Config) (*config.Config, error) {
+		next := sheet.Copy(base)
+		if err := checkSubject(next, c); err != nil {
+			return nil, err
+		}
+		last, ok := latest(next, c, now.Add(clockDifference))
+		if unchanged(last, ok, c.Kind) {
+			return next, nil
+		}
+		c.At = now.Truncate(time.Millisecond)
+		if ok && !last.At.Before(c.At) {
+			c.At = last.At.Add(time.Millisecond)
+		}
+		sheet.AddChange(next, c)
+		return next, nil
+	}
+}
+
+// unchanged reports whether a change of this kind has no effect after last.
+func unchanged(last config.PlannedChange, ok bool, kind config.ChangeKind) bool {
+	if !ok {
+		return kind == config.DomainBack
+	}
+	return last.Kind == kind
+}
+
+// latest returns the change of c's subject that decides at an instant.
+func latest(base *config.Config, c sheet.Change, at time.Time) (config.PlannedChange, bool) {
+	var last config.PlannedChange
+	for _, have := range base.Changes {
+		if have.Subject != c.Subject || have.Service != c.Service || have.At.After(at) {
+			continue
+		}
+		if have.At.After(last.At) || (have.At.Equal(last.At) && have.Generation > last.Generation) {
+			last = have
+		}
+	}
+	return last, last.ID != ""
+}
+
+// checkSubject refuses a change of a failure domain or a service that is not
+// accepted.
+func checkSubject(base *config.Config, c sheet.Change) error {
+	what, name, known := "failure domain", c.Subject, domainNames(base)
+	if c.Kind == config.Join || c.Kind == config.Leave {
+		what, name, known = "service", c.Service, serviceNames(base)
+	}
+	for _, have := range known {
+		if have == name {
+			return nil
+		}
+	}
+	expected := "none is accepted yet"
+	if len(known) > 0 {
+		expected = "expected one of " + strings.Join(known, ", ")
+	}
+	return errkind.Errorf(errkind.SettingInvalid, "%s %q is not accepted; %s", what, name, expected)
+}
+
+func domainNames(c *config.Config) []string {
+	names := make([]string, len(c.Domains))
+	for i, d := range c.Domains {
+		names[i] = d.Name
+	}
+	return names
+}
+
+func serviceNames(c *config.Config) []string {
+	names := make([]string, len(c.Services))
+	for i, s := range c.Services {
+		names[i] = s.Name
+	}
+	return names
+}
