Derive an immediate change from the clock each time

Cause: an immediate change kept the time at which the command started. When it was derived again after a lost race, the other operator's same change lay in its future, so it was reported as a conflict instead of as done.

Change: Immediate takes the clock and reads it whenever it derives.

Ruled out: widening the clock tolerance, which would let a planned change of the next seconds count as made.

--- a/internal/change/editor_test.go
+++ b/internal/change/editor_test.go
@@ -19,6 +19,8 @@
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
+func fixed() time.Time { return start }
+
 func sample(comptoir, nuancier int) *sheet.Sheet {
 	service := func(name string, port uint16, slots int) config.Service {
 		return config.Service{
@@ -42,6 +44,8 @@
 	nested bool // an operation runs inside another one's write
 }
 
+func (w *world) clock() time.Time { return w.now }
+
 // operation is what one operator did.
 type operation struct {
 	name  string // prefix of its change IDs
@@ -71,7 +75,7 @@
 	seen := &observed{scripted: w.store}
 	attempts := 0
 	e := New(seen, Options{ReadBackTries: 3, ReadBackPause: time.Nanosecond,
-		Now: func() time.Time { return w.now },
+		Now: w.clock,
 		NewID: func() string {
 			attempts++
 			return fmt.Sprintf("%s%d", op.name, attempts)
@@ -94,14 +98,14 @@
 		return e.ApplySheet(ctx, s)
 	case 1:
 		c := sheet.Change{Kind: config.Leave, Subject: "comptoir-1", Service: "comptoir"}
-		return e.Apply(ctx, Immediate(c, w.now))
+		return e.Apply(ctx, Immediate(c, w.clock))
 	case 2:
 		c := sheet.Change{Kind: config.DomainOut, Subject: "shawi", At: w.now.Add(time.Minute)}
 		return e.Apply(ctx, Planned(c))
 	}
 	kind := rapid.SampledFrom([]config.ChangeKind{config.DomainOut, config.DomainBack}).Draw(w.t, "kind")
 	domain := rapid.SampledFrom([]string{"shawi", "cap"}).Draw(w.t, "domain")
-	return e.Apply(ctx, Immediate(sheet.Change{Kind: kind, Subject: domain}, w.now))
+	return e.Apply(ctx, Immediate(sheet.Change{Kind: kind, Subject: domain}, w.clock))
 }
 
 // check compares an operation's result with what the store accepted.
@@ -190,8 +194,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	store := &scripted{next: func() script { return script{} }}
-	now := func() time.Time { return start }
-	e := New(store, Options{Now: now})
+	e := New(store, Options{Now: fixed})
 	_, err := e.ApplySheet(ctx, sample(9, 9))
 	is.NoErr(err)
 	race := func(other Edit) {
@@ -203,14 +206,14 @@
 		}
 	}
 	out := func(domain string) Edit {
-		return Immediate(sheet.Change{Kind: config.DomainOut, Subject: domain}, start)
+		return Immediate(sheet.Change{Kind: config.DomainOut, Subject: domain}, fixed)
 	}
 	race(out("cap"))
 	r, err := e.Apply(ctx, out("shawi"))
 	is.NoErr(err)
 	is.Equal(r.Config.Generation, uint64(3))
 	race(Planned(sheet.Change{Kind: config.DomainOut, Subject: "shawi", At: start.Add(time.Hour)}))
-	_, err = e.Apply(ctx, Immediate(sheet.Change{Kind: config.DomainBack, Subject: "shawi"}, start))
+	_, err = e.Apply(ctx, Immediate(sheet.Change{Kind: config.DomainBack, Subject: "shawi"}, fixed))
 	is.True(errkind.Is(err, errkind.VersionConflict))
 	is.True(strings.Contains(err.Error(), "the other changed:\n+ planned change domain-out shawi at 2026-12-04T09:00:00Z"))
 	stale := sample(8, 9)
@@ -230,11 +233,11 @@
 func TestImmediateWinsOverClockAhead(t *testing.T) {
 	is := is.New(t)
 	store := &scripted{next: func() script { return script{} }}
-	e := New(store, Options{Now: func() time.Time { return start }})
+	e := New(store, Options{Now: fixed})
 	_, err := e.ApplySheet(context.Background(), sample(9, 9))
 	is.NoErr(err)
 	for i, kind := range []config.ChangeKind{config.DomainOut, config.DomainBack, config.DomainOut} {
-		at := start.Add(-time.Duration(i) * 300 * time.Millisecond)
+		at := func() time.Time { return start.Add(-time.Duration(i) * 300 * time.Millisecond) }
 		r, err := e.Apply(context.Background(), Immediate(sheet.Change{Kind: kind, Subject: "cap"}, at))
 		is.NoErr(err)
 		_, out := r.Config.View(start.Add(time.Second)).DomainOut("cap")
@@ -263,11 +266,11 @@
 			is := is.New(t)
 			ctx := context.Background()
 			store := &scripted{next: func() script { return script{} }}
-			e := New(store, Options{Now: func() time.Time { return start }, ReadBackTries: 3, ReadBackPause: time.Nanosecond})
+			e := New(store, Options{Now: fixed, ReadBackTries: 3, ReadBackPause: time.Nanosecond})
 			_, err := e.ApplySheet(ctx, sample(9, 9))
 			is.NoErr(err)
 			out := func(domain string) Edit {
-				return Immediate(sheet.Change{Kind: config.DomainOut, Subject: domain}, start)
+				return Immediate(sheet.Change{Kind: config.DomainOut, Subject: domain}, fixed)
 			}
 			store.next = func() script {
 				store.next = func() script { return script{} }
--- a/internal/change/single.go
+++ b/internal/change/single.go
@@ -24,13 +24,13 @@
 	}
 }
 
-// Immediate returns the edit that makes one change at now, whatever c.At is.
-// It changes nothing if the subject is already in that state. The time is
-// moved behind an earlier change of the subject made by a host whose clock is
+// Immediate returns the edit that makes one change at the time when it is
+// derived, whatever c.At is. It changes nothing if the subject is already in
+// that state. The time is moved behind an earlier change of the subject made by a host whose clock is
 // ahead, because the latest change decides.
-func Immediate(c sheet.Change, now time.Time) Edit {
+func Immediate(c sheet.Change, clock func() time.Time) Edit {
 	return func(base *config.Config) (*config.Config, error) {
-		next := sheet.Copy(base)
+		next, now := sheet.Copy(base), clock()
 		if err := checkSubject(next, c); err != nil {
 			return nil, err
 		}
