Add operators' commands for sheets, failure domains and backend servers

Cause: operators check, compare and apply the morning sheet, take failure domains out and back, and drain backend servers.

Ruled out: logging events by default.

--- /dev/null
+++ b/pkg/cli/backend.go
@@ -0,0 +1,6 @@
+package cli
+
+// BackendCmd groups the commands of backend servers.
+type BackendCmd struct {
+	Leave BackendLeaveCmd `cmd:"" help:"Drain a backend server: it takes no new work."`
+}
--- /dev/null
+++ b/pkg/cli/domain_out.go
@@ -0,0 +1,20 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+	"github.com/knapweedpier/knapweedpier/pkg/sheet"
+)
+
+// DomainOutCmd takes a failure domain out.
+type DomainOutCmd struct {
+	Name string    `arg:"" help:"Failure domain."`
+	At   time.Time `help:"Effective time, RFC 3339; now if not given." placeholder:"TIME"`
+}
+
+// Run implements the command.
+func (c *DomainOutCmd) Run(ctx context.Context, env *Env) error {
+	return env.applyChange(ctx, sheet.Change{Kind: config.DomainOut, Subject: c.Name, At: c.At})
+}
--- /dev/null
+++ b/pkg/cli/root.go
@@ -0,0 +1,15 @@
+// Package cli holds the operators' commands as a library. Each command is a
+// kong struct with a Run method that gets a context and an Env.
+package cli
+
+import "github.com/alecthomas/kong"
+
+// Root is the command line of knapweedpier.
+type Root struct {
+	Settings `embed:""`
+
+	Sheet   SheetCmd         `cmd:"" help:"Check, compare or apply the morning sheet."`
+	Domain  DomainCmd        `cmd:"" help:"Take a failure domain out or back."`
+	Backend BackendCmd       `cmd:"" help:"Change one backend server."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
--- /dev/null
+++ b/pkg/cli/wire.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"github.com/knapweedpier/knapweedpier/internal/change"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/platform"
+)
+
+// inApp builds the parts of an Env, runs do, and closes the parts again.
+func inApp(ctx context.Context, s Settings, o Options, do func(*Env) error) error {
+	var env *Env
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(s, o),
+		fx.Provide(newLogger, newStore, newEditor, newEnv),
+		fx.Populate(&env),
+	)
+	if err := app.Start(ctx); err != nil {
+		return errkind.Wrap(err, errkind.Internal, "start")
+	}
+	failed := do(env)
+	if err := app.Stop(context.WithoutCancel(ctx)); err != nil && failed == nil {
+		failed = errkind.Wrap(err, errkind.Internal, "stop")
+	}
+	return failed
+}
+
+func newLogger(s Settings, o Options) (*event.Logger, error) {
+	if s.Log == "none" {
+		return event.Discard(), nil
+	}
+	return event.New(o.Err, s.Log)
+}
+
+func newStore(lc fx.Lifecycle, s Settings, o Options) platform.Store {
+	if o.Store != nil {
+		return o.Store
+	}
+	client := platform.NewClient(s.Platform, s.Timeout)
+	lc.Append(fx.StopHook(client.Close))
+	return client
+}
+
+func newEditor(store platform.Store, log *event.Logger, o Options) *change.Editor {
+	return change.New(store, change.Options{Now: o.Now, NewID: o.NewID, Log: log})
+}
+
+func newEnv(s Settings, o Options, editor *change.Editor, store platform.Store) *Env {
+	return &Env{
+		Out: o.Out, Settings: s, InForce: o.InForce,
+		editor: editor, store: store, usable: s.Platform != "" || o.Store != nil,
+	}
+}
