Let delayed writes of the stand-in take effect for certain

Cause: the stand-in read a write's body after the injected delay. If the caller had closed its connection by then, the write depended on what was left in the socket's buffer.

Change: the body is read before the delay.

--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -33,13 +34,25 @@
 			s.refuseLimited(w, limit)
 			return
 		}
-		if !s.wait(s.inject.currentDelay()) || s.refuseOutage(w) {
+		if !readBody(w, r) || !s.wait(s.inject.currentDelay()) || s.refuseOutage(w) {
 			return
 		}
 		next(w, r)
 	})
 }
 
+// readBody takes the whole body into memory, so that a delayed write takes
+// effect although its caller has closed the connection.
+func readBody(w http.ResponseWriter, r *http.Request) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return true
+}
+
 func (s *Server) refuseOutage(w http.ResponseWriter) bool {
 	if !s.inject.isOut() {
 		return false
@@ -98,11 +111,7 @@
 		http.Error(w, "expected a key and one of If-Match: \"N\" or If-None-Match: *", http.StatusBadRequest)
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	}
+	value, _ := io.ReadAll(r.Body) // readBody holds it in memory
 	o, ok := s.store.put(r.PathValue("key"), value, c)
 	if !ok {
 		http.Error(w, "version differs", http.StatusPreconditionFailed)
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -105,3 +105,21 @@
 	is.Equal(s.Ledger().LimitedWrites, limited)
 	is.Equal(s.Ledger().LostAnswers, 1)
 }
+
+// Guards against a delayed write that lapses when its caller gives up, which
+// would hide the case that reading back has to survive.
+func TestDelayedWriteTakesEffect(t *testing.T) {
+	is := is.New(t)
+	s, c := start(t, platform.Options{})
+	s.SetDelay(100 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Put(ctx, "k", make([]byte, 100_000), 0)
+	is.True(errkind.Is(err, errkind.PlatformDown))
+	s.SetDelay(0)
+	_, err = c.Get(context.Background(), "k")
+	is.True(errkind.Is(err, errkind.NotFound))
+	got, err := c.Watch(context.Background(), "k", 0, 2*time.Second)
+	is.NoErr(err)
+	is.Equal(len(got.Objects), 1)
+}
