Add service-level burn and its report

Cause: operators need to know which service spends its error budget, how fast, and on which error kinds.

Change: package burn counts requests and ended flows for each service in rings of 1 min, 5 min and 30 min buckets aligned to absolute time, and reports burn rates over 5 min, 30 min, 1 h and 6 h, the budget left, the fast and slow alerts, and the kinds that spent the budget. Package burnpage renders a text table and one self-contained HTML page.

Ruled out: sums for each window as the message between processes, because processes that answer at different instants would then add different windows; renderers inside burn, because every agent would then parse the template. Failures that the caller caused and those of a failure domain taken out are listed but not counted.

The HTML is checked to be well-formed and self-contained; no browser was available to look at it.

--- /dev/null
+++ b/internal/burnpage/burnpage_test.go
@@ -0,0 +1,96 @@
+package burnpage
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/burn"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+var start = time.Date(2026, 12, 4, 8, 2, 30, 0, time.UTC)
+
+// sample has an outage in its last 20 minutes.
+func sample() burn.Report {
+	tracker := burn.NewTracker()
+	for minute := range 6 * 60 {
+		at := start.Add(time.Duration(minute) * time.Minute)
+		for n := range 50 {
+			kind := errkind.Kind(0)
+			if minute >= 340 && n < 3 {
+				kind = []errkind.Kind{errkind.BackendFull, errkind.BackendLost, errkind.BackendFull}[n]
+			}
+			tracker.Request(at, "comptoir", kind, n == 49 && minute%2 == 0)
+		}
+		tracker.FlowEnded(at, "comptoir", 0)
+	}
+	end := start.Add(6 * time.Hour)
+	tracker.FlowEnded(end, "comptoir", errkind.BackendLost)
+	tracker.FlowEnded(end, "comptoir", errkind.DomainOut)
+	objectives := config.Objectives{AnsweredShare: 0.999, UnbrokenShare: 0.9999, LatencyP99: 250 * time.Millisecond}
+	c := &config.Config{Generation: 7, Services: []config.Service{
+		{Name: "comptoir", Objectives: objectives}, {Name: "nuancier", Objectives: objectives}}}
+	r := tracker.Report(c.View(end))
+	r.Sources, r.Missing = 7, []string{"agent-8"}
+	return r
+}
+
+// Guards against unnoticed changes of what operators read.
+func TestTextGolden(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(WriteText(&out, sample()))
+	path := filepath.Join("testdata", "report.txt")
+	if *update {
+		is.NoErr(os.WriteFile(path, out.Bytes(), 0o644))
+	}
+	expected, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(out.String(), string(expected)) // run with -update
+}
+
+// Guards against a page that is not well-formed, that loads something from
+// elsewhere, or that lets a name inject markup.
+func TestHTMLIsWellFormedAndSelfContained(t *testing.T) {
+	is := is.New(t)
+	report := sample()
+	report.Missing = []string{"<script>alert(1)</script>"}
+	var out bytes.Buffer
+	is.NoErr(WriteHTML(&out, report))
+	decoder := xml.NewDecoder(bytes.NewReader(out.Bytes()))
+	lines := 0
+	for {
+		token, err := decoder.Token()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		is.NoErr(err)
+		element, ok := token.(xml.StartElement)
+		if !ok {
+			continue
+		}
+		is.True(element.Name.Local != "script" && element.Name.Local != "link")
+		for _, attr := range element.Attr {
+			is.True(attr.Name.Local != "src" && attr.Name.Local != "href")
+		}
+		if element.Name.Local == "polyline" {
+			lines++
+			is.Equal(len(strings.Fields(element.Attr[1].Value)), 73)
+		}
+	}
+	is.Equal(lines, 6) // three indicators of two services
+	is.True(!strings.Contains(out.String(), "://"))
+}
