Add the status screen and the burn report

Change: package status builds the state of the fleet from a process's own state, its membership and its configuration, and merges the refusals of agents. pkg/cli gains StatusCmd and ReportCmd, which take their data from the interfaces StatusSource and BurnSource. status ends with ServiceDown when a service that is shown has no backend server that takes requests.

--- /dev/null
+++ b/internal/status/build.go
@@ -0,0 +1,238 @@
+package status
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+// FromBoard builds the status from a process's own state, its membership and
+// its configuration at view.At. The refusals of source are included.
+func FromBoard(source Process, members membership.Snapshot, view config.View) Status {
+	s := Status{
+		At:         view.At,
+		Source:     source.ID,
+		Generation: newest(view.Generation, members),
+		Platform:   Platform{source.PlatformReachable, source.PlatformSince},
+	}
+	if next, ok := view.NextChange(); ok {
+		s.NextChange = &next
+	}
+	for _, d := range view.Domains {
+		s.Domains = append(s.Domains, domainOf(view, d))
+	}
+	agents := agentsByService(members.Members)
+	for _, service := range view.Services {
+		s.Services = append(s.Services, serviceOf(view, service, agents[service.Name]))
+	}
+	for _, m := range members.Members {
+		s.addMember(m, view)
+	}
+	s.Add(source)
+	return s
+}
+
+func newest(own uint64, members membership.Snapshot) uint64 {
+	for _, m := range members.Members {
+		own = max(own, m.Generation)
+	}
+	return own
+}
+
+func domainOf(view config.View, d config.FailureDomain) Domain {
+	out := Domain{Name: d.Name, Region: d.Region}
+	if since, ok := view.DomainOut(d.Name); ok {
+		out.Out = &since
+	}
+	return out
+}
+
+// addMember adds what is shown of every process. Processes that stopped on
+// purpose are left out.
+func (s *Status) addMember(m membership.Member, view config.View) {
+	if m.State == membership.StateGone {
+		return
+	}
+	if m.Generation < s.Generation {
+		s.Lagging = append(s.Lagging, Lag{m.ID, m.Role, m.Generation, m.Suspect()})
+	}
+	if m.ClockOffset.Abs() > s.WorstClock.Abs() {
+		s.WorstClock = m.ClockOffset
+	}
+	if m.ClockOffset.Abs() > MaxClockOffset {
+		s.Clocks = append(s.Clocks, Clock{m.ID, m.ClockOffset})
+	}
+	if m.Role == membership.RoleBalancer {
+		s.Balancers.add(m)
+		return
+	}
+	if _, ok := view.Service(m.Service); !ok {
+		s.Strays = append(s.Strays, m.ID)
+	}
+}
+
+func (b *BalancerCounts) add(m membership.Member) {
+	switch {
+	case m.Suspect():
+		b.Silent++
+	case m.State == membership.StateLeaving:
+		b.Leaving++
+	default:
+		b.Serving++
+	}
+}
+
+// agentsByService groups the agents that did not stop on purpose.
+func agentsByService(members []membership.Member) map[string][]membership.Member {
+	agents := map[string][]membership.Member{}
+	for _, m := range members {
+		if m.Role == membership.RoleAgent && m.State != membership.StateGone {
+			agents[m.Service] = append(agents[m.Service], m)
+		}
+	}
+	return agents
+}
+
+func serviceOf(view config.View, service config.Service, agents []membership.Member) Service {
+	s := Service{Name: service.Name, Address: service.Address, Down: true}
+	for _, m := range agents {
+		s.addAgent(m, view, service.Limits)
+	}
+	slices.SortFunc(s.Domains, func(a, b ServiceDomain) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
+
+func (s *Service) addAgent(m membership.Member, view config.View, limits config.Limits) {
+	d := s.domain(view, m.Domain)
+	state := stateOf(m, view)
+	s.NotCounted = append(s.NotCounted, m.ID)
+	d.Backends.add(state)
+	switch {
+	case d.Out || state == silent:
+	case state == leaving:
+		s.LeavingFlows += m.Flows
+	case state == cold || state == warm:
+		s.Down = false
+		d.Use.add(m)
+		s.Use.add(m)
+		s.WarmLimit += limits.Slots
+		s.Connections += limits.Connections
+	}
+}
+
+// domain returns the entry of a failure domain, valid until the next call.
+func (s *Service) domain(view config.View, name string) *ServiceDomain {
+	for i := range s.Domains {
+		if s.Domains[i].Name == name {
+			return &s.Domains[i]
+		}
+	}
+	_, out := view.DomainOut(name)
+	s.Domains = append(s.Domains, ServiceDomain{Name: name, Out: out})
+	return &s.Domains[len(s.Domains)-1]
+}
+
+// state is how the screen counts a backend server.
+type state uint8
+
+const (
+	announced state = iota
+	cold
+	warm
+	leaving
+	silent
+)
+
+// stateOf returns the state of a backend server. Silence comes first: what a
+// silent process last said of itself may no longer hold.
+func stateOf(m membership.Member, view config.View) state {
+	_, planned := view.BackendLeaving(m.ID)
+	switch {
+	case m.Suspect():
+		return silent
+	case planned || m.State == membership.StateLeaving:
+		return leaving
+	case !view.BackendJoined(m.ID):
+		return announced
+	case m.State == membership.StateCold:
+		return cold
+	default:
+		return warm
+	}
+}
+
+func (b *BackendCounts) add(s state) {
+	switch s {
+	case announced:
+		b.Announced++
+	case cold:
+		b.Cold++
+	case warm:
+		b.Warm++
+	case leaving:
+		b.Leaving++
+	case silent:
+		b.Silent++
+	}
+}
+
+func (u *Use) add(m membership.Member) {
+	u.Limit += m.Slots
+	u.InProgress += m.InProgress
+	u.Flows += m.Flows
+}
+
+// Add includes the refusals of an agent. A process that is not a known agent
+// of a service, or that was included before, is ignored.
+func (s *Status) Add(p Process) {
+	for i := range s.Services {
+		if s.Services[i].Name == p.Service {
+			s.Services[i].addProcess(p)
+		}
+	}
+}
+
+func (s *Service) addProcess(p Process) {
+	i := slices.Index(s.NotCounted, p.ID)
+	if i < 0 {
+		return
+	}
+	s.NotCounted = slices.Delete(s.NotCounted, i, i+1)
+	s.Counted++
+	for _, r := range p.Refusals {
+		s.addRefusals(r)
+	}
+}
+
+func (s *Service) addRefusals(r metrics.KindCount) {
+	i, found := slices.BinarySearchFunc(s.Refusals, r, func(a, b metrics.KindCount) int { return int(a.Kind) - int(b.Kind) })
+	if found {
+		s.Refusals[i].Count += r.Count
+		return
+	}
+	s.Refusals = slices.Insert(s.Refusals, i, r)
+}
+
+// Only returns the status with one service, or false if it is not configured.
+func (s Status) Only(service string) (Status, bool) {
+	i := slices.IndexFunc(s.Services, func(have Service) bool { return have.Name == service })
+	if i < 0 {
+		return s, false
+	}
+	s.Services = s.Services[i : i+1]
+	return s, true
+}
+
+// Down returns the names of the services that no backend server serves.
+func (s Status) Down() []string {
+	var names []string
+	for _, service := range s.Services {
+		if service.Down {
+			names = append(names, service.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/pkg/cli/report.go
@@ -0,0 +1,80 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/knapweedpier/knapweedpier/internal/burn"
+	"github.com/knapweedpier/knapweedpier/internal/burnpage"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+)
+
+// reportMode is the mode of written reports, which hold no secret.
+const reportMode = 0o644
+
+// BurnSource tells the service-level burn of the fleet.
+type BurnSource interface {
+	// Burn returns the burn of all services, with the processes that did not
+	// answer in Missing. Errors carry a kind.
+	Burn(ctx context.Context) (burn.Report, error)
+}
+
+// ReportCmd groups the reports.
+type ReportCmd struct {
+	Burn BurnCmd `cmd:"" help:"Report how fast services spend their error budgets."`
+}
+
+// BurnCmd prints the service-level burn over 5 min, 30 min, 1 h and 6 h.
+type BurnCmd struct {
+	Service string `arg:"" optional:"" help:"Report only this service."`
+	JSON    bool   `name:"json" help:"Print one JSON object in place of the table."`
+	HTML    string `name:"html" placeholder:"FILE" help:"Write one self-contained HTML page to FILE as well."`
+}
+
+// Run prints the report and writes the page.
+func (c *BurnCmd) Run(ctx context.Context, source BurnSource, out io.Writer) error {
+	report, err := source.Burn(ctx)
+	if err != nil {
+		return err
+	}
+	if err := c.choose(&report); err != nil {
+		return err
+	}
+	if c.HTML != "" {
+		if err := writePage(c.HTML, report); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return errkind.Wrap(json.NewEncoder(out).Encode(report), errkind.ReportFailed, "write report")
+	}
+	return burnpage.WriteText(out, report)
+}
+
+// choose reduces the report to the service that was asked for.
+func (c *BurnCmd) choose(report *burn.Report) error {
+	if c.Service == "" {
+		return nil
+	}
+	i := slices.IndexFunc(report.Services, func(s burn.ServiceReport) bool { return s.Service == c.Service })
+	if i < 0 {
+		return errkind.Errorf(errkind.NotFound, "service %q is not configured", c.Service)
+	}
+	report.Services = report.Services[i : i+1]
+	return nil
+}
+
+// writePage renders first, so that a failed report leaves an older page alone.
+func writePage(path string, report burn.Report) error {
+	var page bytes.Buffer
+	if err := burnpage.WriteHTML(&page, report); err != nil {
+		return err
+	}
+	err := os.WriteFile(path, page.Bytes(), reportMode)
+	return errkind.Wrap(err, errkind.ReportFailed, fmt.Sprintf("write %s", path))
+}
--- /dev/null
+++ b/pkg/cli/status_test.go
@@ -0,0 +1,152 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/burn"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/status"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+var updateScreens = flag.Bool("update-screens", false, "rewrite the golden screens")
+
+var at = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// fixed answers with what it holds.
+type fixed struct {
+	status status.Status
+	report burn.Report
+	err    error
+}
+
+func (f fixed) Status(context.Context, string) (status.Status, error) { return f.status, f.err }
+func (f fixed) Burn(context.Context) (burn.Report, error)             { return f.report, f.err }
+
+func agent(id, service, domain string, state membership.State) membership.Member {
+	return membership.Member{Record: membership.Record{ID: id, Role: membership.RoleAgent, Service: service,
+		Domain: domain, State: state, Generation: 12, Slots: 9, InProgress: 4, Flows: 120}}
+}
+
+// afternoon has a domain out, a silent and a lagging process, a planned join
+// and a service that is down.
+func afternoon() status.Status {
+	limits := config.Limits{Slots: 9, Connections: 2000, ColdSlots: 2}
+	c := &config.Config{
+		Generation: 12,
+		Domains: []config.FailureDomain{{Name: "cap-madeleine", Region: "mauricie"},
+			{Name: "shawi", Region: "mauricie", Index: 1}, {Name: "tr-centre", Region: "mauricie", Index: 2}},
+		Services: []config.Service{
+			{Name: "comptoir", Address: netip.MustParseAddrPort("192.0.2.1:443"), Limits: limits},
+			{Name: "nuancier", Address: netip.MustParseAddrPort("192.0.2.2:443"), Limits: limits}},
+		Changes: []config.PlannedChange{
+			{Kind: config.DomainOut, Subject: "shawi", At: at.Add(-90 * time.Second), Generation: 11},
+			{Kind: config.Join, Subject: "c-5", Service: "comptoir", At: at.Add(5 * time.Minute), Generation: 12}},
+	}
+	silent := agent("c-3", "comptoir", "tr-centre", membership.StateServing)
+	silent.SuspectSince, silent.Generation = at.Add(-5*time.Second), 10
+	off := agent("c-2", "comptoir", "cap-madeleine", membership.StateCold)
+	off.ClockOffset = 1500 * time.Millisecond
+	members := membership.Snapshot{Members: []membership.Member{
+		{Record: membership.Record{ID: "bal-1", Role: membership.RoleBalancer, Generation: 12, State: membership.StateServing}},
+		{Record: membership.Record{ID: "bal-2", Role: membership.RoleBalancer, Generation: 11, State: membership.StateServing}},
+		agent("c-1", "comptoir", "tr-centre", membership.StateServing), off, silent,
+		agent("c-4", "comptoir", "tr-centre", membership.StateLeaving),
+		agent("c-5", "comptoir", "tr-centre", membership.StateServing),
+		agent("n-1", "nuancier", "shawi", membership.StateServing),
+		agent("z-1", "zinc", "shawi", membership.StateServing),
+	}}
+	s := status.FromBoard(status.Process{ID: "bal-1", PlatformSince: at.Add(-time.Hour)}, members, c.View(at))
+	s.Add(status.Process{ID: "c-1", Service: "comptoir", Refusals: []metrics.KindCount{
+		{Kind: errkind.BackendFull, Count: 12}, {Kind: errkind.DeadlineNotRun, Count: 3}}})
+	return s
+}
+
+// Guards against unnoticed changes of the screens, and against an exit code
+// that hides a service without backend servers.
+func TestStatusScreens(t *testing.T) {
+	for name, c := range map[string]struct {
+		cmd    StatusCmd
+		source fixed
+		kind   errkind.Kind // 0: none
+	}{
+		"afternoon": {StatusCmd{}, fixed{status: afternoon()}, errkind.ServiceDown},
+		"one":       {StatusCmd{Service: "comptoir"}, fixed{status: afternoon()}, 0},
+		"empty":     {StatusCmd{}, fixed{status: status.FromBoard(status.Process{ID: "bal-1", PlatformReachable: true, PlatformSince: at}, membership.Snapshot{}, (*config.Config)(nil).View(at))}, 0},
+		"unknown":   {StatusCmd{Service: "zinc"}, fixed{status: afternoon()}, errkind.NotFound},
+		"no-answer": {StatusCmd{}, fixed{err: errkind.New(errkind.PeerDown, "no seed answers")}, errkind.PeerDown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			err := c.cmd.Run(t.Context(), c.source, &out)
+			is.Equal(err == nil, c.kind == 0)
+			if err != nil {
+				is.Equal(errkind.Of(err), c.kind)
+			}
+			golden(t, name+".txt", out.String())
+		})
+	}
+}
+
+func golden(t *testing.T, name, screen string) {
+	t.Helper()
+	is := is.NewRelaxed(t)
+	path := filepath.Join("testdata", "status", name)
+	if *updateScreens {
+		is.NoErr(os.WriteFile(path, []byte(screen), 0o644))
+	}
+	expected, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(screen, string(expected)) // run with -update-screens
+}
+
+// Guards against JSON that does not hold the whole status, and against a watch
+// that ends while the fleet does not answer.
+func TestStatusJSONAndWatch(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	cmd := StatusCmd{JSON: true}
+	is.True(errkind.Is(cmd.Run(t.Context(), fixed{status: afternoon()}, &out), errkind.ServiceDown))
+	var back status.Status
+	is.NoErr(json.Unmarshal(out.Bytes(), &back))
+	is.Equal(back, afternoon())
+
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	cmd = StatusCmd{Watch: true}
+	is.NoErr(cmd.Run(ended, fixed{err: errkind.New(errkind.PeerDown, "no seed answers")}, &out))
+}
+
+// Guards against a report that loses the page, or that reports success for a
+// service that does not exist.
+func TestBurnReport(t *testing.T) {
+	is := is.New(t)
+	source := fixed{report: burn.Report{At: at, Services: []burn.ServiceReport{{Service: "comptoir"}, {Service: "nuancier"}}}}
+	path := filepath.Join(t.TempDir(), "burn.html")
+	var out bytes.Buffer
+	cmd := BurnCmd{Service: "nuancier", HTML: path}
+	is.NoErr(cmd.Run(t.Context(), source, &out))
+	is.True(strings.Contains(out.String(), "nuancier") && !strings.Contains(out.String(), "comptoir"))
+	page, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.True(bytes.Contains(page, []byte("nuancier")))
+
+	cmd = BurnCmd{Service: "zinc"}
+	is.True(errkind.Is(cmd.Run(t.Context(), source, &out), errkind.NotFound))
+	cmd = BurnCmd{HTML: filepath.Join(path, "not-a-directory")}
+	is.True(errkind.Is(cmd.Run(t.Context(), source, &out), errkind.ReportFailed))
+}
