--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -89,3 +90,21 @@
 	is.Equal(rec.Code, http.StatusServiceUnavailable)
 	is.True(strings.Contains(rec.Body.String(), "packet-isolated"))
 }
+
+// Guards against an operators' address that stays open after a shutdown, or
+// whose port another process holds without anyone noticing.
+func TestServerOpensAndCloses(t *testing.T) {
+	is := is.New(t)
+	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), Handler(New(), func() error { return nil }))
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve() }()
+	_, err = Listen(s.Addr(), nil)
+	is.True(errkind.Is(err, errkind.SettingInvalid))
+	answer, err := http.Get("http://" + s.Addr().String() + "/healthz")
+	is.NoErr(err)
+	is.NoErr(answer.Body.Close())
+	is.Equal(answer.StatusCode, http.StatusOK)
+	is.NoErr(s.Close(t.Context()))
+	is.NoErr(<-ended)
+}
