Share the comparison with committed pages and screens

Cause: four test packages repeated the code that compares generated text with a committed file, and settings tests made their own certificates.

Change: package golden compares text and shows the difference; settings tests use testcert; the status screen uses clockoffset.Limit instead of a constant of its own. No check is dropped: the test of typed faults moved into TestAllFaultsAtOnce.

Ruled out: defining the -update flag in golden, because packages that define the flag themselves would then fail to start.

--- a/internal/burnpage/burnpage_test.go
+++ b/internal/burnpage/burnpage_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"flag"
 	"io"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -16,6 +15,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/burn"
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/golden"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
@@ -53,13 +53,7 @@
 	is := is.New(t)
 	var out bytes.Buffer
 	is.NoErr(WriteText(&out, sample()))
-	path := filepath.Join("testdata", "report.txt")
-	if *update {
-		is.NoErr(os.WriteFile(path, out.Bytes(), 0o644))
-	}
-	expected, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(out.String(), string(expected)) // run with -update
+	golden.Compare(t, filepath.Join("testdata", "report.txt"), out.String(), *update)
 }
 
 // Guards against a page that is not well-formed, that loads something from
--- a/internal/docpages/docpages_test.go
+++ b/internal/docpages/docpages_test.go
@@ -5,7 +5,6 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
-	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/golden"
 )
 
 var update = flag.Bool("update", false, "rewrite the pages")
@@ -22,16 +22,7 @@
 // Guards against pages that differ from the code.
 func TestPages(t *testing.T) {
 	for name, page := range map[string]string{"ERRORS.md": Errors(), "EVENTS.md": Events()} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			path := filepath.Join("..", "..", "docs", name)
-			if *update {
-				is.NoErr(os.WriteFile(path, []byte(page), 0o644))
-			}
-			committed, err := os.ReadFile(path)
-			is.NoErr(err)
-			is.Equal(string(committed), page) // run with -update
-		})
+		golden.Compare(t, filepath.Join("..", "..", "docs", name), page, *update)
 	}
 }
 
--- a/internal/settings/reload_test.go
+++ b/internal/settings/reload_test.go
@@ -2,21 +2,16 @@
 
 import (
 	"bytes"
-	"crypto/ed25519"
-	"crypto/rand"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/testcert"
 )
 
 func write(t *testing.T, path, text string, mode os.FileMode) {
@@ -65,25 +60,6 @@
 	is.NoErr(err)
 }
 
-func certificate(t *testing.T, serial int64) (certPEM, keyPEM string) {
-	t.Helper()
-	public, private, err := ed25519.GenerateKey(rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour)}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
-	if err != nil {
-		t.Fatal(err)
-	}
-	key, err := x509.MarshalPKCS8PrivateKey(private)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certPEM = string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
-	return certPEM, string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}))
-}
-
 // Guards against a reload that hands out a half-replaced pair, or that misses
 // a new one.
 func TestCertificateSourceFollowsFiles(t *testing.T) {
@@ -93,22 +69,25 @@
 	_, err := a.OpenCertificate(event.Discard())
 	is.True(errkind.Is(err, errkind.CertificateFailed))
 
-	cert, key := certificate(t, 1)
-	write(t, a.TLSCertFile, cert, 0o644)
-	write(t, a.TLSKeyFile, key, 0o600)
+	replace := func(name string) (writeKey func()) {
+		pair, err := testcert.New(name)
+		is.NoErr(err)
+		write(t, a.TLSCertFile, string(pair.CertPEM), 0o644)
+		return func() { write(t, a.TLSKeyFile, string(pair.KeyPEM), 0o600) }
+	}
+	replace("first")()
 	source, err := a.OpenCertificate(event.Discard())
 	is.NoErr(err)
-	serial := func() int64 {
+	name := func() string {
 		c, err := source.GetCertificate(nil)
 		is.NoErr(err)
-		return c.Leaf.SerialNumber.Int64()
+		return c.Leaf.Subject.CommonName
 	}
 
-	cert, key = certificate(t, 2)
-	write(t, a.TLSCertFile, cert, 0o644)
+	writeKey := replace("second")
 	source.reload()
-	is.Equal(serial(), int64(1)) // the key does not match yet
-	write(t, a.TLSKeyFile, key, 0o600)
+	is.Equal(name(), "first") // the key does not match yet
+	writeKey()
 	source.reload()
-	is.Equal(serial(), int64(2))
+	is.Equal(name(), "second")
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/golden"
 )
 
 var update = flag.Bool("update", false, "rewrite the page")
@@ -72,7 +73,8 @@
 	}
 }
 
-// Guards against a start that reports one fault at a time.
+// Guards against a start that reports one fault at a time, and against faults
+// that a caller of Check cannot read.
 func TestAllFaultsAtOnce(t *testing.T) {
 	is := is.New(t)
 	var errs bytes.Buffer
@@ -83,16 +85,10 @@
 		"keyring", "service", "backend", "tunnel-listen", "tls-cert-file", "tls-key-file"} {
 		is.True(strings.Contains(errs.String(), "--"+field+" ("+variable(field)+"): ")) // each fault
 	}
-}
-
-// Guards against a fault list that callers of Check cannot read.
-func TestCheckReturnsTypedFaults(t *testing.T) {
-	is := is.New(t)
-	err := (&Balancer{}).Check()
-	is.True(errkind.Is(err, errkind.SettingInvalid))
 	var faults Faults
-	is.True(errors.As(err, &faults))
+	is.True(errors.As((&Balancer{}).Check(), &faults))
 	is.Equal(faults[0].Field, "id")
+	is.True(errkind.Is((&Balancer{}).Check(), errkind.SettingInvalid))
 }
 
 // Guards against environment variables that are ignored or that win over
@@ -142,11 +138,5 @@
 	is := is.New(t)
 	page, err := Page()
 	is.NoErr(err)
-	path := filepath.Join("..", "..", "docs", "SETTINGS.md")
-	if *update {
-		is.NoErr(os.WriteFile(path, []byte(page), 0o644))
-	}
-	committed, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(string(committed), page) // run with -update
+	golden.Compare(t, filepath.Join("..", "..", "docs", "SETTINGS.md"), page, *update)
 }
--- a/internal/status/build.go
+++ b/internal/status/build.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/knapweedpier/knapweedpier/internal/clockoffset"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
@@ -62,7 +63,7 @@
 	if m.ClockOffset.Abs() > s.WorstClock.Abs() {
 		s.WorstClock = m.ClockOffset
 	}
-	if m.ClockOffset.Abs() > MaxClockOffset {
+	if m.ClockOffset.Abs() > clockoffset.Limit {
 		s.Clocks = append(s.Clocks, Clock{m.ID, m.ClockOffset})
 	}
 	if m.Role == membership.RoleBalancer {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -15,10 +15,6 @@
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
 )
 
-// MaxClockOffset is the difference from the median of peers that planned
-// changes tolerate.
-const MaxClockOffset = time.Second
-
 // Process is what one process says of itself. PlatformReachable holds also for
 // a process that does not watch the platform itself, if the freshness stamp of
 // its pulls shows that a partner reaches it.
@@ -44,7 +40,7 @@
 	Services   []Service      `json:"services"`
 	Balancers  BalancerCounts `json:"balancers"`
 	Lagging    []Lag          `json:"lagging"` // by ID
-	Clocks     []Clock        `json:"clocks"`  // over MaxClockOffset, by ID
+	Clocks     []Clock        `json:"clocks"`  // over clockoffset.Limit, by ID
 	WorstClock time.Duration  `json:"worst_clock"`
 	Strays     []string       `json:"strays"` // IDs of agents whose service is not configured
 }
--- a/pkg/cli/status_test.go
+++ b/pkg/cli/status_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/burn"
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/golden"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/status"
@@ -97,23 +98,11 @@
 			if err != nil {
 				is.Equal(errkind.Of(err), c.kind)
 			}
-			golden(t, name+".txt", out.String())
+			golden.Compare(t, filepath.Join("testdata", "status", name+".txt"), out.String(), *updateScreens)
 		})
 	}
 }
 
-func golden(t *testing.T, name, screen string) {
-	t.Helper()
-	is := is.NewRelaxed(t)
-	path := filepath.Join("testdata", "status", name)
-	if *updateScreens {
-		is.NoErr(os.WriteFile(path, []byte(screen), 0o644))
-	}
-	expected, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(screen, string(expected)) // run with -update-screens
-}
-
 // Guards against JSON that does not hold the whole status, and against a watch
 // that ends while the fleet does not answer.
 func TestStatusJSONAndWatch(t *testing.T) {
--- a/pkg/cli/statusscreen.go
+++ b/pkg/cli/statusscreen.go
@@ -7,6 +7,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/clockoffset"
 	"github.com/knapweedpier/knapweedpier/internal/status"
 )
 
@@ -90,13 +91,13 @@
 
 func clocksText(s status.Status) string {
 	if len(s.Clocks) == 0 {
-		return fmt.Sprintf("all within %s, worst %s", status.MaxClockOffset, offset(s.WorstClock))
+		return fmt.Sprintf("all within %s, worst %s", clockoffset.Limit, offset(s.WorstClock))
 	}
 	off := make([]string, len(s.Clocks))
 	for i, c := range s.Clocks {
 		off[i] = c.ID + " " + offset(c.Offset)
 	}
-	return fmt.Sprintf("OFF by more than %s: %s", status.MaxClockOffset, names(off))
+	return fmt.Sprintf("OFF by more than %s: %s", clockoffset.Limit, names(off))
 }
 
 func offset(d time.Duration) string {
