Add the stand-in of the callers

Cause: broken flows, duplicate runs and false refusals can only be counted by comparing what callers were told with what backend servers did.

Change: standin/caller holds HTTP/3 flows, each with a client and a socket of its own, and sends short requests, orders with tickets and feeds at seeded exponential gaps whatever the answers. It retries within a budget of a tenth of its requests, opens a new flow after a GOAWAY or a lost answer, and keeps feeds on the old one. Its ledger records each request, each outcome told for an order, and how each flow and feed ended. standin-caller is its thin main.

Ruled out: a pooled HTTP/3 transport, because it opens flows and resends requests by itself and hides how a flow ended. Taking a failed request for not sent as soon as the client reports an error: that holds only when the connection refuses new streams after a GOAWAY, or when the far end rejects the stream; everything else counts as lost.

Conclusion: a feed that ends without a GOAWAY, a flow closed by the far end with something in progress, an idle timeout and a stateless reset count as broken. A flow that never carried an answer was not established and does not.

--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,232 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+)
+
+func outcomes(l Ledger) map[Outcome]int {
+	counts := map[Outcome]int{}
+	for _, r := range l.Requests {
+		counts[r.Outcome]++
+	}
+	return counts
+}
+
+func breaks(l Ledger) map[Reason]int {
+	counts := map[Reason]int{}
+	for _, f := range l.Flows {
+		if len(f.Breaks()) > 0 {
+			counts[f.Reason]++
+		}
+	}
+	return counts
+}
+
+// Guards against faults that the load itself adds: over a healthy path that
+// loses one relay, everything is answered once and no flow breaks.
+func TestHealthyPath(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.serve()
+	l := s.load("gel", 800*time.Millisecond, 0.3)
+	time.Sleep(400 * time.Millisecond)
+	s.fabric.Remove("a")
+	l.Wait()
+	got := l.Ledger()
+	is.True(len(got.Requests) > 80)
+	is.Equal(outcomes(got), map[Outcome]int{Done: len(got.Requests)})
+	is.Equal(got.WrongAnswers, 0)
+	is.Equal(len(got.Flows), 4)
+	is.Equal(len(breaks(got)), 0)
+	is.Equal(got.Flows[0].Reason, CallerClosed)
+	for _, o := range got.Orders {
+		is.Equal(len(o.Told), 1)
+		is.Equal(s.runs[o.ID], 1)
+	}
+	is.True(len(got.Orders) > 10)
+	is.True(got.TicketRequests < len(got.Orders)) // tickets of answers are used
+	for _, b := range s.fabric.Ledger().Balancers {
+		is.True(b.Forwarded > 50)
+	}
+}
+
+// Guards against new requests on a flow after a GOAWAY, against giving up the
+// feed that goes on there, and against counting its end as broken.
+func TestGoAway(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	first := s.serve()
+	l := s.load("gel", 1200*time.Millisecond, 0.3)
+	time.Sleep(300 * time.Millisecond)
+	s.serve()
+	done := make(chan error, 1)
+	go func() { done <- first.Shutdown(t.Context()) }()
+	time.Sleep(400 * time.Millisecond)
+	mid := l.Ledger()
+	s.endFeeds()
+	is.NoErr(<-done)
+	l.Close()
+	open := 0
+	for _, f := range mid.Flows[:4] {
+		is.True(f.GoAway || f.Reason == Graceful)
+		if len(f.Feeds) == 1 && f.Feeds[0].Reason == Open && f.Feeds[0].Lines > 20 {
+			open++
+		}
+	}
+	is.Equal(open, 2)
+	is.Equal(len(mid.Flows), 8)
+	got := l.Ledger()
+	is.Equal(outcomes(got), map[Outcome]int{Done: len(got.Requests)})
+	for _, f := range got.Flows[:4] {
+		is.Equal(f.Reason, Graceful)
+		is.Equal(len(f.Breaks()), 0)
+	}
+}
+
+// Guards against taking a feed's end without a GOAWAY for a graceful one.
+func TestFeedEndIsBroken(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.serve()
+	l := s.load("gel", 900*time.Millisecond, 0)
+	time.Sleep(200 * time.Millisecond)
+	s.endFeeds()
+	l.Wait()
+	got := l.Ledger()
+	is.Equal(breaks(got), map[Reason]int{CallerClosed: 2})
+	is.Equal(len(got.Flows), 4)
+	for _, f := range got.Flows {
+		if len(f.Feeds) > 0 {
+			is.Equal(f.Feeds[0].Reason, FeedEnded)
+			is.Equal(f.Feeds[1].Reason, CallerClosed)
+		}
+	}
+}
+
+// Guards against hiding a flow that the far end cuts.
+func TestCutFlowsAreBroken(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	var mu sync.Mutex
+	var conns []*quic.Conn
+	s.serve(func(server *http3.Server) {
+		server.ConnContext = func(ctx context.Context, c *quic.Conn) context.Context {
+			mu.Lock()
+			defer mu.Unlock()
+			conns = append(conns, c)
+			return ctx
+		}
+	})
+	l := s.load("gel", 900*time.Millisecond, 0)
+	time.Sleep(400 * time.Millisecond)
+	mu.Lock()
+	for i, c := range conns {
+		code := quic.ApplicationErrorCode(http3.ErrCodeNoError) // without a GOAWAY
+		if i%2 == 0 {
+			code = 7
+		}
+		_ = c.CloseWithError(code, "cut")
+	}
+	mu.Unlock()
+	l.Wait()
+	got := l.Ledger()
+	cut := 0
+	for _, f := range got.Flows[:4] {
+		is.True(f.Reason == Application || f.Reason == Graceful)
+		for _, feed := range f.Feeds {
+			is.Equal(feed.Reason, FeedCut)
+			cut++
+		}
+	}
+	is.Equal(cut, 2)
+	is.True(breaks(got)[Application] >= 2)
+	is.True(outcomes(got)[Done] > 100)
+}
+
+// Guards against asking again with a new ticket after a lost answer, on the
+// same flow, or without a raised attempt; against a refused order that keeps
+// its ticket; and against retries beyond the budget.
+func TestOrderRetries(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	type try struct{ ticket, attempt, from string }
+	tries := map[string][]try{}
+	s.order = func(w http.ResponseWriter, r *http.Request, id string) {
+		s.mu.Lock()
+		seen := append(tries[id], try{r.Header.Get(headerTicket), r.Header.Get(headerAttempt), r.RemoteAddr})
+		tries[id] = seen
+		orders := len(tries)
+		s.mu.Unlock()
+		switch {
+		case len(seen) > 1:
+			s.runOrder(w, r, id)
+		case orders%2 == 0:
+			panic(http.ErrAbortHandler)
+		default:
+			w.Header().Set(headerOutcome, string(errkind.OutcomeNotRun))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	s.serve()
+	l := s.load("gel", 400*time.Millisecond, 1)
+	l.Wait()
+	got, retried := l.Ledger(), 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range got.Orders {
+		seen := tries[o.ID]
+		is.Equal(len(seen), len(o.Told))
+		if len(seen) < 2 {
+			continue
+		}
+		retried++
+		lost := o.Told[0].Outcome == Lost
+		is.Equal(lost, seen[0].ticket == seen[1].ticket)
+		is.Equal(lost, seen[1].attempt == "2")
+		is.True(!lost || seen[0].from != seen[1].from)
+		is.Equal(o.Told[1].Outcome, Done)
+	}
+	is.True(retried >= startRetries && retried <= startRetries+len(got.Requests)/10+1)
+	is.True(got.RetriesSpared > 0)
+}
+
+// Guards against taking another request's answer for its own.
+func TestWrongAnswers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.serve()
+	l := s.load("liar", 300*time.Millisecond, 0)
+	l.Wait()
+	got := l.Ledger()
+	is.True(got.WrongAnswers > 5)
+	is.Equal(outcomes(got)[Wrong], got.WrongAnswers)
+}
+
+// Guards against a load without bounds.
+func TestRefusesBadOptions(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	good := ServiceLoad{Name: "a", Address: s.addr, Callers: 1, Rate: 1}
+	for _, change := range []func(*Options){
+		func(o *Options) { o.Duration = MaxDuration + 1 },
+		func(o *Options) { o.Services[0].Callers = MaxCallers + 1 },
+		func(o *Options) { o.Services[0].Rate = MaxRate + 1 },
+		func(o *Options) { o.Services[0].Feeds = 2 },
+		func(o *Options) { o.TLS = nil },
+	} {
+		opt := Options{Services: []ServiceLoad{good}, Duration: time.Second, TLS: s.tls}
+		change(&opt)
+		_, err := New(opt)
+		is.True(errkind.Is(err, errkind.SettingInvalid))
+	}
+}
--- /dev/null
+++ b/standin/caller/site_test.go
@@ -0,0 +1,221 @@
+package caller
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/knapweedpier/knapweedpier/standin/fabric"
+)
+
+// site is an HTTP/3 server behind the fabric and two relays.
+type site struct {
+	t      *testing.T
+	fabric *fabric.Fabric
+	addr   netip.AddrPort
+	tls    *tls.Config
+	target atomic.Pointer[net.UDPAddr] // server that new flows reach
+	order  func(w http.ResponseWriter, r *http.Request, id string)
+	endAll chan struct{} // ends all feeds
+
+	mu     sync.Mutex
+	paths  map[netip.AddrPort]*net.UDPConn // one for each socket of the fabric
+	runs   map[string]int
+	serial int
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, endAll: make(chan struct{}), paths: map[netip.AddrPort]*net.UDPConn{}, runs: map[string]int{}}
+	s.order = s.runOrder
+	s.makeCertificate()
+	s.addr = s.freeAddr()
+	relays := []fabric.Balancer{s.relay("a"), s.relay("b")}
+	f, err := fabric.New(fabric.Options{Seed: 1, Services: []netip.AddrPort{s.addr}, Balancers: relays})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	s.fabric = f
+	return s
+}
+
+func (s *site) listen() *net.UDPConn {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func (s *site) freeAddr() netip.AddrPort {
+	conn := s.listen()
+	defer conn.Close()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// relay carries packets between the fabric and the server. The server sees one
+// address for each flow, whichever relay a packet passes.
+func (s *site) relay(id string) fabric.Balancer {
+	conn := s.listen()
+	go func() {
+		buf := make([]byte, 2048)
+		for {
+			n, from, err := conn.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			_, _ = s.path(conn, from).Write(buf[:n])
+		}
+	}()
+	addr := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return fabric.Balancer{ID: id, Addr: func(netip.AddrPort) netip.AddrPort { return addr }}
+}
+
+func (s *site) path(relay *net.UDPConn, from netip.AddrPort) *net.UDPConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if path, ok := s.paths[from]; ok {
+		return path
+	}
+	path, err := net.DialUDP("udp4", nil, s.target.Load())
+	if err != nil {
+		panic(err)
+	}
+	s.paths[from] = path
+	s.t.Cleanup(func() { path.Close() })
+	go func() {
+		buf := make([]byte, 2048)
+		for {
+			n, err := path.Read(buf)
+			if err != nil {
+				return
+			}
+			_, _ = relay.WriteToUDPAddrPort(buf[:n], from)
+		}
+	}()
+	return path
+}
+
+// serve starts a server, which new flows reach from now on.
+func (s *site) serve(change ...func(*http3.Server)) *http3.Server {
+	conn := s.listen()
+	server := &http3.Server{Handler: s.routes(), TLSConfig: http3.ConfigureTLSConfig(s.tls)}
+	for _, c := range change {
+		c(server)
+	}
+	go func() { _ = server.Serve(conn) }()
+	s.t.Cleanup(func() { server.Close() })
+	s.target.Store(conn.LocalAddr().(*net.UDPAddr))
+	return server
+}
+
+func (s *site) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalogue", func(w http.ResponseWriter, r *http.Request) {
+		n := r.URL.Query().Get("n")
+		if r.URL.Query().Get("caller") == "liar-0" {
+			n += "0"
+		}
+		fmt.Fprintf(w, `{"caller":%q,"n":%q,"backend":"b1"}`, r.URL.Query().Get("caller"), n)
+	})
+	mux.HandleFunc("POST "+ticketPath, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(headerTicket, s.newTicket()) })
+	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
+		var body orderBody
+		if json.NewDecoder(r.Body).Decode(&body) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.Header().Set(headerNextTicket, s.newTicket())
+		s.order(w, r, body.ID)
+	})
+	mux.HandleFunc("GET /feed", s.feed)
+	return mux
+}
+
+func (s *site) newTicket() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serial++
+	return fmt.Sprint(s.serial)
+}
+
+func (s *site) runOrder(w http.ResponseWriter, _ *http.Request, id string) {
+	s.mu.Lock()
+	s.runs[id]++
+	s.mu.Unlock()
+	w.Header().Set(headerDomain, "shawi")
+	fmt.Fprintf(w, `{"order":%q}`, id)
+}
+
+// endFeeds ends the feeds that are open now.
+func (s *site) endFeeds() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.endAll)
+	s.endAll = make(chan struct{})
+}
+
+func (s *site) feed(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	end := s.endAll
+	s.mu.Unlock()
+	for n := 1; ; n++ {
+		fmt.Fprintf(w, "data: b1 %d\n\n", n)
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-end:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func (s *site) makeCertificate() {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(cert)
+	s.tls = &tls.Config{RootCAs: roots, Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}
+}
+
+// load starts callers for d.
+func (s *site) load(name string, d time.Duration, share float64) *Load {
+	service := ServiceLoad{Name: name, Address: s.addr, Callers: 4, Feeds: 2, Rate: 200, OrderShare: share}
+	l, err := New(Options{Services: []ServiceLoad{service}, Seed: 5, Duration: d, TLS: s.tls})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	l.Start(s.t.Context())
+	return l
+}
--- /dev/null
+++ b/standin/cmd/standin-caller/main.go
@@ -0,0 +1,90 @@
+// Command standin-caller runs a load of callers and prints its ledger as one
+// line of JSON.
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/standin/caller"
+)
+
+type settings struct {
+	Service        []string      `required:"" help:"Service address to call, IP:port; repeatable."`
+	CA             string        `required:"" type:"path" help:"File with the certificates that callers trust, PEM."`
+	ServerName     string        `help:"Name that the certificate must carry; default the service address."`
+	Callers        int           `default:"20" help:"Callers of each service."`
+	Feeds          int           `default:"5" help:"Callers of each service that also hold a feed."`
+	Rate           float64       `default:"50" help:"Requests a second to each service."`
+	OrderShare     float64       `default:"0.2" help:"Share of requests that are orders, 0 to 1."`
+	Duration       time.Duration `default:"20s" help:"How long requests are sent."`
+	RequestTimeout time.Duration `default:"2s" help:"Deadline of each attempt."`
+	Seed           uint64        `default:"1" help:"Seed of the pacing."`
+}
+
+func main() {
+	var s settings
+	kong.Parse(&s, kong.Name("standin-caller"), kong.UsageOnError())
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(errkind.ExitCode(err))
+	}
+}
+
+func run(s settings) error {
+	opt, err := s.options()
+	if err != nil {
+		return err
+	}
+	load, err := caller.New(opt)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	load.Start(ctx)
+	load.Wait()
+	return json.NewEncoder(os.Stdout).Encode(load.Ledger())
+}
+
+func (s settings) options() (caller.Options, error) {
+	opt := caller.Options{Seed: s.Seed, Duration: s.Duration, RequestTimeout: s.RequestTimeout}
+	roots, err := readRoots(s.CA)
+	if err != nil {
+		return opt, err
+	}
+	opt.TLS = &tls.Config{RootCAs: roots, ServerName: s.ServerName}
+	for _, text := range s.Service {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return opt, errkind.Wrap(err, errkind.SettingInvalid, "service")
+		}
+		opt.Services = append(opt.Services, caller.ServiceLoad{
+			Name: text, Address: addr, Callers: s.Callers, Feeds: s.Feeds, Rate: s.Rate, OrderShare: s.OrderShare,
+		})
+	}
+	return opt, nil
+}
+
+func readRoots(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.CertificateFailed, "read CA file")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, errkind.Errorf(errkind.CertificateFailed, "CA file %s: expected PEM certificates", file)
+	}
+	return roots, nil
+}
