Add the quickstart run: plan, ledger joining and summary

Cause: the promises are judged by comparing what callers were told with what backend servers did while balancers, backend servers and a failure domain come and go.

The callers' ledger names the flow of each request's last attempt, so that a lost request is attributed to the failure domain of its flow.

Ruled out: attributing requests by the domain header of their answer, because a lost request has none. Exact counting of false refusals when another ticket of the same order ended lost: the run may belong to either, so the count is a lower bound there and the code says so.

Conclusion: joining and planning are property-tested. Run is tested against a scripted fleet only; it has not run with real roles.

--- /dev/null
+++ b/internal/quickstart/join_test.go
@@ -0,0 +1,219 @@
+package quickstart
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/standin/caller"
+)
+
+var epoch = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func during(from, to float64) Interval { return Interval{at(from), at(to)} }
+
+// Guards against counting a truthful refusal as false or a lie as truthful,
+// and against missing a duplicate run. What happened with each ticket is
+// drawn, and the expected counts follow from the draw.
+func TestOrdersAreJoined(t *testing.T) {
+	tickets := []struct {
+		told caller.Outcome
+		ran  bool
+	}{{caller.Done, true}, {caller.Lost, true}, {caller.Unknown, true}, {caller.NotRun, false}, {caller.NotRun, true}}
+	proptest.Check(t, func(t *rapid.T) {
+		l := Ledgers{Backends: []Backend{{Runs: map[string]int{}}, {Runs: map[string]int{}}}}
+		duplicates, lies := 0, 0
+		for i := range rapid.IntRange(0, 20).Draw(t, "orders") {
+			order, runs := caller.Order{ID: fmt.Sprint(i)}, 0
+			for n, kind := range rapid.SliceOfN(rapid.SampledFrom(tickets), 1, 3).Draw(t, "tickets") {
+				if rapid.Bool().Draw(t, "lost first") {
+					order.Told = append(order.Told, caller.Told{Ticket: n, Outcome: caller.Lost})
+				}
+				order.Told = append(order.Told, caller.Told{Ticket: n, Outcome: kind.told})
+				if kind.ran {
+					runs++
+					l.Backends[rapid.IntRange(0, 1).Draw(t, "backend")].Runs[order.ID]++
+				}
+				if kind.ran && kind.told == caller.NotRun {
+					lies++
+				}
+			}
+			duplicates += max(runs-1, 0)
+			l.Callers.Orders = append(l.Callers.Orders, order)
+		}
+		s := Join(l)
+		if s.DuplicateRuns != duplicates || s.FalseNotRun != lies || s.WrongAnswers != 0 {
+			t.Fatalf("expected %d duplicates and %d lies, got %+v", duplicates, lies, s)
+		}
+	})
+}
+
+// Guards against an order that was answered without a run, and one that ran
+// although it was never sent.
+func TestOrdersWithoutCause(t *testing.T) {
+	is := is.New(t)
+	s := Join(Ledgers{
+		Callers: caller.Ledger{Orders: []caller.Order{
+			{ID: "a", Told: []caller.Told{{Ticket: 1, Outcome: caller.Done}}},
+			{ID: "b"},
+		}},
+		Backends: []Backend{{Runs: map[string]int{"b": 1}}},
+	})
+	is.Equal(s.WrongAnswers, 1)
+	is.Equal(s.FalseNotRun, 1)
+	is.Equal(len(s.BrokenPromises), 2)
+}
+
+// Guards against a request that is counted twice or not at all.
+func TestEveryRequestIsCountedOnce(t *testing.T) {
+	outcomes := []caller.Outcome{caller.Done, caller.NotRun, caller.NotSent, caller.Unknown, caller.Lost, caller.Wrong}
+	proptest.Check(t, func(t *rapid.T) {
+		var l Ledgers
+		sends := 0
+		for _, outcome := range rapid.SliceOf(rapid.SampledFrom(outcomes)).Draw(t, "outcomes") {
+			n := rapid.IntRange(0, 3).Draw(t, "attempts")
+			sends += n
+			l.Callers.Requests = append(l.Callers.Requests, caller.Request{Outcome: outcome, Attempts: n, Flow: caller.NoFlow})
+			if outcome == caller.Wrong {
+				l.Callers.WrongAnswers++
+			}
+		}
+		s := Join(l)
+		if s.Requests != s.Answered+s.RefusedNotRun+s.OutcomeUnknown+s.WrongAnswers || s.Attempts != sends {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
+
+// Guards against an imbalance that is diluted or raised by backend servers
+// that are cold, leaving or out.
+func TestImbalance(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		var l Ledgers
+		l.Measured = during(0, 12)
+		l.Outs = []DomainOut{{Domain: "out", During: Interval{From: at(5)}}}
+		l.Leaves = []Leave{{"leaving", at(4)}}
+		levels := rapid.SliceOfN(rapid.Float64Range(0.5, 9), 2, 8).Draw(t, "levels")
+		add := func(id, domain string, level float64, warm Interval) {
+			l.Backends = append(l.Backends, Backend{
+				ID: id, Service: "comptoir", Domain: domain, Warm: []Interval{warm},
+				InProgressAverage: func(_, _ time.Time) float64 { return level },
+			})
+		}
+		sum, highest := 0.0, 0.0
+		for i, level := range levels {
+			add(fmt.Sprint(i), "in", level, during(0, 20))
+			sum, highest = sum+level, max(highest, level)
+			for range int(level * 10) {
+				l.Callers.Flows = append(l.Callers.Flows, caller.Flow{Backend: fmt.Sprint(i), OpenedAt: at(-1)})
+			}
+		}
+		add("cold", "in", 0, during(3, 7))
+		add("leaving", "in", 99, during(0, 20))
+		add("gone", "out", 99, during(0, 20))
+		l.Measured.From = at(3)
+		want := highest * float64(len(levels)) / sum
+		if got := imbalance(l, requestsInProgress); math.Abs(got-want) > 1e-9 {
+			t.Fatalf("got %g, expected %g", got, want)
+		}
+		if got := imbalance(l, openFlows(l.Callers.Flows)); math.Abs(got-want) > 0.2*want {
+			t.Fatalf("flows: got %g, expected about %g", got, want)
+		}
+	})
+}
+
+// Guards against blaming the failure domain for a flow that broke elsewhere,
+// earlier, or after the domain was back, and against the reverse.
+func TestFlowsAndDomains(t *testing.T) {
+	is := is.New(t)
+	out := DomainOut{Domain: "shawi", During: during(10, 20)}
+	flow := func(domain string, opened, ended float64, reason caller.Reason) caller.Flow {
+		return caller.Flow{Domain: domain, OpenedAt: at(opened), EndedAt: at(ended), Reason: reason, Answers: 1}
+	}
+	cases := []struct {
+		flow          caller.Flow
+		broken, ended int
+	}{
+		{flow("shawi", 1, 12, caller.Application), 0, 1},
+		{flow("shawi", 1, 11, caller.Graceful), 0, 1},
+		{flow("shawi", 1, 24, caller.IdleTimeout), 0, 1}, // noticed late
+		{flow("shawi", 1, 9, caller.Application), 1, 0},
+		{flow("shawi", 21, 24, caller.Application), 1, 0},
+		{flow("tr-centre", 1, 12, caller.StatelessReset), 1, 0},
+		{flow("tr-centre", 1, 12, caller.Graceful), 0, 0},
+		{flow("tr-centre", 1, 30, caller.CallerClosed), 0, 0},
+		{caller.Flow{Domain: "tr-centre", Answers: 1, Feeds: []*caller.Feed{{Reason: caller.FeedCut, EndedAt: at(12)}}}, 1, 0},
+		{caller.Flow{Reason: caller.Application}, 0, 0}, // never established
+	}
+	for _, c := range cases {
+		s := Join(Ledgers{Callers: caller.Ledger{Flows: []caller.Flow{c.flow}}, Outs: []DomainOut{out}})
+		is.Equal(s.BrokenFlows, c.broken)
+		is.Equal(s.FlowsEndedWithDomain, c.ended)
+	}
+}
+
+// Guards against a bound that is not judged: each promise is broken once, and
+// a run within all bounds breaks none.
+func TestPromisesAreJudged(t *testing.T) {
+	is := is.New(t)
+	run := func(slack float64) Summary {
+		return Join(Ledgers{
+			Callers: caller.Ledger{
+				Flows: []caller.Flow{{Domain: "shawi"}, {Domain: "tr-centre"}},
+				Requests: []caller.Request{
+					{At: at(9), Latency: 2 * time.Second, Outcome: caller.Lost, Flow: 0},
+					{At: at(9), Latency: time.Second / 2, Outcome: caller.Done, Flow: 1},
+				},
+			},
+			Backends: []Backend{
+				{ID: "a", Domain: "shawi", Starts: []time.Time{at(9), at(10 + slack)}},
+				{ID: "b", Domain: "tr-centre", Starts: []time.Time{at(3 + slack)}},
+			},
+			Outs:    []DomainOut{{Domain: "shawi", During: during(10, 20), LastPacket: at(12)}},
+			Leaves:  []Leave{{"b", at(3)}},
+			InForce: []InForce{{Accepted: at(1), Effective: at(2), At: at(2 + slack)}, {Accepted: at(4), At: at(4)}},
+		})
+	}
+	good := run(4.9)
+	is.Equal(good.BrokenPromises, []string{})
+	is.NoErr(good.Err())
+	is.Equal(good.AnsweredShareOutsideDomain, 1.0)
+	is.Equal(good.LatencyP99MS, 500.0)
+	is.True(math.Abs(good.ConfigInForceP99S-4.9) < 1e-6)
+	is.True(math.Abs(good.PacketsToOutDomainAfterS-4.9) < 1e-6)
+	bad := run(5.1)
+	is.Equal(len(bad.BrokenPromises), 3)
+	for i, promise := range []string{"promise 4", "promise 8", "promise 10"} {
+		is.True(strings.HasPrefix(bad.BrokenPromises[i], promise))
+	}
+	is.True(bad.Err() != nil)
+}
+
+// Guards against a renamed or missing field of the JSON summary.
+func TestSummaryFields(t *testing.T) {
+	is := is.New(t)
+	data, err := json.Marshal(Join(Ledgers{}))
+	is.NoErr(err)
+	var fields map[string]any
+	is.NoErr(json.Unmarshal(data, &fields))
+	names := strings.Fields(`requests answered refused_not_run outcome_unknown wrong_answers duplicate_runs
+		false_not_run broken_flows flows_ended_with_domain packets_to_out_domain_after_s
+		imbalance_max_over_mean over_capacity_starts config_in_force_p99_s imbalance_flows_max_over_mean
+		latency_p99_ms answered_share_outside_domain attempts broken_promises`)
+	is.Equal(len(fields), len(names))
+	for _, name := range names {
+		_, ok := fields[name]
+		is.True(ok)
+	}
+}
--- /dev/null
+++ b/internal/quickstart/run_test.go
@@ -0,0 +1,152 @@
+package quickstart
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/standin/caller"
+)
+
+// Guards against a plan that leaves a service without a backend server, that
+// brings a failure domain back before its packets are dropped, or that differs
+// between two runs with one seed.
+func TestPlan(t *testing.T) {
+	backend := rapid.Custom(func(t *rapid.T) BackendInfo {
+		return BackendInfo{
+			ID:      rapid.StringMatching("[a-z0-9]{8}").Draw(t, "id"),
+			Service: rapid.SampledFrom([]string{"comptoir", "nuancier"}).Draw(t, "service"),
+			Domain:  rapid.SampledFrom([]string{"tr-centre", "cap-madeleine", "shawi"}).Draw(t, "domain"),
+		}
+	})
+	proptest.Check(t, func(t *rapid.T) {
+		roster := Roster{Balancers: []string{"x", "y", "z"}}
+		roster.Backends = rapid.SliceOfNDistinct(backend, 1, 12, func(b BackendInfo) string { return b.ID }).Draw(t, "backends")
+		seed := rapid.Uint64().Draw(t, "seed")
+		duration := time.Duration(rapid.IntRange(10, 600).Draw(t, "seconds")) * time.Second
+		steps, err := MakePlan(duration, seed, roster)
+		if err != nil {
+			if !errkind.Is(err, errkind.SettingInvalid) || len(possibleLosses(roster.Backends)) > 0 {
+				t.Fatal(err)
+			}
+			return
+		}
+		again, _ := MakePlan(duration, seed, roster)
+		if !reflect.DeepEqual(steps, again) {
+			t.Fatal("plans of one seed differ")
+		}
+		if !slices.IsSortedFunc(steps, func(a, b Step) int { return int(a.After - b.After) }) || steps[3].After > duration {
+			t.Fatalf("order of %v", steps)
+		}
+		if steps[3].After-steps[2].After < 3500*time.Millisecond || steps[3].Subject != steps[2].Subject {
+			t.Fatalf("domain of %v", steps)
+		}
+		for _, service := range []string{"comptoir", "nuancier"} {
+			in := func(b BackendInfo) bool { return b.Service == service }
+			stays := func(b BackendInfo) bool {
+				return in(b) && b.Domain != steps[2].Subject && b.ID != steps[1].Subject
+			}
+			if slices.ContainsFunc(roster.Backends, in) && !slices.ContainsFunc(roster.Backends, stays) {
+				t.Fatalf("%s keeps no backend server under %v", service, steps)
+			}
+		}
+	})
+}
+
+// scriptedFleet records calls. Nothing listens at its service address.
+type scriptedFleet struct {
+	calls []string
+	fail  string
+}
+
+func (f *scriptedFleet) call(name string) error {
+	f.calls = append(f.calls, name)
+	if name == f.fail {
+		return errkind.New(errkind.Internal, name)
+	}
+	return nil
+}
+
+func (f *scriptedFleet) Start(context.Context) error { return f.call("start") }
+func (f *scriptedFleet) Roster() Roster              { return Roster{Balancers: []string{"x", "y"}} }
+func (f *scriptedFleet) TLS() *tls.Config            { return &tls.Config{} }
+func (f *scriptedFleet) Close() error                { return f.call("close") }
+func (f *scriptedFleet) Targets() []Target {
+	service := caller.ServiceLoad{Name: "comptoir", Address: netip.MustParseAddrPort("127.0.0.1:9")}
+	return []Target{{Service: service, Backends: 1, Capacity: 100}}
+}
+func (f *scriptedFleet) StartBalancer(context.Context) (string, error) {
+	return "z", f.call("start z")
+}
+func (f *scriptedFleet) StopBalancer(_ context.Context, id string) error { return f.call("stop " + id) }
+func (f *scriptedFleet) LeaveBackend(_ context.Context, id string) (time.Time, error) {
+	return at(3), f.call("leave " + id)
+}
+func (f *scriptedFleet) TakeDomainOut(_ context.Context, d string) (time.Time, error) {
+	return at(10), f.call("out " + d)
+}
+func (f *scriptedFleet) BringDomainBack(_ context.Context, d string) (time.Time, error) {
+	return at(20), f.call("back " + d)
+}
+func (f *scriptedFleet) Ledgers() FleetLedgers {
+	return FleetLedgers{LastPacketOut: func(_ string, out Interval) time.Time { return out.To }}
+}
+
+func newRun(f *scriptedFleet, out *bytes.Buffer) *run {
+	return &run{fleet: f, opt: Options{Duration: 400 * time.Millisecond, Load: 0.5, RequestTimeout: time.Millisecond, Progress: out}, began: time.Now()}
+}
+
+var steps = []Step{
+	{10 * time.Millisecond, ReplaceBalancer, "x"},
+	{20 * time.Millisecond, LeaveBackend, "b"},
+	{30 * time.Millisecond, DomainOutStep, "shawi"},
+	{40 * time.Millisecond, DomainBackStep, "shawi"},
+}
+
+// Guards against steps that are made out of order, or whose times do not reach
+// the ledgers.
+func TestStepsAreMadeAndRecorded(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	f := &scriptedFleet{}
+	r := newRun(f, &out)
+	is.NoErr(r.underLoad(t.Context(), steps))
+	is.Equal(f.calls, []string{"stop x", "start z", "leave b", "out shawi", "back shawi"})
+	l := r.ledgers()
+	is.Equal(l.Outs, []DomainOut{{"shawi", during(10, 20), at(20)}})
+	is.Equal(l.Leaves, []Leave{{"b", at(3)}})
+	s := Join(l)
+	is.True(s.Requests > 0)
+	is.Equal(s.RefusedNotRun, s.Requests) // nothing listens
+	is.True(strings.Contains(out.String(), "domain-out shawi"))
+}
+
+// Guards against a run that goes on after a step failed, and against roles
+// that are left running.
+func TestFailuresEndTheRun(t *testing.T) {
+	is := is.New(t)
+	for i, fail := range []string{"stop x", "start z", "leave b", "out shawi", "back shawi"} {
+		f := &scriptedFleet{fail: fail}
+		is.True(newRun(f, &bytes.Buffer{}).underLoad(t.Context(), steps) != nil)
+		is.Equal(len(f.calls), i+1)
+	}
+	for _, opt := range []Options{{Load: 0, Duration: DefaultDuration}, {Load: 1, Duration: time.Second}, {Load: 1, Duration: DefaultDuration}} {
+		opt.Progress = &bytes.Buffer{}
+		f := &scriptedFleet{}
+		_, err := Run(t.Context(), f, opt)
+		is.True(errkind.Is(err, errkind.SettingInvalid))
+		is.Equal(fmt.Sprint(f.calls), "[close]")
+	}
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -76,7 +76,7 @@
 	case c.slots <- struct{}{}:
 	default:
 		c.load.book.update(func(l *Ledger) { l.Overruns++ })
-		c.load.book.request(Request{Kind: kind, Service: c.service.Name, At: time.Now(), Outcome: NotSent})
+		c.load.book.request(Request{Kind: kind, Service: c.service.Name, At: time.Now(), Outcome: NotSent, Flow: NoFlow})
 		return
 	}
 	c.running.Go(func() {
@@ -90,7 +90,7 @@
 func (c *caller) record(kind Kind, began time.Time, last reply, attempts int) {
 	c.load.book.request(Request{
 		Kind: kind, Service: c.service.Name, At: began, Latency: time.Since(began),
-		Outcome: last.outcome, Attempts: attempts, Backend: last.backend, Domain: last.domain,
+		Outcome: last.outcome, Attempts: attempts, Backend: last.backend, Domain: last.domain, Flow: last.flow,
 	})
 	if last.outcome == Wrong {
 		c.load.book.update(func(l *Ledger) { l.WrongAnswers++ })
--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -42,6 +42,7 @@
 	header          http.Header
 	body            []byte
 	backend, domain string
+	flow            int
 }
 
 // pause returns how long to wait before the next attempt: as long as a refusal
@@ -63,17 +64,17 @@
 	defer cancel()
 	resp, f := c.open(ctx, make)
 	if f == nil {
-		return reply{outcome: NotSent}
+		return reply{outcome: NotSent, flow: NoFlow}
 	}
 	defer f.active.Add(-1)
 	if resp == nil {
-		return reply{outcome: Lost}
+		return reply{outcome: Lost, flow: f.id}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		c.lost(f)
-		return reply{outcome: Lost}
+		return reply{outcome: Lost, flow: f.id}
 	}
 	return c.told(f, resp, body)
 }
@@ -149,6 +150,7 @@
 		body:    body,
 		backend: resp.Header.Get(headerBackend),
 		domain:  resp.Header.Get(headerDomain),
+		flow:    f.id,
 	}
 	if resp.StatusCode == http.StatusOK && r.outcome == "" {
 		r.outcome = Done
--- a/standin/caller/feed.go
+++ b/standin/caller/feed.go
@@ -39,12 +39,12 @@
 	late := time.AfterFunc(c.load.opt.RequestTimeout+answerGrace, stop)
 	resp, f := c.open(stream, c.get(c.service.FeedPath))
 	if f == nil {
-		c.record(Feeding, began, reply{outcome: NotSent}, 0)
+		c.record(Feeding, began, reply{outcome: NotSent, flow: NoFlow}, 0)
 		return
 	}
 	defer f.active.Add(-1)
 	if resp == nil || !late.Stop() {
-		c.record(Feeding, began, reply{outcome: Lost}, 1)
+		c.record(Feeding, began, reply{outcome: Lost, flow: f.id}, 1)
 		return
 	}
 	defer resp.Body.Close()
--- a/standin/caller/ledger.go
+++ b/standin/caller/ledger.go
@@ -42,8 +42,12 @@
 	Attempts int           `json:"attempts"` // times it was sent
 	Backend  string        `json:"backend,omitempty"`
 	Domain   string        `json:"domain,omitempty"`
+	Flow     int           `json:"flow"` // of the last attempt, NoFlow if it was not sent
 }
 
+// NoFlow is the flow of a request that was not sent.
+const NoFlow = -1
+
 // Told is one outcome that a caller was told for an order.
 type Told struct {
 	Ticket  int       `json:"ticket"` // counts the tickets used for this order, from 1
@@ -139,8 +143,9 @@
 
 // book is the ledger while callers write it.
 type book struct {
-	mu     sync.Mutex
-	ledger Ledger
+	mu       sync.Mutex
+	ledger   Ledger
+	answered int
 }
 
 func (b *book) update(change func(*Ledger)) {
@@ -150,7 +155,12 @@
 }
 
 func (b *book) request(r Request) {
-	b.update(func(l *Ledger) { l.Requests = append(l.Requests, r) })
+	b.update(func(l *Ledger) {
+		l.Requests = append(l.Requests, r)
+		if r.Outcome == Done {
+			b.answered++
+		}
+	})
 }
 
 func (b *book) openFlow(caller, service string) (id int) {
--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -65,5 +65,13 @@
 	l.running.Wait()
 }
 
+// Progress returns how many requests have an outcome, and how many of them
+// were answered.
+func (l *Load) Progress() (requests, answered int) {
+	l.book.mu.Lock()
+	defer l.book.mu.Unlock()
+	return len(l.book.ledger.Requests), l.book.answered
+}
+
 // Ledger returns a copy of what callers saw so far.
 func (l *Load) Ledger() Ledger { return l.book.copy() }
--- a/standin/caller/order.go
+++ b/standin/caller/order.go
@@ -29,6 +29,7 @@
 	tickets int // used so far
 	attempt int // with the present ticket
 	sent    int
+	lost    reply // of the last attempt with the present ticket, if it was lost
 }
 
 // order places one order. A lost answer is asked for again with the same
@@ -65,10 +66,8 @@
 	if r.outcome != NotSent {
 		return r
 	}
-	for _, told := range o.told {
-		if told.Ticket == o.tickets && told.Outcome == Lost {
-			return reply{outcome: Lost}
-		}
+	if o.lost.outcome == Lost {
+		return o.lost
 	}
 	return r
 }
@@ -80,7 +79,7 @@
 		if ticket == "" {
 			return r
 		}
-		o.ticket, o.attempt = ticket, 0
+		o.ticket, o.attempt, o.lost = ticket, 0, reply{}
 		o.tickets++
 	}
 	o.attempt++
@@ -93,6 +92,10 @@
 	if r.outcome == Done && !repeats(r, o.body) {
 		r.outcome = Wrong
 	}
+	o.lost = reply{}
+	if r.outcome == Lost {
+		o.lost = r
+	}
 	o.told = append(o.told, Told{o.tickets, o.attempt, r.outcome, time.Now()})
 	o.caller.keepTicket(r)
 	return r
@@ -131,7 +134,7 @@
 	if ticket := r.header.Get(headerTicket); r.outcome == Done && ticket != "" {
 		return ticket, r
 	}
-	return "", reply{outcome: NotSent}
+	return "", reply{outcome: NotSent, flow: NoFlow}
 }
 
 // keepTicket keeps the ticket that came with an answer.
