Add peer TLS and the peer transport

Cause: processes exchange membership and configuration and relay requests, and only holders of a key of the ring may take part.

Change: the certificate authority is derived from each accepted key, so no certificate is distributed; handshakes use the key ring of their time, and jsonrpc2 connections whose key left the ring are closed within 5 s. One listener serves jsonrpc2 and HTTP/1.1 by ALPN. Messages are length-prefixed, bounded to 4 MB before and after decompression, and compressed above 1 KB. The relay transport waits for the first byte of the next answer while a connection is kept, so a connection closed by the peer is found dead before a request is written to it.

Ruled out: net/http's Transport for relays, since it sends idempotent requests again by itself; session resumption, which would outlive a removed key; one compressor per connection, since its state costs about a megabyte each.

Conclusion: malformed messages are counted and close the connection; relay errors tell whether a byte was sent.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,244 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/peertls"
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+)
+
+func identity(t *testing.T, secret string) *peertls.Identity {
+	t.Helper()
+	ring, err := keyring.Parse("1:" + strings.Repeat(secret, 32))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return peertls.New(func() *keyring.Ring { return ring }, time.Now)
+}
+
+func dialer(t *testing.T, secret string) *Dialer {
+	return &Dialer{Identity: identity(t, secret), Registry: metrics.NewRegistry()}
+}
+
+// serve starts a server and returns its address and counters.
+func serve(t *testing.T, opts ServerOptions) (netip.AddrPort, metrics.Registry) {
+	t.Helper()
+	opts.Identity, opts.Logger, opts.Registry = identity(t, "a1"), event.Discard(), metrics.NewRegistry()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(opts)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(l) })
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+		wg.Wait()
+	})
+	return netip.MustParseAddrPort(l.Addr().String()), opts.Registry
+}
+
+func counted(r metrics.Registry, name string) int64 {
+	return metrics.GetOrRegisterCounter(name, r).Count()
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not in time: " + what)
+		}
+	}
+}
+
+func echo(_ context.Context, req PullRequest) (PullAnswer, error) {
+	config, err := json.Marshal(strings.Repeat("configuration ", 30_000))
+	return PullAnswer{ID: "server", Generation: req.Generation + 1, Config: config}, err
+}
+
+// Guards against calls that lose content, also when it is large enough to be
+// compressed, and against a peer with another key.
+func TestCalls(t *testing.T) {
+	is := is.New(t)
+	addr, registry := serve(t, ServerOptions{Pull: echo, Status: func() any { return map[string]int{"flows": 7} }})
+	d := dialer(t, "a1")
+	c := NewClient(d, addr)
+	defer c.Close()
+	answer, err := c.Pull(t.Context(), PullRequest{ID: "client", Generation: 4})
+	is.NoErr(err)
+	is.Equal(answer.Generation, uint64(5))
+	is.Equal(len(answer.Config), 30_000*len("configuration ")+2)
+	is.True(counted(d.Registry, CountBytesIn) < 30_000)
+	var status struct{ Flows int }
+	is.NoErr(c.Status(t.Context(), &status))
+	is.Equal(status.Flows, 7)
+
+	stranger := NewClient(dialer(t, "b2"), addr)
+	_, err = stranger.Pull(t.Context(), PullRequest{ID: "stranger"})
+	is.True(errkind.Is(err, errkind.PeerUnauthorized))
+	eventually(t, "refusal is counted", func() bool { return counted(registry, CountUnauthorized) == 1 })
+	_, err = NewRelayTransport(dialer(t, "b2")).Relay(t.Context(), addr, request(t, "GET", ""))
+	is.True(err != nil)
+}
+
+// Guards against a malformed message that is accepted, not counted, or that
+// leaves the connection in use.
+func TestMalformedMessages(t *testing.T) {
+	addr, registry := serve(t, ServerOptions{Pull: echo})
+	d, count := dialer(t, "a1"), int64(0)
+	for name, message := range map[string][]byte{
+		"too large":      {0x7f, 0xff, 0xff, 0xff},
+		"not JSON":       frame(`{"jsonrpc"`),
+		"no JSON-RPC":    frame(`{"a":1}`),
+		"bad deflate":    {0x80, 0, 0, 2, 0xff, 0xff},
+		"unknown method": frame(`{"jsonrpc":"2.0","id":1,"method":"peer.push"}`),
+		"no parameters":  frame(`{"jsonrpc":"2.0","id":1,"method":"peer.pull"}`),
+		"wrong type":     frame(`{"jsonrpc":"2.0","id":1,"method":"peer.pull","params":{"id":7}}`),
+		"long wait":      frame(`{"jsonrpc":"2.0","id":1,"method":"peer.pull","params":{"id":"a","wait":60000000000}}`),
+		"other's record": frame(`{"jsonrpc":"2.0","id":1,"method":"peer.pull","params":{"id":"a","self":{"id":"b","tunnel":"","peer":""}}}`),
+	} {
+		is := is.New(t)
+		conn, err := d.open(t.Context(), addr, ProtocolRPC)
+		is.NoErr(err)
+		_, err = conn.Write(message)
+		is.NoErr(err)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = io.ReadAll(conn) // the server closes the connection without an answer
+		is.NoErr(err)
+		count++
+		eventually(t, name+" is counted", func() bool { return counted(registry, CountMalformed) == count })
+	}
+}
+
+func frame(message string) []byte {
+	return append([]byte{0, 0, 0, byte(len(message))}, message...)
+}
+
+// Guards against bytes from a peer that crash the decoder or make it allocate
+// beyond its bound.
+func TestDecodeArbitraryBytes(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		data := rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "data")
+		if len(data) > 2 {
+			data[1], data[2] = 0, 0 // a short frame, so that its content is reached
+		}
+		var v any
+		_ = decodeFrame(bufio.NewReader(bytes.NewReader(data)), &v)
+	})
+}
+
+// Guards against a connection that stays in use after it went silent.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	var once sync.Once
+	addr, _ := serve(t, ServerOptions{Pull: func(ctx context.Context, req PullRequest) (PullAnswer, error) {
+		once.Do(func() { <-ctx.Done() }) // ends when the client closes the connection
+		return PullAnswer{ID: "server"}, nil
+	}})
+	c := NewClient(dialer(t, "a1"), addr)
+	defer c.Close()
+	start := time.Now()
+	_, err := c.Pull(t.Context(), PullRequest{ID: "client"})
+	is.True(errkind.Is(err, errkind.PeerDown))
+	is.True(time.Since(start) < callTimeout+time.Second)
+	_, err = c.Pull(t.Context(), PullRequest{ID: "client"})
+	is.NoErr(err)
+}
+
+func request(t *testing.T, method, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://service/orders", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against a relay that opens a connection for each request, loses an
+// answer, or fails because the peer closed a kept connection.
+func TestRelayKeepsConnections(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	remotes := map[string]int{}
+	addr, _ := serve(t, ServerOptions{Relay: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		remotes[r.RemoteAddr]++
+		mu.Unlock()
+		if r.Header.Get("Close") != "" {
+			w.Header().Set("Connection", "close")
+		}
+		_, _ = io.Copy(w, r.Body)
+	})})
+	relay := NewRelayTransport(dialer(t, "a1"))
+	defer relay.Close()
+	for i := range 6 {
+		r := request(t, "POST", "order")
+		if i == 2 {
+			r.Header.Set("Close", "1")
+		}
+		resp, err := relay.Relay(t.Context(), addr, r)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "order")
+		is.NoErr(resp.Body.Close())
+		if i == 4 { // the peer closes the connection while it is kept
+			relay.mu.Lock()
+			relay.kept[addr][0].wire.Close()
+			relay.mu.Unlock()
+			eventually(t, "connection found dead", func() bool { return len(relay.kept[addr][0].first) == 1 })
+		}
+	}
+	is.Equal(len(remotes), 3)
+}
+
+// Guards against an error that says that nothing was sent although the request
+// may have run, and against a request that is sent again.
+func TestRelayErrorsTellWhatWasSent(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	runs := 0
+	addr, _ := serve(t, ServerOptions{Relay: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		runs++
+		mu.Unlock()
+		if r.Method == "PUT" {
+			<-r.Context().Done()
+		}
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	})})
+	relay := NewRelayTransport(dialer(t, "a1"))
+	_, err := relay.Relay(t.Context(), addr, request(t, "GET", ""))
+	is.True(errkind.Is(err, errkind.BackendLost))
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = relay.Relay(ctx, addr, request(t, "PUT", "x"))
+	is.True(errkind.Is(err, errkind.BackendLost))
+	mu.Lock()
+	is.Equal(runs, 2)
+	mu.Unlock()
+	_, err = relay.Relay(ctx, addr, request(t, "GET", "")) // ended before it began
+	is.True(errkind.Is(err, errkind.PeerDown))
+	_, err = relay.Relay(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), request(t, "GET", ""))
+	is.True(errkind.Is(err, errkind.PeerDown))
+}
