Add the controllers that spread configuration and membership

Cause: every process needs the accepted configuration and the members within seconds, also while the platform is down, without a coordination service.

Change: Node pulls from stable partners, answers pulls as long polls, watches the platform in two balancers of each failure domain, announces itself, resolves planned changes by the clock and judges isolation and clock offset. Balancers form a ring in which each pulls from its successor, so that the pull graph is strongly connected; the other partners cover failure domains. A new generation is announced by number and its content fetched from one partner at a time. The own record is pushed with a pull that does not wait. Record changes are collected for up to 1 s in a large fleet, generations never.

Isolation: changing the set of failure domains keeps the contact with a majority of the former set.

Ruled out: sending the configuration to whoever has an older one, which sends it up to four times; a partner choice by weight alone, which can leave closed groups; domains that are out as partners, which do not count for a majority.

--- /dev/null
+++ b/internal/distribution/board.go
@@ -0,0 +1,24 @@
+// Package distribution spreads the configuration and the membership among the
+// processes of the fleet. Its controllers share a blackboard with the rest of
+// the process.
+package distribution
+
+import (
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/blackboard"
+	"github.com/knapweedpier/knapweedpier/internal/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+// Board is the blackboard of one process. Only the controllers of this package
+// write it.
+type Board struct {
+	Config            blackboard.Entry[*config.Config] // accepted, nil before the first
+	View              blackboard.Entry[config.View]    // in force
+	Members           blackboard.Entry[membership.Snapshot]
+	Isolation         blackboard.Entry[isolation.Status]
+	PlatformReachable blackboard.Entry[bool]          // by this process or, recently, by its peers
+	ClockOffset       blackboard.Entry[time.Duration] // of this host against the median of peers
+}
--- /dev/null
+++ b/internal/distribution/harness_test.go
@@ -0,0 +1,302 @@
+package distribution
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+// fakeStore is a platform in memory that can be down.
+type fakeStore struct {
+	mu       sync.Mutex
+	down     bool
+	revision uint64
+	objects  map[string]platform.Object // with the revision as version
+	changed  signal
+	calls    int
+}
+
+func newStore() *fakeStore { return &fakeStore{objects: map[string]platform.Object{}} }
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	s.down = down
+	s.mu.Unlock()
+	s.changed.fire()
+}
+
+func (s *fakeStore) enter() error {
+	s.calls++
+	if s.down {
+		return errkind.New(errkind.PlatformDown, "outage")
+	}
+	return nil
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return platform.Object{}, err
+	}
+	object, ok := s.objects[key]
+	if !ok {
+		return object, errkind.New(errkind.NotFound, key)
+	}
+	return object, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return platform.Object{}, err
+	}
+	if s.objects[key].Version != ifVersion {
+		return platform.Object{}, errkind.New(errkind.VersionConflict, key)
+	}
+	s.revision++
+	s.objects[key] = platform.Object{Key: key, Version: s.revision, Value: value}
+	s.changed.fire()
+	return s.objects[key], nil
+}
+
+func (s *fakeStore) Delete(context.Context, string, uint64) error {
+	return errkind.New(errkind.Internal, "not used")
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) (platform.Listing, error) {
+	return s.since(prefix, 0)
+}
+
+func (s *fakeStore) since(prefix string, after uint64) (platform.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listing := platform.Listing{Revision: s.revision}
+	if err := s.enter(); err != nil {
+		return listing, err
+	}
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) && object.Version > after {
+			listing.Objects = append(listing.Objects, object)
+		}
+	}
+	return listing, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Listing, error) {
+	timeout := time.After(wait)
+	for {
+		changed := s.changed.wait()
+		listing, err := s.since(prefix, after)
+		if err != nil || len(listing.Objects) > 0 {
+			return listing, err
+		}
+		select {
+		case <-ctx.Done():
+			return listing, errkind.Wrap(ctx.Err(), errkind.PlatformDown, "watch")
+		case <-timeout:
+			return listing, nil
+		case <-changed:
+		}
+	}
+}
+
+// gate is a clock that can be stopped, which freezes its process, and a network
+// that can be cut.
+type gate struct {
+	frozen sync.RWMutex
+	mu     sync.Mutex
+	cut    bool
+	conns  []net.Conn
+}
+
+func (g *gate) now() time.Time {
+	g.frozen.RLock()
+	defer g.frozen.RUnlock()
+	return time.Now()
+}
+
+func (g *gate) add(conn net.Conn, err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cut {
+		conn.Close()
+	}
+	g.conns = append(g.conns, conn)
+	return conn, nil
+}
+
+func (g *gate) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return g.add((&net.Dialer{}).DialContext(ctx, network, address))
+}
+
+func (g *gate) setCut(cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = cut
+	for _, conn := range g.conns {
+		conn.Close()
+	}
+	g.conns = nil
+}
+
+type gatedListener struct {
+	net.Listener
+	gate *gate
+}
+
+func (l gatedListener) Accept() (net.Conn, error) { return l.gate.add(l.Listener.Accept()) }
+
+// fleet is a set of nodes on loopback.
+type fleet struct {
+	t     *testing.T
+	store *fakeStore
+	seeds []netip.AddrPort
+	nodes []*testNode
+}
+
+type testNode struct {
+	*Node
+	gate *gate
+	log  *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) has(id event.ID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.buf.String(), fmt.Sprintf(`"event":%d`, id))
+}
+
+var testDomains = []string{"tr-centre", "cap-madeleine", "shawi"}
+
+func newFleet(t *testing.T, balancers, agents int) *fleet {
+	f := &fleet{t: t, store: newStore()}
+	for i := range balancers + agents {
+		role := membership.RoleBalancer
+		if i >= balancers {
+			role = membership.RoleAgent
+		}
+		f.add(role, testDomains[i%len(testDomains)])
+	}
+	f.until(10*time.Second, "everybody knows everybody", func(n *testNode) bool {
+		return len(n.Board.Members.Get().Members) == len(f.nodes)
+	})
+	return f
+}
+
+func (f *fleet) add(role membership.Role, domain string) *testNode {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	g, out := &gate{}, &lockedBuffer{}
+	logger, err := event.New(out, "json")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	self := membership.Record{
+		ID: fmt.Sprintf("%s-%d", role, len(f.nodes)), Role: role, Domain: domain, Region: "mauricie", State: membership.StateServing,
+	}
+	n := &testNode{New(Options{
+		Self: self, Seeds: f.seeds, Store: f.store, Ring: func() *keyring.Ring { return ring },
+		Listener: gatedListener{l, g}, Logger: logger, Clock: g.now, Dial: g.dial,
+	}), g, out}
+	if err := n.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = n.Stop(ctx)
+	})
+	f.seeds = append(f.seeds, n.Self().Peer)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// until waits until cond holds at all nodes but those left out.
+func (f *fleet) until(limit time.Duration, what string, cond func(*testNode) bool, without ...*testNode) {
+	f.t.Helper()
+	end := time.Now().Add(limit)
+	for _, n := range f.nodes {
+		for !contains(without, n) && !cond(n) {
+			if time.Now().After(end) {
+				f.t.Fatalf("not within %v at %s: %s", limit, n.Self().ID, what)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
+
+func contains(nodes []*testNode, n *testNode) bool {
+	for _, other := range nodes {
+		if other == n {
+			return true
+		}
+	}
+	return false
+}
+
+// apply writes a generation to the platform, as an operator does.
+func (f *fleet) apply(generation uint64, changes ...config.PlannedChange) {
+	f.t.Helper()
+	c := &config.Config{Generation: generation, ChangeID: fmt.Sprint("c", generation), AcceptedAt: time.Now(), Changes: changes}
+	for i, name := range testDomains {
+		c.Domains = append(c.Domains, config.FailureDomain{Name: name, Region: "mauricie", Index: uint8(i)})
+	}
+	data, err := c.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.store.mu.Lock()
+	version := f.store.objects[config.ObjectKey].Version
+	f.store.mu.Unlock()
+	if _, err := f.store.Put(context.Background(), config.ObjectKey, data, version); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (n *testNode) generationInForce() uint64 { return n.Board.View.Get().Generation }
+
+// sees returns what n believes of another node.
+func (n *testNode) sees(other *testNode) (membership.Member, bool) {
+	for _, m := range n.Board.Members.Get().Members {
+		if m.ID == other.opts.Self.ID {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
--- /dev/null
+++ b/internal/distribution/node.go
@@ -0,0 +1,236 @@
+package distribution
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/knapweedpier/knapweedpier/internal/clockoffset"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/peer"
+	"github.com/knapweedpier/knapweedpier/internal/peertls"
+	"github.com/knapweedpier/knapweedpier/internal/platform"
+)
+
+// Options are the parts of a Node. Self, Store, Ring and one of Listen and
+// Listener are required.
+type Options struct {
+	Self     membership.Record // Peer may be unset: it is then taken from the listener
+	Seeds    []netip.AddrPort  // peer addresses to start from
+	Store    platform.Store
+	Ring     func() *keyring.Ring
+	Listen   string           // TCP address
+	Listener net.Listener     // instead of Listen
+	Relay    http.Handler     // serves requests relayed by peers
+	Status   func() any       // answers status.get, encoded as JSON
+	Logger   *event.Logger    // nil: nothing is logged
+	Clock    func() time.Time // nil: time.Now
+	Dial     peer.DialFunc    // nil: net.Dialer
+	Registry metrics.Registry // nil: counters are not exported
+}
+
+// Node is this process's part of the control plane.
+type Node struct {
+	Board Board
+
+	opts     Options
+	now      func() time.Time
+	log      *event.Logger
+	registry metrics.Registry
+	dialer   *peer.Dialer
+	server   *peer.Server
+	relay    *peer.RelayTransport
+
+	records     signal // a record changed
+	self        signal // the own record changed
+	generation  signal // a configuration was accepted
+	publication chan struct{}
+
+	mu       sync.Mutex
+	table    *membership.Table
+	tracker  *isolation.Tracker
+	clocks   clockoffset.Estimator
+	config   encodedConfig
+	fetching *puller   // fetches a configuration now
+	fresh    time.Time // when the platform's state was as known here
+	answered time.Time // last answer of a partner
+	load     load
+	pullers  map[netip.AddrPort]*puller
+	cursors  map[netip.AddrPort]membership.Cursor
+	failed   map[netip.AddrPort]time.Time // last failure of a partner
+
+	announcing      sync.Mutex
+	announceVersion uint64 // of the own announcement, guarded by announcing
+
+	wg     sync.WaitGroup
+	cancel context.CancelFunc
+}
+
+// New returns a node that is not started.
+func New(opts Options) *Node {
+	n := &Node{
+		opts:        opts,
+		now:         opts.Clock,
+		log:         opts.Logger,
+		registry:    opts.Registry,
+		publication: make(chan struct{}, 1),
+		pullers:     map[netip.AddrPort]*puller{},
+		cursors:     map[netip.AddrPort]membership.Cursor{},
+		failed:      map[netip.AddrPort]time.Time{},
+	}
+	if n.now == nil {
+		n.now = time.Now
+	}
+	if n.log == nil {
+		n.log = event.Discard()
+	}
+	if n.registry == nil {
+		n.registry = metrics.NewRegistry()
+	}
+	n.initTable()
+	identity := peertls.New(opts.Ring, n.now)
+	n.dialer = &peer.Dialer{Identity: identity, Dial: opts.Dial, Registry: n.registry}
+	n.relay = peer.NewRelayTransport(n.dialer)
+	n.server = peer.NewServer(peer.ServerOptions{
+		Identity: identity,
+		Pull:     n.answer,
+		Status:   n.status,
+		Relay:    opts.Relay,
+		Logger:   n.log,
+		Registry: n.registry,
+	})
+	return n
+}
+
+func (n *Node) status() any {
+	if n.opts.Status == nil {
+		return nil
+	}
+	return n.opts.Status()
+}
+
+// Start opens the listener and starts the controllers. Its error has kind
+// SettingInvalid. The end of ctx does not stop the node; see Stop.
+func (n *Node) Start(ctx context.Context) error {
+	listener := n.opts.Listener
+	if listener == nil {
+		var err error
+		listener, err = net.Listen("tcp", n.opts.Listen)
+		if err != nil {
+			return errkind.Wrap(err, errkind.SettingInvalid, "listen for peers on "+n.opts.Listen)
+		}
+	}
+	if addr, ok := listener.Addr().(*net.TCPAddr); ok && !n.Self().Peer.IsValid() {
+		n.SetSelf(func(r *membership.Record) { r.Peer = addr.AddrPort() })
+	}
+	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	n.wg.Go(func() { n.serve(listener) })
+	for _, controller := range []func(context.Context){
+		n.publishMembers,
+		n.choosePartners,
+		n.watchPlatform,
+		n.announceRegularly,
+		n.schedule,
+		n.keepHealth,
+	} {
+		n.wg.Go(func() { controller(ctx) })
+	}
+	return nil
+}
+
+func (n *Node) initTable() {
+	now := n.now()
+	self := n.opts.Self
+	if self.Incarnation == 0 {
+		self.Incarnation = uint64(now.UnixNano())
+	}
+	n.table = membership.NewTable(self, uint64(now.UnixNano()), now)
+	n.tracker = isolation.New(self.Domain, self.Region, now)
+	n.Board.Members.Set(n.table.Snapshot(now))
+}
+
+func (n *Node) serve(listener net.Listener) {
+	if err := n.server.Serve(listener); err != nil {
+		n.log.Failure(event.PeerLost, err, event.Fields{"listener": listener.Addr().String()})
+	}
+}
+
+// Stop announces that this process is gone, waits until ctx ends for relayed
+// requests in progress, and stops the controllers.
+func (n *Node) Stop(ctx context.Context) error {
+	if n.cancel == nil {
+		return nil
+	}
+	n.SetSelf(func(r *membership.Record) { r.State = membership.StateGone })
+	n.farewell(ctx)
+	err := n.server.Shutdown(ctx)
+	n.cancel()
+	n.wg.Wait()
+	n.relay.Close()
+	return err
+}
+
+// farewell tells the platform and all partners that this process is gone.
+func (n *Node) farewell(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { n.announceGone(ctx) })
+	n.mu.Lock()
+	for _, p := range n.pullers {
+		wg.Go(func() { n.push(ctx, p, true) })
+	}
+	n.mu.Unlock()
+	wg.Wait()
+}
+
+// Relay sends a request to a peer once. See peer.RelayTransport.
+func (n *Node) Relay(ctx context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
+	return n.relay.Relay(ctx, addr, r)
+}
+
+// signal wakes everybody who waits for it. The zero value is usable.
+type signal struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+// wait returns a channel that is closed by the next fire.
+func (s *signal) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ch == nil {
+		s.ch = make(chan struct{})
+	}
+	return s.ch
+}
+
+func (s *signal) fire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ch != nil {
+		close(s.ch)
+		s.ch = nil
+	}
+}
+
+// sleep waits for d or the end of ctx, and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -7,6 +7,7 @@
 package isolation
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -49,7 +50,7 @@
 // Tracker collects contacts. It is not safe for concurrent use.
 type Tracker struct {
 	domain, region string
-	started        time.Time
+	started        time.Time // or the last contact under former domains
 	platform       time.Time
 	contacts       map[string]time.Time // of the region's domains
 	domains        []string
@@ -86,22 +87,19 @@
 
 // SetDomains sets the failure domains of the region over which a majority is
 // counted. They must not shrink because of silence. With alone, no other
-// process exists in the own domain, which then counts as reached.
-func (t *Tracker) SetDomains(domains []string, alone bool) {
-	t.alone = alone
-	t.domains = append([]string{t.domain}, domains...)
-	sort.Strings(t.domains)
-	t.domains = compact(t.domains)
-}
-
-func compact(sorted []string) []string {
-	out := sorted[:1]
-	for _, s := range sorted[1:] {
-		if s != out[len(out)-1] {
-			out = append(out, s)
-		}
+// process exists in the own domain, which then counts as reached. A majority of
+// the former domains, as far as it was reached until now, stays a contact:
+// otherwise taking out a domain would isolate processes that have had no time to
+// reach others.
+func (t *Tracker) SetDomains(domains []string, alone bool, now time.Time) {
+	next := append([]string{t.domain}, domains...)
+	sort.Strings(next)
+	next = slices.Compact(next)
+	if alone == t.alone && slices.Equal(next, t.domains) {
+		return
 	}
-	return out
+	t.started = t.last(now)
+	t.domains, t.alone = next, alone
 }
 
 // Majority returns how many failure domains must be reached.
@@ -109,16 +107,22 @@
 
 // Status returns the status at now.
 func (t *Tracker) Status(now time.Time) Status {
+	last := t.last(now)
+	if now.Sub(last) < After {
+		return Status{}
+	}
+	return Status{Isolated: true, Since: last.Add(After)}
+}
+
+// last returns the last contact with the platform or a majority.
+func (t *Tracker) last(now time.Time) time.Time {
 	last := t.started
 	for _, at := range []time.Time{t.platform, t.majority(now)} {
 		if at.After(last) {
 			last = at
 		}
 	}
-	if now.Sub(last) < After {
-		return Status{}
-	}
-	return Status{Isolated: true, Since: last.Add(After)}
+	return last
 }
 
 // majority returns when a majority of the failure domains was last reached.
--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -24,7 +24,7 @@
 			names = append(names, fmt.Sprint("d", i))
 		}
 		alone := rapid.Bool().Draw(t, "alone")
-		tracker.SetDomains(names, alone)
+		tracker.SetDomains(names, alone, start)
 		now := start.Add(time.Minute)
 		ago := func(name string) time.Duration {
 			return time.Duration(rapid.IntRange(0, 6000).Draw(t, name)) * time.Millisecond
@@ -51,6 +51,19 @@
 	})
 }
 
+// Guards against a domain that is taken out and thereby isolates a process that
+// reached a majority until then.
+func TestDomainOutIsolatesNobodyAtOnce(t *testing.T) {
+	is := is.New(t)
+	tracker, now := New("a", "r", start), start.Add(time.Minute)
+	tracker.SetDomains([]string{"a", "b", "c"}, false, start)
+	tracker.Process("a", "r", now)
+	tracker.Process("c", "r", now)
+	tracker.SetDomains([]string{"a", "b"}, false, now.Add(time.Second))
+	is.True(!tracker.Status(now.Add(After - 1)).Isolated)
+	is.True(tracker.Status(now.Add(After)).Isolated)
+}
+
 // Guards against a balancer that opens flows after 3 s without contact or
 // forwards after 4 s.
 func TestPhases(t *testing.T) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -317,3 +317,29 @@
 	sort.Strings(names)
 	return names
 }
+
+// Others counts the other processes of a failure domain that did not stop on
+// purpose, including those that are excluded.
+func (t *Table) Others(domain string) int {
+	n := 0
+	for id, e := range t.entries {
+		if id != t.self && e.record.Domain == domain && e.record.State != StateGone {
+			n++
+		}
+	}
+	return n
+}
+
+// AnySuspect reports whether any member that is not excluded is suspected.
+func (t *Table) AnySuspect() bool {
+	for _, e := range t.entries {
+		if !e.suspectSince.IsZero() && e.closed.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// Len returns the number of records held, including those of members that are
+// gone.
+func (t *Table) Len() int { return len(t.entries) }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -36,7 +36,7 @@
 	Self        *membership.Record `json:"self,omitempty"`
 	Cursor      membership.Cursor  `json:"cursor"`
 	Generation  uint64             `json:"generation"`            // in force at the caller
-	Known       uint64             `json:"known"`                 // highest generation the caller knows to exist
+	Known       uint64             `json:"known"`                 // highest generation the caller knows the partner to have
 	WantConfig  bool               `json:"want_config,omitempty"` // send the configuration if it is newer than Generation
 	FreshAge    time.Duration      `json:"fresh_age"`             // nanoseconds since the platform's state was known at the caller, negative: never
 	Wait        time.Duration      `json:"wait"`                  // nanoseconds, at most MaxWait
