--- a/standin/cmd/standin-caller/main.go
+++ b/standin/cmd/standin-caller/main.go
@@ -35,7 +35,10 @@
 
 func main() {
 	var s settings
-	kong.Parse(&s, kong.Name("standin-caller"), kong.UsageOnError())
+	if _, err := kong.Must(&s, kong.Name("standin-caller")).Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(errkind.ExitUsage)
+	}
 	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(errkind.ExitCode(err))
