Export the bounds of the configuration

Cause: pkg/sheet held copies of the bounds on slots, connections and name length, which could drift from those of pkg/config.

Change: pkg/config exports MaxSlots, MaxConnections and MaxNameBytes; pkg/sheet uses them, also in the text that states the length of a name.

Ruled out: a shared internal package, because the bounds belong to the configuration.

Conclusion: one place states the bounds.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -8,9 +8,9 @@
 
 // Upper bounds that catch a wrong unit or a typing error in a sheet.
 const (
-	maxSlots       = 10_000
-	maxConnections = 1_000_000
-	maxNameBytes   = 63
+	MaxSlots       = 10_000    // requests in progress at one backend server
+	MaxConnections = 1_000_000 // open flows at one backend server
+	MaxNameBytes   = 63        // of a service, failure domain or backend server
 )
 
 // Check verifies the configuration as a whole. Its error has kind
@@ -86,11 +86,11 @@
 }
 
 func (l Limits) check(field string) error {
-	if l.Slots < 1 || l.Slots > maxSlots {
-		return invalid(field+".slots", "must be 1 to "+strconv.Itoa(maxSlots))
+	if l.Slots < 1 || l.Slots > MaxSlots {
+		return invalid(field+".slots", "must be 1 to "+strconv.Itoa(MaxSlots))
 	}
-	if l.Connections < 1 || l.Connections > maxConnections {
-		return invalid(field+".connections", "must be 1 to "+strconv.Itoa(maxConnections))
+	if l.Connections < 1 || l.Connections > MaxConnections {
+		return invalid(field+".connections", "must be 1 to "+strconv.Itoa(MaxConnections))
 	}
 	if l.ColdSlots < 1 || l.ColdSlots > l.Slots {
 		return invalid(field+".cold_slots", "must be 1 to slots")
@@ -156,8 +156,8 @@
 
 // checkName accepts lower-case letters, digits and hyphens, as in DNS labels.
 func checkName(field, name string) error {
-	if name == "" || len(name) > maxNameBytes {
-		return invalid(field, "must have 1 to "+strconv.Itoa(maxNameBytes)+" characters")
+	if name == "" || len(name) > MaxNameBytes {
+		return invalid(field, "must have 1 to "+strconv.Itoa(MaxNameBytes)+" characters")
 	}
 	for _, r := range name {
 		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' {
--- a/pkg/sheet/cell.go
+++ b/pkg/sheet/cell.go
@@ -5,18 +5,14 @@
 	"strconv"
 	"strings"
 	"time"
-)
 
-// Bounds that catch a wrong unit or a typing error; they equal those of
-// pkg/config.
-const (
-	maxSlots       = 10_000
-	maxConnections = 1_000_000
-	maxNameBytes   = 63
+	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
+// expectedName names the bound of pkg/config.
+var expectedName = "1 to " + itoa(config.MaxNameBytes) + " of a-z, 0-9 and hyphens"
+
 const (
-	expectedName     = "1 to 63 of a-z, 0-9 and hyphens"
 	expectedAddress  = "an IPv4 address with a port, such as 127.0.0.1:7001"
 	expectedTime     = "an RFC 3339 time with its offset, such as 2026-12-04T10:00:00-05:00"
 	expectedDuration = "a duration with its unit, such as 3s or 500ms"
@@ -66,7 +62,7 @@
 	if !ok {
 		return ""
 	}
-	if len(text) > maxNameBytes || strings.ContainsFunc(text, notInName) {
+	if len(text) > config.MaxNameBytes || strings.ContainsFunc(text, notInName) {
 		r.faultAt(column, quote(text)+" is not a name", expectedName)
 	}
 	return text
--- a/pkg/sheet/row.go
+++ b/pkg/sheet/row.go
@@ -106,9 +106,9 @@
 
 func (r row) limits() config.Limits {
 	l := config.Limits{
-		Slots:       r.integer(colSlots, maxSlots),
-		Connections: r.integer(colConnections, maxConnections),
-		ColdSlots:   r.integer(colColdSlots, maxSlots),
+		Slots:       r.integer(colSlots, config.MaxSlots),
+		Connections: r.integer(colConnections, config.MaxConnections),
+		ColdSlots:   r.integer(colColdSlots, config.MaxSlots),
 		WarmUp:      r.duration(colWarmUp, 0),
 	}
 	if l.Slots > 0 && l.ColdSlots > l.Slots {
