--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -116,3 +116,19 @@
 	_, err = Parse([]byte(`{"generation":`))
 	is.True(errkind.Is(err, errkind.ConfigInvalid))
 }
+
+// Guards against a restart that is planned as leave and join and takes the
+// backend server out of service before its leave.
+func TestLeaveBeforeJoin(t *testing.T) {
+	is := is.New(t)
+	c := sample()
+	c.Changes = []PlannedChange{
+		{"j", Join, "b-1", "comptoir", start.Add(2 * time.Hour), 1},
+		{"l", Leave, "b-1", "comptoir", start.Add(time.Hour), 1},
+	}
+	is.True(c.View(start).BackendJoined("b-1"))
+	_, leaving := c.View(start.Add(time.Hour)).BackendLeaving("b-1")
+	is.True(leaving)
+	_, leaving = c.View(start.Add(2 * time.Hour)).BackendLeaving("b-1")
+	is.True(!leaving)
+}
