Prune settled planned changes from the configuration

Cause: planned changes that had passed were kept for ever.

Change: config.Pruned drops changes that are due for over 24 h and that no view depends on: those that a later due change of the subject supersedes, and a join that is the only due change of its backend server. A leave stays until a join follows it, because a backend server that returns under the same ID would otherwise come back into service unasked. A change counts as passed only 1 s after both the writer's clock and the accept time of the base, so that neither a clock difference of 1 s nor one operator's host with a clock far ahead drops what others still need. Changes of the newest generation stay, so that a lost answer can be read back. internal/change prunes each new generation; a need to prune alone makes none, and pruning does not show in differences or count as a conflict. An edit does not add again what was pruned (sheet.Settle). A leave that is over 24 h past, not accepted and not followed by a due change is refused as stale, because it may have been followed by a join that was pruned.

Conclusion: the configuration is bounded if names of backend servers are reused; each name that leaves for good costs about 200 bytes.

--- a/internal/change/editor.go
+++ b/internal/change/editor.go
@@ -134,20 +134,27 @@
 	difference sheet.Difference
 }
 
-// prepare derives an update from base and seals it with the next generation.
+// prepare derives an update from base, prunes it and seals it with the next
+// generation. The difference does not list what is pruned, because no view
+// changes by it; a need to prune alone makes no generation.
 func (e *Editor) prepare(base state, edit Edit) (update, error) {
 	wanted, err := edit(base.config)
 	if err != nil {
 		return update{}, err
 	}
+	now := e.Now().UTC()
+	if err := sheet.Settle(wanted, now); err != nil {
+		return update{}, err
+	}
 	u := update{base: base, wanted: wanted, difference: sheet.Diff(base.config, wanted)}
 	if len(u.difference) == 0 {
 		return u, nil
 	}
 	wanted.Generation = base.generation() + 1
-	wanted.ChangeID = e.options.NewID()
-	wanted.AcceptedAt = e.Now().UTC()
-	return u, wanted.Check()
+	u.wanted = wanted.Pruned(now) // before the accept time of the base is replaced
+	u.wanted.ChangeID = e.options.NewID()
+	u.wanted.AcceptedAt = now
+	return u, u.wanted.Check()
 }
 
 func (e *Editor) accept(u update, out outcome) Result {
--- a/internal/change/policy.go
+++ b/internal/change/policy.go
@@ -51,6 +51,21 @@
 	})
 }
 
+// withoutPruned returns a copy of old without the due changes that next does not
+// hold. Only pruning removes a due change, so their absence is no decision of
+// another operator and must not count as a conflict.
+func withoutPruned(old, next *config.Config) *config.Config {
+	kept := sheet.Copy(old)
+	left := map[string]bool{}
+	for _, c := range next.Changes {
+		left[c.ID] = true
+	}
+	kept.Changes = slices.DeleteFunc(kept.Changes, func(c config.PlannedChange) bool {
+		return !left[c.ID] && !c.At.After(next.AcceptedAt)
+	})
+	return kept
+}
+
 func listed(title string, d sheet.Difference) string {
 	if len(d) == 0 {
 		return ""
@@ -73,7 +88,7 @@
 	if len(left) == 0 {
 		return nil
 	}
-	theirs := sheet.Diff(u.base.config, out.current.config)
+	theirs := sheet.Diff(withoutPruned(u.base.config, out.current.config), out.current.config)
 	if out.ambiguous {
 		return errkind.Errorf(errkind.OutcomeUnread,
 			"the answer was lost and generation %d does not show whether the change was part of it; accepted meanwhile:\n%s",
--- a/internal/change/single.go
+++ b/internal/change/single.go
@@ -26,8 +26,8 @@
 
 // Immediate returns the edit that makes one change at the time when it is
 // derived, whatever c.At is. It changes nothing if the subject is already in
-// that state. The time is moved behind an earlier change of the subject made by a host whose clock is
-// ahead, because the latest change decides.
+// that state. The time is moved behind an earlier change of the subject made by
+// a host whose clock is ahead, because the latest change decides.
 func Immediate(c sheet.Change, clock func() time.Time) Edit {
 	return func(base *config.Config) (*config.Config, error) {
 		next, now := sheet.Copy(base), clock()
@@ -35,7 +35,7 @@
 			return nil, err
 		}
 		last, ok := latest(next, c, now.Add(clockDifference))
-		if unchanged(last, ok, c.Kind) {
+		if ok && last.Kind == c.Kind || !ok && isInitial(next, c, now) {
 			return next, nil
 		}
 		c.At = now.Truncate(time.Millisecond)
@@ -47,12 +47,19 @@
 	}
 }
 
-// unchanged reports whether a change of this kind has no effect after last.
-func unchanged(last config.PlannedChange, ok bool, kind config.ChangeKind) bool {
-	if !ok {
-		return kind == config.DomainBack
+// isInitial reports whether c asks for the state of a subject without a due
+// change: a failure domain is in, and a backend server has joined unless a join
+// is ahead. A due join may have been pruned.
+func isInitial(base *config.Config, c sheet.Change, now time.Time) bool {
+	switch c.Kind {
+	case config.DomainBack:
+		return true
+	case config.Join:
+		v := base.View(now.Add(clockDifference))
+		_, leaving := v.BackendLeaving(c.Subject)
+		return !leaving && v.BackendJoined(c.Subject)
 	}
-	return last.Kind == kind
+	return false
 }
 
 // latest returns the change of c's subject that decides at an instant.
--- a/pkg/sheet/apply.go
+++ b/pkg/sheet/apply.go
@@ -22,7 +22,7 @@
 // domain indexes must never be used again for another name, and a truncated
 // export must not remove a service. Planned changes that the sheet does not
 // list are removed only if the sheet names its base and their time is more
-// than 12 s ahead. An error has kind SheetInvalid.
+// than 12 s ahead. An error has kind SheetInvalid, or SheetStale; see Settle.
 func (s *Sheet) Apply(base *config.Config, now time.Time) (*config.Config, error) {
 	next := Copy(base)
 	if s.Base > next.Generation {
@@ -34,6 +34,9 @@
 	}
 	s.applyServices(next)
 	s.applyChanges(next, now)
+	if err := Settle(next, now); err != nil {
+		return nil, err
+	}
 	return next, s.check(next)
 }
 
@@ -106,8 +109,15 @@
 	next.Changes = slices.DeleteFunc(next.Changes, func(have config.PlannedChange) bool {
 		return s.Base > 0 && have.At.After(settled) && !listed[have.ID]
 	})
+	have := map[string]bool{}
+	for _, c := range next.Changes {
+		have[c.ID] = true
+	}
 	for _, c := range s.Changes {
-		AddChange(next, c)
+		if planned := c.Planned(next.Generation + 1); !have[planned.ID] {
+			have[planned.ID] = true
+			next.Changes = append(next.Changes, planned)
+		}
 	}
 }
 
