--- /dev/null
+++ b/internal/backendconn/pool_test.go
@@ -0,0 +1,182 @@
+package backendconn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/admission"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+	"github.com/knapweedpier/knapweedpier/standin/backend"
+)
+
+var limits = config.Limits{Slots: 9, ColdSlots: 2, WarmUp: 300 * time.Millisecond}
+
+// env is a pool in front of a stand-in backend server.
+type env struct {
+	*Pool
+	server *backend.Server
+	lost   atomic.Int64
+}
+
+func setUp(t *testing.T, work time.Duration) *env {
+	t.Helper()
+	e := &env{server: backend.New(backend.Options{ID: "b1", WarmUp: limits.WarmUp, WorkMean: work, FeedInterval: 5 * time.Millisecond})}
+	addr, err := e.server.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Pool = pool(addr, &e.lost)
+	t.Cleanup(func() { e.Pool.Close(); e.server.Close() })
+	return e
+}
+
+func pool(addr netip.AddrPort, lost *atomic.Int64) *Pool {
+	return New(Options{Backend: addr, Limits: func() config.Limits { return limits }, OnLost: func(error) { lost.Add(1) }})
+}
+
+// do sends one request and waits until its slot is free.
+func (e *env) do(ctx context.Context, method, path, body string) (string, admission.Signal, error) {
+	lease, err := e.Acquire(ctx)
+	if err != nil {
+		return "", 0, err
+	}
+	req, err := http.NewRequest(method, "http://service"+path, strings.NewReader(body))
+	if err != nil {
+		return "", 0, err
+	}
+	freed := make(chan admission.Signal, 1)
+	resp, err := lease.Do(ctx, Call{Request: req, Released: func(s admission.Signal) { freed <- s }})
+	if err != nil {
+		return "", <-freed, err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return string(got), <-freed, err
+}
+
+// Guards against a restarted backend server that receives more than it bears
+// because its restart has not been noticed yet, and against crossed answers.
+func TestRestartsUnderLoadNeverOverload(t *testing.T) {
+	is := is.New(t)
+	e := setUp(t, 3*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	var answered, crossed atomic.Int64
+	var wg sync.WaitGroup
+	for caller := range 24 {
+		wg.Go(func() {
+			name := string(rune('a' + caller))
+			for ctx.Err() == nil {
+				got, _, err := e.do(ctx, "GET", "/catalogue?n=1&caller="+name, "")
+				if errkind.Is(err, errkind.BackendFull) {
+					time.Sleep(time.Millisecond)
+				}
+				if err != nil {
+					continue
+				}
+				answered.Add(1)
+				if !strings.Contains(got, `"caller":"`+name+`"`) {
+					crossed.Add(1)
+				}
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(7, 7))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		e.server.Restart()
+	}
+	wg.Wait()
+	l := e.server.Ledger()
+	t.Logf("%d answered, %d restarts, %d starts", answered.Load(), l.Restarts, len(l.Starts))
+	is.Equal(l.OverCapacityStarts, 0)
+	is.Equal(crossed.Load(), int64(0))
+	is.Equal(e.InProgress(), 0)
+	is.True(answered.Load() > 500)
+}
+
+// Guards against an idle connection whose loss is noticed only by the next
+// request, and against a first byte that is sent after it was forbidden.
+func TestIdleLossAndForbiddenFirstByte(t *testing.T) {
+	is := is.New(t)
+	e := setUp(t, time.Millisecond)
+	_, signal, err := e.do(context.Background(), "GET", "/catalogue", "")
+	is.NoErr(err)
+	is.Equal(signal, admission.Success)
+
+	lease, err := e.Acquire(context.Background())
+	is.NoErr(err)
+	req, _ := http.NewRequest("POST", "http://service/orders", strings.NewReader(`{"order":"x"}`))
+	_, err = lease.Do(context.Background(), Call{Request: req,
+		BeforeFirstByte: func() error { return errors.New("fenced") }, Released: func(admission.Signal) {}})
+	var failed *Error
+	is.True(errors.As(err, &failed))
+	is.True(!failed.Sent && !failed.Lost)
+	is.Equal(len(e.server.Ledger().Runs), 0)
+
+	e.server.Restart()
+	for end := time.Now().Add(time.Second); e.lost.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(e.lost.Load(), int64(1))
+}
+
+// Guards against a late answer that reaches another request, and against a
+// slot that is given away while a cancelled request still runs.
+func TestDeadlineDiscardsLateAnswer(t *testing.T) {
+	is := is.New(t)
+	e := setUp(t, 30*time.Millisecond)
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Millisecond)
+		_, signal, err := e.do(ctx, "GET", "/catalogue?caller=late", "")
+		cancel()
+		if err != nil {
+			is.Equal(signal, admission.Neutral)
+			is.Equal(e.server.Ledger().InProgress, 0)
+		}
+		got, _, err := e.do(context.Background(), "GET", "/catalogue?caller=next", "")
+		is.NoErr(err)
+		is.True(strings.Contains(got, `"caller":"next"`))
+	}
+}
+
+// Guards against a report that nothing was sent although a byte may have
+// reached the backend server, and the reverse.
+func TestSentIsReported(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			c.Read(make([]byte, 1)) // one byte arrives, then the server fails
+			c.Close()
+		}
+	}()
+	var lost atomic.Int64
+	e := &env{Pool: pool(l.Addr().(*net.TCPAddr).AddrPort(), &lost)}
+	_, signal, err := e.do(context.Background(), "POST", "/orders", "{}")
+	var failed *Error
+	is.True(errors.As(err, &failed))
+	is.True(failed.Sent && failed.Lost)
+	is.Equal(signal, admission.Lost)
+
+	l.Close()
+	_, _, err = e.do(context.Background(), "POST", "/orders", "{}")
+	is.True(errkind.Is(err, errkind.BackendDown))
+	is.Equal(lost.Load(), int64(1))
+	is.Equal(e.InProgress(), 0)
+}
