--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,28 @@
+package retry
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+)
+
+// Guards against retries that multiply the load of a failing service.
+func TestAttemptsStayWithinTenPercent(t *testing.T) {
+	proptest.Check(t, func(rt *rapid.T) {
+		var b Budget
+		requests, retries := 0, 0
+		for range rapid.IntRange(0, 2000).Draw(rt, "events") {
+			if rapid.Bool().Draw(rt, "request") {
+				b.Request()
+				requests++
+			} else if b.Retry() {
+				retries++
+			}
+			if retries*10 > requests {
+				rt.Fatalf("%d retries for %d requests", retries, requests)
+			}
+		}
+	})
+}
