Add the request handler of the agent

Cause: requests need one place that keeps the limits, deadlines, relays, retries, tickets and outcomes together.

Change: internal/gate handles callers' and relayed requests. Each answer states its outcome; after an attempt that may have run, no later refusal claims not-run.

Ruled out: relaying when the own load exceeds a peer's last report by 2.

--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,191 @@
+// Package gate handles every request between an accepted flow at the agent and
+// its backend server: admission, deadlines, relay to a peer, retries, tickets,
+// feeds, and an outcome on every answer.
+package gate
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/admission"
+	"github.com/knapweedpier/knapweedpier/internal/backendconn"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/retry"
+	"github.com/knapweedpier/knapweedpier/internal/ticket"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+// PeerLoad is the last reported load of a peer agent of the same service.
+type PeerLoad struct {
+	ID         string
+	Peer       netip.AddrPort // where it takes relayed requests
+	InProgress int            // requests, smoothed as in Load
+	Limit      int            // requests
+	Leaving    bool
+}
+
+// Peers reaches the peer agents of the same service.
+type Peers interface {
+	// Candidates returns the peers that may take a relayed request.
+	Candidates() []PeerLoad
+	// Relay sends a request to a peer's RelayHandler. An error of kind
+	// PeerDown means that no byte reached the peer; any other error means that
+	// the request may have run.
+	Relay(ctx context.Context, peer netip.AddrPort, r *http.Request) (*http.Response, error)
+}
+
+// State is what the agent knows about itself.
+type State struct {
+	Leaving   bool // the backend server takes no new work
+	DomainOut bool // the failure domain has been taken out
+	Fenced    bool // the agent was paused longer than its lease
+}
+
+// Policy selects how requests are placed.
+type Policy string
+
+// The policies.
+const (
+	Adaptive Policy = "adaptive" // admission and relay
+	Baseline Policy = "baseline" // neither: every request goes to the own backend server
+)
+
+// Options describe a gate. All fields except Policy and Now are required.
+type Options struct {
+	ID          string         // of the backend server
+	Peer        netip.AddrPort // own address for relayed requests; IPv4
+	Backend     netip.AddrPort
+	Service     func() (config.Service, bool) // in force now
+	Ring        func() *keyring.Ring
+	Incarnation uint64
+	Peers       Peers
+	State       func() State
+	Log         *event.Logger
+	Policy      Policy           // default Adaptive
+	Now         func() time.Time // default time.Now
+}
+
+// Load is the load of the backend server as the gate sees it.
+type Load struct {
+	InProgress int // requests, smoothed over a few hundred milliseconds
+	Limit      int // requests
+	Flows      int
+	Cold       bool
+}
+
+// Gate is the request handler of one agent. It is safe for concurrent use.
+type Gate struct {
+	opts Options
+	pool *backendconn.Pool
+
+	mu       sync.Mutex
+	limiter  *admission.Limiter
+	limits   config.Limits
+	budget   retry.Budget
+	tickets  *ticket.Table
+	relayed  map[netip.AddrPort]int // own relays in progress
+	average  average
+	attempts int
+	requests int
+}
+
+// New returns a gate. It opens connections only when requests arrive.
+func New(opts Options) *Gate {
+	if opts.Policy == "" {
+		opts.Policy = Adaptive
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	g := &Gate{opts: opts, tickets: ticket.NewTable(ticket.DefaultCapacity), relayed: map[netip.AddrPort]int{}}
+	g.limits = g.serviceLimits()
+	g.limiter = admission.New(g.limits, opts.Now())
+	g.pool = backendconn.New(backendconn.Options{
+		Backend: opts.Backend, Limits: g.serviceLimits, OnLost: g.connectionLost, Now: opts.Now,
+	})
+	return g
+}
+
+// Close closes all connections to the backend server.
+func (g *Gate) Close() { g.pool.Close() }
+
+// unlimited stands for no limit under the baseline policy.
+const unlimited = 1 << 20
+
+// serviceLimits returns the limits in force. Without a configuration nothing
+// is admitted.
+func (g *Gate) serviceLimits() config.Limits {
+	s, ok := g.opts.Service()
+	if ok && g.opts.Policy == Baseline {
+		return config.Limits{Slots: unlimited, ColdSlots: unlimited, Connections: s.Limits.Connections}
+	}
+	return s.Limits
+}
+
+// refreshLimits takes changed limits over. Needs the lock.
+func (g *Gate) refreshLimits() {
+	limits := g.serviceLimits()
+	if limits == g.limits {
+		return
+	}
+	if g.limits.Slots == 0 {
+		g.limiter = admission.New(limits, g.opts.Now())
+	}
+	g.limits = limits
+	g.limiter.SetLimits(limits)
+}
+
+// connectionLost is called by the pool.
+func (g *Gate) connectionLost(err error) {
+	g.mu.Lock()
+	warm := !g.limiter.Cold(g.opts.Now())
+	g.limiter.ColdSign(g.opts.Now())
+	g.mu.Unlock()
+	g.opts.Log.Failure(event.BackendConnFailed, errkind.Wrap(err, errkind.BackendLost, "backend server"), nil)
+	if warm {
+		g.opts.Log.Emit(event.ColdStart, event.Fields{"backend": g.opts.ID})
+	}
+}
+
+// Load returns the current load, for peers and balancers.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refreshLimits()
+	now := g.opts.Now()
+	g.average.observe(now, g.limiter.InProgress())
+	return Load{
+		InProgress: int(math.Round(g.average.value)), Limit: g.limiter.Limit(now),
+		Flows: g.limiter.Flows(), Cold: g.limiter.Cold(now),
+	}
+}
+
+// Attempts returns the numbers of requests and of attempts made for them, at
+// the backend server or at a peer.
+func (g *Gate) Attempts() (requests, attempts int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.requests, g.attempts
+}
+
+// OpenFlow counts a flow against the connection limit. The release function
+// may be called more than once. The error has kind ConnectionsFull.
+func (g *Gate) OpenFlow() (release func(), err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refreshLimits()
+	if g.limiter.OpenFlow() != admission.Admitted {
+		return nil, errkind.New(errkind.ConnectionsFull, "too many open flows")
+	}
+	return sync.OnceFunc(func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.limiter.CloseFlow()
+	}), nil
+}
--- a/standin/backend/handlers.go
+++ b/standin/backend/handlers.go
@@ -62,7 +62,7 @@
 func (s *Server) catalogue(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := deadline(r)
 	defer cancel()
-	if !s.run(ctx, w, "") {
+	if !s.run(ctx, w, r, "") {
 		return
 	}
 	q := r.URL.Query()
@@ -79,7 +79,7 @@
 		http.Error(w, "expected an order ID", http.StatusBadRequest)
 		return
 	}
-	if !s.run(ctx, w, order.ID) {
+	if !s.run(ctx, w, r, order.ID) {
 		return
 	}
 	s.mu.Lock()
@@ -90,24 +90,28 @@
 
 // run does the work of one request and reports whether it was completed. If
 // not, run has answered.
-func (s *Server) run(ctx context.Context, w http.ResponseWriter, order string) bool {
-	if s.thaw(ctx) != nil {
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, r *http.Request, order string) bool {
+	if s.thaw(r.Context()) != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if ctx.Err() != nil {
+		giveUp(w, errkind.OutcomeNotRun)
+		return false
+	}
 	epoch, ok := s.start(ctx, order)
 	if !ok {
 		shed(w)
 		return false
 	}
 	err := sleep(ctx, s.workTime())
-	if err == nil {
-		err = s.thaw(ctx)
+	if thawed := s.thaw(r.Context()); err == nil {
+		err = thawed
 	}
 	// The slot is free before the answer leaves: whoever has read the answer
 	// may send the next request.
 	s.finish(epoch, err != nil)
 	if err != nil {
-		http.Error(w, "deadline passed or request cancelled", http.StatusGatewayTimeout)
+		giveUp(w, errkind.OutcomeUnknown)
 	}
 	return err == nil
 }
@@ -208,6 +212,12 @@
 	json.NewEncoder(w).Encode(v) // a failed write means that the caller is gone
 }
 
+// giveUp answers a request whose deadline has passed.
+func giveUp(w http.ResponseWriter, o errkind.Outcome) {
+	w.Header().Set(outcomeHeader, string(o))
+	http.Error(w, "deadline passed or request cancelled", http.StatusGatewayTimeout)
+}
+
 func shed(w http.ResponseWriter) {
 	w.Header().Set(outcomeHeader, string(errkind.OutcomeNotRun))
 	http.Error(w, "shed", http.StatusServiceUnavailable)
