Keep a relay connection whose answer overtakes the writer's report

Cause: TestRelayKeepsConnections failed in one of four runs under load with four connections instead of three. If the answer's first byte was seen before the writing goroutine had reported its end, the connection was dropped.

Change: the report is awaited for up to 10 ms when the body has ended, instead of being sampled when the header arrives.

Ruled out: always waiting for the writer before reading the answer, since a peer may refuse a request before it has read it.

--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -22,6 +22,7 @@
 	// lateAnswer is how long an answer is waited for after the request could
 	// not be written to its end, because a peer may refuse before reading it.
 	lateAnswer = 200 * time.Millisecond
+	lateReport = 10 * time.Millisecond
 )
 
 // RelayTransport sends requests to peers over kept connections. It never sends
@@ -76,7 +77,7 @@
 	before := c.wire.written.Load()
 	written := make(chan error, 1)
 	go func() { written <- r.Write(c.conn) }()
-	resp, wholly, err := c.await(r, written)
+	resp, err := c.await(r, written)
 	if err != nil {
 		stop()
 		c.conn.Close()
@@ -85,7 +86,10 @@
 		}
 		return nil, errkind.Wrap(err, c.lostKind(before), "relay to "+addr.String())
 	}
-	release := func(ended bool) { t.release(addr, c, stop() && wholly && ended && !resp.Close) }
+	release := func(ended bool) {
+		t.release(addr, c, ended && !resp.Close && sentWholly(written) && stop())
+		stop()
+	}
 	if resp.Body == http.NoBody {
 		release(true)
 		return resp, nil
@@ -94,6 +98,17 @@
 	return resp, nil
 }
 
+// sentWholly reports whether the request was written to its end, without which
+// the connection cannot be kept. The answer may overtake the writer's report.
+func sentWholly(written <-chan error) bool {
+	select {
+	case err := <-written:
+		return err == nil
+	case <-time.After(lateReport):
+		return false
+	}
+}
+
 // lostKind tells whether any byte has been handed to the network.
 func (c *relayConn) lostKind(before int64) errkind.Kind {
 	if c.wire.written.Load() == before {
@@ -102,38 +117,39 @@
 	return errkind.BackendLost
 }
 
-// await reads the answer's header. Wholly says that the request was written to
-// its end, without which the connection cannot be kept.
-func (c *relayConn) await(r *http.Request, written <-chan error) (resp *http.Response, wholly bool, err error) {
+// await reads the answer's header. It leaves the writer's report in written
+// unless writing failed.
+func (c *relayConn) await(r *http.Request, written chan error) (*http.Response, error) {
 	var failed error
 	select {
+	case err := <-c.first:
+		return c.answer(r, err)
 	case failed = <-written:
-		wholly = failed == nil
-	case err = <-c.first:
-		return c.answer(r, false, err)
 	}
-	if wholly {
-		return c.answer(r, true, <-c.first)
+	if failed == nil {
+		written <- nil
+		return c.answer(r, <-c.first)
 	}
 	select {
-	case err = <-c.first:
+	case err := <-c.first:
 		if err == nil {
-			return c.answer(r, false, nil)
+			written <- failed
+			return c.answer(r, nil)
 		}
 	case <-time.After(lateAnswer):
 	}
-	return nil, false, failed
+	return nil, failed
 }
 
-func (c *relayConn) answer(r *http.Request, wholly bool, err error) (*http.Response, bool, error) {
+func (c *relayConn) answer(r *http.Request, err error) (*http.Response, error) {
 	if err != nil {
-		return nil, wholly, err
+		return nil, err
 	}
 	resp, err := http.ReadResponse(c.reader, r)
 	for err == nil && resp.StatusCode/100 == 1 {
 		resp, err = http.ReadResponse(c.reader, r)
 	}
-	return resp, wholly, err
+	return resp, err
 }
 
 // take returns a kept connection that is still open, or a new one.
