Bound control traffic in large fleets and heal splits

Cause: at the target size every generation changes about 3,930 records, and each record travels to each process from each partner; measured pulls put that above the budget of 22 KB/s. Members that excluded each other during a split met again only through the platform.

Change: above 256 records, agents get the records of balancers and of their own service alone, and the second half of a process's partners sends no records. Field names on the wire are short: a pull without news takes 368 instead of 481 bytes on the wire, TLS included. Watchers try one excluded member every few seconds.

Ruled out: a separate compact message for generations, whose cost is mostly that of names and incarnations, too; binary records, which need a parser.

Conclusion: the split test fails without the probe and passes with it.

--- a/internal/distribution/answer.go
+++ b/internal/distribution/answer.go
@@ -64,14 +64,14 @@
 	now := n.now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	changes, cursor := n.table.Changes(req.Cursor, maxChangesPerPull, now)
+	changes, cursor := n.changesFor(req, now)
 	answer := peer.PullAnswer{
 		ID:         n.table.Self().ID,
-		Changes:    withoutEcho(changes, req),
+		Changes:    changes,
 		Cursor:     cursor,
 		Generation: n.config.generation,
 		FreshAge:   n.freshAge(now),
-		Clock:      now,
+		Clock:      now.Truncate(time.Millisecond).UTC(),
 		Suspected:  n.table.Suspected(req.ID),
 		SendSelf:   n.lacks(req),
 	}
@@ -80,7 +80,7 @@
 		answer.Config = n.config.data
 	}
 	urgent := answer.Suspected || answer.SendSelf || n.config.generation > req.Known || len(answer.Config) > 0
-	full := req.Cursor.Instance != cursor.Instance || len(changes) == maxChangesPerPull
+	full := req.Cursor.Instance != cursor.Instance || len(changes) >= maxChangesPerPull
 	return answer, urgent || full || (len(answer.Changes) > 0 && !collecting)
 }
 
@@ -92,15 +92,26 @@
 	return !ok || claimed.Newer(have)
 }
 
-// withoutEcho leaves out the caller's own record, unless the caller must learn
-// that it is suspected or that a predecessor outranks it.
-func withoutEcho(changes []membership.Change, req peer.PullRequest) []membership.Change {
-	kept := changes[:0]
+// changesFor returns the changes that the caller has to learn. Its own record
+// is left out, unless it must learn that it is suspected or that a predecessor
+// outranks it. In a large fleet, agents get the records of balancers and of
+// their own service alone: these are all they use, and all records would take
+// most of a balancer's control traffic.
+func (n *Node) changesFor(req peer.PullRequest, now time.Time) ([]membership.Change, membership.Cursor) {
+	if req.NoRecords {
+		return nil, req.Cursor
+	}
+	changes, cursor := n.table.Changes(req.Cursor, maxChangesPerPull, now)
 	own := membership.Record{Incarnation: req.Incarnation, Sequence: req.Sequence}
+	caller, _ := n.table.Lookup(req.ID)
+	partly := caller.Role == membership.RoleAgent && n.table.Len() > largeFleet
+	kept := changes[:0]
 	for _, c := range changes {
-		if c.Record.ID != req.ID || c.Suspected || c.Record.Newer(own) {
+		echo := c.Record.ID == req.ID && !c.Suspected && !c.Record.Newer(own)
+		foreign := partly && c.Record.Role == membership.RoleAgent && c.Record.Service != caller.Service
+		if !echo && !foreign {
 			kept = append(kept, c)
 		}
 	}
-	return kept
+	return kept, cursor
 }
--- a/internal/distribution/configuration.go
+++ b/internal/distribution/configuration.go
@@ -117,7 +117,7 @@
 	if n.fresh.IsZero() {
 		return -1
 	}
-	return max(now.Sub(n.fresh), 0)
+	return max(now.Sub(n.fresh), 0).Truncate(time.Millisecond)
 }
 
 // announcement is what a process writes to the platform.
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -17,7 +17,8 @@
 	maxNewsDelay      = time.Second
 	newsDelayMember   = 250 * time.Microsecond // how long record changes are collected before they are sent
 	maxChangesPerPull = 1000
-	maxCursors        = 64 // of former partners
+	largeFleet        = 256 // records, above which not every process gets each record from every partner
+	maxCursors        = 64  // of former partners
 )
 
 // load holds back changes of load alone.
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -153,7 +154,7 @@
 	if self.Incarnation == 0 {
 		self.Incarnation = uint64(now.UnixNano())
 	}
-	n.table = membership.NewTable(self, uint64(now.UnixNano()), now)
+	n.table = membership.NewTable(self, 1+uint64(rand.Uint32()), now)
 	n.tracker = isolation.New(self.Domain, self.Region, now)
 	n.Board.Members.Set(n.table.Snapshot(now))
 }
--- a/internal/distribution/partners.go
+++ b/internal/distribution/partners.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"net/netip"
@@ -26,6 +27,7 @@
 	chooseInterval = 250 * time.Millisecond
 	avoidFailed    = 3 * time.Second // a dead partner is suspected by then
 	usableFor      = 3 * time.Second // since the last answer of any partner
+	probeInterval  = 5 * time.Second // between excluded members that are tried
 )
 
 // weight is the rendezvous weight of b for a.
@@ -209,15 +211,34 @@
 	fleet := n.fleetView(self, members, now)
 	wanted := partnersOf(self, fleet)
 	if len(wanted) == 0 { // rather a partner that failed just now than none
-		fleet.avoid = func(netip.AddrPort) bool { return false }
-		wanted = partnersOf(self, fleet)
+		all := fleet
+		all.avoid = func(netip.AddrPort) bool { return false }
+		wanted = partnersOf(self, all)
 	}
 	if !n.usable(now) {
 		wanted = append(wanted, n.seeds(self)...)
 	}
+	if probe, ok := n.probe(self, fleet, now); ok {
+		wanted = append(wanted, probe)
+	}
 	return wanted
 }
 
+// probe returns an excluded member to try, if this process is a watcher. After
+// a split, each side has excluded the other; one pull across makes both refute
+// their exclusion. Another member is tried every few seconds.
+func (n *Node) probe(self membership.Record, fleet fleetView, now time.Time) (netip.AddrPort, bool) {
+	excluded := slices.DeleteFunc(n.table.Excluded(), func(r membership.Record) bool { return fleet.avoid(r.Peer) })
+	if len(excluded) == 0 || !watches(self, fleet.members) {
+		return netip.AddrPort{}, false
+	}
+	slot := now.Truncate(probeInterval).String()
+	chosen := slices.MinFunc(excluded, func(a, b membership.Record) int {
+		return cmp.Compare(weight(self.ID+slot, a.ID), weight(self.ID+slot, b.ID))
+	})
+	return chosen.Peer, chosen.Peer.IsValid()
+}
+
 func (n *Node) fleetView(self membership.Record, members []membership.Member, now time.Time) fleetView {
 	view := n.Board.View.Get()
 	return fleetView{
@@ -243,22 +264,13 @@
 	seeds := slices.Clone(n.opts.Seeds)
 	seeds = slices.DeleteFunc(seeds, func(a netip.AddrPort) bool { return a == self.Peer })
 	slices.SortFunc(seeds, func(a, b netip.AddrPort) int {
-		return compareWeights(weight(self.ID, a.String()), weight(self.ID, b.String()))
+		return cmp.Compare(weight(self.ID, a.String()), weight(self.ID, b.String()))
 	})
 	return seeds[:min(len(seeds), seedPartners)]
 }
 
-func compareWeights(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
+// setPartners starts and ends pullers. In a large fleet the second half of the
+// partners sends no records, which the first half sends already.
 func (n *Node) setPartners(ctx context.Context, wanted []netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -268,12 +280,25 @@
 			delete(n.pullers, addr)
 		}
 	}
-	for _, addr := range wanted {
-		if _, ok := n.pullers[addr]; ok || ctx.Err() != nil {
-			continue
+	for i, addr := range wanted {
+		p, ok := n.pullers[addr]
+		if !ok && ctx.Err() == nil {
+			p = n.startPuller(ctx, addr)
 		}
-		p := &puller{addr: addr, client: peer.NewClient(n.dialer, addr), ended: make(chan struct{}), cursor: n.cursors[addr]}
-		n.pullers[addr] = p
-		n.wg.Go(func() { n.pull(ctx, p) })
+		if p != nil {
+			p.quiet = n.table.Len() > largeFleet && 2*i >= len(wanted)
+		}
+	}
+}
+
+func (n *Node) startPuller(ctx context.Context, addr netip.AddrPort) *puller {
+	p := &puller{
+		addr:   addr,
+		client: peer.NewClient(n.dialer, addr),
+		ended:  make(chan struct{}),
+		cursor: n.cursors[addr],
 	}
+	n.pullers[addr] = p
+	n.wg.Go(func() { n.pull(ctx, p) })
+	return p
 }
--- a/internal/distribution/puller.go
+++ b/internal/distribution/puller.go
@@ -30,6 +30,7 @@
 	cursor     membership.Cursor
 	sent       membership.Record // own record that the partner has
 	generation uint64            // that the partner has in force
+	quiet      bool              // sends no records
 }
 
 func (p *puller) end() { p.once.Do(func() { close(p.ended) }) }
@@ -128,6 +129,7 @@
 		Cursor:      p.cursor,
 		Generation:  n.config.generation,
 		Known:       max(n.config.generation, p.generation),
+		NoRecords:   p.quiet,
 		FreshAge:    n.freshAge(now),
 		Wait:        peer.MaxWait,
 	}
--- a/internal/distribution/watcher.go
+++ b/internal/distribution/watcher.go
@@ -20,6 +20,9 @@
 	membersInterval = 10 * time.Second
 	watchCheck      = 250 * time.Millisecond
 	retryPlatform   = 500 * time.Millisecond
+	// keepAnnouncement exceeds the clock errors of hosts as well as the lease.
+	keepAnnouncement = 24 * time.Hour
+	maxCollect       = 20 // objects deleted after one listing
 )
 
 const membersPrefix = "members/"
@@ -114,9 +117,28 @@
 	w.membersRead = now
 	w.members = nextRevision(w.members, listing.Revision)
 	w.node.takeAnnouncements(listing.Objects)
+	w.collect(ctx, listing.Objects, now)
 	return nil
 }
 
+// collect deletes announcements of processes that have long ceased to exist.
+// Hosts are replaced with new IDs, so nobody else would. A conditional delete
+// that fails is tried again by a later full listing.
+func (w *watcher) collect(ctx context.Context, objects []platform.Object, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	deleted := 0
+	for _, object := range objects {
+		var a announcement
+		if object.Version == 0 || json.Unmarshal(object.Value, &a) != nil || now.Sub(a.AnnouncedAt) < keepAnnouncement {
+			continue
+		}
+		if deleted++; deleted > maxCollect || w.node.opts.Store.Delete(ctx, object.Key, object.Version) != nil {
+			return
+		}
+	}
+}
+
 func (n *Node) hasPeers() bool { return len(n.Board.Members.Get().Members) > 1 }
 
 func (n *Node) takeAnnouncements(objects []platform.Object) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -330,6 +330,19 @@
 	return n
 }
 
+// Excluded returns the records of members that were excluded because of
+// silence and may have been cut off rather than have failed, ordered by ID.
+func (t *Table) Excluded() []Record {
+	var records []Record
+	for _, e := range t.entries {
+		if !e.closed.IsZero() && e.record.State != StateGone {
+			records = append(records, e.record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].ID < records[j].ID })
+	return records
+}
+
 // AnySuspect reports whether any member that is not excluded is suspected.
 func (t *Table) AnySuspect() bool {
 	for _, e := range t.entries {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -28,30 +28,33 @@
 // for. A connection that is silent for longer is replaced.
 const callTimeout = 2 * time.Second
 
-// PullRequest asks a partner for what changed.
+// PullRequest asks a partner for what changed. Field names on the wire are
+// short because a balancer exchanges up to twenty of these a second at the
+// target size, nearly all of them without news.
 type PullRequest struct {
-	ID          string             `json:"id"`          // caller
-	Incarnation uint64             `json:"incarnation"` // of the caller's record
-	Sequence    uint64             `json:"sequence"`    // of the caller's record
+	ID          string             `json:"id"`  // caller
+	Incarnation uint64             `json:"inc"` // of the caller's record
+	Sequence    uint64             `json:"seq"` // of the caller's record
 	Self        *membership.Record `json:"self,omitempty"`
-	Cursor      membership.Cursor  `json:"cursor"`
-	Generation  uint64             `json:"generation"`            // in force at the caller
-	Known       uint64             `json:"known"`                 // highest generation the caller knows the partner to have
-	WantConfig  bool               `json:"want_config,omitempty"` // send the configuration if it is newer than Generation
-	FreshAge    time.Duration      `json:"fresh_age"`             // nanoseconds since the platform's state was known at the caller, negative: never
-	Wait        time.Duration      `json:"wait"`                  // nanoseconds, at most MaxWait
-	Done        bool               `json:"done,omitempty"`        // the caller's last pull from this partner
+	Cursor      membership.Cursor  `json:"cur"`
+	NoRecords   bool               `json:"norec,omitempty"` // send no changes of records
+	Generation  uint64             `json:"gen"`             // in force at the caller
+	Known       uint64             `json:"known,omitempty"` // highest generation the caller knows the partner to have
+	WantConfig  bool               `json:"want,omitempty"`  // send the configuration if it is newer than Generation
+	FreshAge    time.Duration      `json:"fresh"`           // nanoseconds since the platform's state was known at the caller, negative: never
+	Wait        time.Duration      `json:"wait,omitempty"`  // nanoseconds, at most MaxWait
+	Done        bool               `json:"done,omitempty"`  // the caller's last pull from this partner
 }
 
 // PullAnswer is the answer to a PullRequest.
 type PullAnswer struct {
 	ID         string              `json:"id"` // partner
-	Changes    []membership.Change `json:"changes,omitempty"`
-	Cursor     membership.Cursor   `json:"cursor"`
-	Generation uint64              `json:"generation"`
+	Changes    []membership.Change `json:"chg,omitempty"`
+	Cursor     membership.Cursor   `json:"cur"`
+	Generation uint64              `json:"gen"`
 	Config     json.RawMessage     `json:"config,omitempty"` // whole, only when asked for and newer
-	FreshAge   time.Duration       `json:"fresh_age"`        // as in PullRequest, of the partner
+	FreshAge   time.Duration       `json:"fresh"`            // as in PullRequest, of the partner
 	Clock      time.Time           `json:"clock"`
-	Suspected  bool                `json:"suspected,omitempty"` // the partner suspects the caller
-	SendSelf   bool                `json:"send_self,omitempty"` // the partner lacks the caller's record
+	Suspected  bool                `json:"susp,omitempty"` // the partner suspects the caller
+	SendSelf   bool                `json:"send,omitempty"` // the partner lacks the caller's record
 }
