--- a/internal/distribution/answer.go
+++ b/internal/distribution/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/membership"
@@ -81,9 +82,16 @@
 	}
 	urgent := answer.Suspected || answer.SendSelf || n.config.generation > req.Known || len(answer.Config) > 0
 	full := req.Cursor.Instance != cursor.Instance || len(changes) >= maxChangesPerPull
+	urgent = urgent || slices.ContainsFunc(changes, ending)
 	return answer, urgent || full || (len(answer.Changes) > 0 && !collecting)
 }
 
+// ending reports whether a process is about to stop or has stopped, which
+// others must learn within seconds over several hops.
+func ending(c membership.Change) bool {
+	return c.Record.State == membership.StateLeaving || c.Record.State == membership.StateGone
+}
+
 // lacks reports whether the caller's record is missing here, or older than the
 // caller says.
 func (n *Node) lacks(req peer.PullRequest) bool {
--- a/internal/distribution/bench_test.go
+++ b/internal/distribution/bench_test.go
@@ -20,19 +20,18 @@
 // The benchmarks give the slopes for docs/CAPACITY.md: cost by members and by
 // changes of one pull, both ends together, over TLS on loopback.
 
+var benchSizes = []int{100, 1000, 4000} // members
+
+// meteredConn counts the bytes of both directions.
 type meteredConn struct {
 	net.Conn
 	bytes *atomic.Int64
 }
 
-func (c meteredConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
+func (c meteredConn) Read(p []byte) (int, error)  { return c.count(c.Conn.Read(p)) }
+func (c meteredConn) Write(p []byte) (int, error) { return c.count(c.Conn.Write(p)) }
 
-func (c meteredConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+func (c meteredConn) count(n int, err error) (int, error) {
 	c.bytes.Add(int64(n))
 	return n, err
 }
@@ -92,7 +91,7 @@
 }
 
 func BenchmarkPull(b *testing.B) {
-	for _, members := range []int{100, 1000, 4000} {
+	for _, members := range benchSizes {
 		for _, changes := range []int{0, 1, 10, 100} {
 			b.Run(fmt.Sprintf("members=%d/changes=%d", members, changes), func(b *testing.B) {
 				n, pull, bytes := benchNode(b, members)
@@ -110,7 +109,7 @@
 }
 
 func BenchmarkFullState(b *testing.B) {
-	for _, members := range []int{100, 1000, 4000} {
+	for _, members := range benchSizes {
 		b.Run(fmt.Sprint("members=", members), func(b *testing.B) {
 			_, pull, bytes := benchNode(b, members)
 			before := bytes.Load()
@@ -126,7 +125,7 @@
 }
 
 func BenchmarkTable(b *testing.B) {
-	for _, members := range []int{100, 1000, 4000} {
+	for _, members := range benchSizes {
 		b.Run(fmt.Sprint("members=", members), func(b *testing.B) {
 			var before, after runtime.MemStats
 			runtime.GC()
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/isolation"
@@ -151,7 +152,9 @@
 	both := func(n *testNode) bool { return len(n.Board.Members.Get().Members) == 2 }
 	f.until(15*time.Second, "members known from the platform", both)
 	f.store.setDown(true)
-	time.Sleep(500 * time.Millisecond) // for pulls in both directions
+	f.until(5*time.Second, "pulled from", func(n *testNode) bool {
+		return metrics.GetOrRegisterCounter(peer.CountPulls, n.registry).Count() > 0
+	})
 	f.nodes[0].gate.setCut(true)
 	f.until(5*time.Second, "suspected", func(n *testNode) bool {
 		return slices.ContainsFunc(n.Board.Members.Get().Members, membership.Member.Suspect)
--- a/internal/distribution/health.go
+++ b/internal/distribution/health.go
@@ -16,6 +16,7 @@
 // Times of the health controller.
 const (
 	healthInterval = 100 * time.Millisecond
+	tableInterval  = 250 * time.Millisecond // each time, all records are looked at
 	slowInterval   = time.Second
 	reachableFor   = 8 * time.Second       // freshness ages by up to 1 s at each of up to 6 hops
 	offsetGrain    = 50 * time.Millisecond // smaller changes of the offset are not announced
@@ -26,7 +27,7 @@
 func (n *Node) keepHealth(ctx context.Context) {
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
-	var slow time.Time
+	var slow, table time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -34,7 +35,11 @@
 		case <-ticker.C:
 		}
 		now := n.now()
-		n.tick(now)
+		n.checkIsolation(now)
+		if now.Sub(table) >= tableInterval {
+			table = now
+			n.tick(now)
+		}
 		if now.Sub(slow) >= slowInterval {
 			slow = now
 			n.checkClock(now)
@@ -45,8 +50,8 @@
 	}
 }
 
-// tidy forgets what is kept for each address, and publishes members again
-// while any is suspected, since own evidence changes what is believed of it.
+// tidy forgets what is kept for each address, counts failure domains, and
+// publishes members again while any is suspected, since own evidence changes what is believed of it.
 func (n *Node) tidy(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -54,6 +59,9 @@
 	if len(n.cursors) > maxCursors {
 		clear(n.cursors) // costs a full state for each partner
 	}
+	if !n.Board.Isolation.Get().Isolated { // while isolated, silence must not shrink what a majority is
+		n.countDomains(now)
+	}
 	if n.table.AnySuspect() {
 		n.publish()
 	}
@@ -66,14 +74,12 @@
 		n.recordsChanged()
 	}
 	n.flushLoad(now)
-	n.checkIsolation(now)
 }
 
 func (n *Node) checkIsolation(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	old := n.Board.Isolation.Get()
-	if !old.Isolated { // while isolated, silence must not shrink what a majority is
-		n.countDomains(now)
-	}
 	status := n.tracker.Status(now)
 	if status == old {
 		return
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -13,7 +13,7 @@
 const (
 	loadInterval      = 2 * time.Second        // between changes of load alone, at least
 	loadPerMember     = 200 * time.Millisecond // for each member: the fleet makes 5 such changes a second
-	publishPerMember  = 100 * time.Microsecond // least time between snapshots
+	publishPerMember  = 250 * time.Microsecond // least time between snapshots
 	maxNewsDelay      = time.Second
 	newsDelayMember   = 250 * time.Microsecond // how long record changes are collected before they are sent
 	maxChangesPerPull = 1000
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -55,6 +55,7 @@
 	self        signal // the own record changed
 	generation  signal // a configuration was accepted
 	publication chan struct{}
+	rechoose    chan struct{} // a partner failed
 
 	mu       sync.Mutex
 	table    *membership.Table
@@ -84,6 +85,7 @@
 		log:         opts.Logger,
 		registry:    opts.Registry,
 		publication: make(chan struct{}, 1),
+		rechoose:    make(chan struct{}, 1),
 		pullers:     map[netip.AddrPort]*puller{},
 		cursors:     map[netip.AddrPort]membership.Cursor{},
 		failed:      map[netip.AddrPort]time.Time{},
--- a/internal/distribution/partners.go
+++ b/internal/distribution/partners.go
@@ -24,7 +24,7 @@
 
 // Times of choosing partners.
 const (
-	chooseInterval = 250 * time.Millisecond
+	chooseInterval = time.Second     // besides each change of members or failure of a partner
 	avoidFailed    = 3 * time.Second // a dead partner is suspected by then
 	usableFor      = 3 * time.Second // since the last answer of any partner
 	probeInterval  = 5 * time.Second // between excluded members that are tried
@@ -134,9 +134,9 @@
 
 // bestOf returns the index of the best candidate that is not chosen yet, or -1.
 func bestOf(self membership.Record, candidates, chosen []candidate) int {
-	perDomain, taken := map[string]int{}, map[string]bool{}
+	perDomain, taken := map[place]int{}, map[string]bool{}
 	for _, c := range chosen {
-		perDomain[c.Region+"/"+c.Domain]++
+		perDomain[place{c.Region, c.Domain}]++
 		taken[c.ID] = true
 	}
 	best, bestRank := -1, rank{}
@@ -146,7 +146,7 @@
 		}
 		r := rank{
 			c.tier,
-			perDomain[c.Region+"/"+c.Domain],
+			perDomain[place{c.Region, c.Domain}],
 			boolRank(c.Region != self.Region),
 			boolRank(c.Domain != self.Domain),
 		}
@@ -158,6 +158,9 @@
 	return best
 }
 
+// place is a failure domain of a region.
+type place struct{ region, domain string }
+
 // rank orders candidates; the lowest is best.
 type rank [4]int
 
@@ -197,6 +200,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-n.rechoose:
 		case <-ticker.C:
 		}
 	}
--- a/internal/distribution/puller.go
+++ b/internal/distribution/puller.go
@@ -197,6 +197,10 @@
 	n.finishFetch(p)
 	n.failed[p.addr] = now
 	n.mu.Unlock()
+	select {
+	case n.rechoose <- struct{}{}:
+	default: // a choice is pending
+	}
 	if ctx.Err() != nil {
 		return
 	}
