--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -54,6 +55,7 @@
 	self        signal // the own record changed
 	generation  signal // a configuration was accepted
 	publication chan struct{}
+	rechoose    chan struct{} // a partner failed
 
 	mu       sync.Mutex
 	table    *membership.Table
@@ -83,6 +85,7 @@
 		log:         opts.Logger,
 		registry:    opts.Registry,
 		publication: make(chan struct{}, 1),
+		rechoose:    make(chan struct{}, 1),
 		pullers:     map[netip.AddrPort]*puller{},
 		cursors:     map[netip.AddrPort]membership.Cursor{},
 		failed:      map[netip.AddrPort]time.Time{},
@@ -132,6 +135,7 @@
 	if addr, ok := listener.Addr().(*net.TCPAddr); ok && !n.Self().Peer.IsValid() {
 		n.SetSelf(func(r *membership.Record) { r.Peer = addr.AddrPort() })
 	}
+	n.startTracker()
 	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	n.wg.Go(func() { n.serve(listener) })
 	for _, controller := range []func(context.Context){
@@ -153,9 +157,19 @@
 	if self.Incarnation == 0 {
 		self.Incarnation = uint64(now.UnixNano())
 	}
-	n.table = membership.NewTable(self, uint64(now.UnixNano()), now)
-	n.tracker = isolation.New(self.Domain, self.Region, now)
+	n.table = membership.NewTable(self, 1+uint64(rand.Uint32()), now)
 	n.Board.Members.Set(n.table.Snapshot(now))
+	n.startTracker()
+}
+
+// startTracker begins to count the time without contact, which must not include
+// the time between New and Start.
+func (n *Node) startTracker() {
+	now := n.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	self := n.table.Self()
+	n.tracker = isolation.New(self.Domain, self.Region, now)
 }
 
 func (n *Node) serve(listener net.Listener) {
@@ -187,7 +201,7 @@
 	wg.Go(func() { n.announceGone(ctx) })
 	n.mu.Lock()
 	for _, p := range n.pullers {
-		wg.Go(func() { n.push(ctx, p, true) })
+		wg.Go(func() { _ = n.push(ctx, p, true) })
 	}
 	n.mu.Unlock()
 	wg.Wait()
