Add the balancer and agent daemons as libraries

Both are controllers around the packet path: they read configuration, membership and isolation from the blackboard, and write what the packet loops follow.

--- /dev/null
+++ b/pkg/agent/agent.go
@@ -0,0 +1,273 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/distribution"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/fence"
+	"github.com/knapweedpier/knapweedpier/internal/gate"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+// Options configure an Agent.
+type Options struct {
+	ID             string // of the backend server
+	Domain         string // failure domain of this host
+	Region         string
+	Service        string         // of the backend server
+	Backend        netip.AddrPort // of the backend server on this host
+	PeerListener   net.Listener   // TCP, for other processes of the fleet
+	TunnelListen   netip.AddrPort // UDP, for balancers; the same over restarts
+	Seeds          []netip.AddrPort
+	Store          platform.Store
+	Ring           func() *keyring.Ring
+	GetCertificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
+	Policy         Policy
+	Status         func() any // answers peers' status calls
+	Logger         *event.Logger
+	Metrics        *metrics.Registry
+	Open           udp.ListenFunc
+	Clock          func() time.Time
+}
+
+// Policy switches parts off, to measure what they do.
+type Policy struct {
+	AcceptAll bool        // every opening is accepted where it arrives
+	Gate      gate.Policy // admission and relays
+}
+
+// Agent is a running agent.
+type Agent struct {
+	opts  Options
+	node  *distribution.Node
+	fence *fence.Fence
+
+	leaving   atomic.Bool // the backend server, or this process, takes no new work
+	domainOut atomic.Bool
+	stopping  atomic.Bool
+	current   atomic.Pointer[incarnation]
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	drains sync.WaitGroup
+
+	// Of the control loop only.
+	ring        *keyring.Ring
+	helloRounds int
+	outSince    time.Time
+	fenced      chan struct{}
+}
+
+// incarnation is what ends with a pause or a change of the service's address:
+// the flows, and what is known of their requests.
+type incarnation struct {
+	endpoint    *Endpoint
+	gate        *gate.Gate
+	flows       *flowServer
+	connections atomic.Int64 // limit of open flows; read for each packet
+}
+
+// New returns an agent that is not started.
+func New(o Options) *Agent {
+	now := o.now()
+	a := &Agent{
+		opts:   o,
+		fence:  fence.New(uint64(now.UnixNano()), now),
+		fenced: make(chan struct{}, 1),
+	}
+	a.node = distribution.New(distribution.Options{
+		Self: membership.Record{
+			ID:          o.ID,
+			Role:        membership.RoleAgent,
+			Service:     o.Service,
+			Domain:      o.Domain,
+			Region:      o.Region,
+			Tunnel:      o.TunnelListen,
+			Incarnation: a.fence.Incarnation(),
+			State:       membership.StateCold,
+		},
+		Seeds:    o.Seeds,
+		Store:    o.Store,
+		Ring:     o.Ring,
+		Listener: o.PeerListener,
+		Relay:    http.HandlerFunc(a.serveRelay),
+		Status:   o.Status,
+		Logger:   o.Logger,
+		Clock:    o.Clock,
+	})
+	return a
+}
+
+func (o Options) now() time.Time {
+	if o.Clock != nil {
+		return o.Clock()
+	}
+	return time.Now()
+}
+
+// Node returns the agent's part of the control plane.
+func (a *Agent) Node() *distribution.Node { return a.node }
+
+// Start starts to serve as soon as a configuration that lists the service and
+// the failure domain is known.
+func (a *Agent) Start(ctx context.Context) error {
+	if err := a.node.Start(ctx); err != nil {
+		return err
+	}
+	ctx, a.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	a.done.Go(func() { a.control(ctx) })
+	a.done.Go(func() {
+		fence.Run(ctx, a.fence, time.Now, func() {
+			select {
+			case a.fenced <- struct{}{}:
+			default:
+			}
+		})
+	})
+	a.opts.Logger.Emit(event.Started, event.Fields{"id": a.opts.ID, "service": a.opts.Service})
+	return nil
+}
+
+// Stop leaves gracefully: no new flow is accepted, callers are told to open
+// new ones, and requests in progress go on until ctx ends.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.opts.Logger.Emit(event.Stopping, event.Fields{"id": a.opts.ID})
+	a.stopping.Store(true)
+	a.setLeaving(true)
+	var err error
+	if in := a.current.Load(); in != nil {
+		err = in.flows.drain(ctx)
+	}
+	if stopErr := a.node.Stop(ctx); err == nil {
+		err = stopErr
+	}
+	a.Kill()
+	a.opts.Logger.Emit(event.Stopped, event.Fields{"id": a.opts.ID})
+	return err
+}
+
+// Kill ends all flows and closes the tunnel at once. Stop calls it last.
+func (a *Agent) Kill() {
+	if a.cancel != nil {
+		a.cancel()
+	}
+	a.done.Wait()
+	if in := a.current.Swap(nil); in != nil {
+		in.close()
+	}
+	a.drains.Wait()
+}
+
+// Healthy returns nil while the agent serves.
+func (a *Agent) Healthy() error {
+	if a.current.Load() == nil {
+		return errkind.New(errkind.BackendDown, "no configuration that lists the service and the failure domain")
+	}
+	return nil
+}
+
+// serveRelay answers requests that peers relay.
+func (a *Agent) serveRelay(w http.ResponseWriter, r *http.Request) {
+	in := a.current.Load()
+	if in == nil {
+		gate.Refuse(w, errkind.BackendLeaving)
+		return
+	}
+	in.gate.RelayHandler().ServeHTTP(w, r)
+}
+
+// Headers that name the agent which ends the caller's flow, also on answers
+// that a peer's backend server gave.
+const (
+	BackendHeader = "Knapweedpier-Backend" // ID of the agent's backend server
+	DomainHeader  = "Knapweedpier-Domain"  // its failure domain
+)
+
+func (a *Agent) named(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(BackendHeader, a.opts.ID)
+		w.Header().Set(DomainHeader, a.opts.Domain)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// service returns the agent's service as now in force.
+func (a *Agent) service() (config.Service, bool) {
+	return a.node.Board.View.Get().Service(a.opts.Service)
+}
+
+// begin opens the tunnel and starts a new incarnation. The parts before it
+// have been closed.
+func (a *Agent) begin(service config.Service, domain config.FailureDomain) error {
+	endpoint, err := NewEndpoint(EndpointOptions{
+		Listen:  a.opts.TunnelListen,
+		Service: service.Address,
+		Ring:    a.opts.Ring(),
+		Self:    a.self,
+		Paused:  func() bool { return a.fence.Check(time.Now()) != nil },
+		Open:    a.opts.Open,
+		Logger:  a.opts.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	in := &incarnation{endpoint: endpoint}
+	in.connections.Store(int64(service.Limits.Connections))
+	number := a.fence.Incarnation()
+	in.gate = gate.New(gate.Options{
+		ID:          a.opts.ID,
+		Peer:        a.node.Self().Peer,
+		Backend:     a.opts.Backend,
+		Service:     a.service,
+		Ring:        a.opts.Ring,
+		Incarnation: number,
+		Peers:       peers{a, endpoint},
+		State:       func() gate.State { return a.state(number) },
+		Policy:      a.opts.Policy.Gate,
+		Log:         a.opts.Logger,
+		Now:         a.opts.Clock,
+	})
+	in.flows, err = newFlowServer(flowOptions{
+		endpoint:    endpoint,
+		ring:        a.opts.Ring(),
+		domain:      domain.Index,
+		incarnation: number,
+		tls:         &tls.Config{GetCertificate: a.opts.GetCertificate, MinVersion: tls.VersionTLS13},
+		handler:     a.named(in.gate),
+		openFlow:    in.gate.OpenFlow,
+	})
+	if err != nil {
+		endpoint.Close()
+		return err
+	}
+	a.current.Store(in)
+	return nil
+}
+
+func (in *incarnation) close() {
+	in.flows.close()
+	in.endpoint.Close()
+	in.gate.Close()
+}
+
+func (a *Agent) state(incarnation uint64) gate.State {
+	return gate.State{
+		Leaving:   a.leaving.Load(),
+		DomainOut: a.domainOut.Load(),
+		Fenced:    !a.fence.Holds(incarnation, time.Now()),
+	}
+}
--- a/pkg/balancer/forwarder.go
+++ b/pkg/balancer/forwarder.go
@@ -46,6 +46,7 @@
 	router     steering.Router
 	codec      *tunnel.Codec
 	generation uint64
+	leaving    bool
 	byID       map[uint32]*listener
 	evidence   map[netip.AddrPort]*steering.Evidence
 	domains    map[netip.AddrPort]uint8 // failure domain of each agent
@@ -63,6 +64,7 @@
 	Ring       *keyring.Ring
 	Generation uint64
 	Mode       steering.Mode
+	Leaving    bool // return traffic is not attracted any more
 	Policy     steering.Policy
 	Domains    steering.Domains
 	Services   []ServicePlan
@@ -137,6 +139,7 @@
 		},
 		codec:      tunnel.NewCodec(plan.Ring),
 		generation: plan.Generation,
+		leaving:    plan.Leaving,
 		byID:       map[uint32]*listener{},
 		evidence:   map[netip.AddrPort]*steering.Evidence{},
 		domains:    map[netip.AddrPort]uint8{},
@@ -341,8 +344,8 @@
 }
 
 func (f *Forwarder) answerHello(socket udp.Socket, r *routes, agent netip.AddrPort, service uint32) {
-	if r.router.Mode == steering.NothingForward {
-		return // an isolated balancer must not attract return traffic
+	if r.leaving || r.router.Mode == steering.NothingForward {
+		return // return traffic would be lost soon
 	}
 	var buf [tunnel.MaxSize]byte
 	header := tunnel.Header{Type: tunnel.HelloAck, Service: service, Generation: r.generation}
--- a/pkg/balancer/plan.go
+++ b/pkg/balancer/plan.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"hash/maphash"
+	"net/netip"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
@@ -62,6 +64,48 @@
 	}
 }
 
+// fingerprint covers what a plan takes from membership. Load reports change
+// members far more often than plans, and must not cause new ones.
+func fingerprint(in PlanInput) uint64 {
+	var h maphash.Hash
+	h.SetSeed(fingerprintSeed)
+	for _, m := range in.Members.Members {
+		maphash.WriteComparable(&h, memberKey{
+			id:       m.ID,
+			service:  m.Service,
+			domain:   m.Domain,
+			tunnel:   m.Tunnel,
+			state:    m.State,
+			suspect:  m.Suspect(),
+			openings: takesOpenings(in, m),
+		})
+	}
+	return h.Sum64()
+}
+
+var fingerprintSeed = maphash.MakeSeed()
+
+// memberKey is the part of a member that a plan depends on.
+type memberKey struct {
+	id, service, domain string
+	tunnel              netip.AddrPort
+	state               membership.State
+	suspect, openings   bool
+}
+
+// agents returns the number of agents that openings can go to.
+func (p Plan) agents() int {
+	n := 0
+	for _, s := range p.Services {
+		for _, c := range s.Candidates {
+			if c.Openings {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // takesOpenings reports whether an agent may get new flows.
 func takesOpenings(in PlanInput, m membership.Member) bool {
 	if _, out := in.View.DomainOut(m.Domain); out {
--- a/pkg/cli/quickstart.go
+++ b/pkg/cli/quickstart.go
@@ -1,5 +1,3 @@
-// Package cli holds the operators' commands as a library. Each command is a
-// kong struct with a Run method that gets a context and an environment.
 package cli
 
 import (
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -1,4 +1,3 @@
-// Package cli holds the commands of operators.
 package cli
 
 import (
