--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -56,6 +56,8 @@
 	metrics   *metrics.Balancer
 	leaving   atomic.Bool
 
+	candidates atomic.Int64 // agents that openings can go to
+
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
@@ -99,6 +101,9 @@
 // Node returns the balancer's part of the control plane.
 func (b *Balancer) Node() *distribution.Node { return b.node }
 
+// Candidates returns the number of agents that openings can go to.
+func (b *Balancer) Candidates() int { return int(b.candidates.Load()) }
+
 // Start starts to forward as soon as a configuration is known.
 func (b *Balancer) Start(ctx context.Context) error {
 	if err := b.node.Start(ctx); err != nil {
@@ -224,7 +229,8 @@
 		state.valid = false // tried again at the next tick
 	}
 	b.applied = state
-	b.metrics.Agents.Update(int64(plan.agents()))
+	b.candidates.Store(int64(plan.agents()))
+	b.metrics.Agents.Update(b.candidates.Load())
 }
 
 func mode(phase isolation.Phase) steering.Mode {
