Keep answering near full load and while backend servers fail

Cause: at 70% load about 1% of requests found their own and the asked peers' slots taken for a moment, and a failing backend server cost each of its requests an attempt: 955 attempts for 1200 requests, the rest refused.

A backend server that only sheds or fails reports a limit of 0 and is left alone for 1 s at a time. A peer that refused is not asked again for 10 ms. Tests cover random faults and half of the servers failing.

The balance test now sends a third of the requests a second, with 50 ms of work. Under the race detector on few cores its former rate used up the CPU (answered 1644 of 5571 with two cores, 5475 without the race detector); its bound on answers rises from 98% to 99.5%.

Ruled out: more relays in a row. Refused relays multiply when CPU is short.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -57,6 +57,8 @@
 	grown      float64   // limit earned by successes, at least 1
 	reducedAt  time.Time // last reduction
 	latency    latency
+	failures   int       // sheds and losses since the last success
+	failedAt   time.Time // last shed or loss
 	inProgress int
 	flows      int
 	feeds      int
@@ -104,6 +106,7 @@
 // Done ends one admitted request.
 func (l *Limiter) Done(now time.Time, r Result) {
 	l.inProgress--
+	l.noteFailure(now, r.Signal)
 	switch r.Signal {
 	case Success:
 		l.succeeded(now, r.AdmittedAt)
@@ -115,6 +118,32 @@
 	}
 }
 
+const (
+	// failingAfter is the number of sheds and losses in a row that are no
+	// coincidence.
+	failingAfter = 3
+	// failingHold is how long a failing backend server is left alone before one
+	// request finds out whether it has recovered.
+	failingHold = time.Second
+)
+
+func (l *Limiter) noteFailure(now time.Time, s Signal) {
+	switch s {
+	case Success:
+		l.failures = 0
+	case Shed, Lost:
+		l.failures++
+		l.failedAt = now
+	case Neutral:
+	}
+}
+
+// Failing reports whether the backend server has answered nothing but sheds
+// and losses lately, so that requests do better elsewhere.
+func (l *Limiter) Failing(now time.Time) bool {
+	return l.failures >= failingAfter && now.Sub(l.failedAt) < failingHold
+}
+
 // ColdSign drops the limit to the cold limit: a connection was refused or
 // reset, so the backend server may have restarted.
 func (l *Limiter) ColdSign(now time.Time) {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -89,7 +89,11 @@
 	}
 	is.Equal(l.Limit(now), 4) // halved once, not three times
 
+	is.True(l.Failing(now))
+	is.True(!l.Failing(now.Add(failingHold))) // one request finds out
+
 	run(200, 10*time.Millisecond, Success)
+	is.True(!l.Failing(now))
 	run(15, 100*time.Millisecond, Success)
 	is.True(l.Limit(now) < 9)
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/admission"
 	"github.com/knapweedpier/knapweedpier/internal/backendconn"
@@ -34,7 +35,7 @@
 		if unknown && j.mayHaveRun == nil {
 			j.mayHaveRun = err
 		}
-		if !j.retryable(err, unknown) {
+		if !j.retryable(err, unknown) && !g.waitForSlot(j, err) {
 			break
 		}
 	}
@@ -69,7 +70,7 @@
 	if err := refusal(state); err != nil {
 		return nil, err
 	}
-	again := n > 0 && !errkind.Is(last, errkind.RelayNotPossible)
+	again := n > 0 && !errkind.Is(last, errkind.RelayNotPossible) && !errkind.Is(last, errkind.BackendFull)
 	peer, ok := g.preferredPeer(j, state, n, again)
 	if again && !ok && !errkind.Is(last, errkind.BackendLost) {
 		return nil, last
@@ -102,13 +103,12 @@
 }
 
 // preferredPeer returns a peer that should get the request although there may
-// be a slot here: when leaving, when an attempt at a backend server has failed,
-// or, for the first attempt, when this backend server is clearly busier.
+// be a slot here: when leaving, when attempts at the backend server fail, or, for the first attempt, when this backend server is clearly busier.
 func (g *Gate) preferredPeer(j *job, s State, n int, again bool) (PeerLoad, bool) {
 	switch {
 	case j.relayed:
 		return PeerLoad{}, false
-	case s.Leaving || again:
+	case s.Leaving || again || g.failing():
 		return lessLoaded(g.peersWithRoom(j))
 	case n > 0:
 		return PeerLoad{}, false
@@ -152,8 +152,7 @@
 	}
 	lease, err := g.pool.Acquire(j.ctx)
 	if err != nil {
-		g.done(admission.Result{Signal: admission.Neutral, AdmittedAt: started})
-		g.closeFeed(j)
+		g.notSent(j, err, started)
 		if j.ctx.Err() != nil {
 			return nil, j.cancelled(false, err)
 		}
@@ -179,6 +178,16 @@
 	return resp, nil
 }
 
+// notSent ends an admitted request that got no connection.
+func (g *Gate) notSent(j *job, err error, started time.Time) {
+	signal := admission.Neutral
+	if errkind.Is(err, errkind.BackendDown) {
+		signal = admission.Lost
+	}
+	g.done(admission.Result{Signal: signal, AdmittedAt: started})
+	g.closeFeed(j)
+}
+
 // closer is a body that calls then when it is closed.
 type closer struct {
 	io.ReadCloser
@@ -210,7 +219,16 @@
 	return nil
 }
 
+// done ends an admitted request and lets a waiting one try.
 func (g *Gate) done(r admission.Result) {
+	g.endRequest(r)
+	select {
+	case g.freed <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gate) endRequest(r admission.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.average.observe(g.opts.Now(), g.limiter.InProgress())
@@ -297,6 +315,7 @@
 	}
 	if err := refusedByPeer(resp); err != nil {
 		g.uncount(err)
+		g.holdPeer(peer)
 		return nil, err
 	}
 	return resp, nil
--- a/internal/gate/balance.go
+++ b/internal/gate/balance.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -18,6 +19,10 @@
 	// measured after relaying: with 4, a flow share of 1.6 times the mean leaves
 	// an imbalance of 1.09.
 	relayGain = 4
+	// refusalHold is how long a peer that refused a relayed request is not asked
+	// again. Without it, refused relays multiply when hosts are short of CPU,
+	// which keeps them short.
+	refusalHold = 10 * time.Millisecond
 )
 
 // average is a time-weighted moving average of a piecewise constant value.
@@ -39,13 +44,30 @@
 	if g.opts.Policy == Baseline {
 		return nil
 	}
+	candidates, now := g.opts.Peers.Candidates(), g.opts.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.DeleteFunc(g.opts.Peers.Candidates(), func(p PeerLoad) bool {
-		return p.Leaving || p.InProgress >= p.Limit || g.relayed[p.Peer] >= p.Limit || slices.Contains(j.tried, p.Peer)
+	return slices.DeleteFunc(candidates, func(p PeerLoad) bool {
+		return p.Leaving || p.InProgress >= p.Limit || g.relayed[p.Peer] >= p.Limit ||
+			now.Before(g.refusedUntil[p.Peer]) || slices.Contains(j.tried, p.Peer)
 	})
 }
 
+// holdPeer records that a peer refused a relayed request. Holds that are over
+// are dropped when the map has grown, so that peers that left are forgotten.
+func (g *Gate) holdPeer(peer netip.AddrPort) {
+	now := g.opts.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.refusedUntil) >= maxHeldPeers {
+		maps.DeleteFunc(g.refusedUntil, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
+	}
+	g.refusedUntil[peer] = now.Add(refusalHold)
+}
+
+// maxHeldPeers is the number of held peers at which ended holds are dropped.
+const maxHeldPeers = 64
+
 // lessLoaded returns the less loaded of two random peers.
 func lessLoaded(peers []PeerLoad) (PeerLoad, bool) {
 	if len(peers) == 0 {
--- a/internal/gate/balance_test.go
+++ b/internal/gate/balance_test.go
@@ -65,14 +65,16 @@
 // Guards against requests that stay where flows happen to be hashed: the
 // imbalance must be far below the baseline's.
 func TestImbalanceAtSeventyPercent(t *testing.T) {
-	const work, window = 20 * time.Millisecond, 500 * time.Millisecond
-	ratios, answered, total := experiment(t, Adaptive, 0.7, work, window, 5)
-	baseline, _, _ := experiment(t, Baseline, 0.7, work, window, 3)
+	// At 900 requests a second, the race detector leaves a host with two cores
+	// enough CPU; without CPU, requests hold their slots for longer.
+	const work, window = 50 * time.Millisecond, 600 * time.Millisecond
+	ratios, answered, total := experiment(t, Adaptive, 0.7, work, window, 3)
+	baseline, _, _ := experiment(t, Baseline, 0.7, work, window, 2)
 	t.Logf("adaptive %.3f, baseline %.3f, answered %d of %d", ratios, baseline, answered, total)
 	if ratios[len(ratios)/2]-1 > (baseline[0]-1)/2 {
 		t.Errorf("median imbalance %.3f against %.3f of the baseline", ratios[len(ratios)/2], baseline[0])
 	}
-	if answered*100 < total*98 {
+	if answered*1000 < total*995 {
 		t.Errorf("answered %d of %d", answered, total)
 	}
 }
--- /dev/null
+++ b/internal/gate/chaos_test.go
@@ -0,0 +1,165 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/standin/backend"
+)
+
+// seen is what one caller was told about one order.
+type seen struct {
+	id       string
+	outcomes []string
+}
+
+// Guards against duplicate runs, refusals that claim not-run for an order that
+// ran, crossed answers and starts above capacity, while backend servers
+// restart, freeze, turn cold and leave at random moments.
+func TestPromisesUnderFaults(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, Adaptive, backend.Options{WorkMean: 5 * time.Millisecond, WarmUp: 300 * time.Millisecond})
+	end := time.Now().Add(1500 * time.Millisecond)
+	var mu sync.Mutex
+	var orders []seen
+	counts := map[string]int{}
+	var wg sync.WaitGroup
+	for caller := range 24 {
+		wg.Go(func() {
+			random := rand.New(rand.NewPCG(uint64(caller), 5))
+			for n := 0; time.Now().Before(end); n++ {
+				id := fmt.Sprintf("%d-%d", caller, n)
+				got, crossed := f.randomOrder(random, id)
+				mu.Lock()
+				orders = append(orders, got)
+				counts[got.outcomes[len(got.outcomes)-1]]++
+				if crossed {
+					counts["crossed"]++
+				}
+				mu.Unlock()
+				time.Sleep(time.Duration(random.IntN(10)) * time.Millisecond)
+			}
+		})
+	}
+	f.injectFaults(end)
+	wg.Wait()
+	runs, over := f.runs()
+	for _, o := range orders {
+		is.True(runs[o.id] <= 1) // at most once
+		for _, outcome := range o.outcomes {
+			is.True(outcome != "done" || runs[o.id] == 1)
+		}
+		if o.outcomes[len(o.outcomes)-1] == "not-run" {
+			is.Equal(runs[o.id], 0)
+		}
+	}
+	t.Log(counts)
+	is.Equal(over, 0)
+	is.Equal(counts["crossed"], 0)
+	is.True(counts["done"] > 200)
+	for _, m := range f.members {
+		is.True(m.becomesIdle())
+	}
+}
+
+// randomOrder sends one order, with or without a ticket, and retries a
+// ticketed one through any agent. It reports what each attempt was told, and
+// whether an answer belonged to another order.
+func (f *fleet) randomOrder(random *rand.Rand, id string) (got seen, crossed bool) {
+	pick := func() *member { return f.members[random.IntN(len(f.members))] }
+	timeout := strconv.Itoa(5 + random.IntN(150))
+	got.id = id
+	header := []string{TimeoutHeader, timeout}
+	attempts := 1
+	if random.IntN(2) == 0 {
+		header = append(header, TicketHeader, pick().call("POST", TicketPath, "").header.Get(TicketHeader))
+		attempts = 3
+	}
+	for n := range attempts {
+		r := pick().call("POST", "/orders", `{"order":"`+id+`"}`, append(header, AttemptHeader, strconv.Itoa(n+1))...)
+		got.outcomes = append(got.outcomes, r.outcome())
+		if r.outcome() == "done" {
+			return got, !strings.Contains(r.body, `"order":"`+id+`"`)
+		}
+	}
+	return got, false
+}
+
+func (f *fleet) injectFaults(end time.Time) {
+	random := rand.New(rand.NewPCG(11, 11))
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
+		m := f.members[random.IntN(len(f.members))]
+		switch random.IntN(6) {
+		case 0, 1:
+			m.server.Restart()
+		case 2:
+			m.server.Freeze(time.Duration(random.IntN(100)) * time.Millisecond)
+		case 3:
+			m.server.ColdInPlace()
+		case 4:
+			m.state.Store(State{Leaving: true})
+		case 5:
+			m.state.Store(State{})
+		}
+		for _, m := range f.members {
+			m.load.Store(m.Gate.Load())
+		}
+	}
+}
+
+// runs returns the runs of each order and the starts above capacity, over all
+// backend servers.
+func (f *fleet) runs() (runs map[string]int, over int) {
+	runs = map[string]int{}
+	for _, m := range f.members {
+		l := m.server.Ledger()
+		over += l.OverCapacityStarts
+		for id, n := range l.Runs {
+			runs[id] += n
+		}
+	}
+	return runs, over
+}
+
+// Guards against a retry storm while half of the backend servers fail, and
+// against requests that keep going to those.
+func TestRetryBudgetWhileHalfFail(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, Adaptive, backend.Options{WorkMean: time.Millisecond})
+	f.members[0].server.Drain()
+	f.members[1].server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.gossip(ctx, 20*time.Millisecond)
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	for _, m := range f.members {
+		wg.Go(func() {
+			for range 300 {
+				if m.call("GET", "/catalogue", "").status == 200 {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	requests, attempts := 0, 0
+	for _, m := range f.members {
+		r, a := m.Attempts()
+		requests, attempts = requests+r, attempts+a
+	}
+	t.Logf("%d attempts for %d requests, %d answered", attempts, requests, answered.Load())
+	is.Equal(requests, 1200)
+	is.True(answered.Load() > 1150)
+	is.True(attempts*10 <= requests*11)
+}
--- a/internal/gate/fleet_test.go
+++ b/internal/gate/fleet_test.go
@@ -28,6 +28,8 @@
 	state  atomic.Value
 	load   atomic.Value // Load as last reported
 	down   atomic.Bool
+	// transport keeps enough connections that relays do not dial.
+	transport *http.Transport
 }
 
 // fleet is the agents of one service. It implements Peers for each of them.
@@ -63,7 +65,7 @@
 	}
 	out := r.WithContext(ctx)
 	out.URL.Scheme, out.URL.Host = "http", peer.String()
-	resp, err := m.relay.Client().Transport.RoundTrip(out)
+	resp, err := m.transport.RoundTrip(out)
 	return resp, errkind.Wrap(err, errkind.Internal, "relay")
 }
 
@@ -90,7 +92,7 @@
 }
 
 func (f *fleet) add(t testing.TB, policy Policy, opts backend.Options) {
-	m := &member{server: backend.New(opts)}
+	m := &member{server: backend.New(opts), transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
 	m.state.Store(State{})
 	addr, err := m.server.Start("127.0.0.1:0")
 	if err != nil {
@@ -108,7 +110,13 @@
 	m.front = httptest.NewServer(m.Gate)
 	f.peers[peer] = m
 	f.members = append(f.members, m)
-	t.Cleanup(func() { m.front.Close(); m.relay.Close(); m.Gate.Close(); m.server.Close() })
+	t.Cleanup(func() {
+		m.transport.CloseIdleConnections()
+		m.front.Close()
+		m.relay.Close()
+		m.Gate.Close()
+		m.server.Close()
+	})
 }
 
 // gossip copies loads every interval until ctx ends, as hello packets do.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -74,25 +74,28 @@
 // Load is the load of the backend server as the gate sees it.
 type Load struct {
 	InProgress int // requests, smoothed over a few hundred milliseconds
-	Limit      int // requests
+	Limit      int // requests; 0 while the backend server fails every request
 	Flows      int
 	Cold       bool
 }
 
 // Gate is the request handler of one agent. It is safe for concurrent use.
 type Gate struct {
-	opts Options
-	pool *backendconn.Pool
-
-	mu       sync.Mutex
-	limiter  *admission.Limiter
-	limits   config.Limits
-	budget   retry.Budget
-	tickets  *ticket.Table
-	relayed  map[netip.AddrPort]int // own relays in progress
-	average  average
-	attempts int
-	requests int
+	opts  Options
+	pool  *backendconn.Pool
+	freed chan struct{} // unbuffered: one waiting request learns of a free slot
+
+	mu           sync.Mutex
+	limiter      *admission.Limiter
+	limits       config.Limits
+	budget       retry.Budget
+	tickets      *ticket.Table
+	relayed      map[netip.AddrPort]int       // own relays in progress
+	refusedUntil map[netip.AddrPort]time.Time // peers that are not asked again before
+	average      average
+	attempts     int
+	waiting      int // requests that wait for a slot
+	requests     int
 }
 
 // New returns a gate. It opens connections only when requests arrive.
@@ -103,7 +106,7 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	g := &Gate{opts: opts, tickets: ticket.NewTable(ticket.DefaultCapacity), relayed: map[netip.AddrPort]int{}}
+	g := &Gate{opts: opts, freed: make(chan struct{}), tickets: ticket.NewTable(ticket.DefaultCapacity), relayed: map[netip.AddrPort]int{}, refusedUntil: map[netip.AddrPort]time.Time{}}
 	g.limits = g.serviceLimits()
 	g.limiter = admission.New(g.limits, opts.Now())
 	g.pool = backendconn.New(backendconn.Options{
@@ -160,12 +163,22 @@
 	g.refreshLimits()
 	now := g.opts.Now()
 	g.average.observe(now, g.limiter.InProgress())
+	limit := g.limiter.Limit(now)
+	if g.limiter.Failing(now) {
+		limit = 0
+	}
 	return Load{
-		InProgress: int(math.Round(g.average.value)), Limit: g.limiter.Limit(now),
+		InProgress: int(math.Round(g.average.value)), Limit: limit,
 		Flows: g.limiter.Flows(), Cold: g.limiter.Cold(now),
 	}
 }
 
+func (g *Gate) failing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limiter.Failing(g.opts.Now())
+}
+
 // Attempts returns the numbers of requests and of attempts made for them, at
 // the backend server or at a peer.
 func (g *Gate) Attempts() (requests, attempts int) {
