--- a/pkg/cli/env.go
+++ b/pkg/cli/env.go
@@ -8,6 +8,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/change"
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/platform"
 )
 
@@ -31,6 +32,7 @@
 	Out      io.Writer
 	Settings Settings
 	InForce  InForce
+	Log      *event.Logger
 
 	editor *change.Editor
 	store  platform.Store
--- a/pkg/cli/quickstart.go
+++ b/pkg/cli/quickstart.go
@@ -3,42 +3,49 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"os"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/fleet"
 	"github.com/knapweedpier/knapweedpier/internal/quickstart"
 )
 
 // QuickstartCmd runs all roles in one process under load.
 type QuickstartCmd struct {
-	Sheet    string        `default:"examples/gel-desk.csv" help:"Sheet that describes the fleet, CSV."`
+	Sheet    string        `default:"examples/gel-desk.csv" placeholder:"FILE" help:"Sheet that describes the fleet, CSV."`
 	Duration time.Duration `default:"20s" help:"How long callers send requests; at least 10s."`
 	Seed     uint64        `default:"1" help:"Seed of the load and of the planned changes."`
-	Load     float64       `default:"0.7" help:"Load as a share of the warm capacity, above 0."`
+	Load     float64       `default:"0.4" help:"Load as a share of the warm capacity of all backend servers, above 0. While a failure domain is out, less capacity is left."`
 	Policy   string        `default:"full" enum:"full,hash" help:"Selection of backend servers: full, or hash for the baseline of plain hashing without admission and relay."`
-}
-
-// QuickstartEnv is what QuickstartCmd gets from its program.
-type QuickstartEnv struct {
-	// NewFleet makes a fleet of the embedded roles without starting it.
-	NewFleet func(QuickstartCmd) (quickstart.Fleet, error)
-	Stdout   io.Writer
+	Prefix   byte          `default:"64" help:"Second number of the loopback addresses 127.N.x.y of the embedded hosts, 1 to 254."`
+	Delay    time.Duration `default:"1ms" help:"One-way delay between callers and balancers."`
 }
 
 // Run prints progress and, on the last line, the summary as one JSON object.
 // It returns an error of kind PromiseBroken if a promise was broken.
-func (q *QuickstartCmd) Run(ctx context.Context, env *QuickstartEnv) error {
-	fleet, err := env.NewFleet(*q)
+func (q *QuickstartCmd) Run(ctx context.Context, env *Env) error {
+	data, err := os.ReadFile(q.Sheet)
+	if err != nil {
+		return errkind.Wrap(err, errkind.SettingInvalid, "--sheet")
+	}
+	embedded, err := fleet.New(fleet.Options{
+		Sheet:  data,
+		Policy: fleet.Policy(q.Policy),
+		Seed:   q.Seed,
+		Prefix: q.Prefix,
+		Delay:  q.Delay,
+		Logger: env.Log,
+	})
 	if err != nil {
 		return err
 	}
-	opt := quickstart.Options{Duration: q.Duration, Seed: q.Seed, Load: q.Load, Progress: env.Stdout}
-	summary, err := quickstart.Run(ctx, fleet, opt)
+	opt := quickstart.Options{Duration: q.Duration, Seed: q.Seed, Load: q.Load, Progress: env.Out}
+	summary, err := quickstart.Run(ctx, embedded, opt)
 	if err != nil {
 		return err
 	}
-	if err := json.NewEncoder(env.Stdout).Encode(summary); err != nil {
+	if err := json.NewEncoder(env.Out).Encode(summary); err != nil {
 		return errkind.Wrap(err, errkind.ReportFailed, "write summary")
 	}
 	return summary.Err()
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -8,8 +8,11 @@
 type Root struct {
 	Settings `embed:""`
 
-	Sheet   SheetCmd         `cmd:"" help:"Check, compare or apply the morning sheet."`
-	Domain  DomainCmd        `cmd:"" help:"Take a failure domain out or back."`
-	Backend BackendCmd       `cmd:"" help:"Change one backend server."`
+	Sheet   SheetCmd   `cmd:"" help:"Check, compare or apply the morning sheet."`
+	Domain  DomainCmd  `cmd:"" help:"Take a failure domain out or back."`
+	Backend BackendCmd `cmd:"" help:"Change one backend server."`
+
+	Quickstart QuickstartCmd `cmd:"" help:"Run all roles in this process under load, with planned changes."`
+
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/pkg/cli/wire.go
+++ b/pkg/cli/wire.go
@@ -50,9 +50,9 @@
 	return change.New(store, change.Options{Now: o.Now, NewID: o.NewID, Log: log})
 }
 
-func newEnv(s Settings, o Options, editor *change.Editor, store platform.Store) *Env {
+func newEnv(s Settings, o Options, log *event.Logger, editor *change.Editor, store platform.Store) *Env {
 	return &Env{
-		Out: o.Out, Settings: s, InForce: o.InForce,
+		Out: o.Out, Settings: s, InForce: o.InForce, Log: log,
 		editor: editor, store: store, usable: s.Platform != "" || o.Store != nil,
 	}
 }
