--- /dev/null
+++ b/cmd/knapweedpier-agent/main.go
@@ -0,0 +1,41 @@
+// Command knapweedpier-agent runs beside each backend server: it ends callers'
+// flows and is the only gate to its backend server.
+package main
+
+import (
+	"os"
+
+	"go.uber.org/fx"
+
+	"github.com/knapweedpier/knapweedpier/internal/daemon"
+	"github.com/knapweedpier/knapweedpier/internal/settings"
+	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/pkg/agent"
+)
+
+func main() {
+	var s settings.Agent
+	os.Exit(daemon.Main("knapweedpier-agent", &s, &s.Common, func(lc fx.Lifecycle, p daemon.Parts) (daemon.Service, error) {
+		certificate, err := s.OpenCertificate(p.Logger)
+		if err != nil {
+			return nil, err
+		}
+		daemon.Background(lc, certificate.Run)
+		return agent.New(agent.Options{
+			ID:             s.ID,
+			Domain:         s.FailureDomain,
+			Region:         s.Region,
+			Service:        s.Service,
+			Backend:        s.Backend.AddrPort,
+			PeerListener:   p.PeerListener,
+			TunnelListen:   s.TunnelListen.AddrPort,
+			Seeds:          p.Seeds,
+			Store:          p.Store,
+			Ring:           p.Ring.Ring,
+			GetCertificate: certificate.GetCertificate,
+			Logger:         p.Logger,
+			Metrics:        p.Metrics,
+			Open:           udp.Listen,
+		}), nil
+	}))
+}
--- /dev/null
+++ b/cmd/knapweedpier-balancer/main.go
@@ -0,0 +1,36 @@
+// Command knapweedpier-balancer runs on each entry host: it forwards callers'
+// packets to agents and agents' packets to callers.
+package main
+
+import (
+	"net/netip"
+	"os"
+
+	"go.uber.org/fx"
+
+	"github.com/knapweedpier/knapweedpier/internal/daemon"
+	"github.com/knapweedpier/knapweedpier/internal/settings"
+	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/pkg/balancer"
+)
+
+func main() {
+	var s settings.Balancer
+	os.Exit(daemon.Main("knapweedpier-balancer", &s, &s.Common, func(_ fx.Lifecycle, p daemon.Parts) (daemon.Service, error) {
+		bindHost, _ := netip.ParseAddr(s.BindHost) // checked with the settings; invalid if not set
+		return balancer.New(balancer.Options{
+			ID:           s.ID,
+			Domain:       s.FailureDomain,
+			Region:       s.Region,
+			PeerListener: p.PeerListener,
+			TunnelListen: s.TunnelListen.AddrPort,
+			BindHost:     bindHost,
+			Seeds:        p.Seeds,
+			Store:        p.Store,
+			Ring:         p.Ring.Ring,
+			Logger:       p.Logger,
+			Metrics:      p.Metrics,
+			Open:         udp.Listen,
+		})
+	}))
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,160 @@
+// Package daemon builds the parts that every daemon shares and runs a daemon
+// until it is told to stop.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/settings"
+)
+
+const (
+	// platformTimeout is the deadline of one platform call.
+	platformTimeout = 2 * time.Second
+	// startTimeout bounds the opening of sockets.
+	startTimeout = 15 * time.Second
+	// stopMargin is the time to close sockets after the graceful shutdown.
+	stopMargin = 5 * time.Second
+)
+
+// Service is what a daemon runs. Stop ends it gracefully within ctx.
+type Service interface {
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+	Healthy() error
+}
+
+// Parts are what every daemon is built from.
+type Parts struct {
+	Logger       *event.Logger
+	Ring         *settings.RingSource
+	Store        platform.Store
+	PeerListener net.Listener
+	Metrics      *metrics.Registry
+	Seeds        []netip.AddrPort
+}
+
+// Main reads settings into dst, builds the service and runs it until SIGTERM
+// or an interrupt. It returns the exit code.
+func Main(name string, dst any, common *settings.Common, build func(fx.Lifecycle, Parts) (Service, error)) int {
+	if exit, done := settings.Parse(dst, name, os.Args[1:], os.Stdout, os.Stderr); done {
+		return exit
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	err := run(ctx, common, build)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, name+":", err)
+	return errkind.ExitCode(err)
+}
+
+func run(ctx context.Context, common *settings.Common, build func(fx.Lifecycle, Parts) (Service, error)) error {
+	grace := common.ShutdownGrace.Duration
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(common),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(grace+stopMargin),
+		fx.Provide(newLogger, newRing, newStore, newPeerListener, metrics.New, newParts, build),
+		fx.Invoke(serveOps, func(lc fx.Lifecycle, s Service) { lc.Append(fx.StartStopHook(s.Start, withGrace(s.Stop, grace))) }),
+	)
+	if err := app.Start(ctx); err != nil {
+		return errkind.Wrap(err, errkind.Of(err), "start")
+	}
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), grace+stopMargin)
+	defer cancel()
+	// Flows that outlast the grace are cut, which is no failure of the stop.
+	_ = app.Stop(stopCtx)
+	return nil
+}
+
+// withGrace bounds a graceful stop, so that sockets can be closed after it.
+func withGrace(stop func(context.Context) error, grace time.Duration) func(context.Context) error {
+	return func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, grace)
+		defer cancel()
+		return stop(ctx)
+	}
+}
+
+func newLogger(common *settings.Common) (*event.Logger, error) {
+	return event.New(os.Stderr, common.LogFormat)
+}
+
+func newRing(lc fx.Lifecycle, common *settings.Common, logger *event.Logger) (*settings.RingSource, error) {
+	ring, err := common.OpenRing(logger)
+	if err != nil {
+		return nil, err
+	}
+	Background(lc, ring.Run)
+	return ring, nil
+}
+
+func newStore(lc fx.Lifecycle, common *settings.Common) platform.Store {
+	client := platform.NewClient(common.Platform, platformTimeout)
+	lc.Append(fx.StopHook(client.Close))
+	return client
+}
+
+func newPeerListener(common *settings.Common) (net.Listener, error) {
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(common.PeerListen.AddrPort))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.SettingInvalid, "--peer-listen")
+	}
+	return l, nil
+}
+
+func newParts(common *settings.Common, logger *event.Logger, ring *settings.RingSource, store platform.Store, l net.Listener, registry *metrics.Registry) Parts {
+	p := Parts{Logger: logger, Ring: ring, Store: store, PeerListener: l, Metrics: registry}
+	for _, seed := range common.Seeds {
+		p.Seeds = append(p.Seeds, seed.AddrPort)
+	}
+	return p
+}
+
+// serveOps opens the operators' address.
+func serveOps(lc fx.Lifecycle, common *settings.Common, registry *metrics.Registry, s Service) error {
+	server, err := metrics.Listen(common.OpsListen.AddrPort, metrics.Handler(registry, s.Healthy))
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.StartStopHook(
+		func() { go func() { _ = server.Serve() }() },
+		server.Close,
+	))
+	return nil
+}
+
+// Background runs a loop from start to stop.
+func Background(lc fx.Lifecycle, loop func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.StartStopHook(
+		func() {
+			go func() {
+				defer close(done)
+				loop(ctx)
+			}()
+		},
+		func() {
+			cancel()
+			<-done
+		},
+	))
+}
