Make "no byte was sent" true when a relay ends while it is being written

Cause: bytes were counted after a write returned. A request whose deadline passed during the write could be reported as PeerDown, which callers are told as not run. TestRelayErrorsTellWhatWasSent also failed once in a run of all packages; its deadline of 100 ms could pass while the connection was opened.

Change: a write is counted before it is made, and the count is read after the socket is closed, when no further write can succeed. The connection is closed without the TLS alert, which would count as a write. The test now ends the request when the peer has received it, and a new test races deadlines with sending and checks at the peer that nothing reported as unsent ran.

Ruled out: reporting every failure after the dial as possibly sent, which would refuse retries that are safe.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -218,11 +219,14 @@
 	is := is.New(t)
 	var mu sync.Mutex
 	runs := 0
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
 	addr, _ := serve(t, ServerOptions{Relay: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		runs++
 		mu.Unlock()
 		if r.Method == "PUT" {
+			cancel()
 			<-r.Context().Done()
 		}
 		panic(http.ErrAbortHandler) // the connection ends without an answer
@@ -230,8 +234,6 @@
 	relay := NewRelayTransport(dialer(t, "a1"))
 	_, err := relay.Relay(t.Context(), addr, request(t, "GET", ""))
 	is.True(errkind.Is(err, errkind.BackendLost))
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-	defer cancel()
 	_, err = relay.Relay(ctx, addr, request(t, "PUT", "x"))
 	is.True(errkind.Is(err, errkind.BackendLost))
 	mu.Lock()
@@ -242,3 +244,41 @@
 	_, err = relay.Relay(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), request(t, "GET", ""))
 	is.True(errkind.Is(err, errkind.PeerDown))
 }
+
+// Guards against "no byte was sent" about a request that runs, when its end
+// races with its sending.
+func TestNothingSentIsTrue(t *testing.T) {
+	is := is.New(t)
+	var ran sync.Map
+	addr, _ := serve(t, ServerOptions{Relay: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get("Number"), true)
+	})})
+	relay := NewRelayTransport(dialer(t, "a1"))
+	defer relay.Close()
+	kinds, denied := map[errkind.Kind]int{}, []string{}
+	for i := range 400 {
+		r := request(t, "POST", "x")
+		r.Header.Set("Number", strconv.Itoa(i))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*time.Microsecond)
+		_, err := relay.Relay(ctx, addr, r)
+		cancel()
+		if err != nil {
+			kinds[errkind.Of(err)]++
+		}
+		if errkind.Is(err, errkind.PeerDown) {
+			denied = append(denied, strconv.Itoa(i))
+		}
+		if i%2 == 0 { // half of the requests find a kept connection
+			resp, err := relay.Relay(t.Context(), addr, request(t, "GET", ""))
+			is.NoErr(err)
+			is.NoErr(resp.Body.Close())
+		}
+	}
+	time.Sleep(100 * time.Millisecond) // for requests on their way
+	for _, number := range denied {
+		_, wrong := ran.Load(number)
+		is.True(!wrong)
+	}
+	t.Log(kinds)
+	is.True(kinds[errkind.PeerDown] > 0)
+}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -51,17 +51,17 @@
 	keptAt time.Time
 }
 
-// countingConn counts the bytes handed to the network.
+// countingConn counts the writes to the network. A write is counted before it
+// is made: one that is being made must not pass for one that was not.
 type countingConn struct {
 	net.Conn
-	written atomic.Int64
+	writes atomic.Int64
 }
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
-	return n, err
+	c.writes.Add(1)
+	return c.Conn.Write(p)
 }
 
 // Relay sends r to the peer at addr and returns its answer, whose body must be
@@ -73,14 +73,14 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
-	before := c.wire.written.Load()
+	stop := context.AfterFunc(ctx, c.close)
+	before := c.wire.writes.Load()
 	written := make(chan error, 1)
 	go func() { written <- r.Write(c.conn) }()
 	resp, err := c.await(r, written)
 	if err != nil {
 		stop()
-		c.conn.Close()
+		c.close() // from here on nothing can be written, so that the count is final
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -109,9 +109,14 @@
 	}
 }
 
-// lostKind tells whether any byte has been handed to the network.
+// close closes the connection without the TLS alert that Close would send and
+// that would be counted as a write.
+func (c *relayConn) close() { _ = c.wire.Close() }
+
+// lostKind tells whether any byte may have been handed to the network. The
+// connection must be closed.
 func (c *relayConn) lostKind(before int64) errkind.Kind {
-	if c.wire.written.Load() == before {
+	if c.wire.writes.Load() == before {
 		return errkind.PeerDown
 	}
 	return errkind.BackendLost
@@ -162,7 +167,7 @@
 		if c.usable(time.Now()) {
 			return c, nil
 		}
-		c.conn.Close()
+		c.close()
 	}
 }
 
@@ -222,7 +227,7 @@
 
 func (t *RelayTransport) release(addr netip.AddrPort, c *relayConn, keep bool) {
 	if !keep {
-		c.conn.Close()
+		c.close()
 		return
 	}
 	c.keptAt = time.Now()
@@ -230,7 +235,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.kept[addr]) >= keptPerPeer {
-		c.conn.Close()
+		c.close()
 		return
 	}
 	t.kept[addr] = append(t.kept[addr], c)
@@ -248,7 +253,7 @@
 			if c.usable(now) {
 				t.kept[addr] = append(t.kept[addr], c)
 			} else {
-				c.conn.Close()
+				c.close()
 			}
 		}
 		if len(t.kept[addr]) == 0 {
@@ -263,7 +268,7 @@
 	defer t.mu.Unlock()
 	for _, list := range t.kept {
 		for _, c := range list {
-			c.conn.Close()
+			c.close()
 		}
 	}
 	clear(t.kept)
