--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -207,7 +207,23 @@
 			return err
 		}
 	}
-	return f.waitUntilKnown(ctx)
+	if err := f.waitUntilKnown(ctx); err != nil {
+		return err
+	}
+	return f.waitUntilWarm(ctx)
+}
+
+// waitUntilWarm returns once the warm-up time of every backend server has
+// passed. Their agents still raise their limits by successes.
+func (f *Fleet) waitUntilWarm(ctx context.Context) error {
+	for _, h := range f.hosts {
+		select {
+		case <-ctx.Done():
+			return errkind.Wrap(ctx.Err(), errkind.NotInForce, "backend servers did not warm up")
+		case <-time.After(time.Until(h.warm[0].from) - warmMargin):
+		}
+	}
+	return nil
 }
 
 func (f *Fleet) startStandins(ctx context.Context) error {
--- a/internal/quickstart/run.go
+++ b/internal/quickstart/run.go
@@ -18,6 +18,7 @@
 	Load           float64       // share of the warm capacity, above 0
 	RequestTimeout time.Duration // deadline of each attempt; 0 means the callers' default
 	Progress       io.Writer     // progress lines
+	Steady         bool          // no planned changes, to measure the steady state
 }
 
 // Shape of the load.
@@ -102,6 +103,9 @@
 	if err != nil {
 		return Summary{}, err
 	}
+	if opt.Steady {
+		steps = nil
+	}
 	r.say("starting all roles")
 	if err := fleet.Start(ctx); err != nil {
 		return Summary{}, err
--- a/pkg/cli/quickstart.go
+++ b/pkg/cli/quickstart.go
@@ -17,6 +17,7 @@
 	Duration time.Duration `default:"20s" help:"How long callers send requests; at least 10s."`
 	Seed     uint64        `default:"1" help:"Seed of the load and of the planned changes."`
 	Load     float64       `default:"0.4" help:"Load as a share of the warm capacity of all backend servers, above 0. While a failure domain is out, less capacity is left."`
+	Steady   bool          `help:"Make no planned changes, to measure the steady state."`
 	Policy   string        `default:"full" enum:"full,hash" help:"Selection of backend servers: full, or hash for the baseline of plain hashing without admission and relay."`
 	Prefix   byte          `default:"64" help:"Second number of the loopback addresses 127.N.x.y of the embedded hosts, 1 to 254."`
 	Delay    time.Duration `default:"1ms" help:"One-way delay between callers and balancers."`
@@ -40,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	opt := quickstart.Options{Duration: q.Duration, Seed: q.Seed, Load: q.Load, Progress: env.Out}
+	opt := quickstart.Options{Duration: q.Duration, Seed: q.Seed, Load: q.Load, Progress: env.Out, Steady: q.Steady}
 	summary, err := quickstart.Run(ctx, embedded, opt)
 	if err != nil {
 		return err
