Bound the wait for a slot by time and reuse copy buffers

Cause: a request that waited for a slot could lose it to a new one five times and was then refused; every answer allocated a copy buffer of 32 KB.

Change: waits end after 50 ms in total instead of counting as attempts, and peers are asked again after a wait. Copy buffers are pooled. Benchmarks compare a request through the gate with one without it.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -25,7 +25,7 @@
 // outcome is true for all attempts together.
 func (g *Gate) dispatch(j *job) (*http.Response, error) {
 	var last error
-	for attempt := range maxAttempts {
+	for attempt := 0; attempt < maxAttempts; {
 		resp, err := g.attempt(j, attempt, last)
 		if err == nil {
 			return resp, nil
@@ -35,8 +35,13 @@
 		if unknown && j.mayHaveRun == nil {
 			j.mayHaveRun = err
 		}
-		if !j.retryable(err, unknown) && !g.waitForSlot(j, err) {
-			break
+		switch {
+		case j.retryable(err, unknown):
+			attempt++
+		case g.waitForSlot(j, err):
+			attempt = max(attempt, 1) // the time waited is the bound here
+		default:
+			attempt = maxAttempts
 		}
 	}
 	switch {
--- /dev/null
+++ b/internal/gate/bench_test.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/standin/backend"
+)
+
+// discard is a response writer that keeps nothing.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+// BenchmarkGate measures one request through the gate to a stand-in backend
+// server with next to no work. BenchmarkDirect is the same without the gate.
+func BenchmarkGate(b *testing.B) {
+	f := newFleet(b, 1, Adaptive, backend.Options{WorkMean: time.Nanosecond})
+	r := httptest.NewRequest("GET", "/catalogue?caller=a&n=1", nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.members[0].ServeHTTP(discard{http.Header{}}, r)
+	}
+}
+
+// BenchmarkDirect is the baseline of BenchmarkGate.
+func BenchmarkDirect(b *testing.B) {
+	f := newFleet(b, 1, Adaptive, backend.Options{WorkMean: time.Nanosecond})
+	addr := f.members[0].opts.Backend.String()
+	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext}
+	b.Cleanup(transport.CloseIdleConnections)
+	b.ReportAllocs()
+	for b.Loop() {
+		r, _ := http.NewRequest("GET", "http://"+addr+"/catalogue?caller=a&n=1", nil)
+		resp, err := transport.RoundTrip(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+}
--- a/internal/gate/chaos_test.go
+++ b/internal/gate/chaos_test.go
@@ -26,6 +26,7 @@
 // ran, crossed answers and starts above capacity, while backend servers
 // restart, freeze, turn cold and leave at random moments.
 func TestPromisesUnderFaults(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newFleet(t, 4, Adaptive, backend.Options{WorkMean: 5 * time.Millisecond, WarmUp: 300 * time.Millisecond})
 	end := time.Now().Add(1500 * time.Millisecond)
@@ -134,6 +135,7 @@
 // Guards against a retry storm while half of the backend servers fail, and
 // against requests that keep going to those.
 func TestRetryBudgetWhileHalfFail(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newFleet(t, 4, Adaptive, backend.Options{WorkMean: time.Millisecond})
 	f.members[0].server.Drain()
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
@@ -150,9 +151,17 @@
 	}
 }
 
+// copyBuffers saves an allocation of 32 KB for each answer.
+var copyBuffers = sync.Pool{New: func() any {
+	b := make([]byte, 32<<10)
+	return &b
+}}
+
 func (j *job) copyBody(body io.Reader) error {
 	if !j.feed {
-		_, err := io.Copy(j.w, body)
+		buffer := copyBuffers.Get().(*[]byte)
+		defer copyBuffers.Put(buffer)
+		_, err := io.CopyBuffer(j.w, body, *buffer)
 		return err
 	}
 	out := http.NewResponseController(j.w)
--- a/internal/gate/job.go
+++ b/internal/gate/job.go
@@ -56,6 +56,7 @@
 	consumed bool      // rest was handed to an attempt
 
 	tried      []netip.AddrPort // peers that were asked
+	waitEnd    time.Time        // of waiting for a slot
 	mayHaveRun error            // the first failure after which the request may have run
 }
 
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -6,7 +6,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 )
 
-// slotWait is how long a request waits for a slot when neither the backend
+// slotWait is how long a request waits in total for a slot when neither the backend
 // server nor a peer has room. At 70% load a slot becomes free within a few
 // milliseconds; without waiting, about 1% of the requests were refused.
 const slotWait = 50 * time.Millisecond
@@ -16,14 +16,19 @@
 // slots, so that refusals stay cheap under overload. A relayed request does
 // not wait: its own agent does.
 func (g *Gate) waitForSlot(j *job, full error) bool {
-	if !errkind.Is(full, errkind.BackendFull) || j.relayed || !j.replayable() || !g.startWaiting() {
+	if !errkind.Is(full, errkind.BackendFull) || j.relayed || !j.replayable() {
+		return false
+	}
+	left := j.waitLeft()
+	if left <= 0 || !g.startWaiting() {
 		return false
 	}
 	defer g.stopWaiting()
-	t := time.NewTimer(slotWait)
+	t := time.NewTimer(left)
 	defer t.Stop()
 	select {
 	case <-g.freed:
+		j.tried = nil // peers may have room again
 		return true
 	case <-t.C:
 		return false
@@ -32,6 +37,15 @@
 	}
 }
 
+// waitLeft returns the rest of the time that j may wait, which begins with the
+// first call.
+func (j *job) waitLeft() time.Duration {
+	if j.waitEnd.IsZero() {
+		j.waitEnd = time.Now().Add(slotWait)
+	}
+	return time.Until(j.waitEnd)
+}
+
 func (g *Gate) startWaiting() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
