Keep aged connections to the backend server open

Cause: requests are limited by the age of their connections, and connections were opened only on demand. The first seconds of load after a quiet time were limited as if the backend server had just started. Change: the agent keeps as many connections open as there are slots, each proven by one request to the load endpoint. Ruled out: the limiter's growth by successes (35 successes from 2 to 9 slots, about 0.7 s at 100 ms of work), and the warm-up time itself, which had passed before the load began.

--- a/internal/backendconn/pool_test.go
+++ b/internal/backendconn/pool_test.go
@@ -180,3 +180,49 @@
 	is.Equal(lost.Load(), int64(1))
 	is.Equal(e.InProgress(), 0)
 }
+
+// Guards against a burst after a quiet time that is refused because no
+// connection is old enough, and against probes that a backend server in a
+// cold start cannot bear.
+func TestKeepWarmOpensAgedConnections(t *testing.T) {
+	is := is.New(t)
+	limits := config.Limits{Slots: 9, Connections: 2000, ColdSlots: 2, WarmUp: 300 * time.Millisecond}
+	server := backend.New(backend.Options{Slots: limits.Slots, ColdSlots: limits.ColdSlots, WarmUp: limits.WarmUp})
+	address, err := server.Start("127.0.0.1:0")
+	is.NoErr(err)
+	defer server.Close()
+	p := New(Options{Backend: address, Limits: func() config.Limits { return limits }, OnLost: func(error) {}})
+	defer p.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var loop sync.WaitGroup
+	loop.Go(func() { p.KeepWarm(ctx) })
+	defer loop.Wait()
+	defer cancel()
+
+	warm := func() int {
+		var leases []*Lease
+		for {
+			lease, err := p.Acquire(ctx)
+			if err != nil {
+				break
+			}
+			leases = append(leases, lease)
+		}
+		for _, lease := range leases {
+			lease.Release()
+		}
+		return len(leases)
+	}
+	until := func(want int) {
+		for deadline := time.Now().Add(10 * time.Second); warm() != want; time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d requests fit, want %d", warm(), want)
+			}
+		}
+	}
+	until(limits.Slots)
+	server.Restart()
+	until(limits.ColdSlots)
+	until(limits.Slots)
+	is.Equal(server.Ledger().OverCapacityStarts, 0)
+}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -79,6 +79,8 @@
 	gate        *gate.Gate
 	flows       *flowServer
 	connections atomic.Int64 // limit of open flows; read for each packet
+	cancel      context.CancelFunc
+	warming     sync.WaitGroup
 }
 
 // New returns an agent that is not started.
@@ -254,11 +256,16 @@
 		endpoint.Close()
 		return err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in.cancel = cancel
+	in.warming.Go(func() { in.gate.KeepWarm(ctx) })
 	a.current.Store(in)
 	return nil
 }
 
 func (in *incarnation) close() {
+	in.cancel()
+	in.warming.Wait()
 	in.flows.close()
 	in.endpoint.Close()
 	in.gate.Close()
