Answer status.get in every daemon and ask it from the commands

Cause: the status screen and the burn report were tested packages that no program used. status.get returned nothing, and the commands had no way to reach the control plane.

Change: status.get takes a request with a scope. Every process answers for itself. A balancer also answers for the fleet, for the burn and for the processes that lag behind a generation. It asks the agents at that moment, at most 32 at once and within 4 s, and names those that did not answer. PeerDown and PeerUnauthorized end a command with exit code 4 (before: 1), so that a script can tell a service that is down from a fleet that does not answer.

Ruled out: spreading refusals and burn by gossip, whose traffic grows with the services; keeping connections from balancers to all agents, which costs memory between rare requests. An agent does not answer for the fleet, because in a large fleet it does not get all records.

Conclusion: status and report burn work against running daemons. Refusals and burn counts are still empty, since no request is counted yet.

--- a/internal/distribution/board.go
+++ b/internal/distribution/board.go
@@ -20,5 +20,6 @@
 	Members           blackboard.Entry[membership.Snapshot]
 	Isolation         blackboard.Entry[isolation.Status]
 	PlatformReachable blackboard.Entry[bool]          // by this process or, recently, by its peers
+	PlatformSince     blackboard.Entry[time.Time]     // of the last change of PlatformReachable
 	ClockOffset       blackboard.Entry[time.Duration] // of this host against the median of peers
 }
--- a/internal/distribution/health.go
+++ b/internal/distribution/health.go
@@ -127,5 +127,7 @@
 	n.mu.Lock()
 	reachable := !n.fresh.IsZero() && now.Sub(n.fresh) < reachableFor
 	n.mu.Unlock()
-	n.Board.PlatformReachable.Update(func(old bool) (bool, bool) { return reachable, reachable != old })
+	if n.Board.PlatformReachable.Update(func(old bool) (bool, bool) { return reachable, reachable != old }) {
+		n.Board.PlatformSince.Set(now)
+	}
 }
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -32,13 +32,16 @@
 	Listen   string           // TCP address
 	Listener net.Listener     // instead of Listen
 	Relay    http.Handler     // serves requests relayed by peers
-	Status   func() any       // answers status.get, encoded as JSON
+	Status   StatusFunc       // answers status.get
 	Logger   *event.Logger    // nil: nothing is logged
 	Clock    func() time.Time // nil: time.Now
 	Dial     peer.DialFunc    // nil: net.Dialer
 	Registry metrics.Registry // nil: counters are not exported
 }
 
+// StatusFunc answers status.get with a value that is encoded as JSON.
+type StatusFunc func(context.Context, peer.StatusRequest) (any, error)
+
 // Node is this process's part of the control plane.
 type Node struct {
 	Board Board
@@ -114,11 +117,19 @@
 	return n
 }
 
-func (n *Node) status() any {
+func (n *Node) status(ctx context.Context, req peer.StatusRequest) (any, error) {
 	if n.opts.Status == nil {
-		return nil
+		return nil, errkind.New(errkind.NotFound, "this process answers no status.get")
 	}
-	return n.opts.Status()
+	return n.opts.Status(ctx, req)
+}
+
+// AskStatus decodes the status of the process at addr into v. See
+// peer.Client.Status.
+func (n *Node) AskStatus(ctx context.Context, addr netip.AddrPort, req peer.StatusRequest, v any) error {
+	client := peer.NewClient(n.dialer, addr)
+	defer client.Close()
+	return client.Status(ctx, req, v)
 }
 
 // Start opens the listener and starts the controllers. Its error has kind
@@ -159,6 +170,7 @@
 	}
 	n.table = membership.NewTable(self, 1+uint64(rand.Uint32()), now)
 	n.Board.Members.Set(n.table.Snapshot(now))
+	n.Board.PlatformSince.Set(now)
 	n.startTracker()
 }
 
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -108,7 +108,7 @@
 	ExitFailure  = 1 // a check failed or a promise was broken
 	ExitUsage    = 2 // bad settings or a faulty sheet
 	ExitConflict = 3 // another operator was faster
-	ExitPlatform = 4 // the platform cannot be reached
+	ExitPlatform = 4 // the platform, or every balancer that was asked, cannot be reached
 	ExitLagging  = 5 // a generation is not in force everywhere
 )
 
@@ -149,9 +149,9 @@
 	{NotFound, "not-found", http.StatusNotFound, "", 0, ExitFailure, "The object does not exist."},
 	{ConfigInvalid, "config-invalid", http.StatusBadRequest, "", 0, ExitUsage, "A configuration fails its checks."},
 	{ConfigOlder, "config-older", 0, "", 0, ExitConflict, "A configuration is older than the one in force and is refused."},
-	{PeerUnauthorized, "peer-unauthorized", 0, "", 0, ExitFailure, "A peer holds no key of the ring."},
+	{PeerUnauthorized, "peer-unauthorized", 0, "", 0, ExitPlatform, "A peer holds no key of the ring."},
 	{PeerMalformed, "peer-malformed", 0, "", 0, ExitFailure, "A peer message does not parse."},
-	{PeerDown, "peer-down", 0, "", 0, ExitFailure, "A peer cannot be reached."},
+	{PeerDown, "peer-down", 0, "", 0, ExitPlatform, "A peer cannot be reached."},
 	{KeyRingInvalid, "key-ring-invalid", 0, "", 0, ExitUsage, "The key ring does not parse."},
 	{NotInForce, "not-in-force", 0, "", 0, ExitLagging, "A generation is not in force everywhere within the time asked for."},
 	{CertificateFailed, "certificate-failed", 0, "", 0, ExitUsage, "A TLS certificate or key cannot be loaded."},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,13 +69,17 @@
 	sheet    *sheet.Sheet
 	initial  *config.Config
 	ring     *keyring.Ring
+	ringText string
 	cert     *testcert.Pair
 	platform *platformstandin.Server
 	store    *platform.Client
 	editor   *change.Editor
-	fabric   *fabric.Fabric
-	wire     *wire
-	watch    *watch
+
+	platformURL string
+
+	fabric *fabric.Fabric
+	wire   *wire
+	watch  *watch
 
 	mu        sync.Mutex
 	balancers map[string]*balancerHost
@@ -109,7 +113,8 @@
 		wire:      newWire(),
 		watch:     newWatch(),
 	}
-	if f.ring, err = newRing(); err != nil {
+	f.ringText = newRingText()
+	if f.ring, err = keyring.Parse(f.ringText); err != nil {
 		return nil, err
 	}
 	if f.cert, err = testcert.New(serverName); err != nil {
@@ -119,11 +124,23 @@
 	return f, nil
 }
 
-// newRing makes a key that lives as long as the run.
-func newRing() (*keyring.Ring, error) {
+// newRingText makes a key that lives as long as the run.
+func newRingText() string {
 	var secret [keyring.SecretSize]byte
 	_, _ = rand.Read(secret[:]) // never fails
-	return keyring.Parse("1:" + hex.EncodeToString(secret[:]))
+	return "1:" + hex.EncodeToString(secret[:])
+}
+
+// Operators is what operators' commands need to reach the fleet.
+type Operators struct {
+	Platform string           // URL
+	Peers    []netip.AddrPort // peer addresses of the first balancers
+	Keyring  string           // ID:HEX
+}
+
+// Operators returns the access for operators' commands to a started fleet.
+func (f *Fleet) Operators() Operators {
+	return Operators{Platform: f.platformURL, Peers: f.seeds(), Keyring: f.ringText}
 }
 
 func (f *Fleet) getRing() *keyring.Ring { return f.ring }
@@ -216,7 +233,8 @@
 	if err != nil {
 		return err
 	}
-	f.store = platform.NewClient("http://"+address.String(), platformTimeout)
+	f.platformURL = "http://" + address.String()
+	f.store = platform.NewClient(f.platformURL, platformTimeout)
 	f.editor = change.New(f.store, change.Options{})
 	if _, err := f.editor.ApplySheet(ctx, f.sheet); err != nil {
 		return err
--- /dev/null
+++ b/internal/fleet/ops_test.go
@@ -0,0 +1,87 @@
+package fleet_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/fleet"
+	"github.com/knapweedpier/knapweedpier/internal/status"
+	"github.com/knapweedpier/knapweedpier/pkg/cli"
+)
+
+// start runs the fleet of the first user, with services on 127.prefix.0.1.
+func start(t *testing.T, prefix byte, text string) *fleet.Fleet {
+	t.Helper()
+	text = strings.ReplaceAll(text, ",127.0.0.1:", fmt.Sprintf(",127.%d.0.1:", prefix))
+	f, err := fleet.New(fleet.Options{Sheet: []byte(text), Policy: fleet.Full, Seed: 1, Prefix: prefix})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	if err := f.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func gelDesk(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/gel-desk.csv")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// command runs one command line and returns its output and exit code.
+func command(t *testing.T, line string) (string, int) {
+	var out bytes.Buffer
+	code := cli.Run(t.Context(), strings.Fields(line), cli.Options{Out: &out, Err: &out})
+	return out.String(), code
+}
+
+// access are the flags with which commands reach the fleet. The first peer
+// does not answer.
+func access(f *fleet.Fleet, prefix byte) string {
+	o := f.Operators()
+	return fmt.Sprintf(" --peers 127.%d.9.9:1,%s --keyring %s --platform %s", prefix, o.Peers[0], o.Keyring, o.Platform)
+}
+
+// Guards against a status that leaves out processes or refusals, that depends
+// on the first balancer asked, or that succeeds without an answer.
+func TestStatusOfRunningFleet(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 200, gelDesk(t))
+	out, code := command(t, "status --json"+access(f, 200))
+	is.Equal(code, 0)
+	var s status.Status
+	is.NoErr(json.Unmarshal([]byte(out), &s))
+	is.Equal(s.Source, "balancer-1")
+	is.True(s.Platform.Reachable)
+	is.Equal(s.Balancers, status.BalancerCounts{Serving: 3})
+	is.Equal(s.Services[0].Counted, 7)
+	is.Equal(s.Services[1].Counted, 3)
+	is.Equal(len(s.Services[0].NotCounted), 0)
+
+	out, code = command(t, "status nuancier"+access(f, 200))
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "nuancier") && !strings.Contains(out, "comptoir"))
+	out, code = command(t, "report burn"+access(f, 200))
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "comptoir"))
+
+	out, code = command(t, "status --peers 127.200.9.9:1 --keyring "+f.Operators().Keyring)
+	is.Equal(code, errkind.ExitPlatform)
+	is.True(strings.Contains(out, "127.200.9.9:1"))
+	_, code = command(t, "status --peers "+f.Operators().Peers[0].String()+" --keyring 1:"+strings.Repeat("a1", 32))
+	is.Equal(code, errkind.ExitPlatform) // another key ring
+	_, code = command(t, "status")
+	is.Equal(code, errkind.ExitUsage)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -94,11 +94,12 @@
 	return answer, err
 }
 
-// Status decodes the peer's status into v. Its errors are those of Pull.
-func (c *Client) Status(ctx context.Context, v any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// Status decodes the peer's status into v. Its errors are those of Pull and
+// the kinds with which the peer refuses the request.
+func (c *Client) Status(ctx context.Context, req StatusRequest, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	return c.call(ctx, methodStatus, nil, v)
+	return c.call(ctx, methodStatus, req, v)
 }
 
 // Close closes the connection. A later call opens a new one.
@@ -114,13 +115,26 @@
 		return nil
 	}
 	var remote *jsonrpc2.Error
-	if errors.As(err, &remote) && remote.Code == int64(errkind.Internal) {
-		return errkind.Wrap(err, errkind.PeerDown, "call "+c.addr.String())
+	if errors.As(err, &remote) {
+		if kind, ok := remoteKind(remote.Code); ok {
+			return errkind.Wrap(err, kind, "call "+c.addr.String())
+		}
 	}
 	c.drop(conn)
 	return errkind.Wrap(err, callKind(ctx, conn, codec), "call "+c.addr.String())
 }
 
+// remoteKind is the kind with which the peer refused a call, or false if the
+// code is none. A failure inside the peer counts as a peer that does not
+// answer.
+func remoteKind(code int64) (errkind.Kind, bool) {
+	kind := errkind.Kind(code)
+	if kind == errkind.Internal {
+		return errkind.PeerDown, true
+	}
+	return kind, kind.Answer().Kind == kind
+}
+
 // callKind tells a message that does not parse from a connection that failed.
 func callKind(ctx context.Context, conn *jsonrpc2.Conn, c *codec) errkind.Kind {
 	ended := c.ended()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -28,6 +28,33 @@
 // for. A connection that is silent for longer is replaced.
 const callTimeout = 2 * time.Second
 
+// statusTimeout is how long an answer to status.get may take. It leaves the
+// called process CollectTimeout to ask others.
+const statusTimeout = CollectTimeout + callTimeout
+
+// CollectTimeout bounds how long a process asks others for one status.get.
+const CollectTimeout = 4 * time.Second
+
+// StatusScope says what status.get asks for.
+type StatusScope string
+
+// The scopes.
+const (
+	ScopeProcess StatusScope = "process" // the called process alone; answered by every process
+	ScopeFleet   StatusScope = "fleet"   // the whole fleet; answered by balancers, as the next ones
+	ScopeBurn    StatusScope = "burn"    // service-level burn
+	ScopeLagging StatusScope = "lagging" // processes that lag behind a generation
+)
+
+// StatusRequest asks for a status. The forms of the answers belong to package
+// statuscall.
+type StatusRequest struct {
+	Scope      StatusScope `json:"scope"`
+	Service    string      `json:"service,omitempty"`    // of the refusals and the burn; empty: all
+	Generation uint64      `json:"generation,omitempty"` // with ScopeLagging
+	Burn       bool        `json:"burn,omitempty"`       // with ScopeProcess: with the burn counts
+}
+
 // PullRequest asks a partner for what changed. Field names on the wire are
 // short because a balancer exchanges up to twenty of these a second at the
 // target size, nearly all of them without news.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -76,11 +76,19 @@
 	return PullAnswer{ID: "server", Generation: req.Generation + 1, Config: config}, err
 }
 
+// status returns the request, and refuses one without a scope.
+func status(_ context.Context, req StatusRequest) (any, error) {
+	if req.Scope == "" {
+		return nil, errkind.New(errkind.NotFound, "no scope")
+	}
+	return req, nil
+}
+
 // Guards against calls that lose content, also when it is large enough to be
 // compressed, and against a peer with another key.
 func TestCalls(t *testing.T) {
 	is := is.New(t)
-	addr, registry := serve(t, ServerOptions{Pull: echo, Status: func() any { return map[string]int{"flows": 7} }})
+	addr, registry := serve(t, ServerOptions{Pull: echo, Status: status})
 	d := dialer(t, "a1")
 	c := NewClient(d, addr)
 	defer c.Close()
@@ -89,9 +97,10 @@
 	is.Equal(answer.Generation, uint64(5))
 	is.Equal(len(answer.Config), 30_000*len("configuration ")+2)
 	is.True(counted(d.Registry, CountBytesIn) < 30_000)
-	var status struct{ Flows int }
-	is.NoErr(c.Status(t.Context(), &status))
-	is.Equal(status.Flows, 7)
+	var asked StatusRequest
+	is.NoErr(c.Status(t.Context(), StatusRequest{Scope: ScopeFleet, Service: "comptoir"}, &asked))
+	is.Equal(asked, StatusRequest{Scope: ScopeFleet, Service: "comptoir"})
+	is.True(errkind.Is(c.Status(t.Context(), StatusRequest{}, &asked), errkind.NotFound))
 
 	stranger := NewClient(dialer(t, "b2"), addr)
 	_, err = stranger.Pull(t.Context(), PullRequest{ID: "stranger"})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -43,8 +43,8 @@
 type ServerOptions struct {
 	Identity *peertls.Identity
 	Pull     func(context.Context, PullRequest) (PullAnswer, error)
-	Status   func() any   // encoded as JSON
-	Relay    http.Handler // of relayed requests
+	Status   func(context.Context, StatusRequest) (any, error) // encoded as JSON
+	Relay    http.Handler                                      // of relayed requests
 	Logger   *event.Logger
 	Registry metrics.Registry
 }
@@ -219,7 +219,7 @@
 		h.server.count(CountPulls)
 		return h.pull(ctx, req.Params)
 	case methodStatus:
-		return h.server.opts.Status(), nil
+		return h.status(ctx, req.Params)
 	default:
 		return nil, errkind.Errorf(errkind.PeerMalformed, "unknown method %.40q", req.Method)
 	}
@@ -239,6 +239,17 @@
 	return h.server.opts.Pull(ctx, req)
 }
 
+func (h *rpcHandler) status(ctx context.Context, params *json.RawMessage) (any, error) {
+	var req StatusRequest
+	if params == nil {
+		return nil, errkind.New(errkind.PeerMalformed, "status without parameters")
+	}
+	if err := json.Unmarshal(*params, &req); err != nil {
+		return nil, errkind.Wrap(err, errkind.PeerMalformed, "decode status request")
+	}
+	return h.server.opts.Status(ctx, req)
+}
+
 func (r PullRequest) check() error {
 	switch {
 	case r.ID == "":
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -44,8 +44,8 @@
 		fs.add("ops-listen", "must differ from --peer-listen")
 	}
 	checkPlatform(fs, c.Platform)
-	c.checkSeeds(fs)
-	c.checkKeyring(fs)
+	checkPeers(fs, "seeds", c.Seeds)
+	checkKeyring(fs, c.Keyring, c.KeyringFile)
 	if c.LogFormat != "text" && c.LogFormat != "json" {
 		fs.add("log-format", "%q: expected text or json", c.LogFormat)
 	}
@@ -96,16 +96,16 @@
 	}
 }
 
-func (c *Common) checkSeeds(fs *Faults) {
+func checkPeers(fs *Faults, field string, peers []Addr) {
 	seen := map[netip.AddrPort]bool{}
-	for _, seed := range c.Seeds {
-		if !checkListen(fs, "seeds", seed) {
+	for _, peer := range peers {
+		if !checkListen(fs, field, peer) {
 			continue
 		}
-		if seen[seed.AddrPort] {
-			fs.add("seeds", "%s is listed twice", seed.AddrPort)
+		if seen[peer.AddrPort] {
+			fs.add(field, "%s is listed twice", peer.AddrPort)
 		}
-		seen[seed.AddrPort] = true
+		seen[peer.AddrPort] = true
 	}
 }
 
--- a/internal/settings/checkfile.go
+++ b/internal/settings/checkfile.go
@@ -40,17 +40,17 @@
 	}
 }
 
-func (c *Common) checkKeyring(fs *Faults) {
+func checkKeyring(fs *Faults, text, file string) {
 	switch {
-	case c.Keyring == "" && c.KeyringFile == "":
+	case text == "" && file == "":
 		fs.add("keyring", "one of --keyring and --keyring-file is required")
-	case c.Keyring != "" && c.KeyringFile != "":
+	case text != "" && file != "":
 		fs.add("keyring", "contradicts --keyring-file: give one of them")
-	case c.Keyring != "":
-		_, err := parseRing(c.Keyring)
+	case text != "":
+		_, err := parseRing(text)
 		fs.addErr("keyring", err)
 	default:
-		_, err := readRing(c.KeyringFile)
+		_, err := readRing(file)
 		fs.addErr("keyring-file", err)
 	}
 }
--- a/internal/settings/doc.go
+++ b/internal/settings/doc.go
@@ -1,4 +1,4 @@
-// Package settings owns the settings of the daemons: flags and KNAPWEEDPIER_*
+// Package settings owns the settings of the programs: flags and KNAPWEEDPIER_*
 // environment variables, the checks made before anything is opened, and the
 // files that are re-read while a daemon runs.
 //
--- /dev/null
+++ b/internal/settings/operator.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"net/url"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+)
+
+// Operator holds the settings that all commands of knapweedpier share.
+type Operator struct {
+	Platform    string        `name:"platform" help:"URL of the platform's object API, such as http://10.0.0.1:8080." env:"KNAPWEEDPIER_PLATFORM" placeholder:"URL"`
+	Timeout     time.Duration `name:"timeout" help:"Longest wait for one answer of the platform, with its unit." default:"2s" env:"KNAPWEEDPIER_PLATFORM_TIMEOUT" placeholder:"DURATION"`
+	Peers       []Addr        `name:"peers" env:"KNAPWEEDPIER_PEERS" placeholder:"IP:PORT" help:"Peer addresses (TCP) of balancers to ask, separated by commas; the next one is asked if one does not answer."`
+	Keyring     string        `name:"keyring" env:"KNAPWEEDPIER_KEYRING" placeholder:"ID:HEX" help:"The fleet's key ring: one or two keys of 32 bytes in hexadecimal, separated by a comma. Visible in the process list: prefer the file. Exactly one of --keyring and --keyring-file is required with --peers."`
+	KeyringFile string        `name:"keyring-file" env:"KNAPWEEDPIER_KEYRING_FILE" placeholder:"FILE" help:"File with the same content, not accessible by other users of the host."`
+	Log         string        `name:"log" help:"Format of logged events on standard error: none, text or json." enum:"none,text,json" default:"none" env:"KNAPWEEDPIER_LOG" placeholder:"FORMAT"`
+}
+
+// Validate checks the settings before anything opens. Its error has kind
+// SettingInvalid.
+func (o *Operator) Validate() error {
+	if o.Timeout <= 0 {
+		return errkind.Errorf(errkind.SettingInvalid, "--timeout: %s is out of range; expected a duration above 0", o.Timeout)
+	}
+	if err := o.checkControl(); err != nil {
+		return err
+	}
+	if o.Platform == "" {
+		return nil // commands that use the platform ask for it
+	}
+	u, err := url.Parse(o.Platform)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return errkind.Errorf(errkind.SettingInvalid, "--platform: %q is not a URL; expected http://HOST:PORT", o.Platform)
+	}
+	return nil
+}
+
+// checkControl checks what is needed to ask a balancer. Commands that ask none
+// need neither addresses nor keys.
+func (o *Operator) checkControl() error {
+	var fs Faults
+	checkPeers(&fs, "peers", o.Peers)
+	if len(o.Peers) > 0 || o.Keyring != "" || o.KeyringFile != "" {
+		checkKeyring(&fs, o.Keyring, o.KeyringFile)
+	}
+	return fs.err()
+}
+
+// Ring returns the key ring. Its errors have kind SettingInvalid if there are
+// no addresses to use it with, and KeyRingInvalid.
+func (o *Operator) Ring() (*keyring.Ring, error) {
+	if len(o.Peers) == 0 {
+		return nil, errkind.New(errkind.SettingInvalid,
+			"--peers or KNAPWEEDPIER_PEERS: must be set; expected the peer address IP:PORT of one or more balancers")
+	}
+	if o.KeyringFile != "" {
+		return readRing(o.KeyringFile)
+	}
+	return parseRing(o.Keyring)
+}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/burn"
 	"github.com/knapweedpier/knapweedpier/internal/distribution"
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
@@ -37,7 +38,6 @@
 	Ring           func() *keyring.Ring
 	GetCertificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
 	Policy         Policy
-	Status         func() any // answers peers' status calls
 	Logger         *event.Logger
 	Metrics        *metrics.Registry
 	Open           udp.ListenFunc
@@ -56,6 +56,9 @@
 	node  *distribution.Node
 	fence *fence.Fence
 
+	metrics *metrics.Agent
+	burn    *burn.Tracker
+
 	leaving   atomic.Bool // the backend server, or this process, takes no new work
 	domainOut atomic.Bool
 	stopping  atomic.Bool
@@ -88,6 +91,9 @@
 		opts:   o,
 		fence:  fence.New(uint64(now.UnixNano()), now),
 		fenced: make(chan struct{}, 1),
+
+		metrics: metrics.NewAgent(o.Metrics),
+		burn:    burn.NewTracker(),
 	}
 	a.node = distribution.New(distribution.Options{
 		Self: membership.Record{
@@ -105,7 +111,7 @@
 		Ring:     o.Ring,
 		Listener: o.PeerListener,
 		Relay:    http.HandlerFunc(a.serveRelay),
-		Status:   o.Status,
+		Status:   a.answerStatus,
 		Logger:   o.Logger,
 		Clock:    o.Clock,
 	})
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -41,7 +41,6 @@
 	Store        platform.Store
 	Ring         func() *keyring.Ring
 	Policy       steering.Policy
-	Status       func() any // answers peers' status calls
 	Logger       *event.Logger
 	Metrics      *metrics.Registry
 	Open         udp.ListenFunc
@@ -91,7 +90,7 @@
 		Store:    o.Store,
 		Ring:     o.Ring,
 		Listener: o.PeerListener,
-		Status:   o.Status,
+		Status:   b.answerStatus,
 		Logger:   o.Logger,
 		Clock:    o.Clock,
 	})
--- /dev/null
+++ b/pkg/balancer/status.go
@@ -0,0 +1,13 @@
+package balancer
+
+import (
+	"context"
+
+	"github.com/knapweedpier/knapweedpier/internal/peer"
+	"github.com/knapweedpier/knapweedpier/internal/statuscall"
+)
+
+// answerStatus answers status.get for the fleet. Its error has kind NotFound.
+func (b *Balancer) answerStatus(ctx context.Context, req peer.StatusRequest) (any, error) {
+	return statuscall.Fleet{Node: b.node, Now: b.now}.Answer(ctx, req)
+}
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -12,6 +12,9 @@
 	Domain  DomainCmd  `cmd:"" help:"Take a failure domain out or back."`
 	Backend BackendCmd `cmd:"" help:"Change one backend server."`
 
+	Status StatusCmd `cmd:"" help:"Show the state of the fleet or of one service."`
+	Report ReportCmd `cmd:"" help:"Report on service levels."`
+
 	Quickstart QuickstartCmd `cmd:"" help:"Run all roles in this process under load, with planned changes."`
 
 	Version kong.VersionFlag `help:"Print the version and exit."`
--- a/pkg/cli/run.go
+++ b/pkg/cli/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -52,7 +53,13 @@
 	if err != nil {
 		return usageError(err)
 	}
-	return inApp(ctx, root.Settings, o, func(env *Env) error { return command.Run(env) })
+	return inApp(ctx, root.Settings, o, func(env *Env) error {
+		asked := balancers{root.Settings}
+		command.BindTo(asked, (*StatusSource)(nil))
+		command.BindTo(asked, (*BurnSource)(nil))
+		command.BindTo(o.Out, (*io.Writer)(nil))
+		return command.Run(env)
+	})
 }
 
 // usageError gives errors of the command line the kind SettingInvalid.
