Never relay a feed

Cause: a feed that found its agent busy or full was relayed to a peer, for as long as it lasted. When the peer's failure domain went out and its backend server stopped, the feed was cut although its flow was elsewhere. The broken flow's details show it: flow at nuancier-1 in tr-centre, feed cut after 20 lines at the moment another failure domain's backend servers restarted. Change: a feed runs at its own agent's backend server. It waits up to 1 s for a slot, which it holds until its answer begins, or is refused as not-run. Ruled out: lost packets and flow ends (the flow itself stayed open, without a go-away), and the agent's drain. TestFeedIsNeverRelayed hangs without the rule, because the relayed feed never ends.

quickstart now describes each broken flow in its summary.

--- a/internal/gate/balance.go
+++ b/internal/gate/balance.go
@@ -39,9 +39,11 @@
 	}
 }
 
-// peersWithRoom returns the peers that may take a request of j.
+// peersWithRoom returns the peers that may take a request of j. A feed is never
+// relayed: it would end with the peer's failure domain, or with the peer's
+// host, although its flow does not depend on them.
 func (g *Gate) peersWithRoom(j *job) []PeerLoad {
-	if g.opts.Policy == Baseline {
+	if g.opts.Policy == Baseline || j.feed {
 		return nil
 	}
 	candidates, now := g.opts.Peers.Candidates(), g.opts.Now()
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -161,3 +161,30 @@
 	release()
 	is.Equal(f.members[0].Gate.Load().Flows, 0)
 }
+
+// Guards against a feed that runs at a peer's backend server: it would end
+// with the peer's failure domain although its flow is elsewhere.
+func TestFeedIsNeverRelayed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, Adaptive, backend.Options{FeedInterval: 10 * time.Millisecond})
+	a, b := f.members[0], f.members[1]
+	a.state.Store(State{Leaving: true})
+	refused := a.call("GET", "/feed", "")
+	is.Equal(refused.outcome(), "not-run")
+	is.Equal(refused.kind(), "backend-leaving")
+
+	a.state.Store(State{})
+	a.server.Freeze(200 * time.Millisecond) // all slots are taken for a while
+	for range f.service.Limits.Slots {
+		go a.call("GET", "/catalogue?caller=c&n=1", "")
+	}
+	for a.inProgress() < f.service.Limits.Slots {
+		time.Sleep(time.Millisecond)
+	}
+	resp, err := http.Get(a.front.URL + "/feed")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(b.server.Ledger().FeedsStarted, 0)
+	is.Equal(a.server.Ledger().FeedsStarted, 1)
+}
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -11,6 +11,10 @@
 // milliseconds; without waiting, about 1% of the requests were refused.
 const slotWait = 50 * time.Millisecond
 
+// feedWait is the same for a feed, which cannot go to a peer and holds its
+// slot only until the answer begins.
+const feedWait = time.Second
+
 // waitForSlot waits after the error full until a slot may be free, and reports
 // whether it is worth to try. At most as many requests wait as there are
 // slots, so that refusals stay cheap under overload. A relayed request does
@@ -41,7 +45,11 @@
 // first call.
 func (j *job) waitLeft() time.Duration {
 	if j.waitEnd.IsZero() {
-		j.waitEnd = time.Now().Add(slotWait)
+		wait := slotWait
+		if j.feed {
+			wait = feedWait
+		}
+		j.waitEnd = time.Now().Add(wait)
 	}
 	return time.Until(j.waitEnd)
 }
--- a/internal/quickstart/join.go
+++ b/internal/quickstart/join.go
@@ -1,6 +1,7 @@
 package quickstart
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/standin/caller"
@@ -66,6 +67,7 @@
 				s.FlowsEndedWithDomain++
 			} else {
 				s.BrokenFlows++
+				s.BrokenFlowDetails = append(s.BrokenFlowDetails, describe(f, at, l.Measured.From))
 			}
 		}
 		if len(breaks) == 0 && f.Reason == caller.Graceful && givenUp(l.Outs, f, f.EndedAt) {
@@ -74,6 +76,16 @@
 	}
 }
 
+// describe says which flow broke, when, and how it ended for its caller.
+func describe(f caller.Flow, at, from time.Time) string {
+	text := fmt.Sprintf("%s, backend server %s in %s, %.1f s into the load, go-away %t, flow ended: %q %s",
+		f.Caller, f.Backend, f.Domain, at.Sub(from).Seconds(), f.GoAway, f.Reason, f.Detail)
+	for _, feed := range f.Feeds {
+		text += fmt.Sprintf("; feed ended: %q after %d lines, longest gap %s", feed.Reason, feed.Lines, feed.MaxGap)
+	}
+	return text
+}
+
 // givenUp reports whether a flow that ended at the given time was given up
 // with its failure domain. Its end may be noticed after the domain is back, by
 // an idle timeout.
--- a/internal/quickstart/summary.go
+++ b/internal/quickstart/summary.go
@@ -26,6 +26,7 @@
 	DuplicateRuns              int      `json:"duplicate_runs"`
 	FalseNotRun                int      `json:"false_not_run"`
 	BrokenFlows                int      `json:"broken_flows"`
+	BrokenFlowDetails          []string `json:"broken_flow_details,omitempty"` // one for each broken flow
 	FlowsEndedWithDomain       int      `json:"flows_ended_with_domain"`
 	PacketsToOutDomainAfterS   float64  `json:"packets_to_out_domain_after_s"` // seconds
 	ImbalanceMaxOverMean       float64  `json:"imbalance_max_over_mean"`       // of requests in progress
