--- /dev/null
+++ b/internal/fleet/promises_test.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/quickstart"
+)
+
+// testDuration is the shortest run that holds all planned changes.
+const testDuration = quickstart.MinDuration
+
+// Guards every promise that the ledgers can judge, for both deployments, while
+// a balancer is replaced, a backend server leaves and a failure domain goes
+// out and comes back.
+func TestPlannedChangesKeepEveryPromise(t *testing.T) {
+	for i, name := range []string{"gel-desk", "invoice-numbering"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			prefix := byte(90 + i)
+			text, err := os.ReadFile("../../examples/" + name + ".csv")
+			is.NoErr(err)
+			// Other tests and runs use the addresses of the examples.
+			own := strings.ReplaceAll(string(text), "127.0.0.1:", fmt.Sprintf("127.%d.0.1:", prefix))
+			f, err := New(Options{Sheet: []byte(own), Policy: Full, Seed: 1, Prefix: prefix, Delay: time.Millisecond})
+			is.NoErr(err)
+			// The load leaves capacity under the race detector too.
+			summary, err := quickstart.Run(t.Context(), f, quickstart.Options{Duration: testDuration, Seed: 1, Load: 0.15, Progress: t.Output()})
+			is.NoErr(err)
+			is.NoErr(summary.Err())
+			is.Equal(summary.BrokenFlows, 0)
+			is.Equal(summary.OverCapacityStarts, 0)
+			is.True(summary.Answered > 0 && summary.FlowsEndedWithDomain > 0)
+		})
+	}
+}
