Wait until a change is in force everywhere

A timeout without any answer no longer prints an empty list of processes.

Ruled out: reading the laggards from the whole status, which asks all agents each 250 ms.

--- a/internal/fleet/ops_test.go
+++ b/internal/fleet/ops_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -16,10 +17,9 @@
 	"github.com/knapweedpier/knapweedpier/pkg/cli"
 )
 
-// start runs the fleet of the first user, with services on 127.prefix.0.1.
+// start runs the fleet of a sheet.
 func start(t *testing.T, prefix byte, text string) *fleet.Fleet {
 	t.Helper()
-	text = strings.ReplaceAll(text, ",127.0.0.1:", fmt.Sprintf(",127.%d.0.1:", prefix))
 	f, err := fleet.New(fleet.Options{Sheet: []byte(text), Policy: fleet.Full, Seed: 1, Prefix: prefix})
 	if err != nil {
 		t.Fatal(err)
@@ -31,13 +31,14 @@
 	return f
 }
 
-func gelDesk(t *testing.T) string {
+// gelDesk is the sheet of the first user, with services on 127.prefix.0.1.
+func gelDesk(t *testing.T, prefix byte) string {
 	t.Helper()
 	text, err := os.ReadFile("../../examples/gel-desk.csv")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return string(text)
+	return strings.ReplaceAll(string(text), ",127.0.0.1:", fmt.Sprintf(",127.%d.0.1:", prefix))
 }
 
 // command runs one command line and returns its output and exit code.
@@ -58,7 +59,7 @@
 // on the first balancer asked, or that succeeds without an answer.
 func TestStatusOfRunningFleet(t *testing.T) {
 	is := is.New(t)
-	f := start(t, 200, gelDesk(t))
+	f := start(t, 200, gelDesk(t, 200))
 	out, code := command(t, "status --json"+access(f, 200))
 	is.Equal(code, 0)
 	var s status.Status
@@ -85,3 +86,26 @@
 	_, code = command(t, "status")
 	is.Equal(code, errkind.ExitUsage)
 }
+
+// Guards against a wait that ends early, or that does not name the process
+// that lacks the generation.
+func TestApplyWaits(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 201, gelDesk(t, 201))
+	out, code := command(t, "backend leave nuancier-1 --service nuancier --wait"+access(f, 201))
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "in force everywhere"))
+	_, err := f.StartBalancer(t.Context())
+	is.NoErr(err)
+	is.NoErr(f.StopBalancer(t.Context(), "balancer-4")) // stopped on purpose: not waited for
+	file := filepath.Join(t.TempDir(), "day.csv")
+	is.NoErr(os.WriteFile(file, []byte(gelDesk(t, 201)+"leave,nuancier-2,,nuancier,2126-12-04T08:00:00Z\n"), 0o600))
+	out, code = command(t, "sheet apply --wait "+file+access(f, 201))
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "in force everywhere"))
+	out, code = command(t, "domain out shawi --wait --wait-timeout 1ns"+access(f, 201))
+	is.Equal(code, errkind.ExitLagging)
+	is.True(strings.Contains(out, "cannot tell which processes lag"))
+	_, code = command(t, "domain back shawi --wait --platform "+f.Operators().Platform)
+	is.Equal(code, errkind.ExitUsage)
+}
--- a/pkg/cli/backend_leave.go
+++ b/pkg/cli/backend_leave.go
@@ -11,9 +11,10 @@
 type BackendLeaveCmd struct {
 	Name    string `arg:"" help:"Backend server."`
 	Service string `required:"" help:"Service of the backend server."`
+	Waiting
 }
 
 // Run implements the command.
 func (c *BackendLeaveCmd) Run(ctx context.Context, env *Env) error {
-	return env.applyChange(ctx, sheet.Change{Kind: config.Leave, Subject: c.Name, Service: c.Service})
+	return env.applyChange(ctx, sheet.Change{Kind: config.Leave, Subject: c.Name, Service: c.Service}, c.Waiting)
 }
--- a/pkg/cli/domain_back.go
+++ b/pkg/cli/domain_back.go
@@ -12,9 +12,10 @@
 type DomainBackCmd struct {
 	Name string    `arg:"" help:"Failure domain."`
 	At   time.Time `help:"Effective time, RFC 3339; now if not given." placeholder:"TIME"`
+	Waiting
 }
 
 // Run implements the command.
 func (c *DomainBackCmd) Run(ctx context.Context, env *Env) error {
-	return env.applyChange(ctx, sheet.Change{Kind: config.DomainBack, Subject: c.Name, At: c.At})
+	return env.applyChange(ctx, sheet.Change{Kind: config.DomainBack, Subject: c.Name, At: c.At}, c.Waiting)
 }
--- a/pkg/cli/env.go
+++ b/pkg/cli/env.go
@@ -24,7 +24,7 @@
 	NewID    func() string    // random change IDs
 	Exit     func(code int)   // after --help and --version
 	Store    platform.Store   // instead of a client of the platform in the settings
-	InForce  InForce          // nil: sheet apply --wait is refused
+	InForce  InForce          // nil: asks the balancers in the settings; without any, --wait is refused
 }
 
 // Env is what commands use.
--- a/pkg/cli/sheet_apply.go
+++ b/pkg/cli/sheet_apply.go
@@ -1,24 +1,17 @@
 package cli
 
-import (
-	"context"
-	"time"
-
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-)
+import "context"
 
 // SheetApplyCmd makes a sheet the accepted configuration.
 type SheetApplyCmd struct {
-	File        string        `arg:"" help:"Sheet, CSV."`
-	Wait        bool          `help:"Wait until the generation is in force everywhere."`
-	WaitTimeout time.Duration `help:"Longest wait with --wait, with its unit." default:"11s" env:"KNAPWEEDPIER_WAIT_TIMEOUT"`
+	File string `arg:"" help:"Sheet, CSV."`
+	Waiting
 }
 
 // Run implements the command.
 func (c *SheetApplyCmd) Run(ctx context.Context, env *Env) error {
-	if c.Wait && env.InForce == nil {
-		return errkind.New(errkind.SettingInvalid,
-			"--wait: this program cannot ask the processes which generation is in force; nothing was applied")
+	if err := c.check(env); err != nil {
+		return err
 	}
 	s, err := env.readSheet(c.File)
 	if err != nil {
@@ -33,8 +26,5 @@
 		return err
 	}
 	env.printResult(result)
-	if !c.Wait || result.Config == nil {
-		return nil
-	}
-	return env.waitInForce(ctx, result.Config.Generation, c.WaitTimeout)
+	return c.wait(ctx, env, result)
 }
--- a/pkg/cli/single.go
+++ b/pkg/cli/single.go
@@ -10,7 +10,10 @@
 )
 
 // applyChange makes one change, at once when c has no time.
-func (e *Env) applyChange(ctx context.Context, c sheet.Change) error {
+func (e *Env) applyChange(ctx context.Context, c sheet.Change, w Waiting) error {
+	if err := w.check(e); err != nil {
+		return err
+	}
 	editor, err := e.Editor()
 	if err != nil {
 		return err
@@ -27,7 +30,7 @@
 		return err
 	}
 	e.printResult(result)
-	return nil
+	return w.wait(ctx, e, result)
 }
 
 func (e *Env) printResult(r change.Result) {
--- a/pkg/cli/wire.go
+++ b/pkg/cli/wire.go
@@ -51,8 +51,12 @@
 }
 
 func newEnv(s Settings, o Options, log *event.Logger, editor *change.Editor, store platform.Store) *Env {
+	inForce := o.InForce
+	if inForce == nil && len(s.Peers) > 0 {
+		inForce = balancers{s}.InForce
+	}
 	return &Env{
-		Out: o.Out, Settings: s, InForce: o.InForce, Log: log,
+		Out: o.Out, Settings: s, InForce: inForce, Log: log,
 		editor: editor, store: store, usable: s.Platform != "" || o.Store != nil,
 	}
 }
