Count requests, flows and control traffic where they happen

Cause: metrics and burn were packages that the running code did not feed. The counters of the peer package went to a registry that nobody served.

Change: the gate counts each caller's request once, at the agent that ends the caller's flow, with outcome, kind and latency until the answer's header. The peer that a request was relayed to counts a relay only. A feed counts as answered when its header is passed on; a feed that is cut later breaks its flow. The flow server counts flows that end. A flow counts as broken if it was closed, reset or fell silent with a request in progress, unless the caller closed it. Attempts that a caller repeats count again, since the caller was told something each time. agent.backend_conns is a gauge now. The control path counts in the registry of the process, under the names of internal/metrics; peer.* names are gone. The endpoint's own two counters, which nothing read, are replaced.

Ruled out: counting in the relaying handler of both agents, which counts relayed requests twice; counting feeds at their end, hours after the fact; counting every idle timeout as broken, since callers that vanish while nothing is in progress lose nothing.

Conclusion: /metrics, status and report burn show what happens.

--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -234,6 +234,13 @@
 	return !p.closed && c.current == nil && p.opts.Now().Sub(c.idleSince) < keepAliveMin
 }
 
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.all)
+}
+
 // InProgress returns the number of requests that hold a slot.
 func (p *Pool) InProgress() int {
 	p.mu.Lock()
--- a/internal/distribution/health.go
+++ b/internal/distribution/health.go
@@ -44,6 +44,7 @@
 			slow = now
 			n.checkClock(now)
 			n.checkReachable(now)
+			n.updateGauges()
 			n.tidy(now)
 			n.relay.Prune()
 		}
--- /dev/null
+++ b/internal/distribution/metrics.go
@@ -0,0 +1,88 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/platform"
+)
+
+// initMetrics registers the metrics of the control path. The peer package
+// counts in the same registry.
+func (n *Node) initMetrics() {
+	registry := n.opts.Metrics
+	if registry == nil {
+		registry = metrics.New()
+	}
+	n.registry = registry.Inner()
+	n.metrics = metrics.NewControl(registry)
+	n.opts.Store = countedStore{n.opts.Store, n.metrics}
+}
+
+// updateGauges shows the present state.
+func (n *Node) updateGauges() {
+	members := n.Board.Members.Get().Members
+	suspects := 0
+	for _, m := range members {
+		if m.Suspect() {
+			suspects++
+		}
+	}
+	n.metrics.Generation.Update(int64(n.Board.View.Get().Generation))
+	n.metrics.Members.Update(int64(len(members)))
+	n.metrics.Suspects.Update(int64(suspects))
+	n.metrics.ClockOffset.Update(n.Board.ClockOffset.Get().Microseconds())
+}
+
+// countedStore counts the calls of a Store.
+type countedStore struct {
+	platform.Store
+	metrics *metrics.Control
+}
+
+func (s countedStore) count(ctx context.Context, err error) {
+	s.metrics.PlatformCalls.Inc(1)
+	// An object that is missing or was changed by another is a plain answer,
+	// and a call that was given up on purpose is no failure of the platform.
+	answered := err == nil || errkind.Is(err, errkind.NotFound) || errkind.Is(err, errkind.VersionConflict)
+	if !answered && context.Cause(ctx) != context.Canceled {
+		s.metrics.PlatformFailures.Inc(errkind.Of(err))
+	}
+}
+
+// Get implements platform.Store.
+func (s countedStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	object, err := s.Store.Get(ctx, key)
+	s.count(ctx, err)
+	return object, err
+}
+
+// Put implements platform.Store.
+func (s countedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+	object, err := s.Store.Put(ctx, key, value, ifVersion)
+	s.count(ctx, err)
+	return object, err
+}
+
+// Delete implements platform.Store.
+func (s countedStore) Delete(ctx context.Context, key string, ifVersion uint64) error {
+	err := s.Store.Delete(ctx, key, ifVersion)
+	s.count(ctx, err)
+	return err
+}
+
+// List implements platform.Store.
+func (s countedStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	listing, err := s.Store.List(ctx, prefix)
+	s.count(ctx, err)
+	return listing, err
+}
+
+// Watch implements platform.Store.
+func (s countedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Listing, error) {
+	listing, err := s.Store.Watch(ctx, prefix, after, wait)
+	s.count(ctx, err)
+	return listing, err
+}
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/knapweedpier/knapweedpier/internal/clockoffset"
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
@@ -17,6 +17,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/isolation"
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/peer"
 	"github.com/knapweedpier/knapweedpier/internal/peertls"
 	"github.com/knapweedpier/knapweedpier/internal/platform"
@@ -29,14 +30,14 @@
 	Seeds    []netip.AddrPort  // peer addresses to start from
 	Store    platform.Store
 	Ring     func() *keyring.Ring
-	Listen   string           // TCP address
-	Listener net.Listener     // instead of Listen
-	Relay    http.Handler     // serves requests relayed by peers
-	Status   StatusFunc       // answers status.get
-	Logger   *event.Logger    // nil: nothing is logged
-	Clock    func() time.Time // nil: time.Now
-	Dial     peer.DialFunc    // nil: net.Dialer
-	Registry metrics.Registry // nil: counters are not exported
+	Listen   string            // TCP address
+	Listener net.Listener      // instead of Listen
+	Relay    http.Handler      // serves requests relayed by peers
+	Status   StatusFunc        // answers status.get
+	Logger   *event.Logger     // nil: nothing is logged
+	Clock    func() time.Time  // nil: time.Now
+	Dial     peer.DialFunc     // nil: net.Dialer
+	Metrics  *metrics.Registry // nil: nothing is exported
 }
 
 // StatusFunc answers status.get with a value that is encoded as JSON.
@@ -49,7 +50,8 @@
 	opts     Options
 	now      func() time.Time
 	log      *event.Logger
-	registry metrics.Registry
+	registry gometrics.Registry
+	metrics  *metrics.Control
 	dialer   *peer.Dialer
 	server   *peer.Server
 	relay    *peer.RelayTransport
@@ -86,7 +88,6 @@
 		opts:        opts,
 		now:         opts.Clock,
 		log:         opts.Logger,
-		registry:    opts.Registry,
 		publication: make(chan struct{}, 1),
 		rechoose:    make(chan struct{}, 1),
 		pullers:     map[netip.AddrPort]*puller{},
@@ -99,9 +100,7 @@
 	if n.log == nil {
 		n.log = event.Discard()
 	}
-	if n.registry == nil {
-		n.registry = metrics.NewRegistry()
-	}
+	n.initMetrics()
 	n.initTable()
 	identity := peertls.New(opts.Ring, n.now)
 	n.dialer = &peer.Dialer{Identity: identity, Dial: opts.Dial, Registry: n.registry}
--- a/internal/distribution/puller.go
+++ b/internal/distribution/puller.go
@@ -70,6 +70,7 @@
 		n.pullFailed(ctx, p, err)
 		return err
 	}
+	n.metrics.Pulls.Inc(1)
 	n.take(p, req, answer)
 	if len(answer.Config) > 0 {
 		return n.accept(answer.Config, answer.ID)
@@ -212,6 +213,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	n.metrics.PullFailures.Inc(errkind.Of(err))
 	id := event.PeerLost
 	switch errkind.Of(err) {
 	case errkind.PeerUnauthorized:
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -189,6 +189,16 @@
 	return byKind[Internal]
 }
 
+// Named returns the kind with a stable name, or Internal if there is none.
+func Named(name string) Kind {
+	for _, row := range table {
+		if row.Name == name {
+			return row.Kind
+		}
+	}
+	return Internal
+}
+
 // String returns the stable name of k.
 func (k Kind) String() string { return k.Answer().Name }
 
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -104,6 +104,7 @@
 	if err != nil {
 		return "", err
 	}
+	registry := metrics.New()
 	b, err := balancer.New(balancer.Options{
 		ID:           balancerID(number),
 		Domain:       domain,
@@ -116,14 +117,14 @@
 		Ring:         f.getRing,
 		Policy:       f.steeringPolicy(),
 		Logger:       f.opts.Logger,
-		Metrics:      metrics.New(),
+		Metrics:      registry,
 		Open:         udp.Listen,
 	})
 	if err != nil {
 		return "", err
 	}
 	bh := &balancerHost{id: balancerID(number), balancer: b}
-	if bh.health, err = serveHealth(host, b.Healthy); err != nil {
+	if bh.health, err = serveHealth(host, registry, b.Healthy); err != nil {
 		return "", err
 	}
 	if err := b.Start(ctx); err != nil {
@@ -167,12 +168,12 @@
 	return l, errkind.Wrap(err, errkind.SettingInvalid, "listen on TCP "+address.String())
 }
 
-func serveHealth(host netip.Addr, healthy metrics.Health) (*http.Server, error) {
+func serveHealth(host netip.Addr, registry *metrics.Registry, healthy metrics.Health) (*http.Server, error) {
 	l, err := listenTCP(host, healthPort)
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: metrics.Handler(metrics.New(), healthy)}
+	s := &http.Server{Handler: metrics.Handler(registry, healthy)}
 	go func() { _ = s.Serve(l) }()
 	return s, nil
 }
--- /dev/null
+++ b/internal/gate/account_test.go
@@ -0,0 +1,74 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/burn"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/standin/backend"
+)
+
+// Guards against a relayed request that is counted at both agents, and against
+// a refusal without its kind.
+func TestRequestsAreCountedOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, Adaptive, backend.Options{})
+	f.members[0].state.Store(State{Leaving: true})
+	is.Equal(f.members[0].call("GET", "/catalogue", "").status, http.StatusOK) // relayed
+	f.members[1].state.Store(State{Leaving: true})
+	is.Equal(f.members[0].call("GET", "/catalogue", "").kind(), "backend-leaving")
+	m, peer := f.members[0].opts.Metrics, f.members[1].opts.Metrics
+	is.Equal(m.Requests.Count(errkind.OutcomeDone), uint64(1))
+	is.Equal(m.Refusals.Counts(), []metrics.KindCount{{Kind: errkind.BackendLeaving, Count: 1}})
+	is.Equal(peer.Requests.Count(errkind.OutcomeDone), uint64(0))
+	is.True(peer.RelaysIn.Count() > 0)
+	is.True(m.RelaysOut.Count() > 0)
+}
+
+// BenchmarkAccount measures what counting adds to a request.
+func BenchmarkAccount(b *testing.B) {
+	f := newFleet(b, 1, Adaptive, backend.Options{})
+	g := f.members[0].Gate
+	g.opts.Burn = burn.NewTracker()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		j := &job{in: httptest.NewRequest("GET", "/", nil)}
+		for pb.Next() {
+			j.answered(0)
+			g.account(j)
+			j.ended = false
+		}
+	})
+}
+
+var errCut = errors.New("cut")
+
+// Guards against a cut feed that counts as an unbroken flow, and against an
+// open feed that is counted only when it ends.
+func TestCutFeedBreaksItsFlow(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, Adaptive, backend.Options{})
+	g := f.members[0].Gate
+	var broken errkind.Kind
+	g.opts.FeedBroken = func(_ context.Context, kind errkind.Kind) { broken = kind }
+	r := httptest.NewRequest("GET", "/feed", nil)
+	j := newJob(httptest.NewRecorder(), r, f.service, false)
+	defer j.end()
+	j.answered(0)
+	g.feedOpened(j)
+	is.Equal(g.opts.Metrics.Feeds.Count(), int64(1))
+	is.Equal(g.opts.Metrics.Requests.Count(errkind.OutcomeDone), uint64(1))
+	g.cutOff(j, errCut)
+	g.feedClosed(j)
+	g.account(j)
+	is.Equal(broken, errkind.BackendLost)
+	is.Equal(g.opts.Metrics.Feeds.Count(), int64(0))
+	is.Equal(g.opts.Metrics.Requests.Count(errkind.OutcomeDone), uint64(1))
+}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -130,7 +130,11 @@
 func (g *Gate) allowRetry() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget.Retry()
+	if !g.budget.Retry() {
+		return false
+	}
+	g.opts.Metrics.Retries.Inc(1)
+	return true
 }
 
 // countAttempt counts an attempt, unless the agent that relayed the request
@@ -336,6 +340,7 @@
 	defer g.mu.Unlock()
 	if delta > 0 {
 		g.attempts++
+		g.opts.Metrics.RelaysOut.Inc(1)
 	}
 	g.relayed[peer] += delta
 	if g.relayed[peer] == 0 {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,9 +13,11 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/admission"
 	"github.com/knapweedpier/knapweedpier/internal/backendconn"
+	"github.com/knapweedpier/knapweedpier/internal/burn"
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/retry"
 	"github.com/knapweedpier/knapweedpier/internal/ticket"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
@@ -56,7 +58,7 @@
 	Baseline Policy = "baseline" // neither: every request goes to the own backend server
 )
 
-// Options describe a gate. All fields except Policy and Now are required.
+// Options describe a gate. The fields with a default may be unset.
 type Options struct {
 	ID          string         // of the backend server
 	Peer        netip.AddrPort // own address for relayed requests; IPv4
@@ -69,6 +71,11 @@
 	Log         *event.Logger
 	Policy      Policy           // default Adaptive
 	Now         func() time.Time // default time.Now
+	Metrics     *metrics.Agent   // default: not exported
+	Burn        *burn.Tracker    // default: counts are dropped
+	// FeedBroken learns of a feed that was cut after its header, with the
+	// context of its request; nil: nobody does.
+	FeedBroken func(context.Context, errkind.Kind)
 }
 
 // Load is the load of the backend server as the gate sees it.
@@ -106,6 +113,15 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewAgent(metrics.New())
+	}
+	if opts.Burn == nil {
+		opts.Burn = burn.NewTracker()
+	}
+	if opts.FeedBroken == nil {
+		opts.FeedBroken = func(context.Context, errkind.Kind) {}
+	}
 	g := &Gate{opts: opts, freed: make(chan struct{}), tickets: ticket.NewTable(ticket.DefaultCapacity), relayed: map[netip.AddrPort]int{}, refusedUntil: map[netip.AddrPort]time.Time{}}
 	g.limits = g.serviceLimits()
 	g.limiter = admission.New(g.limits, opts.Now())
@@ -173,6 +189,9 @@
 	}
 }
 
+// Connections returns the number of open connections to the backend server.
+func (g *Gate) Connections() int { return g.pool.Open() }
+
 func (g *Gate) failing() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -27,12 +27,15 @@
 		g.issue(w, r)
 		return
 	}
-	if !relayed {
+	if relayed {
+		g.opts.Metrics.RelaysIn.Inc(1)
+	} else {
 		g.countRequest()
 	}
 	s, _ := g.opts.Service()
 	j := newJob(w, r, s, relayed)
 	defer j.end()
+	defer g.account(j)
 	if err := j.readBody(relayed || j.ticketed()); err != nil {
 		g.refuse(j, err)
 		return
@@ -83,6 +86,7 @@
 	h := j.w.Header()
 	a := errorAnswer(h, err)
 	g.offerTicket(j, h)
+	j.answered(a.Kind)
 	j.w.WriteHeader(a.HTTPStatus)
 	io.WriteString(j.w, a.Meaning+"\n")
 }
@@ -144,8 +148,12 @@
 	if j.feed {
 		j.timer.Stop() // a feed's deadline ends with its header
 	}
+	j.answered(passedKind(j.w.Header()))
+	g.feedOpened(j)
+	defer g.feedClosed(j)
 	j.w.WriteHeader(resp.StatusCode)
 	if err := j.copyBody(resp.Body); err != nil {
+		g.cutOff(j, err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/gate/job.go
+++ b/internal/gate/job.go
@@ -57,19 +57,25 @@
 
 	tried      []netip.AddrPort // peers that were asked
 	mayHaveRun error            // the first failure after which the request may have run
+
+	began   time.Time
+	latency time.Duration // until the answer's header
+	kind    errkind.Kind  // 0: answered by a backend server
+	ended   bool          // counted already
 }
 
 // newJob reads the deadline. A ticketed request continues when its caller
 // leaves, so that the caller's retry gets the answer.
 func newJob(w http.ResponseWriter, r *http.Request, s config.Service, relayed bool) *job {
-	j := &job{in: r, w: w, relayed: relayed, feed: isFeed(r, s)}
+	j := &job{in: r, w: w, relayed: relayed, feed: isFeed(r, s), kind: errkind.Internal}
 	parent := r.Context()
 	if j.ticketed() {
 		parent = context.WithoutCancel(parent)
 	}
 	j.ctx, j.stop = context.WithCancelCause(parent)
 	timeout := requestTimeout(r, s)
-	j.deadline = time.Now().Add(timeout)
+	j.began = time.Now()
+	j.deadline = j.began.Add(timeout)
 	j.timer = time.AfterFunc(timeout, func() { j.stop(errDeadline) })
 	return j
 }
--- a/internal/gate/ticketed.go
+++ b/internal/gate/ticketed.go
@@ -196,6 +196,7 @@
 		h[name] = values
 	}
 	g.offerTicket(j, h)
+	j.answered(passedKind(h))
 	j.w.WriteHeader(a.Status)
 	j.w.Write(a.Body)
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -40,6 +40,8 @@
 	ControlPullsServed      Name = "control.pulls_served"      // pulls answered to others
 	ControlBytesIn          Name = "control.in_bytes"          // bytes of peer messages received
 	ControlBytesOut         Name = "control.out_bytes"         // bytes of peer messages sent
+	ControlMalformed        Name = "control.peer_malformed"    // peer messages refused because they do not parse
+	ControlUnauthorized     Name = "control.peer_unauthorized" // peers refused because they hold no key of the ring
 	ControlPlatformCalls    Name = "control.platform_calls"    // calls to the platform
 	ControlPlatformFailures Name = "control.platform_failures" // calls to the platform that failed, by error kind
 	ControlGeneration       Name = "control.generation"        // configuration generation in force
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -47,6 +47,10 @@
 	return &Registry{inner: gometrics.NewRegistry()}
 }
 
+// Inner returns the registry of the library, for packages that count under
+// names registered here.
+func (r *Registry) Inner() gometrics.Registry { return r.inner }
+
 // add registers a metric. A name that is registered twice is a programming
 // error.
 func (r *Registry) add(e entry) {
--- a/internal/metrics/roles.go
+++ b/internal/metrics/roles.go
@@ -51,7 +51,7 @@
 	Latency             Histogram
 	Limit, InProgress   Gauge
 	Incarnations        Counter
-	BackendConns        Counter // open now: incremented and decremented
+	BackendConns        Gauge
 }
 
 // NewAgent registers the metrics of an agent.
@@ -71,7 +71,7 @@
 		Limit:        r.gauge(AgentLimit),
 		InProgress:   r.gauge(AgentInProgress),
 		Incarnations: r.counter(AgentIncarnations),
-		BackendConns: r.counter(AgentBackendConns),
+		BackendConns: r.gauge(AgentBackendConns),
 	}
 }
 
@@ -81,6 +81,8 @@
 	Pulls, PullsServed Counter
 	PullFailures       *KindCounter // control kinds
 	BytesIn, BytesOut  Counter
+	Malformed          Counter
+	Unauthorized       Counter
 	PlatformCalls      Counter
 	PlatformFailures   *KindCounter // control kinds
 	Generation         Gauge
@@ -96,6 +98,8 @@
 		PullFailures:     r.kinds(ControlPullFailures, firstControlKind, lastControlKind),
 		BytesIn:          r.counter(ControlBytesIn),
 		BytesOut:         r.counter(ControlBytesOut),
+		Malformed:        r.counter(ControlMalformed),
+		Unauthorized:     r.counter(ControlUnauthorized),
 		PlatformCalls:    r.counter(ControlPlatformCalls),
 		PlatformFailures: r.kinds(ControlPlatformFailures, firstControlKind, lastControlKind),
 		Generation:       r.gauge(ControlGeneration),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
+	names "github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/peertls"
 )
 
@@ -32,11 +33,11 @@
 
 // Names of the counters.
 const (
-	CountMalformed    = "peer.malformed"
-	CountUnauthorized = "peer.unauthorized"
-	CountPulls        = "peer.pulls"
-	CountBytesIn      = "peer.rpc.bytes_in"
-	CountBytesOut     = "peer.rpc.bytes_out"
+	CountMalformed    = string(names.ControlMalformed)
+	CountUnauthorized = string(names.ControlUnauthorized)
+	CountPulls        = string(names.ControlPullsServed)
+	CountBytesIn      = string(names.ControlBytesIn)
+	CountBytesOut     = string(names.ControlBytesOut)
 )
 
 // ServerOptions are the parts of a Server. Registry and Relay may be nil.
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -112,6 +112,7 @@
 		Listener: o.PeerListener,
 		Relay:    http.HandlerFunc(a.serveRelay),
 		Status:   a.answerStatus,
+		Metrics:  o.Metrics,
 		Logger:   o.Logger,
 		Clock:    o.Clock,
 	})
@@ -173,7 +174,7 @@
 	}
 	a.done.Wait()
 	if in := a.current.Swap(nil); in != nil {
-		in.close()
+		in.close(errkind.BackendLeaving)
 	}
 	a.drains.Wait()
 }
@@ -227,6 +228,7 @@
 		Paused:  func() bool { return a.fence.Check(time.Now()) != nil },
 		Open:    a.opts.Open,
 		Logger:  a.opts.Logger,
+		Metrics: a.metrics,
 	})
 	if err != nil {
 		return err
@@ -246,6 +248,9 @@
 		Policy:      a.opts.Policy.Gate,
 		Log:         a.opts.Logger,
 		Now:         a.opts.Clock,
+		Metrics:     a.metrics,
+		Burn:        a.burn,
+		FeedBroken:  feedBroken,
 	})
 	in.flows, err = newFlowServer(flowOptions{
 		endpoint:    endpoint,
@@ -255,17 +260,21 @@
 		tls:         &tls.Config{GetCertificate: a.opts.GetCertificate, MinVersion: tls.VersionTLS13},
 		handler:     a.named(in.gate),
 		openFlow:    in.gate.OpenFlow,
+		opened:      func() { a.metrics.Flows.Inc(1) },
+		ended:       a.flowEnded,
 	})
 	if err != nil {
 		endpoint.Close()
 		return err
 	}
 	a.current.Store(in)
+	a.metrics.Incarnations.Inc(1)
 	return nil
 }
 
-func (in *incarnation) close() {
-	in.flows.close()
+// close ends the incarnation. Requests that are cut off count by kind.
+func (in *incarnation) close(kind errkind.Kind) {
+	in.flows.close(kind)
 	in.endpoint.Close()
 	in.gate.Close()
 }
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
@@ -63,7 +64,7 @@
 	domain, known := view.Domain(a.opts.Domain)
 	in := a.current.Load()
 	if in != nil && ok && in.endpoint.service != service.Address {
-		a.end()
+		a.end(errkind.BackendLeaving)
 		in = nil
 	}
 	if in == nil && ok && known && !a.stopping.Load() {
@@ -110,7 +111,7 @@
 	defer cancel()
 	// Requests that were cut are answered by the close below.
 	_ = in.flows.drain(ctx)
-	in.flows.closeFlows("failure domain out")
+	in.flows.closeFlows("failure domain out", errkind.DomainOut)
 }
 
 // followLeaving asks callers to move to new flows when the backend server
@@ -168,6 +169,7 @@
 		return
 	}
 	a.node.SetSelf(a.describe)
+	a.updateGauges(in)
 	in.endpoint.SetGeneration(a.node.Board.View.Get().Generation)
 	in.endpoint.balancers.forget(time.Now().Add(-forgetBalancers))
 	if ring := a.opts.Ring(); ring != a.ring {
@@ -216,16 +218,16 @@
 // renew starts a new incarnation after a pause that outlasted the lease.
 // Everything that was received before the pause is dropped.
 func (a *Agent) renew() {
-	a.end()
+	a.end(errkind.AgentFenced)
 	number := a.fence.Renew(time.Now())
 	a.opts.Logger.Emit(event.Fenced, event.Fields{"id": a.opts.ID, "incarnation": number})
 	a.node.SetSelf(a.describe)
 }
 
 // end closes the present incarnation; follow begins the next one.
-func (a *Agent) end() {
+func (a *Agent) end(kind errkind.Kind) {
 	if in := a.current.Swap(nil); in != nil {
-		in.close()
+		in.close(kind)
 	}
 	a.outSince = time.Time{}
 	a.domainOut.Store(false)
--- a/pkg/agent/endpoint.go
+++ b/pkg/agent/endpoint.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/placement"
 	"github.com/knapweedpier/knapweedpier/internal/quicheader"
 	"github.com/knapweedpier/knapweedpier/internal/tunnel"
@@ -41,8 +42,7 @@
 	cutAt      atomic.Int64 // Unix nanoseconds from which nothing passes, 0 for never
 	paused     func() bool
 	balancers  *heardSet
-	dropped    atomic.Uint64
-	passedOn   atomic.Uint64
+	metrics    *metrics.Agent
 
 	mu        sync.Mutex // guards placement
 	placement *placement.Table
@@ -65,6 +65,7 @@
 	Paused  func() bool // true while the process must not act on packets
 	Open    udp.ListenFunc
 	Logger  *event.Logger
+	Metrics *metrics.Agent // default: not exported
 }
 
 // NewEndpoint opens the tunnel socket and starts to read.
@@ -73,7 +74,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewAgent(metrics.New())
+	}
 	e := &Endpoint{
+		metrics:   o.Metrics,
 		socket:    socket,
 		address:   udp.LocalAddress(socket),
 		service:   o.Service,
@@ -166,7 +171,7 @@
 }
 
 func (e *Endpoint) drop(kind errkind.Kind) {
-	e.dropped.Add(1)
+	e.metrics.Drops.Inc(kind)
 	e.logger.Failure(event.PacketDropped, errkind.New(kind, "packet dropped"), nil)
 }
 
@@ -239,7 +244,7 @@
 		e.deliverPacket(h.Caller, payload)
 		return
 	}
-	e.passedOn.Add(1)
+	e.metrics.PassedOn.Inc(1)
 	buf := make([]byte, tunnel.MaxSize+len(payload))
 	copy(buf[tunnel.MaxSize:], payload)
 	passed := *h
--- /dev/null
+++ b/pkg/agent/flow_test.go
@@ -0,0 +1,39 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+)
+
+// Guards against a flow that counts as broken because its caller closed it or
+// left it idle, and against a broken one that does not count.
+func TestWhichFlowsCountAsBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		active int64
+		fail   errkind.Kind
+		cause  error
+		kind   errkind.Kind
+	}{
+		"closed by the caller":       {1, 0, &quic.ApplicationError{Remote: true}, 0},
+		"idle without a request":     {0, 0, &quic.IdleTimeoutError{}, 0},
+		"silent with a request":      {1, 0, &quic.IdleTimeoutError{}, errkind.DeadlineUnknown},
+		"reset with a request":       {1, 0, &quic.StatelessResetError{}, errkind.BackendLost},
+		"feed was cut earlier":       {0, errkind.BackendLost, &quic.ApplicationError{Remote: true}, errkind.BackendLost},
+		"first kind stays":           {1, errkind.AgentFenced, &quic.IdleTimeoutError{}, errkind.AgentFenced},
+		"failure domain, and closed": {1, errkind.DomainOut, &quic.ApplicationError{}, errkind.DomainOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := &flow{}
+			f.active.Store(c.active)
+			if c.fail != 0 {
+				f.fail(c.fail)
+			}
+			is.Equal(f.end(c.cause), c.kind)
+		})
+	}
+}
--- a/pkg/agent/flowserver.go
+++ b/pkg/agent/flowserver.go
@@ -34,11 +34,13 @@
 	transport *quic.Transport
 	listener  *quic.EarlyListener
 	openFlow  func() (release func(), err error)
+	opened    func()
+	ended     func(errkind.Kind)
 
 	mu     sync.Mutex
 	server *http3.Server // replaced after a graceful end
 	new    func() *http3.Server
-	flows  map[*quic.Conn]bool
+	flows  map[*quic.Conn]*flow
 	done   sync.WaitGroup
 }
 
@@ -51,15 +53,24 @@
 	tls         *tls.Config
 	handler     http.Handler
 	openFlow    func() (release func(), err error)
+	opened      func()             // a flow has been opened; nil: flows are not counted
+	ended       func(errkind.Kind) // and has ended; 0: unbroken
 }
 
 func newFlowServer(o flowOptions) (*flowServer, error) {
+	if o.opened == nil {
+		o.opened, o.ended = func() {}, func(errkind.Kind) {}
+	}
 	f := &flowServer{
 		conn:     newPacketConn(o.endpoint),
 		openFlow: o.openFlow,
-		flows:    map[*quic.Conn]bool{},
+		opened:   o.opened,
+		ended:    o.ended,
+		flows:    map[*quic.Conn]*flow{},
+	}
+	f.new = func() *http3.Server {
+		return &http3.Server{Handler: counted(o.handler), ConnContext: f.withFlow}
 	}
-	f.new = func() *http3.Server { return &http3.Server{Handler: o.handler} }
 	f.server = f.new()
 	resetKey := resetKey(o.ring, o.endpoint.Address())
 	tokenKey := quic.TokenGeneratorKey(o.ring.Signing().Derive("address token"))
@@ -112,9 +123,12 @@
 // serve handles one flow until it ends.
 func (f *flowServer) serve(conn *quic.Conn) {
 	f.mu.Lock()
-	f.flows[conn] = true
+	own := &flow{}
+	f.flows[conn] = own
 	server := f.server
 	f.mu.Unlock()
+	f.opened()
+	defer func() { f.ended(own.end(context.Cause(conn.Context()))) }()
 	// The error only says how the flow ended.
 	_ = server.ServeQUICConn(conn)
 	f.mu.Lock()
@@ -133,18 +147,22 @@
 	return errkind.Wrap(server.Shutdown(ctx), errkind.DeadlineUnknown, "graceful end of flows")
 }
 
-// closeFlows ends all present flows at once; callers are told.
-func (f *flowServer) closeFlows(reason string) {
+// closeFlows ends all present flows at once; callers are told. Flows with a
+// request in progress count as broken by kind.
+func (f *flowServer) closeFlows(reason string, kind errkind.Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for conn := range f.flows {
+	for conn, own := range f.flows {
+		if own.active.Load() > 0 {
+			own.fail(kind)
+		}
 		_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), reason)
 	}
 }
 
 // close ends everything at once.
-func (f *flowServer) close() {
-	f.closeFlows("agent stops")
+func (f *flowServer) close(kind errkind.Kind) {
+	f.closeFlows("agent stops", kind)
 	_ = f.listener.Close()
 	_ = f.transport.Close()
 	_ = f.conn.Close()
--- a/pkg/agent/path_test.go
+++ b/pkg/agent/path_test.go
@@ -18,6 +18,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
@@ -144,7 +145,7 @@
 }
 
 func (a *testAgent) stop() {
-	a.flows.close()
+	a.flows.close(errkind.BackendLeaving)
 	a.endpoint.Close()
 }
 
@@ -268,7 +269,7 @@
 
 	address := p.agents[0].endpoint.Address().String()
 	p.agents[0].endpoint.Close() // dies: its flows are not told
-	p.agents[0].flows.close()
+	p.agents[0].flows.close(errkind.BackendLeaving)
 	p.agents[0] = p.startAgent(t, 7, address)
 	began := time.Now()
 	_, err = p.echo(client, "2")
--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/knapweedpier/knapweedpier/internal/burn"
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/peer"
 	"github.com/knapweedpier/knapweedpier/internal/statuscall"
 )
@@ -20,3 +21,20 @@
 	}
 	return statuscall.Process(a.node, a.metrics.Refusals, tracker), nil
 }
+
+// flowEnded counts a flow that ended, broken by kind or unbroken for 0.
+func (a *Agent) flowEnded(kind errkind.Kind) {
+	a.metrics.Flows.Dec(1)
+	if kind != 0 && kind != errkind.DomainOut {
+		a.metrics.FlowsBroken.Inc(1)
+	}
+	a.burn.FlowEnded(a.opts.now(), a.opts.Service, kind)
+}
+
+// updateGauges shows the present load of the backend server.
+func (a *Agent) updateGauges(in *incarnation) {
+	load := in.gate.Load()
+	a.metrics.Limit.Update(int64(load.Limit))
+	a.metrics.InProgress.Update(int64(load.InProgress))
+	a.metrics.BackendConns.Update(int64(in.gate.Connections()))
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -91,6 +91,7 @@
 		Ring:     o.Ring,
 		Listener: o.PeerListener,
 		Status:   b.answerStatus,
+		Metrics:  o.Metrics,
 		Logger:   o.Logger,
 		Clock:    o.Clock,
 	})
