Test both deployments in separate processes

Cause: all tests so far run the roles inside one process. The settings, the wiring in the mains, seeds, key files and listeners of the programs were only compiled.

Change: internal/processtest builds the programs and the stand-ins once per test binary and runs platform, fabric, 2 balancers, 3 agents and 3 backend servers as processes on loopback. Children are killed by their own process IDs in cleanups; Pdeathsig on a locked thread ends them when the test process dies.

--- /dev/null
+++ b/internal/processtest/process_test.go
@@ -0,0 +1,121 @@
+//go:build linux
+
+package processtest
+
+import (
+	"bytes"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// pollInterval is the time between two looks at a condition.
+	pollInterval = 20 * time.Millisecond
+	// patience bounds waits for conditions that the design gives no bound for.
+	// A busy machine runs a dozen processes of one test at a time.
+	patience = 20 * time.Second
+	// logTail is how much of a process's log a failed test shows, in bytes.
+	logTail = 3000
+)
+
+// process is one program that the test started.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	out  output // standard output
+	log  output // standard error
+	done chan struct{}
+}
+
+// output collects what a process writes.
+type output struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.data.Write(p)
+}
+
+// String returns what was written so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.data.String()
+}
+
+// spawn starts commands on one thread that lives as long as the test process:
+// the kernel kills a child with Pdeathsig when the thread that started it ends.
+var spawn = sync.OnceValue(func() chan<- func() {
+	requests := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for request := range requests {
+			request()
+		}
+	}()
+	return requests
+})
+
+// start runs a built program until the test ends.
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binaries, program), args...), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	spawn() <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	go func() {
+		defer close(p.done)
+		_ = p.cmd.Wait() // the exit code is read from the process state
+	}()
+	t.Cleanup(p.end)
+	return p
+}
+
+// end kills the process and waits for it. A failed test shows its log.
+func (p *process) end() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+	if !p.t.Failed() {
+		return
+	}
+	text := p.log.String()
+	p.t.Logf("log of %s:\n%s", p.name, text[max(0, len(text)-logTail):])
+}
+
+// signal does nothing if the process has ended.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// exit waits for the process's end and returns its exit code.
+func (p *process) exit(limit time.Duration) int {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(limit):
+		p.t.Fatalf("%s did not end within %s", p.name, limit)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// eventually waits until a condition holds, and fails the test after limit.
+func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !holds(); time.Sleep(pollInterval) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+	}
+}
