--- /dev/null
+++ b/internal/processtest/load_test.go
@@ -0,0 +1,81 @@
+//go:build linux
+
+package processtest
+
+import (
+	"crypto/tls"
+	"net/http"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+	"github.com/knapweedpier/knapweedpier/standin/caller"
+)
+
+const (
+	// loadDuration is longer than any test; tests end their loads.
+	loadDuration = time.Minute
+	// loadTimeout leaves room for the pauses that tests make.
+	loadTimeout = 10 * time.Second
+)
+
+// load starts callers of a service that run until the test ends or finish is
+// called.
+func (s *site) load(service config.Service, rate float64) *caller.Load {
+	s.t.Helper()
+	l, err := caller.New(caller.Options{
+		Duration: loadDuration, RequestTimeout: loadTimeout, Seed: uint64(s.network[1]),
+		TLS: &tls.Config{RootCAs: s.cert.Pool, ServerName: serverName},
+		Services: []caller.ServiceLoad{{
+			Name: service.Name, Address: service.Address, FeedPath: service.FeedPaths[0],
+			Callers: 4, Rate: rate, OrderShare: 0.3,
+		}},
+	})
+	s.is.NoErr(err)
+	l.Start(s.t.Context())
+	s.t.Cleanup(l.Close)
+	return l
+}
+
+// goesOn waits until a load has n further answers.
+func (s *site) goesOn(l *caller.Load, n int) {
+	s.t.Helper()
+	_, answered := l.Progress()
+	eventually(s.t, patience, "requests are answered", func() bool {
+		_, now := l.Progress()
+		return now >= answered+n
+	})
+}
+
+// finish ends a load and checks that each request was answered or truly
+// refused, and that no flow was broken.
+func (s *site) finish(l *caller.Load) caller.Ledger {
+	s.t.Helper()
+	l.Close()
+	ledger := l.Ledger()
+	for _, r := range ledger.Requests {
+		if r.Outcome != caller.Done && r.Outcome != caller.NotRun {
+			s.t.Errorf("%s at %s: outcome %s after %s", r.Kind, r.At, r.Outcome, r.Latency)
+		}
+	}
+	for _, f := range ledger.Flows {
+		if len(f.Breaks()) > 0 {
+			s.t.Errorf("flow %d to %s was broken: %s %s", f.ID, f.Backend, f.Reason, f.Detail)
+		}
+	}
+	return ledger
+}
+
+// openAt opens flows until one ends at agent i.
+func (s *site) openAt(i int) *flow {
+	s.t.Helper()
+	var f *flow
+	eventually(s.t, patience, "a flow reaches "+s.backendID(i), func() bool {
+		var err error
+		if f, err = s.dial(s.service(i)); err != nil {
+			return false
+		}
+		a, err := f.send(requestTimeout, http.MethodGet, "/catalogue?caller=test&n=0", "")
+		return err == nil && a.header.Get(backendHeader) == s.backendID(i)
+	})
+	return f
+}
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -3,7 +3,9 @@
 package processtest
 
 import (
+	"bufio"
 	"bytes"
+	"encoding/json"
 	"os/exec"
 	"path/filepath"
 	"runtime"
@@ -11,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/event"
 )
 
 const (
@@ -110,6 +114,20 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// events returns how often the process logged an event.
+func (p *process) events(id event.ID) int {
+	n := 0
+	for lines := bufio.NewScanner(bytes.NewBufferString(p.log.String())); lines.Scan(); {
+		var line struct {
+			Fields struct{ Event event.ID }
+		}
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Fields.Event == id {
+			n++
+		}
+	}
+	return n
+}
+
 // eventually waits until a condition holds, and fails the test after limit.
 func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
 	t.Helper()
--- a/internal/processtest/requests_test.go
+++ b/internal/processtest/requests_test.go
@@ -3,6 +3,7 @@
 package processtest
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/knapweedpier/knapweedpier/pkg/config"
@@ -55,3 +56,6 @@
 	}
 	return n
 }
+
+// orderID gives the orders of one test distinct names.
+func orderID(n int) string { return fmt.Sprintf("order-%d", n) }
--- a/internal/processtest/site_test.go
+++ b/internal/processtest/site_test.go
@@ -229,7 +229,7 @@
 		"--id", s.backendID(i), "--service", service.Name,
 		"--slots", fmt.Sprint(service.Limits.Slots), "--cold-slots", fmt.Sprint(service.Limits.ColdSlots),
 		"--warm-up", service.Limits.WarmUp.String(),
-		"--feed-path", service.FeedPaths[0], "--feed-interval", "100ms")
+		"--feed-path", service.FeedPaths[0], "--feed-interval", "100ms", "--work-mean", "100ms")
 	s.backends = append(s.backends, p)
 	eventually(s.t, patience, "the backend server listens", func() bool {
 		return strings.Contains(p.out.String(), "listening")
