Print the ledger of standin-fabric on SIGUSR1

Cause: the program printed its ledger only when it ended, so a test with separate processes could not see which balancers the fabric counts as live.

Change: SIGUSR1 prints the ledger as one line of JSON; the program goes on.

Ruled out: running the fabric inside the test process, which would leave the program untested.

Conclusion: tests can wait for the fabric's view of a balancer.

--- a/standin/cmd/standin-fabric/main.go
+++ b/standin/cmd/standin-fabric/main.go
@@ -1,4 +1,5 @@
-// Command standin-fabric runs the stand-in of the packet-spraying network.
+// Command standin-fabric runs the stand-in of the packet-spraying network. It
+// prints its ledger as one line of JSON on SIGUSR1 and when it ends.
 package main
 
 import (
@@ -46,15 +47,22 @@
 	if err != nil {
 		return err
 	}
+	signals, out := make(chan os.Signal, 1), json.NewEncoder(os.Stdout)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGTERM, os.Interrupt)
 	if err := f.Start(); err != nil {
 		return err
 	}
 	fmt.Println("ready")
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	<-stop
+	for s := range signals {
+		if s != syscall.SIGUSR1 {
+			break
+		}
+		if err := out.Encode(f.Ledger()); err != nil {
+			return err
+		}
+	}
 	f.Close()
-	return json.NewEncoder(os.Stdout).Encode(f.Ledger())
+	return out.Encode(f.Ledger())
 }
 
 func (s settings) options() (fabric.Options, error) {
