Test a killed balancer process and its successor

Cause: the death of a balancer process during a platform outage, and a successor that starts with an empty table, were tested inside one process only.

Change: TestKilledBalancer switches on a platform outage, kills one of two balancers with SIGKILL, starts its successor, waits until the fabric counts it as live, and kills the other balancer, so that the successor carries all flows alone. A feed and a flow opened before must go on, and every request of a load must be answered or refused as not-run.

Ruled out: guarding the seeds setting here. A successor at the same address is called by its peers and learns the configuration from them; without seeds this test passes, and the test of a platform outage fails, whose fresh balancer has a new address.

--- a/internal/processtest/load_test.go
+++ b/internal/processtest/load_test.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/tls"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/pkg/config"
@@ -79,3 +80,12 @@
 	})
 	return f
 }
+
+// outage switches an outage of the platform on or off.
+func (s *site) outage(on bool) {
+	s.t.Helper()
+	want := map[bool]string{true: "outage true", false: "outage false"}[on]
+	before := count(s.platform, want)
+	s.platform.signal(syscall.SIGUSR1)
+	eventually(s.t, patience, "platform: "+want, func() bool { return count(s.platform, want) > before })
+}
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -103,6 +103,12 @@
 // signal does nothing if the process has ended.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// kill ends the process without any notice and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
 // exit waits for the process's end and returns its exit code.
 func (p *process) exit(limit time.Duration) int {
 	p.t.Helper()
--- a/internal/processtest/site_test.go
+++ b/internal/processtest/site_test.go
@@ -59,7 +59,7 @@
 const (
 	serverName = "service.test"
 	// spareBalancers are known to the fabric without being started.
-	spareBalancers = 1
+	spareBalancers = 2
 	// grace is the shutdown grace of all processes.
 	grace = 20 * time.Second
 )
