Test a frozen balancer process

Cause: a balancer that stops running without closing its sockets was not covered.

Change: TestFrozenBalancer stops one of two balancers with SIGSTOP for 5 s. The fabric must take it out by its health probe; a flow, a feed and a load must go on meanwhile, with no flow broken, and the fabric must take the balancer back after SIGCONT.

Ruled out: reading the result from the fabric's ledger after its end, which would end the flows that the test watches.

--- a/internal/processtest/balancer_test.go
+++ b/internal/processtest/balancer_test.go
@@ -7,10 +7,14 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/knapweedpier/knapweedpier/standin/fabric"
 )
 
+// frozenTime is how long a balancer is stopped.
+const frozenTime = 5 * time.Second
+
 // Guards against flow state in balancers, and against a balancer that needs
 // the platform to start: one is killed during an outage, its successor starts
 // with an empty table, and then carries all flows alone.
@@ -39,6 +43,40 @@
 	s.finish(load)
 }
 
+// Guards against flows that depend on one balancer, and against a fabric that
+// goes on sending to a balancer whose health check does not answer.
+func TestFrozenBalancer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, gelDesk, 2, 3)
+	load := s.load(s.service(0), 20)
+	f := s.open(s.service(1))
+	long := f.feed()
+
+	s.balancers[0].signal(syscall.SIGSTOP)
+	thaw := time.After(frozenTime)
+	s.awaitLive(0, false)
+	for n := 0; !passed(thaw); n++ {
+		f.catalogue(n)
+		s.goesOn(load, 1)
+		long.moves(s, 1)
+	}
+	s.balancers[0].signal(syscall.SIGCONT)
+	s.awaitLive(0, true)
+	long.moves(s, 3)
+	f.catalogue(1)
+	s.goesOn(load, 10)
+	s.finish(load)
+}
+
+func passed(timer <-chan time.Time) bool {
+	select {
+	case <-timer:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitLive waits until the fabric counts balancer i as live or not.
 func (s *site) awaitLive(i int, live bool) {
 	s.t.Helper()
