--- a/internal/distribution/answer.go
+++ b/internal/distribution/answer.go
@@ -9,7 +9,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/peer"
 )
 
-// answer serves peer.pull: it waits for news for as long as the caller asks. A
+// answer serves peer.pull: it waits for news for as long as the requester asks. A
 // new generation is sent at once, changed records are collected for a moment.
 func (n *Node) answer(ctx context.Context, req peer.PullRequest) (peer.PullAnswer, error) {
 	arrived := n.now()
@@ -43,7 +43,7 @@
 	return min(maxNewsDelay, time.Duration(n.table.Len())*newsDelayMember)
 }
 
-// admit registers the caller and takes its own record.
+// admit registers the requester and takes its own record.
 func (n *Node) admit(req peer.PullRequest, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -59,7 +59,7 @@
 }
 
 // compose returns the answer as of now and whether it holds news that must not
-// wait. While collecting, changed records may wait, unless the caller has no
+// wait. While collecting, changed records may wait, unless the requester has no
 // cursor in this table yet.
 func (n *Node) compose(req peer.PullRequest, collecting bool) (peer.PullAnswer, bool) {
 	now := n.now()
@@ -92,15 +92,15 @@
 	return c.Record.State == membership.StateLeaving || c.Record.State == membership.StateGone
 }
 
-// lacks reports whether the caller's record is missing here, or older than the
-// caller says.
+// lacks reports whether the requester's record is missing here, or older than the
+// requester says.
 func (n *Node) lacks(req peer.PullRequest) bool {
 	have, ok := n.table.Lookup(req.ID)
 	claimed := membership.Record{Incarnation: req.Incarnation, Sequence: req.Sequence}
 	return !ok || claimed.Newer(have)
 }
 
-// changesFor returns the changes that the caller has to learn. Its own record
+// changesFor returns the changes that the requester has to learn. Its own record
 // is left out, unless it must learn that it is suspected or that a predecessor
 // outranks it. In a large fleet, agents get the records of balancers and of
 // their own service alone: these are all they use, and all records would take
@@ -111,12 +111,12 @@
 	}
 	changes, cursor := n.table.Changes(req.Cursor, maxChangesPerPull, now)
 	own := membership.Record{Incarnation: req.Incarnation, Sequence: req.Sequence}
-	caller, _ := n.table.Lookup(req.ID)
-	partly := caller.Role == membership.RoleAgent && n.table.Len() > largeFleet
+	requester, _ := n.table.Lookup(req.ID)
+	partly := requester.Role == membership.RoleAgent && n.table.Len() > largeFleet
 	kept := changes[:0]
 	for _, c := range changes {
 		echo := c.Record.ID == req.ID && !c.Suspected && !c.Record.Newer(own)
-		foreign := partly && c.Record.Role == membership.RoleAgent && c.Record.Service != caller.Service
+		foreign := partly && c.Record.Role == membership.RoleAgent && c.Record.Service != requester.Service
 		if !echo && !foreign {
 			kept = append(kept, c)
 		}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -59,18 +59,18 @@
 // short because a balancer exchanges up to twenty of these a second at the
 // target size, nearly all of them without news.
 type PullRequest struct {
-	ID          string             `json:"id"`  // caller
-	Incarnation uint64             `json:"inc"` // of the caller's record
-	Sequence    uint64             `json:"seq"` // of the caller's record
+	ID          string             `json:"id"`  // requester
+	Incarnation uint64             `json:"inc"` // of the requester's record
+	Sequence    uint64             `json:"seq"` // of the requester's record
 	Self        *membership.Record `json:"self,omitempty"`
 	Cursor      membership.Cursor  `json:"cur"`
 	NoRecords   bool               `json:"norec,omitempty"` // send no changes of records
-	Generation  uint64             `json:"gen"`             // in force at the caller
-	Known       uint64             `json:"known,omitempty"` // highest generation the caller knows the partner to have
+	Generation  uint64             `json:"gen"`             // in force at the requester
+	Known       uint64             `json:"known,omitempty"` // highest generation the requester knows the partner to have
 	WantConfig  bool               `json:"want,omitempty"`  // send the configuration if it is newer than Generation
-	FreshAge    time.Duration      `json:"fresh"`           // nanoseconds since the platform's state was known at the caller, negative: never
+	FreshAge    time.Duration      `json:"fresh"`           // nanoseconds since the platform's state was known at the requester, negative: never
 	Wait        time.Duration      `json:"wait,omitempty"`  // nanoseconds, at most MaxWait
-	Done        bool               `json:"done,omitempty"`  // the caller's last pull from this partner
+	Done        bool               `json:"done,omitempty"`  // the requester's last pull from this partner
 }
 
 // PullAnswer is the answer to a PullRequest.
@@ -82,6 +82,6 @@
 	Config     json.RawMessage     `json:"config,omitempty"` // whole, only when asked for and newer
 	FreshAge   time.Duration       `json:"fresh"`            // as in PullRequest, of the partner
 	Clock      time.Time           `json:"clock"`
-	Suspected  bool                `json:"susp,omitempty"` // the partner suspects the caller
-	SendSelf   bool                `json:"send,omitempty"` // the partner lacks the caller's record
+	Suspected  bool                `json:"susp,omitempty"` // the partner suspects the requester
+	SendSelf   bool                `json:"send,omitempty"` // the partner lacks the requester's record
 }
