Relay requests that reach a failure domain which is going out

Requests that arrived on flows of a failure domain between its effective time and the closing of its flows, 2 s later, were refused as domain-out. They are now relayed, as on a leaving backend server. A failure domain that is back within the 2 s keeps its flows.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -61,6 +61,7 @@
 
 	leaving   atomic.Bool // the backend server, or this process, takes no new work
 	domainOut atomic.Bool
+	closesAt  atomic.Int64 // Unix nanoseconds at which flows of a domain that is out are closed
 	stopping  atomic.Bool
 	current   atomic.Pointer[incarnation]
 
@@ -286,10 +287,15 @@
 	in.gate.Close()
 }
 
+// state tells the gate what it may do. Until the flows of a failure domain that
+// is out are closed, requests that still arrive on them are relayed, as on a
+// leaving backend server.
 func (a *Agent) state(incarnation uint64) gate.State {
+	now := time.Now()
+	out := a.domainOut.Load()
 	return gate.State{
-		Leaving:   a.leaving.Load(),
-		DomainOut: a.domainOut.Load(),
-		Fenced:    !a.fence.Holds(incarnation, time.Now()),
+		Leaving:   a.leaving.Load() || out,
+		DomainOut: out && now.UnixNano() >= a.closesAt.Load(),
+		Fenced:    !a.fence.Holds(incarnation, now),
 	}
 }
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -92,6 +92,7 @@
 	switch {
 	case out && !a.outSince.Equal(since):
 		a.outSince = since
+		a.closesAt.Store(since.Add(domainDrain).UnixNano())
 		a.domainOut.Store(true)
 		in.endpoint.SetCut(since.Add(steering.DomainCut))
 		a.opts.Logger.Emit(event.DomainOutActive, event.Fields{"failure_domain": a.opts.Domain, "since": since})
@@ -111,6 +112,9 @@
 	defer cancel()
 	// Requests that were cut are answered by the close below.
 	_ = in.flows.drain(ctx)
+	if a.closesAt.Load() != deadline.UnixNano() || !a.domainOut.Load() {
+		return // the failure domain is back already
+	}
 	in.flows.closeFlows("failure domain out", errkind.DomainOut)
 }
 
