--- a/internal/docpages/docpages.go
+++ b/internal/docpages/docpages.go
@@ -41,7 +41,7 @@
 	{errkind.ExitFailure, "a check failed or a promise was broken"},
 	{errkind.ExitUsage, "bad settings or a faulty sheet"},
 	{errkind.ExitConflict, "another operator was faster"},
-	{errkind.ExitPlatform, "the platform cannot be reached"},
+	{errkind.ExitPlatform, "the platform, or every balancer that was asked, cannot be reached"},
 	{errkind.ExitLagging, "a generation is not in force everywhere"},
 }
 
