Make not-run final for a ticket

The first attempt was delayed on its way to the ticket's issuer; a later attempt was refused and its ticket stayed usable, so the delayed one ran. Change: the issuer records a refusal like any other answer, so the ticket is used up; the answer carries a new one. An agent that did not record the refusal itself answers unknown to every attempt but the first. Ruled out: refusals while reading the body (changing them did not help), and the relay's report of what was sent (tested before). TestNotRunIsFinalForATicket fails without the rule (not-run != unknown, and the delayed attempt runs).

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -188,3 +188,30 @@
 	is.Equal(b.server.Ledger().FeedsStarted, 0)
 	is.Equal(a.server.Ledger().FeedsStarted, 1)
 }
+
+// Guards against an attempt that was delayed on its way and runs after a later
+// attempt was told that the request did not run, and against an agent that
+// answers not-run for attempts that it knows nothing of.
+func TestNotRunIsFinalForATicket(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, Adaptive, backend.Options{WorkMean: time.Millisecond})
+	a, b := f.members[0], f.members[1]
+	text := a.call("POST", TicketPath, "").header.Get(TicketHeader)
+	for _, m := range f.members {
+		m.state.Store(State{Leaving: true})
+		m.load.Store(Load{})
+	}
+	refused := a.call("POST", "/orders", order, TicketHeader, text, AttemptHeader, "2")
+	is.Equal(refused.outcome(), "not-run")
+	is.True(refused.header.Get(NextTicketHeader) != "")
+
+	a.state.Store(State{})
+	delayed := b.call("POST", "/orders", order, TicketHeader, text, AttemptHeader, "1")
+	is.Equal(delayed.outcome(), "not-run")
+	is.Equal(a.server.Ledger().Runs["o1"]+b.server.Ledger().Runs["o1"], 0)
+
+	b.state.Store(State{Fenced: true})
+	next := refused.header.Get(NextTicketHeader)
+	is.Equal(b.call("POST", "/orders", order, TicketHeader, next, AttemptHeader, "2").outcome(), "unknown")
+	is.Equal(b.call("POST", "/orders", order, TicketHeader, next, AttemptHeader, "1").outcome(), "not-run")
+}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -83,6 +83,7 @@
 
 // refuse answers with an error.
 func (g *Gate) refuse(j *job, err error) {
+	err = j.truthful(err)
 	g.opts.Log.Failure(event.RequestRefused, err, nil)
 	h := j.w.Header()
 	a := errorAnswer(h, err)
--- a/internal/gate/job.go
+++ b/internal/gate/job.go
@@ -58,6 +58,7 @@
 	tried      []netip.AddrPort // peers that were asked
 	waitEnd    time.Time        // of waiting for a slot
 	mayHaveRun error            // the first failure after which the request may have run
+	recorded   bool             // the ticket's table holds the outcome
 
 	began   time.Time
 	latency time.Duration // until the answer's header
--- a/internal/gate/ticketed.go
+++ b/internal/gate/ticketed.go
@@ -35,6 +35,21 @@
 	return errkind.New(errkind.TicketUnknown, "an earlier attempt may have run")
 }
 
+// truthful returns the error that may be told. For a ticketed request, only
+// the issuer can say that no attempt runs, by recording it: an earlier attempt
+// may still be on its way. A first attempt has no earlier one.
+func (j *job) truthful(err error) error {
+	first := j.in.Header.Get(AttemptHeader) == "1"
+	if !j.ticketed() || j.recorded || first || errkind.Of(err).Answer().Outcome != errkind.OutcomeNotRun {
+		return err
+	}
+	switch errkind.Of(err) {
+	case errkind.TicketInvalid, errkind.RequestTooLarge: // true for every attempt
+		return err
+	}
+	return errkind.Wrap(err, errkind.TicketUnknown, "an earlier attempt may run")
+}
+
 // handOver passes the request to its issuer.
 func (g *Gate) handOver(j *job, k ticket.Ticket) {
 	if j.relayed {
@@ -103,7 +118,8 @@
 }
 
 // beginTicket runs the request and keeps its answer for retries. An answer
-// that says not-run is not kept: a retry may run.
+// that says not-run uses the ticket up as well: the caller gets a new ticket
+// with it.
 func (g *Gate) beginTicket(j *job, k ticket.Ticket) {
 	ended := false
 	defer func() {
@@ -113,7 +129,7 @@
 	}()
 	resp, err := g.dispatch(j)
 	if err != nil {
-		ended = true
+		ended, j.recorded = true, true
 		g.completeFailed(k, err)
 		g.refuse(j, err)
 		return
@@ -121,7 +137,7 @@
 	head, err := io.ReadAll(io.LimitReader(resp.Body, ticket.MaxAnswer+1))
 	if err != nil {
 		resp.Body.Close()
-		ended = true
+		ended, j.recorded = true, true
 		lost := j.cutAnswer(err)
 		g.completeFailed(k, lost)
 		g.refuse(j, lost)
@@ -129,7 +145,7 @@
 	}
 	g.answerHeader(j, resp)
 	ended = true
-	g.finishTicket(k, ticket.Answer{Status: resp.StatusCode, Header: keptHeader(j.w.Header()), Body: head})
+	g.complete(k, ticket.Answer{Status: resp.StatusCode, Header: keptHeader(j.w.Header()), Body: head})
 	resp.Body = joined{io.MultiReader(bytes.NewReader(head), resp.Body), resp.Body}
 	g.stream(j, resp)
 }
@@ -149,19 +165,10 @@
 	io.Closer
 }
 
-// finishTicket keeps an answer, unless it says that the request did not run.
-func (g *Gate) finishTicket(k ticket.Ticket, a ticket.Answer) {
-	if a.Header.Get(OutcomeHeader) == string(errkind.OutcomeNotRun) {
-		g.withdraw(k)
-		return
-	}
-	g.complete(k, a)
-}
-
 func (g *Gate) completeFailed(k ticket.Ticket, err error) {
 	h := http.Header{}
 	a := errorAnswer(h, err)
-	g.finishTicket(k, ticket.Answer{Status: a.HTTPStatus, Header: h, Body: []byte(a.Meaning + "\n")})
+	g.complete(k, ticket.Answer{Status: a.HTTPStatus, Header: h, Body: []byte(a.Meaning + "\n")})
 }
 
 func unknownAnswer() ticket.Answer {
@@ -176,12 +183,6 @@
 	g.tickets.Complete(k, a)
 }
 
-func (g *Gate) withdraw(k ticket.Ticket) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.tickets.Withdraw(k)
-}
-
 // keptHeader copies a header without what belongs to one delivery.
 func keptHeader(h http.Header) http.Header {
 	kept := h.Clone()
--- a/internal/ticket/table.go
+++ b/internal/ticket/table.go
@@ -45,7 +45,7 @@
 	capacity int
 	next     uint64
 	entries  map[uint64]*entry
-	begun    []*entry // in order of their beginning, withdrawn ones included
+	begun    []*entry // in order of their beginning
 	kept     []*entry // with an answer, oldest first
 	keptSize int      // bytes
 }
@@ -68,8 +68,8 @@
 	return t.next
 }
 
-// Lookup decides about an attempt. With Begin, the caller must call Complete
-// or Withdraw. With Wait, the channel is closed when the attempt in progress
+// Lookup decides about an attempt. With Begin, the caller must call Complete.
+// With Wait, the channel is closed when the attempt in progress
 // has ended; the caller then asks again.
 func (t *Table) Lookup(k Ticket, now time.Time) (Action, Answer, <-chan struct{}) {
 	if k.Expired(now) {
@@ -107,9 +107,7 @@
 		if now.Sub(e.beganAt) < Lifetime || !e.ended() {
 			return
 		}
-		if t.entries[e.serial] == e {
-			delete(t.entries, e.serial)
-		}
+		delete(t.entries, e.serial)
 		t.begun = t.begun[1:]
 	}
 }
@@ -125,6 +123,8 @@
 
 // Complete ends the attempt and keeps its answer for retries, unless the body
 // is larger than MaxAnswer; a retry then learns that the outcome is unknown.
+// An answer that says not-run is final too: an earlier attempt that was delayed
+// on its way must not run after its caller was told that it did not.
 func (t *Table) Complete(k Ticket, a Answer) {
 	e, ok := t.entries[k.Serial]
 	if !ok || e.ended() {
@@ -147,13 +147,3 @@
 		oldest.answer = nil
 	}
 }
-
-// Withdraw ends an attempt that did not run, so that a retry may begin again.
-func (t *Table) Withdraw(k Ticket) {
-	e, ok := t.entries[k.Serial]
-	if !ok || e.ended() {
-		return
-	}
-	delete(t.entries, k.Serial)
-	close(e.done)
-}
