--- /dev/null
+++ b/internal/distribution/fleet_bench_test.go
@@ -0,0 +1,470 @@
+package distribution
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/pprof"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+// The fleet benchmark measures the control traffic of whole nodes on loopback.
+// Records of processes that do not run fill the tables up to the wanted size,
+// so that a few nodes show what a node of a large fleet sends.
+
+const (
+	steadyTime     = 8 * time.Second
+	burstTime      = 8 * time.Second
+	injectInterval = 100 * time.Millisecond
+	agentsService  = 10 // agents of one service, as at the target
+	targetNodes    = 630
+	targetAgents   = 3300
+	targetChanges  = 2400                            // one day that is over and one that is planned
+	profileSetting = "KNAPWEEDPIER_CAPACITY_PROFILE" // directory for a CPU profile of each phase
+)
+
+// fleetSize is the number of nodes that run and of records in the tables.
+type fleetSize struct{ balancers, agents, records int }
+
+var fleetSizes = []fleetSize{
+	{8, 42, 50}, {24, 126, 150}, {48, 252, 300},
+	{8, 42, 500}, {8, 42, 1500}, {8, 42, 3930},
+}
+
+func (s fleetSize) String() string {
+	return fmt.Sprintf("nodes=%d/records=%d", s.balancers+s.agents, s.records)
+}
+
+// changeRate is how many records change a second while nothing but load
+// changes: load reports held back as in SetSelf, by the number of records that
+// an agent holds, and one renewal every announceInterval.
+func (s fleetSize) changeRate() float64 {
+	agents := float64(s.records) * targetAgents / (targetAgents + targetNodes)
+	held := float64(s.records)
+	if s.records > largeFleet {
+		held = float64(s.records) - agents + agentsService
+	}
+	return agents/(held*loadPerMember.Seconds()) + float64(s.records)/announceInterval.Seconds()
+}
+
+// traffic counts the bytes and the writes of one role on the wire, TLS
+// included and TCP and IP headers left out.
+type traffic struct{ in, out, writes atomic.Int64 }
+
+type trafficConn struct {
+	net.Conn
+	own *traffic
+}
+
+func (c trafficConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.own.in.Add(int64(n))
+	return n, err
+}
+
+func (c trafficConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.own.out.Add(int64(n))
+	c.own.writes.Add(1)
+	return n, err
+}
+
+type trafficListener struct {
+	net.Listener
+	own *traffic
+}
+
+func (l trafficListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return trafficConn{conn, l.own}, nil
+}
+
+// benchFleet is a fleet whose traffic is counted.
+type benchFleet struct {
+	b       *testing.B
+	size    fleetSize
+	store   *fakeStore
+	ring    *keyring.Ring
+	seeds   []netip.AddrPort
+	nodes   []*Node
+	started int
+	roles   map[membership.Role]*traffic
+	filler  []membership.Change // records of processes that do not run
+}
+
+func newBenchFleet(b *testing.B, size fleetSize) *benchFleet {
+	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f := &benchFleet{b: b, size: size, store: newStore(), ring: ring, roles: map[membership.Role]*traffic{
+		membership.RoleBalancer: {}, membership.RoleAgent: {},
+	}}
+	for i := range size.balancers + size.agents {
+		f.start(i, f.roles[roleOf(i < size.balancers)])
+	}
+	f.fill()
+	f.until("everybody knows the balancers", func(n *Node) bool { return len(n.Board.Members.Get().Members) >= f.known(n) })
+	return f
+}
+
+func roleOf(balancer bool) membership.Role {
+	if balancer {
+		return membership.RoleBalancer
+	}
+	return membership.RoleAgent
+}
+
+// known is the least number of members that a node must know before measuring.
+func (f *benchFleet) known(n *Node) int {
+	if n.opts.Self.Role == membership.RoleBalancer || f.size.records <= largeFleet {
+		return f.size.records
+	}
+	return f.size.records * targetNodes / (targetNodes + targetAgents)
+}
+
+// start adds a node, whose goroutines carry its role as a profiler label.
+func (f *benchFleet) start(index int, own *traffic) *Node {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	role := roleOf(own == f.roles[membership.RoleBalancer] || index < f.size.balancers)
+	self := membership.Record{
+		ID: fmt.Sprintf("%s-%05d", role, f.started), Role: role, Domain: testDomains[index%len(testDomains)],
+		Region: "mauricie", State: membership.StateServing,
+	}
+	if role == membership.RoleAgent {
+		self.Service = fmt.Sprint("service-", index/agentsService)
+	}
+	f.started++
+	n := New(Options{
+		Self: self, Seeds: f.seeds[:min(len(f.seeds), seedPartners)], Store: f.store,
+		Ring: func() *keyring.Ring { return f.ring }, Listener: trafficListener{l, own},
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return trafficConn{conn, own}, err
+		},
+	})
+	pprof.Do(f.b.Context(), pprof.Labels("role", string(role)), func(ctx context.Context) { err = n.Start(ctx) })
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	f.seeds = append(f.seeds, n.Self().Peer)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+func (f *benchFleet) close() {
+	for _, n := range f.nodes {
+		n.cancel()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, n := range f.nodes {
+		_ = n.server.Shutdown(ctx)
+		n.wg.Wait()
+		n.relay.Close()
+	}
+}
+
+// fill gives the first balancer records of processes without a peer address, so
+// that nobody chooses them as partners, in a region of their own.
+func (f *benchFleet) fill() {
+	missing := f.size.records - len(f.nodes)
+	balancers := missing * targetNodes / (targetNodes + targetAgents)
+	f.filler = benchRecords(max(missing, 0), 1)
+	for i := range f.filler {
+		r := &f.filler[i].Record
+		r.Region, r.Domain, r.Peer = "gj-west", fmt.Sprint("gj-west-", i%3), netip.AddrPort{}
+		r.Service = fmt.Sprint("other-", i/agentsService)
+		if i < balancers {
+			r.Role, r.Service = membership.RoleBalancer, ""
+		}
+	}
+	f.tell(f.nodes[0], f.filler)
+}
+
+func (f *benchFleet) tell(n *Node, changes []membership.Change) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.merge(changes, n.now())
+}
+
+// change raises the sequences of count records from the given index on, each
+// told to some balancer.
+func (f *benchFleet) change(from, count int, edit func(*membership.Record)) {
+	if len(f.filler) == 0 {
+		for range count {
+			n := f.nodes[rand.IntN(len(f.nodes))]
+			n.renew()
+		}
+		return
+	}
+	for i := range count {
+		r := &f.filler[(from+i)%len(f.filler)].Record
+		r.Sequence++
+		edit(r)
+		f.tell(f.nodes[rand.IntN(f.size.balancers)], []membership.Change{{Record: *r}})
+	}
+}
+
+// inject changes rate records a second until ctx ends.
+func (f *benchFleet) inject(ctx context.Context, rate float64) {
+	debt, next := 0.0, 0
+	for sleep(ctx, injectInterval) {
+		debt += rate * injectInterval.Seconds()
+		count := int(debt)
+		f.change(next, count, func(r *membership.Record) { r.Flows++ })
+		debt -= float64(count)
+		next += count
+	}
+}
+
+func (f *benchFleet) until(what string, cond func(*Node) bool) {
+	end := time.Now().Add(time.Minute)
+	for _, n := range f.nodes {
+		for !cond(n) {
+			if time.Now().After(end) {
+				f.b.Fatalf("not within a minute at %s: %s", n.Self().ID, what)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// measure reports bytes of each role and the processor time of all nodes while
+// work runs, for each node, and each second unless it is a burst.
+func (f *benchFleet) measure(name string, burst bool, work func()) {
+	before := map[membership.Role][3]int64{}
+	for role, t := range f.roles {
+		before[role] = t.read()
+	}
+	stop := f.profile(name)
+	began, used := time.Now(), processorTime(f.b)
+	work()
+	stop()
+	seconds := time.Since(began).Seconds()
+	unit := "/s"
+	if burst {
+		seconds, unit = 1, ""
+	}
+	for role, t := range f.roles {
+		count := f.size.balancers
+		if role == membership.RoleAgent {
+			count = f.size.agents
+		}
+		after, per := t.read(), float64(count)*seconds
+		f.b.ReportMetric(float64(after[0]-before[role][0])/per, fmt.Sprintf("%s-%s-in-B%s", name, role, unit))
+		f.b.ReportMetric(float64(after[1]-before[role][1])/per, fmt.Sprintf("%s-%s-out-B%s", name, role, unit))
+		f.b.ReportMetric(float64(after[2]-before[role][2])/per, fmt.Sprintf("%s-%s-writes%s", name, role, unit))
+	}
+	spent := (processorTime(f.b) - used).Seconds() / float64(len(f.nodes)) / seconds
+	f.b.ReportMetric(spent*1000, fmt.Sprintf("%s-node-cpu-ms%s", name, unit))
+}
+
+// profile writes a CPU profile until the returned function is called. Its tags
+// tell the share of each role.
+func (f *benchFleet) profile(name string) (stop func()) {
+	dir := os.Getenv(profileSetting)
+	if dir == "" {
+		return func() {}
+	}
+	file, err := os.Create(fmt.Sprintf("%s/%d-%d-%s.prof", dir, len(f.nodes), f.size.records, name))
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		f.b.Fatal(err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}
+}
+
+func (t *traffic) read() [3]int64 { return [3]int64{t.in.Load(), t.out.Load(), t.writes.Load()} }
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkFleet runs fleets of several sizes. CAPACITY.md says how to run it.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(size.String(), func(b *testing.B) {
+			for b.Loop() {
+				f := newBenchFleet(b, size)
+				f.run()
+				f.close()
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func (f *benchFleet) run() {
+	time.Sleep(3 * time.Second) // partners settle
+	f.reportMemory()
+	f.measure("idle", false, func() { time.Sleep(steadyTime) })
+	f.measure("steady", false, func() {
+		ctx, cancel := context.WithTimeout(f.b.Context(), steadyTime)
+		defer cancel()
+		f.inject(ctx, f.size.changeRate())
+	})
+	f.measure("config", true, f.configure)
+	f.measure("restart", true, f.restartDomain)
+	f.freshHosts()
+}
+
+func (f *benchFleet) reportMemory() {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	f.b.ReportMetric(float64(m.HeapAlloc+m.StackInuse)/float64(len(f.nodes)), "node-memory-B")
+}
+
+// configure accepts a configuration of the target's size. All processes then
+// show the new generation in their records, those that do not run within 2 s.
+func (f *benchFleet) configure() {
+	began := time.Now()
+	c := targetConfig(targetChanges)
+	c.Generation = 7
+	data, err := c.Encode()
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	if _, err := f.store.Put(f.b.Context(), config.ObjectKey, data, 0); err != nil {
+		f.b.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		steps := int(2 * time.Second / injectInterval)
+		for i := range steps {
+			per := len(f.filler) / steps
+			if per > 0 {
+				f.change(i*per, per, func(r *membership.Record) { r.Generation = 7 })
+			}
+			time.Sleep(injectInterval)
+		}
+	})
+	f.until("generation in force", func(n *Node) bool { return n.Board.View.Get().Generation == 7 })
+	f.b.ReportMetric(time.Since(began).Seconds(), "config-in-force-s")
+	wg.Wait()
+	time.Sleep(burstTime - time.Since(began))
+}
+
+// restartDomain stops the nodes of one failure domain and starts as many new
+// ones; as many of the other records change twice.
+func (f *benchFleet) restartDomain() {
+	began := time.Now()
+	out := testDomains[2]
+	var wg sync.WaitGroup
+	var indexes []int
+	kept := f.nodes[:0:0]
+	for i, n := range f.nodes {
+		if n.opts.Self.Domain != out {
+			kept = append(kept, n)
+			continue
+		}
+		indexes = append(indexes, i)
+		wg.Go(func() { _ = n.Stop(f.b.Context()) })
+	}
+	wg.Wait()
+	f.nodes = kept
+	for _, i := range indexes {
+		f.start(i, f.roles[roleOf(i < f.size.balancers)])
+	}
+	third := len(f.filler) / len(testDomains) / 2 // a sixth of all: two regions with three each
+	for range 2 {
+		if third > 0 {
+			f.change(0, third, func(r *membership.Record) { r.Incarnation++ })
+		}
+		time.Sleep(time.Second)
+	}
+	f.until("replacements know the configuration", func(n *Node) bool { return n.Board.View.Get().Generation == 7 })
+	f.b.ReportMetric(time.Since(began).Seconds(), "restart-caught-up-s")
+	time.Sleep(burstTime - time.Since(began))
+}
+
+// freshHosts starts one balancer and one agent and reports what they receive
+// until they know everything.
+func (f *benchFleet) freshHosts() {
+	for _, balancer := range []bool{true, false} {
+		own, began := &traffic{}, time.Now()
+		index := 0
+		if !balancer {
+			index = f.size.balancers
+		}
+		n := f.start(index, own)
+		want := f.known(n)
+		for n.Board.View.Get().Generation != 7 || len(n.Board.Members.Get().Members) < want {
+			time.Sleep(time.Millisecond)
+		}
+		name := "fresh-" + string(n.opts.Self.Role)
+		f.b.ReportMetric(time.Since(began).Seconds(), name+"-s")
+		f.b.ReportMetric(float64(own.in.Load()), name+"-in-B")
+	}
+}
+
+// targetConfig is a configuration of 340 services with planned changes.
+func targetConfig(changes int) *config.Config {
+	c := &config.Config{Generation: 1200, ChangeID: "c1200", AcceptedAt: time.Now()}
+	for i, name := range slices.Concat(testDomains, []string{"gj-west-0", "gj-west-1", "gj-west-2"}) {
+		c.Domains = append(c.Domains, config.FailureDomain{Name: name, Region: []string{"mauricie", "gj-west"}[i/3], Index: uint8(i)})
+	}
+	for i := range 340 {
+		c.Services = append(c.Services, config.Service{
+			Name: fmt.Sprint("service-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(i >> 8), byte(i)}), 443),
+			Limits: config.Limits{Slots: 9, Connections: 2000, ColdSlots: 2, WarmUp: 30 * time.Second}, RequestTimeout: time.Second,
+		})
+	}
+	for i := range changes {
+		c.Changes = append(c.Changes, config.PlannedChange{
+			ID: fmt.Sprintf("sheet-%06x", i*7919), Kind: config.Leave, Subject: fmt.Sprintf("comptoir-%04d", i),
+			Service: fmt.Sprint("service-", i%340), At: time.Now().Add(time.Hour + time.Duration(i)*time.Second), Generation: 7,
+		})
+	}
+	return c
+}
+
+// BenchmarkConfigSize gives the size and the cost of the configuration by the
+// number of planned changes in it.
+func BenchmarkConfigSize(b *testing.B) {
+	for _, changes := range []int{100, 400, 1200, 2400} {
+		data, err := targetConfig(changes).Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint("changes=", changes), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := config.Parse(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "json-B")
+		})
+	}
+}
--- /dev/null
+++ b/internal/ticket/table_bench_test.go
@@ -0,0 +1,41 @@
+package ticket
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkTable gives time and memory by the number of requests that the
+// table remembers, for docs/CAPACITY.md. Each has a kept answer of 256 bytes.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprint("requests=", n), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				began := time.Now()
+				t := filledTable(n)
+				took := time.Since(began)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(t)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap-B/request")
+				b.ReportMetric(float64(took.Nanoseconds())/float64(n), "ns/request")
+			}
+		})
+	}
+}
+
+func filledTable(n int) *Table {
+	t, now := NewTable(DefaultCapacity), time.Now()
+	for i := range n {
+		k := Ticket{Serial: uint64(i), IssuedAt: now}
+		t.Lookup(k, now)
+		t.Complete(k, Answer{Status: http.StatusOK, Body: make([]byte, 256)})
+	}
+	return t
+}
--- /dev/null
+++ b/pkg/balancer/capacity_bench_test.go
@@ -0,0 +1,233 @@
+package balancer
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/steering"
+	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/pkg/config"
+)
+
+// The benchmarks give the slopes for docs/CAPACITY.md.
+
+var planAgents = []int{10, 100, 1000, 3300}
+
+const agentsPerService = 3300.0 / 340
+
+// idleSocket is a socket without packets, for sizes at which opened sockets
+// would be measured in place of the plan.
+type idleSocket struct{ closed chan struct{} }
+
+func openIdle(netip.AddrPort) (udp.Socket, error) { return &idleSocket{make(chan struct{})}, nil }
+
+func (s *idleSocket) ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) {
+	<-s.closed
+	return 0, netip.AddrPort{}, net.ErrClosed
+}
+
+func (s *idleSocket) WriteToUDPAddrPort(b []byte, _ netip.AddrPort) (int, error) { return len(b), nil }
+func (s *idleSocket) LocalAddr() net.Addr                                        { return &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+func (s *idleSocket) Close() error                                               { close(s.closed); return nil }
+
+func benchRing(b *testing.B) *keyring.Ring {
+	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return ring
+}
+
+func benchForwarder(b *testing.B, open udp.ListenFunc) *Forwarder {
+	f, err := NewForwarder(ForwarderOptions{
+		TunnelListen: netip.MustParseAddrPort("127.0.0.1:0"), Listen: open,
+		Logger: event.Discard(), Metrics: metrics.NewBalancer(metrics.New()),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Close)
+	return f
+}
+
+func serviceAddress(i, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 30, byte(i >> 8), byte(i)}), uint16(port))
+}
+
+// planInput has agents spread over services, and a balancer for each five.
+func planInput(b *testing.B, agents, services int) PlanInput {
+	c := &config.Config{Generation: 1, Domains: []config.FailureDomain{{Name: "shawi", Region: "mauricie"}}}
+	for i := range services {
+		c.Services = append(c.Services, config.Service{
+			Name: fmt.Sprint("service-", i), Address: serviceAddress(i, 7001), Limits: config.Limits{Slots: 9},
+		})
+	}
+	in := PlanInput{Now: time.Now(), Ring: benchRing(b), View: c.View(time.Now())}
+	for i := range agents {
+		in.Members.Members = append(in.Members.Members, membership.Member{Record: membership.Record{
+			ID: fmt.Sprintf("backend-%04d", i), Role: membership.RoleAgent, Service: fmt.Sprint("service-", i%services),
+			Domain: "shawi", Tunnel: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 31, byte(i >> 8), byte(i)}), 4100),
+		}})
+	}
+	for i := range agents * 630 / 3300 {
+		in.Members.Members = append(in.Members.Members, membership.Member{Record: membership.Record{
+			ID: fmt.Sprint("balancer-", i), Role: membership.RoleBalancer, Domain: "shawi",
+		}})
+	}
+	return in
+}
+
+func servicesOf(agents int) int { return max(1, int(float64(agents)/agentsPerService)) }
+
+func apply(b *testing.B, f *Forwarder, in PlanInput) {
+	if err := f.Apply(BuildPlan(in)); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkPlan measures the parts of a plan and one change of membership:
+// "change" is fingerprint, BuildPlan and Apply after one agent has left or
+// come back, "suspect" the same after a change of suspicion.
+func BenchmarkPlan(b *testing.B) {
+	for _, agents := range planAgents {
+		in := planInput(b, agents, servicesOf(agents))
+		b.Run(fmt.Sprintf("fingerprint/agents=%d", agents), func(b *testing.B) {
+			for b.Loop() {
+				fingerprint(in)
+			}
+		})
+		b.Run(fmt.Sprintf("build/agents=%d", agents), func(b *testing.B) {
+			for b.Loop() {
+				BuildPlan(in)
+			}
+		})
+		b.Run(fmt.Sprintf("first/agents=%d", agents), func(b *testing.B) { benchFirstPlan(b, in) })
+		b.Run(fmt.Sprintf("change/agents=%d", agents), func(b *testing.B) {
+			benchChange(b, in, func(m *membership.Member, odd bool) {
+				m.State = []membership.State{membership.StateServing, membership.StateLeaving}[btoi(odd)]
+			})
+		})
+		b.Run(fmt.Sprintf("suspect/agents=%d", agents), func(b *testing.B) {
+			benchChange(b, in, func(m *membership.Member, odd bool) {
+				m.SuspectSince = []time.Time{{}, in.Now}[btoi(odd)]
+			})
+		})
+	}
+}
+
+func btoi(odd bool) int {
+	if odd {
+		return 1
+	}
+	return 0
+}
+
+func benchChange(b *testing.B, in PlanInput, edit func(*membership.Member, bool)) {
+	f := benchForwarder(b, openIdle)
+	apply(b, f, in)
+	odd := false
+	b.ReportAllocs()
+	for b.Loop() {
+		odd = !odd
+		edit(&in.Members.Members[0], odd)
+		fingerprint(in)
+		apply(b, f, in)
+	}
+}
+
+// benchFirstPlan includes the tables of all services and reports what a plan
+// in force holds: tables, candidates and evidence.
+func benchFirstPlan(b *testing.B, in PlanInput) {
+	for b.Loop() {
+		f := benchForwarder(b, openIdle)
+		before := liveMemory()
+		apply(b, f, in)
+		b.ReportMetric(float64(liveMemory()-before), "live-B")
+	}
+}
+
+// liveMemory returns the bytes of live heap and of stacks.
+func liveMemory() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkServiceTable builds the table of one service of the given size.
+func BenchmarkServiceTable(b *testing.B) {
+	for _, n := range planAgents {
+		agents := make([]steering.Agent, n)
+		for i := range agents {
+			agents[i] = steering.Agent{ID: fmt.Sprintf("backend-%04d", i), Weight: 9, Evidence: &steering.Evidence{}}
+		}
+		b.Run(fmt.Sprint("agents=", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				steering.NewService(serviceAddress(0, 7001), agents)
+			}
+		})
+	}
+}
+
+// BenchmarkListeners opens service addresses with kernel sockets and reports
+// what their packet loops hold, without the kernel's buffers.
+func BenchmarkListeners(b *testing.B) {
+	for _, services := range []int{10, 100, 340} {
+		b.Run(fmt.Sprint("addresses=", services), func(b *testing.B) {
+			in := planInput(b, services*10, services)
+			for b.Loop() {
+				f := benchForwarder(b, udp.Listen)
+				tables := liveMemory()
+				idle := benchForwarder(b, openIdle)
+				apply(b, idle, in)
+				before := liveMemory()
+				began := time.Now()
+				apply(b, f, in)
+				took := time.Since(began)
+				time.Sleep(50 * time.Millisecond) // the loops reach their first read
+				own := liveMemory() - before
+				f.Close()
+				b.ReportMetric(float64(took.Microseconds())/float64(services), "apply-µs/address")
+				b.ReportMetric(float64(own)/float64(services), "live-B/address")
+				b.ReportMetric(float64(before-tables)/float64(services), "live-without-sockets-B/address")
+			}
+		})
+	}
+}
+
+// BenchmarkHellos measures a hello from each agent in turn, with its answer,
+// and the collection of what was heard.
+func BenchmarkHellos(b *testing.B) {
+	for _, agents := range planAgents {
+		in := planInput(b, agents, servicesOf(agents))
+		f := benchForwarder(b, openIdle)
+		apply(b, f, in)
+		codec := tunnel.NewCodec(in.Ring)
+		header := tunnel.Header{Type: tunnel.Hello, Service: tunnel.ServiceID(serviceAddress(0, 7001))}
+		var buf [tunnel.MaxSize]byte
+		hello := buf[codec.Prepend(buf[:], tunnel.MaxSize, &header):]
+		b.Run(fmt.Sprintf("receive/agents=%d", agents), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				f.fromAgent(f.tunnel.first, hello, in.Members.Members[i%agents].Tunnel, &header)
+			}
+			b.ReportMetric(float64(len(hello)), "payload-B")
+		})
+		b.Run(fmt.Sprintf("collect/agents=%d", agents), func(b *testing.B) {
+			for b.Loop() {
+				f.Heard()
+			}
+		})
+	}
+}
