--- a/internal/distribution/fleet_bench_test.go
+++ b/internal/distribution/fleet_bench_test.go
@@ -43,6 +43,7 @@
 var fleetSizes = []fleetSize{
 	{8, 42, 50}, {24, 126, 150}, {48, 252, 300},
 	{8, 42, 500}, {8, 42, 1500}, {8, 42, 3930},
+	{8, 0, 500}, {8, 0, 1500}, {8, 0, 3930}, // the memory of balancers alone
 }
 
 func (s fleetSize) String() string {
@@ -257,10 +258,11 @@
 	for role, t := range f.roles {
 		before[role] = t.read()
 	}
-	stop := f.profile(name)
+	stop, peak := f.profile(name), f.watchMemory()
 	began, used := time.Now(), processorTime(f.b)
 	work()
 	stop()
+	f.b.ReportMetric(peak()/float64(len(f.nodes)), name+"-node-peak-B")
 	seconds := time.Since(began).Seconds()
 	unit := "/s"
 	if burst {
@@ -271,6 +273,9 @@
 		if role == membership.RoleAgent {
 			count = f.size.agents
 		}
+		if count == 0 {
+			continue
+		}
 		after, per := t.read(), float64(count)*seconds
 		f.b.ReportMetric(float64(after[0]-before[role][0])/per, fmt.Sprintf("%s-%s-in-B%s", name, role, unit))
 		f.b.ReportMetric(float64(after[1]-before[role][1])/per, fmt.Sprintf("%s-%s-out-B%s", name, role, unit))
@@ -280,6 +285,26 @@
 	f.b.ReportMetric(spent*1000, fmt.Sprintf("%s-node-cpu-ms%s", name, unit))
 }
 
+// watchMemory samples memory in use until the returned function is called,
+// which returns the largest sample in bytes.
+func (f *benchFleet) watchMemory() (peak func() float64) {
+	ctx, cancel := context.WithCancel(f.b.Context())
+	largest := make(chan float64)
+	go func() {
+		most := 0.0
+		for sleep(ctx, 20*time.Millisecond) {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, float64(m.HeapInuse+m.StackInuse))
+		}
+		largest <- most
+	}()
+	return func() float64 {
+		cancel()
+		return <-largest
+	}
+}
+
 // profile writes a CPU profile until the returned function is called. Its tags
 // tell the share of each role.
 func (f *benchFleet) profile(name string) (stop func()) {
@@ -327,17 +352,27 @@
 func (f *benchFleet) run() {
 	time.Sleep(3 * time.Second) // partners settle
 	f.reportMemory()
+	calls := f.platformCalls()
 	f.measure("idle", false, func() { time.Sleep(steadyTime) })
+	f.b.ReportMetric((f.platformCalls()-calls)/steadyTime.Seconds(), "idle-platform-calls/s")
 	f.measure("steady", false, func() {
 		ctx, cancel := context.WithTimeout(f.b.Context(), steadyTime)
 		defer cancel()
 		f.inject(ctx, f.size.changeRate())
 	})
 	f.measure("config", true, f.configure)
+	calls = f.platformCalls()
 	f.measure("restart", true, f.restartDomain)
+	f.b.ReportMetric(f.platformCalls()-calls, "restart-platform-calls")
 	f.freshHosts()
 }
 
+func (f *benchFleet) platformCalls() float64 {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return float64(f.store.calls)
+}
+
 func (f *benchFleet) reportMemory() {
 	var m runtime.MemStats
 	runtime.GC()
--- /dev/null
+++ b/internal/peer/connections_bench_test.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/peertls"
+)
+
+// benchPeer returns a dialer and the address of a server that answers pulls
+// without news and relayed requests with an empty answer.
+func benchPeer(b *testing.B) (*Dialer, netip.AddrPort) {
+	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
+	if err != nil {
+		b.Fatal(err)
+	}
+	identity := peertls.New(func() *keyring.Ring { return ring }, time.Now)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := NewServer(ServerOptions{
+		Identity: identity, Logger: event.Discard(), Registry: metrics.NewRegistry(),
+		Pull:  func(context.Context, PullRequest) (PullAnswer, error) { return PullAnswer{ID: "server"}, nil },
+		Relay: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+	})
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	return &Dialer{Identity: identity, Registry: metrics.NewRegistry()}, netip.MustParseAddrPort(l.Addr().String())
+}
+
+func liveMemory() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // the first only empties pools halfway
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkConnections gives the memory of open, idle connections, both ends
+// together, for docs/CAPACITY.md.
+func BenchmarkConnections(b *testing.B) {
+	for _, n := range []int{50, 150, 500} {
+		b.Run(fmt.Sprint("pulls=", n), func(b *testing.B) {
+			d, addr := benchPeer(b)
+			measureConnections(b, n, func() (func(), error) {
+				c := NewClient(d, addr)
+				_, err := c.Pull(b.Context(), PullRequest{ID: "client"})
+				return c.Close, err
+			})
+		})
+		b.Run(fmt.Sprint("relays=", n), func(b *testing.B) {
+			d, addr := benchPeer(b)
+			measureConnections(b, n, func() (func(), error) {
+				t := NewRelayTransport(d)
+				r, err := http.NewRequestWithContext(b.Context(), http.MethodGet, "http://peer/", nil)
+				if err == nil {
+					_, err = t.Relay(b.Context(), addr, r)
+				}
+				return t.Close, err
+			})
+		})
+	}
+}
+
+func measureConnections(b *testing.B, n int, open func() (func(), error)) {
+	for b.Loop() {
+		before, began := liveMemory(), time.Now()
+		var closers []func()
+		for range n {
+			closer, err := open()
+			if err != nil {
+				b.Fatal(err)
+			}
+			closers = append(closers, closer)
+		}
+		took := time.Since(began)
+		b.ReportMetric((liveMemory()-before)/float64(n), "live-B/connection")
+		b.ReportMetric(float64(took.Microseconds())/float64(n), "µs/connection")
+		for _, closer := range closers {
+			closer()
+		}
+	}
+}
--- a/pkg/balancer/capacity_bench_test.go
+++ b/pkg/balancer/capacity_bench_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,9 +28,14 @@
 
 // idleSocket is a socket without packets, for sizes at which opened sockets
 // would be measured in place of the plan.
-type idleSocket struct{ closed chan struct{} }
+type idleSocket struct {
+	closed chan struct{}
+	once   sync.Once
+}
 
-func openIdle(netip.AddrPort) (udp.Socket, error) { return &idleSocket{make(chan struct{})}, nil }
+func openIdle(netip.AddrPort) (udp.Socket, error) {
+	return &idleSocket{closed: make(chan struct{})}, nil
+}
 
 func (s *idleSocket) ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) {
 	<-s.closed
@@ -38,7 +44,7 @@
 
 func (s *idleSocket) WriteToUDPAddrPort(b []byte, _ netip.AddrPort) (int, error) { return len(b), nil }
 func (s *idleSocket) LocalAddr() net.Addr                                        { return &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)} }
-func (s *idleSocket) Close() error                                               { close(s.closed); return nil }
+func (s *idleSocket) Close() error                                               { s.once.Do(func() { close(s.closed) }); return nil }
 
 func benchRing(b *testing.B) *keyring.Ring {
 	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
@@ -150,9 +156,12 @@
 func benchFirstPlan(b *testing.B, in PlanInput) {
 	for b.Loop() {
 		f := benchForwarder(b, openIdle)
-		before := liveMemory()
+		before, began := liveMemory(), time.Now()
 		apply(b, f, in)
+		took := time.Since(began)
 		b.ReportMetric(float64(liveMemory()-before), "live-B")
+		b.ReportMetric(float64(took.Microseconds()), "apply-µs")
+		f.Close()
 	}
 }
 
