Give each measured fleet a key of its own

Fleets that ran at the same time on one machine reused each other's ports, accepted each other because of the same key, and merged: a fleet of 300 showed a configuration in force after 6 ms.

--- a/internal/distribution/fleet_bench_test.go
+++ b/internal/distribution/fleet_bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	crand "crypto/rand"
+	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,7 +12,6 @@
 	"runtime"
 	"runtime/pprof"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +28,7 @@
 // so that a few nodes show what a node of a large fleet sends.
 
 const (
+	settleTime     = 6 * time.Second // until partners are chosen
 	steadyTime     = 8 * time.Second
 	burstTime      = 8 * time.Second
 	injectInterval = 100 * time.Millisecond
@@ -111,7 +113,11 @@
 }
 
 func newBenchFleet(b *testing.B, size fleetSize) *benchFleet {
-	ring, err := keyring.Parse("1:" + strings.Repeat("a1", keyring.SecretSize))
+	// A key of its own keeps a fleet apart from others on the same machine that
+	// reuse its ports.
+	var secret [keyring.SecretSize]byte
+	_, _ = crand.Read(secret[:]) // never fails
+	ring, err := keyring.Parse("1:" + hex.EncodeToString(secret[:]))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -350,7 +356,7 @@
 }
 
 func (f *benchFleet) run() {
-	time.Sleep(3 * time.Second) // partners settle
+	time.Sleep(settleTime)
 	f.reportMemory()
 	calls := f.platformCalls()
 	f.measure("idle", false, func() { time.Sleep(steadyTime) })
