Run the process tests again when a program changes

Cause: the programs are not imported by the test, so "go test" reported "ok (cached)" on a scratch copy whose internal/fence was changed.

Change: the tests read the directories of the sources, which makes their entries part of the key of the cached result.

Ruled out: relying on -count=1, which the README's command does not have; reading the directories in TestMain, which go test does not record (the result stayed cached after a change of cmd/knapweedpier-agent/main.go).

Conclusion: a cached result is of the same programs.

--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -7,9 +7,11 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 )
 
@@ -24,6 +26,9 @@
 	"../../standin/cmd/standin-platform",
 }
 
+// sources are the directories that the programs are built from.
+var sources = []string{"../../cmd", "../../internal", "../../pkg", "../../standin"}
+
 // binaries is the directory with the built programs.
 var binaries string
 
@@ -46,3 +51,17 @@
 	}
 	return m.Run()
 }
+
+// visitSources reads all directories of sources. Without it, go test would
+// reuse a cached result after a change of a program: it takes only imported
+// packages, and files that tests have read (TestMain does not count), into
+// account.
+var visitSources = sync.OnceValue(func() error {
+	for _, dir := range sources {
+		err := filepath.WalkDir(dir, func(_ string, _ fs.DirEntry, err error) error { return err })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+})
--- a/internal/processtest/site_test.go
+++ b/internal/processtest/site_test.go
@@ -103,6 +103,7 @@
 // layOut prepares files and addresses.
 func layOut(t *testing.T, sheetFile string) *site {
 	s := &site{t: t, is: is.New(t), network: nextNetwork(), dir: t.TempDir(), balancers: map[int]*process{}}
+	s.is.NoErr(visitSources())
 	text, err := os.ReadFile(sheetFile)
 	s.is.NoErr(err)
 	own := strings.ReplaceAll(string(text), "127.0.0.1:", s.host(serviceHost).String()+":")
