Test a killed agent process and its successor

Cause: what callers learn when an agent process dies and a successor starts at its address was tested in one process only.

Change: TestKilledAgentAndSuccessor kills an agent with SIGKILL and starts a successor. The old flow must end with a stateless reset. An order that was done before, sent again with its ticket and attempt 2, must be answered as unknown and not run again; an order that was never sent, with an old ticket and attempt 1, must be answered as not-run, must not run, and must run once with a new ticket.

Ruled out: a time limit for "at once". The kind of the flow's end tells a reset from the idle timeout, on a busy machine too.

Seen to fail on a scratch copy: with a reset key that differs from the predecessor's, "not true: errors.As(err, new(*quic.StatelessResetError))"; with the answer not-run for attempt 2, "not-run != unknown".

Conclusion: the successor tells callers at once, and its refusals are true.

--- a/internal/processtest/agent_test.go
+++ b/internal/processtest/agent_test.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
@@ -69,3 +72,31 @@
 		s.is.True(errors.Is(<-failed, context.DeadlineExceeded))
 	}
 }
+
+// Guards against callers that wait for a dead agent, and against a successor
+// that runs an order again or calls an order not run that may have run.
+func TestKilledAgentAndSuccessor(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, gelDesk, 2, 3)
+	f := s.openAt(1)
+	sent, unsent := f.ticket(), f.ticket()
+	s.is.NoErr(f.orderDone("sent", sent))
+
+	s.agents[1].kill()
+	s.startAgent(1)
+	eventually(t, patience, "the successor is known", func() bool { return s.known(3) })
+	_, err := f.send(requestTimeout, http.MethodGet, "/catalogue?caller=test&n=1", "")
+	s.is.True(errors.As(err, new(*quic.StatelessResetError)))
+
+	next := s.openAt(1)
+	a, err := next.order(requestTimeout, "sent", sent, 2)
+	s.is.NoErr(err)
+	s.is.Equal(a.outcome, caller.Unknown)
+	s.is.Equal(s.runs(f.service, "sent"), 1)
+	a, err = next.order(requestTimeout, "unsent", unsent, 1)
+	s.is.NoErr(err)
+	s.is.Equal(a.outcome, caller.NotRun)
+	s.is.Equal(s.runs(f.service, "unsent"), 0)
+	s.is.NoErr(next.orderDone("unsent", next.ticket()))
+	s.is.Equal(s.runs(f.service, "unsent"), 1)
+}
