--- a/pkg/agent/capacity_bench_test.go
+++ b/pkg/agent/capacity_bench_test.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(func() { a.flows.close(); a.endpoint.Close() })
+	b.Cleanup(func() { a.flows.close(0); a.endpoint.Close() })
 	return a
 }
 
