Let callers open a new flow at once when theirs is ending

Change: backend-leaving, domain-out and agent-fenced answers advise no wait. Ruled out: the opening of flows (handshakes take a few milliseconds here) and relays.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -116,7 +116,7 @@
 
 var table = []Answer{
 	{BackendFull, "backend-full", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "No slot is free at the backend server, nor at the peer that was asked."},
-	{BackendLeaving, "backend-leaving", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The backend server takes no new work and no peer had room."},
+	{BackendLeaving, "backend-leaving", http.StatusServiceUnavailable, OutcomeNotRun, 0, ExitFailure, "The backend server takes no new work and no peer had room; a new flow reaches another one at once."},
 	{BackendDown, "backend-down", http.StatusBadGateway, OutcomeNotRun, retrySoon, ExitFailure, "No connection to the backend server could be opened."},
 	{BackendShed, "backend-shed", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The backend server refused the request and said that it did not run."},
 	{BackendLost, "backend-lost", http.StatusBadGateway, OutcomeUnknown, 0, ExitFailure, "The connection to the backend server failed after a byte had been sent."},
@@ -125,8 +125,8 @@
 	{TicketExpired, "ticket-expired", http.StatusConflict, OutcomeNotRun, 0, ExitFailure, "The ticket's issuer is gone and no earlier attempt was made; ask for a new ticket."},
 	{TicketUnknown, "ticket-unknown", http.StatusConflict, OutcomeUnknown, 0, ExitFailure, "The ticket's issuer is gone after an earlier attempt; the outcome is final."},
 	{TicketInvalid, "ticket-invalid", http.StatusBadRequest, OutcomeNotRun, 0, ExitFailure, "The ticket does not parse or its tag is wrong."},
-	{DomainOut, "domain-out", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The failure domain has been taken out; open a new flow."},
-	{AgentFenced, "agent-fenced", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The agent was paused longer than its lease and does not act on old requests."},
+	{DomainOut, "domain-out", http.StatusServiceUnavailable, OutcomeNotRun, 0, ExitFailure, "The failure domain has been taken out; a new flow reaches another one at once."},
+	{AgentFenced, "agent-fenced", http.StatusServiceUnavailable, OutcomeNotRun, 0, ExitFailure, "The agent was paused longer than its lease and does not act on old requests."},
 	{RetryBudget, "retry-budget", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The retry budget is spent."},
 	{ConnectionsFull, "connections-full", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The backend server's connection limit is reached."},
 	{RequestTooLarge, "request-too-large", http.StatusRequestEntityTooLarge, OutcomeNotRun, 0, ExitFailure, "The request body is larger than a relayed or ticketed request may be."},
