Test an agent process with another key ring

Cause: the refusal of a process without the key was tested between two peers, not for an agent program that joins a running fleet.

Change: TestProcessWithoutKey starts an agent with another key ring. A balancer must log event 1104, its count balancer.drops.tunnel-tag must rise, 20 new flows must end elsewhere, and the agent's backend server must start nothing.

Ruled out: checking the counts of refused peers and of the agents. They are not in /metrics of the programs: only the balancer's packet metrics are registered.

Seen to fail on a scratch copy: without verification of peers' certificates, "not within 20s: the others refuse the agent"; without the check of the tunnel tag, "not within 20s: the refusals are counted".

Conclusion: the agent is refused and counted, and ends no flow.

--- a/internal/processtest/keys_test.go
+++ b/internal/processtest/keys_test.go
@@ -56,3 +56,32 @@
 	s.is.NoErr(err)
 	return string(text)
 }
+
+// newFlows is how many flows are opened to see where they end.
+const newFlows = 20
+
+// Guards against a process that takes part without the key ring: an agent with
+// another one must be refused by the others, counted, and get no flow, even
+// though it can announce itself to the platform.
+func TestProcessWithoutKey(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, gelDesk, 2, 2)
+	own := s.keys
+	s.keys = s.write("other-keys", "1:"+newSecret())
+	s.startBackend(2)
+	s.startAgent(2)
+	s.keys = own
+
+	eventually(t, patience, "the others refuse the agent", func() bool {
+		return s.balancers[0].events(event.PeerRefused)+s.balancers[1].events(event.PeerRefused) > 0
+	})
+	eventually(t, patience, "the refusals are counted", func() bool {
+		return s.metric(firstBalancerHost, "balancer.drops.tunnel-tag") > 0
+	})
+	for n := range newFlows {
+		f := s.open(s.service(2))
+		a := f.catalogue(n)
+		s.is.True(a.header.Get(backendHeader) != s.backendID(2))
+	}
+	s.is.Equal(len(s.ledger(2).Starts), 0)
+}
