--- a/standin/cmd/standin-backend/main.go
+++ b/standin/cmd/standin-backend/main.go
@@ -9,10 +9,8 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/backend"
+	"github.com/knapweedpier/knapweedpier/standin/program"
 )
 
 type flags struct {
@@ -29,14 +27,7 @@
 	Seed         uint64        `default:"1" help:"Seed of the work times."`
 }
 
-func main() {
-	var f flags
-	kong.Parse(&f, kong.Description("Stand-in backend server on loopback."), kong.DefaultEnvars("KNAPWEEDPIER_STANDIN"))
-	if err := run(f); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(errkind.Of(err).Answer().ExitCode)
-	}
-}
+func main() { program.Main("standin-backend", run) }
 
 func run(f flags) error {
 	s := backend.New(backend.Options{
--- a/standin/cmd/standin-caller/main.go
+++ b/standin/cmd/standin-caller/main.go
@@ -7,17 +7,15 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
-	"fmt"
 	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
+	"github.com/knapweedpier/knapweedpier/standin/program"
 )
 
 type settings struct {
@@ -33,17 +31,7 @@
 	Seed           uint64        `default:"1" help:"Seed of the pacing."`
 }
 
-func main() {
-	var s settings
-	if _, err := kong.Must(&s, kong.Name("standin-caller")).Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(errkind.ExitUsage)
-	}
-	if err := run(s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(errkind.ExitCode(err))
-	}
-}
+func main() { program.Main("standin-caller", run) }
 
 func run(s settings) error {
 	opt, err := s.options()
--- a/standin/cmd/standin-fabric/main.go
+++ b/standin/cmd/standin-fabric/main.go
@@ -12,10 +12,9 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/fabric"
+	"github.com/knapweedpier/knapweedpier/standin/program"
 )
 
 type settings struct {
@@ -26,17 +25,7 @@
 	Loss     float64       `default:"0" help:"Share of packets lost in each direction, 0 to 1."`
 }
 
-func main() {
-	var s settings
-	if _, err := kong.Must(&s, kong.Name("standin-fabric")).Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(errkind.ExitUsage)
-	}
-	if err := run(s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(errkind.ExitCode(err))
-	}
-}
+func main() { program.Main("standin-fabric", run) }
 
 func run(s settings) error {
 	opt, err := s.options()
--- a/standin/cmd/standin-platform/main.go
+++ b/standin/cmd/standin-platform/main.go
@@ -8,10 +8,9 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/alecthomas/kong"
-
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/platform"
+	"github.com/knapweedpier/knapweedpier/standin/program"
 )
 
 type settings struct {
@@ -28,14 +27,7 @@
 	return nil
 }
 
-func main() {
-	var s settings
-	kong.Parse(&s, kong.Description("Stand-in of the platform's object API."))
-	if err := run(s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(errkind.ExitCode(err))
-	}
-}
+func main() { program.Main("standin-platform", run) }
 
 func run(s settings) error {
 	server := platform.New(platform.Options{WritesPerSecond: s.Writes, ReadsPerSecond: s.Reads})
