Let fresh processes ask their seeds before the platform

Cause: each fresh process listed all announcements at the platform before it had heard of a peer. When a failure domain of 655 processes comes back, that is about 6,600 reads and 850 MB in some seconds (docs/CAPACITY.md, derived), against about 2,000 reads a second. Change: a process with seeds waits up to 1.5 s for one of them to answer; then only the two watchers of a failure domain read the platform. Ruled out: jitter alone, which spreads the calls but not the bytes. Before: 2 listings by each of 3 fresh processes (TestFreshProcessesAskSeedsFirst: 38 != 32).

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -252,3 +252,19 @@
 	is.Equal(len(listing.Objects), 1)
 	is.Equal(listing.Objects[0].Key, membersPrefix+"new")
 }
+
+// Guards against fresh processes that list all announcements at the platform
+// although a seed answers: a failure domain that comes back would overload it.
+func TestFreshProcessesAskSeedsFirst(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 6, 1)
+	f.apply(2)
+	f.until(5*time.Second, "generation 2", func(n *testNode) bool { return n.generationInForce() == 2 })
+	before := f.store.lists.Load()
+	for range 3 {
+		f.add(membership.RoleAgent, "shawi")
+	}
+	f.until(5*time.Second, "fresh processes catch up", func(n *testNode) bool { return n.generationInForce() == 2 })
+	is.Equal(f.store.lists.Load(), before)
+}
--- a/internal/distribution/harness_test.go
+++ b/internal/distribution/harness_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 
 // fakeStore is a platform in memory that can be down.
 type fakeStore struct {
+	lists    atomic.Int64
 	mu       sync.Mutex
 	down     bool
 	revision uint64
@@ -82,6 +84,7 @@
 }
 
 func (s *fakeStore) List(_ context.Context, prefix string) (platform.Listing, error) {
+	s.lists.Add(1)
 	return s.since(prefix, 0)
 }
 
--- a/internal/distribution/watcher.go
+++ b/internal/distribution/watcher.go
@@ -23,6 +23,11 @@
 	// keepAnnouncement exceeds the clock errors of hosts as well as the lease.
 	keepAnnouncement = 24 * time.Hour
 	maxCollect       = 20 // objects deleted after one listing
+	// seedsFirst is how long a fresh process waits for a seed before it reads
+	// the platform. When a failure domain of 655 processes comes back, their
+	// listings of all announcements would exceed the platform's reads for
+	// seconds, while any peer has the same state.
+	seedsFirst = 1500 * time.Millisecond
 )
 
 const membersPrefix = "members/"
@@ -40,6 +45,7 @@
 // its failure domain or has no usable peer.
 func (n *Node) watchPlatform(ctx context.Context) {
 	w := &watcher{node: n}
+	n.awaitSeeds(ctx)
 	for ctx.Err() == nil {
 		if !n.shouldWatch() {
 			w.config = 0 // what happens meanwhile is learned from peers
@@ -53,6 +59,21 @@
 	}
 }
 
+// awaitSeeds returns once a seed has answered, or after seedsFirst.
+func (n *Node) awaitSeeds(ctx context.Context) {
+	if len(n.opts.Seeds) == 0 {
+		return
+	}
+	for end := n.now().Add(seedsFirst); n.now().Before(end); {
+		n.mu.Lock()
+		answered := n.usable(n.now())
+		n.mu.Unlock()
+		if answered || !sleep(ctx, watchCheck/5) {
+			return
+		}
+	}
+}
+
 func (n *Node) shouldWatch() bool {
 	now := n.now()
 	members := n.Board.Members.Get().Members
