Show that an announcement makes a keyless agent a candidate

Cause: a balancer that watches the platform merges the announcements in members/ into its table, and announcements carry no proof of the key. An agent with another key ring announces itself there and is put into the candidate tables.

Ruled out: a fix in this commit. Ignoring agents that were never heard over the tunnel or a peer changes how a fresh balancer starts; signing the announcement changes the object's format. Both are decisions about the design. No flow ends at the agent, since it cannot make a valid connection ID.

Conclusion: known fault, to be decided.

--- a/internal/processtest/keys_test.go
+++ b/internal/processtest/keys_test.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"testing"
+	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/event"
 )
@@ -85,3 +86,24 @@
 	}
 	s.is.Equal(len(s.ledger(2).Starts), 0)
 }
+
+// announcementTime is longer than a balancer needs to read an announcement
+// from the platform.
+const announcementTime = 15 * time.Second
+
+// Guards against a candidate that only the platform vouches for: an agent with
+// another key ring announces itself there, and openings that are sent to it
+// are lost until their callers send them again.
+func TestAnnouncementWithoutKey(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, gelDesk, 2, 2)
+	own := s.keys
+	s.keys = s.write("other-keys", "1:"+newSecret())
+	s.startBackend(2)
+	s.startAgent(2)
+	s.keys = own
+	for end := time.Now().Add(announcementTime); time.Now().Before(end); time.Sleep(pollInterval) {
+		s.is.True(s.candidates(0) <= 2)
+		s.is.True(s.candidates(1) <= 2)
+	}
+}
