Sign announcements with the key ring

Cause: announcements in the platform carried no proof of the key, so an agent with another key ring became a candidate of every balancer, and openings sent to it were lost until their callers sent them again (2 of 5 took over 600 ms). Change: an announcement carries a tag of its content under a key of the ring; others are refused, logged and counted like a peer without the key. Ruled out: ignoring agents that were never heard, which would delay a fresh balancer's start during quiet times. TestProcessWithoutKey looked for dropped hellos of the keyless agent; it no longer learns of any balancer, so the test now sends a foreign header itself and also checks the refused peers' count.

--- a/internal/distribution/announcer.go
+++ b/internal/distribution/announcer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -57,9 +56,9 @@
 	defer n.announcing.Unlock()
 	self := n.Self()
 	key := membersPrefix + string(self.Role) + "/" + self.ID
-	value, err := json.Marshal(announcement{self, n.now()})
+	value, err := announcement{Record: self, AnnouncedAt: n.now()}.encode(n.opts.Ring())
 	if err != nil {
-		return errkind.Wrap(err, errkind.Internal, "encode announcement")
+		return err
 	}
 	object, err := n.opts.Store.Put(ctx, key, value, n.announceVersion)
 	if errkind.Is(err, errkind.VersionConflict) { // of a predecessor, or of a write whose answer was lost
--- a/internal/distribution/configuration.go
+++ b/internal/distribution/configuration.go
@@ -7,7 +7,6 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
@@ -119,9 +118,3 @@
 	}
 	return max(now.Sub(n.fresh), 0).Truncate(time.Millisecond)
 }
-
-// announcement is what a process writes to the platform.
-type announcement struct {
-	membership.Record
-	AnnouncedAt time.Time `json:"announced_at"`
-}
--- a/internal/distribution/watcher.go
+++ b/internal/distribution/watcher.go
@@ -169,9 +169,9 @@
 		if object.Version == 0 {
 			continue
 		}
-		var a announcement
-		if err := json.Unmarshal(object.Value, &a); err != nil || a.ID == "" {
-			n.log.Failure(event.PeerMessageRefused, errkind.Errorf(errkind.PeerMalformed, "announcement does not parse"), event.Fields{"key": object.Key})
+		a, err := decodeAnnouncement(object.Value, n.opts.Ring())
+		if err != nil {
+			n.refuseAnnouncement(object.Key, err)
 			continue
 		}
 		age := max(now.Sub(a.AnnouncedAt), 0)
@@ -184,6 +184,14 @@
 	n.merge(changes, now)
 }
 
+func (n *Node) refuseAnnouncement(key string, err error) {
+	id := event.PeerMessageRefused
+	if errkind.Is(err, errkind.PeerUnauthorized) {
+		id = event.PeerRefused
+	}
+	n.log.Failure(id, err, event.Fields{"key": key})
+}
+
 func (w *watcher) contact() {
 	n, now := w.node, w.node.now()
 	n.mu.Lock()
--- a/internal/processtest/keys_test.go
+++ b/internal/processtest/keys_test.go
@@ -3,11 +3,14 @@
 package processtest
 
 import (
+	"net"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/tunnel"
 )
 
 // Guards against a key rotation that cuts flows: every process changes from
@@ -77,6 +80,10 @@
 		return s.balancers[0].events(event.PeerRefused)+s.balancers[1].events(event.PeerRefused) > 0
 	})
 	eventually(t, patience, "the refusals are counted", func() bool {
+		return s.metric(firstBalancerHost, "control.peer_unauthorized") > 0 || s.metric(firstBalancerHost+1, "control.peer_unauthorized") > 0
+	})
+	s.sendForeignHello(firstBalancerHost)
+	eventually(t, patience, "foreign tunnel headers are counted", func() bool {
 		return s.metric(firstBalancerHost, "balancer.drops.tunnel-tag") > 0
 	})
 	for n := range newFlows {
@@ -87,6 +94,20 @@
 	s.is.Equal(len(s.ledger(2).Starts), 0)
 }
 
+// sendForeignHello sends a balancer a tunnel header of another key ring.
+func (s *site) sendForeignHello(host int) {
+	s.t.Helper()
+	ring, err := keyring.Parse("1:" + newSecret())
+	s.is.NoErr(err)
+	var buf [tunnel.MaxSize]byte
+	start := tunnel.NewCodec(ring).Prepend(buf[:], tunnel.MaxSize, &tunnel.Header{Type: tunnel.Hello})
+	conn, err := net.Dial("udp4", s.at(host, tunnelPort))
+	s.is.NoErr(err)
+	defer conn.Close()
+	_, err = conn.Write(buf[start:])
+	s.is.NoErr(err)
+}
+
 // announcementTime is longer than a balancer needs to read an announcement
 // from the platform.
 const announcementTime = 15 * time.Second
