--- a/internal/fleet/changes.go
+++ b/internal/fleet/changes.go
@@ -13,12 +13,19 @@
 // LeaveBackend implements quickstart.Fleet.
 func (f *Fleet) LeaveBackend(ctx context.Context, id string) (time.Time, error) {
 	service := ""
+	if h := f.backend(id); h != nil {
+		service = h.service
+	}
+	return f.now(ctx, sheet.Change{Kind: config.Leave, Subject: id, Service: service})
+}
+
+func (f *Fleet) backend(id string) *backendHost {
 	for _, h := range f.hosts {
 		if h.id == id {
-			service = h.service
+			return h
 		}
 	}
-	return f.now(ctx, sheet.Change{Kind: config.Leave, Subject: id, Service: service})
+	return nil
 }
 
 // TakeDomainOut implements quickstart.Fleet. The backend servers of the domain
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,6 +61,9 @@
 	Logger *event.Logger // nil: nothing is logged
 	Prefix byte          // second number of the loopback addresses of all hosts: 127.Prefix.x.y
 	Delay  time.Duration // one way between callers and balancers
+	// Backends is the number of backend servers of each service; 0 is as at
+	// today's users.
+	Backends int
 }
 
 // Fleet is a set of embedded roles. It implements quickstart.Fleet.
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -37,6 +37,7 @@
 type balancerHost struct {
 	id       string
 	balancer *balancer.Balancer
+	link     *link
 	health   *http.Server
 	stop     func() // ends the watch
 }
@@ -47,6 +48,9 @@
 	address             netip.Addr
 	server              *backend.Server
 	agent               *agent.Agent
+	link                *link
+	path                *path
+	clock               *clock
 	warm                []span
 	stop                func()
 }
@@ -63,6 +67,9 @@
 		if i == 0 {
 			count = largeService
 		}
+		if f.opts.Backends > 0 {
+			count = f.opts.Backends
+		}
 		for n := range count {
 			f.hosts = append(f.hosts, &backendHost{
 				id:      fmt.Sprintf("%s-%d", s.Name, n+1),
@@ -104,15 +111,17 @@
 	if err != nil {
 		return "", err
 	}
+	link := &link{}
 	b, err := balancer.New(balancer.Options{
 		ID:           balancerID(number),
 		Domain:       domain,
 		Region:       f.region(domain),
-		PeerListener: listener,
+		PeerListener: link.listener(listener),
+		Dial:         link.dial,
 		TunnelListen: netip.AddrPortFrom(host, tunnelPort),
 		BindHost:     host,
 		Seeds:        f.seeds(),
-		Store:        f.store,
+		Store:        linkedStore{f.store, link},
 		Ring:         f.getRing,
 		Policy:       f.steeringPolicy(),
 		Logger:       f.opts.Logger,
@@ -122,7 +131,7 @@
 	if err != nil {
 		return "", err
 	}
-	bh := &balancerHost{id: balancerID(number), balancer: b}
+	bh := &balancerHost{id: balancerID(number), balancer: b, link: link}
 	if bh.health, err = serveHealth(host, b.Healthy); err != nil {
 		return "", err
 	}
@@ -182,20 +191,27 @@
 	if err := f.startServer(h, service); err != nil {
 		return err
 	}
+	return f.startAgent(ctx, h)
+}
+
+func (f *Fleet) startAgent(ctx context.Context, h *backendHost) error {
 	listener, err := listenTCP(h.address, peerPort)
 	if err != nil {
 		return err
 	}
+	h.link, h.path, h.clock = &link{}, &path{}, &clock{}
 	h.agent = agent.New(agent.Options{
 		ID:           h.id,
 		Domain:       h.domain,
 		Region:       f.region(h.domain),
 		Service:      h.service,
 		Backend:      netip.AddrPortFrom(h.address, backendPort),
-		PeerListener: listener,
+		PeerListener: h.link.listener(listener),
+		Dial:         h.link.dial,
+		Clock:        h.clock.now,
 		TunnelListen: netip.AddrPortFrom(h.address, tunnelPort),
 		Seeds:        f.seeds(),
-		Store:        f.store,
+		Store:        linkedStore{f.store, h.link},
 		Ring:         f.getRing,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 			return &f.cert.Certificate, nil
@@ -203,7 +219,7 @@
 		Policy:  f.agentPolicy(),
 		Logger:  f.opts.Logger,
 		Metrics: metrics.New(),
-		Open:    f.wire.open(h.domain),
+		Open:    h.path.open(f.wire.open(h.domain)),
 	})
 	if err := h.agent.Start(ctx); err != nil {
 		return err
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -110,7 +110,7 @@
 		return PeerLoad{}, false
 	case s.Leaving || again || g.failing():
 		return lessLoaded(g.peersWithRoom(j))
-	case n > 0:
+	case n > 0 || j.feed:
 		return PeerLoad{}, false
 	}
 	return g.relief(j)
@@ -121,6 +121,9 @@
 	if j.relayed {
 		return nil, errkind.Wrap(full, errkind.RelayNotPossible, "relayed request")
 	}
+	if j.feed && !j.mayRelay {
+		return nil, full
+	}
 	if peer, ok := lessLoaded(g.peersWithRoom(j)); ok {
 		return g.relay(j, peer)
 	}
--- a/internal/gate/job.go
+++ b/internal/gate/job.go
@@ -55,6 +55,7 @@
 	rest     io.Reader // unread part of a body that is not kept whole
 	consumed bool      // rest was handed to an attempt
 
+	mayRelay   bool             // a feed that found no slot here in time
 	tried      []netip.AddrPort // peers that were asked
 	mayHaveRun error            // the first failure after which the request may have run
 }
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -11,6 +11,11 @@
 // milliseconds; without waiting, about 1% of the requests were refused.
 const slotWait = 50 * time.Millisecond
 
+// feedWait is how long a feed waits for a slot of its own agent before it may
+// be relayed. A relayed feed lasts for hours and breaks with either agent's
+// failure domain and with the connection between them.
+const feedWait = 500 * time.Millisecond
+
 // waitForSlot waits after the error full until a slot may be free, and reports
 // whether it is worth to try. At most as many requests wait as there are
 // slots, so that refusals stay cheap under overload. A relayed request does
@@ -20,13 +25,19 @@
 		return false
 	}
 	defer g.stopWaiting()
-	t := time.NewTimer(slotWait)
+	limit := slotWait
+	if j.feed {
+		limit = feedWait
+	}
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case <-g.freed:
 		return true
 	case <-t.C:
-		return false
+		vain := j.feed && !j.mayRelay
+		j.mayRelay = true
+		return vain
 	case <-j.ctx.Done():
 		return false
 	}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/peer"
 	"github.com/knapweedpier/knapweedpier/internal/platform"
 	"github.com/knapweedpier/knapweedpier/internal/udp"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
@@ -41,7 +42,8 @@
 	Logger         *event.Logger
 	Metrics        *metrics.Registry
 	Open           udp.ListenFunc
-	Clock          func() time.Time
+	Clock          func() time.Time // nil: time.Now
+	Dial           peer.DialFunc    // to peers; nil: net.Dialer
 }
 
 // Policy switches parts off, to measure what they do.
@@ -78,6 +80,7 @@
 	endpoint    *Endpoint
 	gate        *gate.Gate
 	flows       *flowServer
+	relays      relays
 	connections atomic.Int64 // limit of open flows; read for each packet
 }
 
@@ -108,6 +111,7 @@
 		Status:   o.Status,
 		Logger:   o.Logger,
 		Clock:    o.Clock,
+		Dial:     o.Dial,
 	})
 	return a
 }
@@ -131,7 +135,7 @@
 	ctx, a.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	a.done.Go(func() { a.control(ctx) })
 	a.done.Go(func() {
-		fence.Run(ctx, a.fence, time.Now, func() {
+		fence.Run(ctx, a.fence, a.opts.now, func() {
 			select {
 			case a.fenced <- struct{}{}:
 			default:
@@ -187,7 +191,9 @@
 		gate.Refuse(w, errkind.BackendLeaving)
 		return
 	}
-	in.gate.RelayHandler().ServeHTTP(w, r)
+	ctx, done := in.relays.begin(r.Context())
+	defer done()
+	in.gate.RelayHandler().ServeHTTP(w, r.WithContext(ctx))
 }
 
 // Headers that name the agent which ends the caller's flow, also on answers
@@ -218,7 +224,7 @@
 		Service: service.Address,
 		Ring:    a.opts.Ring(),
 		Self:    a.self,
-		Paused:  func() bool { return a.fence.Check(time.Now()) != nil },
+		Paused:  func() bool { return a.fence.Check(a.opts.now()) != nil },
 		Open:    a.opts.Open,
 		Logger:  a.opts.Logger,
 	})
@@ -268,6 +274,6 @@
 	return gate.State{
 		Leaving:   a.leaving.Load(),
 		DomainOut: a.domainOut.Load(),
-		Fenced:    !a.fence.Holds(incarnation, time.Now()),
+		Fenced:    !a.fence.Holds(incarnation, a.opts.now()),
 	}
 }
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -111,6 +111,8 @@
 	// Requests that were cut are answered by the close below.
 	_ = in.flows.drain(ctx)
 	in.flows.closeFlows("failure domain out")
+	<-ctx.Done() // relayed requests may go on as long as flows
+	in.relays.end()
 }
 
 // followLeaving asks callers to move to new flows when the backend server
@@ -217,7 +219,7 @@
 // Everything that was received before the pause is dropped.
 func (a *Agent) renew() {
 	a.end()
-	number := a.fence.Renew(time.Now())
+	number := a.fence.Renew(a.opts.now())
 	a.opts.Logger.Emit(event.Fenced, event.Fields{"id": a.opts.ID, "incarnation": number})
 	a.node.SetSelf(a.describe)
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/peer"
 	"github.com/knapweedpier/knapweedpier/internal/platform"
 	"github.com/knapweedpier/knapweedpier/internal/steering"
 	"github.com/knapweedpier/knapweedpier/internal/udp"
@@ -45,7 +46,8 @@
 	Logger       *event.Logger
 	Metrics      *metrics.Registry
 	Open         udp.ListenFunc
-	Clock        func() time.Time
+	Clock        func() time.Time // nil: time.Now
+	Dial         peer.DialFunc    // to peers; nil: net.Dialer
 }
 
 // Balancer is a running entry process.
@@ -94,6 +96,7 @@
 		Status:   o.Status,
 		Logger:   o.Logger,
 		Clock:    o.Clock,
+		Dial:     o.Dial,
 	})
 	return b, nil
 }
