--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/peer"
 	"github.com/knapweedpier/knapweedpier/internal/platform"
 	"github.com/knapweedpier/knapweedpier/internal/udp"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
@@ -41,7 +42,8 @@
 	Logger         *event.Logger
 	Metrics        *metrics.Registry
 	Open           udp.ListenFunc
-	Clock          func() time.Time
+	Clock          func() time.Time // nil: time.Now
+	Dial           peer.DialFunc    // to peers; nil: net.Dialer
 }
 
 // Policy switches parts off, to measure what they do.
@@ -82,6 +84,7 @@
 	endpoint    *Endpoint
 	gate        *gate.Gate
 	flows       *flowServer
+	relays      relays
 	connections atomic.Int64 // limit of open flows; read for each packet
 	cancel      context.CancelFunc
 	warming     sync.WaitGroup
@@ -118,6 +121,7 @@
 		Metrics:  o.Metrics,
 		Logger:   o.Logger,
 		Clock:    o.Clock,
+		Dial:     o.Dial,
 	})
 	return a
 }
@@ -141,7 +145,7 @@
 	ctx, a.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	a.done.Go(func() { a.control(ctx) })
 	a.done.Go(func() {
-		fence.Run(ctx, a.fence, time.Now, func() {
+		fence.Run(ctx, a.fence, a.opts.now, func() {
 			select {
 			case a.fenced <- struct{}{}:
 			default:
@@ -197,7 +201,9 @@
 		gate.Refuse(w, errkind.BackendLeaving)
 		return
 	}
-	in.gate.RelayHandler().ServeHTTP(w, r)
+	ctx, done := in.relays.begin(r.Context())
+	defer done()
+	in.gate.RelayHandler().ServeHTTP(w, r.WithContext(ctx))
 }
 
 // Headers that name the agent which ends the caller's flow, also on answers
@@ -228,7 +234,7 @@
 		Service: service.Address,
 		Ring:    a.opts.Ring(),
 		Self:    a.self,
-		Paused:  func() bool { return a.fence.Check(time.Now()) != nil },
+		Paused:  func() bool { return a.fence.Check(a.opts.now()) != nil },
 		Open:    a.opts.Open,
 		Logger:  a.opts.Logger,
 		Metrics: a.metrics,
@@ -291,7 +297,7 @@
 // is out are closed, requests that still arrive on them are relayed, as on a
 // leaving backend server.
 func (a *Agent) state(incarnation uint64) gate.State {
-	now := time.Now()
+	now := a.opts.now()
 	out := a.domainOut.Load()
 	return gate.State{
 		Leaving:   a.leaving.Load() || out,
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -112,10 +112,20 @@
 	defer cancel()
 	// Requests that were cut are answered by the close below.
 	_ = in.flows.drain(ctx)
-	if a.closesAt.Load() != deadline.UnixNano() || !a.domainOut.Load() {
+	if !a.stillOut(deadline) {
 		return // the failure domain is back already
 	}
 	in.flows.closeFlows("failure domain out", errkind.DomainOut)
+	<-ctx.Done() // relayed requests may go on as long as flows
+	if a.stillOut(deadline) {
+		in.relays.end()
+	}
+}
+
+// stillOut reports whether the failure domain is out and closes its flows at
+// the deadline.
+func (a *Agent) stillOut(deadline time.Time) bool {
+	return a.domainOut.Load() && a.closesAt.Load() == deadline.UnixNano()
 }
 
 // followLeaving asks callers to move to new flows when the backend server
@@ -223,7 +233,7 @@
 // Everything that was received before the pause is dropped.
 func (a *Agent) renew() {
 	a.end(errkind.AgentFenced)
-	number := a.fence.Renew(time.Now())
+	number := a.fence.Renew(a.opts.now())
 	a.opts.Logger.Emit(event.Fenced, event.Fields{"id": a.opts.ID, "incarnation": number})
 	a.node.SetSelf(a.describe)
 }
--- a/pkg/agent/endpoint.go
+++ b/pkg/agent/endpoint.go
@@ -199,11 +199,11 @@
 	switch h.Type {
 	case tunnel.Forward:
 		if h.Hop == 0 {
-			e.balancers.heard(now, from)
+			e.balancers.forwarded(now, from)
 		}
 		e.forwarded(now, h, payload)
 	case tunnel.HelloAck:
-		e.balancers.heard(now, from)
+		e.balancers.answered(now, from)
 	case tunnel.Hello:
 		e.mu.Lock()
 		e.placement.Reported(now, from, h.Load)
--- a/pkg/agent/heard.go
+++ b/pkg/agent/heard.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// heardWithin is how recently a balancer must have been heard from to carry
+// heardWithin is how recently a balancer must have answered a hello to carry
 // return traffic.
 const heardWithin = time.Second
 
@@ -24,14 +24,31 @@
 	return &heardSet{seed: maphash.MakeSeed(), at: map[netip.AddrPort]time.Time{}}
 }
 
-func (s *heardSet) heard(now time.Time, balancer netip.AddrPort) {
+// answered notes that a balancer answered a hello, which shows that packets
+// reach it.
+func (s *heardSet) answered(now time.Time, balancer netip.AddrPort) {
+	s.note(now, balancer)
+}
+
+// forwarded notes that a balancer forwarded a packet. This shows only that
+// packets arrive from it: the path to it may be broken. It is a choice if no
+// balancer has answered.
+func (s *heardSet) forwarded(now time.Time, balancer netip.AddrPort) {
+	s.note(now.Add(-heardWithin), balancer)
+}
+
+func (s *heardSet) note(at time.Time, balancer netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.at[balancer]; !ok {
+	last, ok := s.at[balancer]
+	if ok && !at.After(last) {
+		return
+	}
+	if !ok {
 		i, _ := slices.BinarySearchFunc(s.sorted, balancer, netip.AddrPort.Compare)
 		s.sorted = slices.Insert(s.sorted, i, balancer)
 	}
-	s.at[balancer] = now
+	s.at[balancer] = at
 }
 
 // pick returns a balancer for a caller's return traffic: the same one as long
