Wait until a stopped process has stopped in the process tests

Cause: TestPausedAgent failed in 1 of 6 runs with -race, three test processes at a time, with "agent_test.go:57: 1 != 0". SIGSTOP takes effect when one thread of the process has been scheduled; on a busy machine the others run on meanwhile, and the test sent its orders at once. The failing run's log has an order that was "while in progress" and one that waited for a slot 2 ms before event 1304, so the agent had taken orders before it stopped.

Change: freeze sends SIGSTOP and waits until every thread in /proc is in the state "T". The tests of a paused agent, a frozen balancer and a frozen backend server use it. No check is changed.

Ruled out: not proved, that the order's first byte left only after the pause; the failing run did not keep the start time.

Conclusion: orders of the test are sent to an agent that has stopped.

--- a/internal/processtest/agent_test.go
+++ b/internal/processtest/agent_test.go
@@ -39,7 +39,7 @@
 		tickets = append(tickets, f.ticket())
 	}
 
-	s.agents[0].signal(syscall.SIGSTOP)
+	s.agents[0].freeze()
 	resume := time.After(pauseTime)
 	s.giveUp(f, tickets)
 	s.is.True(!passed(resume)) // all callers gave up during the pause
--- a/internal/processtest/balancer_test.go
+++ b/internal/processtest/balancer_test.go
@@ -52,7 +52,7 @@
 	f := s.open(s.service(1))
 	long := f.feed()
 
-	s.balancers[0].signal(syscall.SIGSTOP)
+	s.balancers[0].freeze()
 	thaw := time.After(frozenTime)
 	s.awaitLive(0, false)
 	for n := 0; !passed(thaw); n++ {
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -6,9 +6,12 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -103,6 +106,31 @@
 // signal does nothing if the process has ended.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// freeze stops the process with SIGSTOP and waits until every thread has
+// stopped: the kernel tells one thread first, and on a busy machine the others
+// go on running for a while.
+func (p *process) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	eventually(p.t, patience, p.name+" is stopped", p.stopped)
+}
+
+// stopped reports whether all threads are in the state "T" (stopped).
+func (p *process) stopped() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		_, state, _ := strings.Cut(string(text), ") ")
+		if err != nil || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // kill ends the process without any notice and waits for its end.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/internal/processtest/stop_test.go
+++ b/internal/processtest/stop_test.go
@@ -46,7 +46,7 @@
 	eventually(s.t, patience, "all orders have started", func() bool {
 		return s.runs(f.service, orderID(0)) == 1 && s.runs(f.service, orderID(1)) == 1
 	})
-	s.backends[i].signal(syscall.SIGSTOP)
+	s.backends[i].freeze()
 	s.agents[i].signal(syscall.SIGTERM)
 	eventually(s.t, patience, "the agent stops", func() bool { return s.agents[i].events(event.Stopping) > 0 })
 	s.backends[i].signal(syscall.SIGCONT)
