--- a/pkg/agent/packetconn.go
+++ b/pkg/agent/packetconn.go
@@ -138,3 +138,10 @@
 
 // SetWriteDeadline implements net.PacketConn; writes never wait.
 func (c *packetConn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetReadBuffer is asked for by the QUIC library, which logs a warning without
+// it. The tunnel socket's buffers were set when it was opened.
+func (c *packetConn) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer is the same for the other direction.
+func (c *packetConn) SetWriteBuffer(int) error { return nil }
