Use the field's terms for recorders, attempts and departures

book, wire, told and farewell in the stand-ins and the control plane become recorder, packetLog, Attempt and announceDeparture.

--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -196,7 +196,7 @@
 		return nil
 	}
 	n.SetSelf(func(r *membership.Record) { r.State = membership.StateGone })
-	n.farewell(ctx)
+	n.announceDeparture(ctx)
 	err := n.server.Shutdown(ctx)
 	n.cancel()
 	n.wg.Wait()
@@ -204,9 +204,9 @@
 	return err
 }
 
-// farewell tells the platform and all partners that this process is gone.
-func (n *Node) farewell(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
+// announceDeparture tells the platform and all partners that this process is gone.
+func (n *Node) announceDeparture(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { n.announceGone(ctx) })
--- a/internal/distribution/puller.go
+++ b/internal/distribution/puller.go
@@ -16,7 +16,7 @@
 const (
 	leastRound      = 5 * time.Millisecond // between two pulls from one partner
 	retryPull       = 250 * time.Millisecond
-	farewellTimeout = 2 * time.Second
+	departureTimeout = 2 * time.Second
 )
 
 // puller pulls from one partner.
--- a/internal/fleet/changes.go
+++ b/internal/fleet/changes.go
@@ -72,7 +72,7 @@
 
 // Ledgers implements quickstart.Fleet.
 func (f *Fleet) Ledgers() quickstart.FleetLedgers {
-	out := quickstart.FleetLedgers{LastPacketOut: f.wire.last}
+	out := quickstart.FleetLedgers{LastPacketOut: f.packets.last}
 	for _, h := range f.hosts {
 		ledger := h.server.Ledger()
 		b := quickstart.Backend{
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,9 +80,9 @@
 
 	platformURL string
 
-	fabric *fabric.Fabric
-	wire   *wire
-	watch  *watch
+	fabric  *fabric.Fabric
+	packets *packetLog
+	watch   *watch
 
 	mu        sync.Mutex
 	balancers map[string]*balancerHost
@@ -113,7 +113,7 @@
 		sheet:     parsed,
 		initial:   initial,
 		balancers: map[string]*balancerHost{},
-		wire:      newWire(),
+		packets:   newPacketLog(),
 		watch:     newWatch(),
 	}
 	f.ringText = newRingText()
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -220,7 +220,7 @@
 		Policy:  f.agentPolicy(),
 		Logger:  f.opts.Logger,
 		Metrics: metrics.New(),
-		Open:    h.path.open(f.wire.open(h.domain)),
+		Open:    h.path.open(f.packets.open(h.domain)),
 	})
 	if err := h.agent.Start(ctx); err != nil {
 		return err
--- a/internal/fleet/wire.go
+++ b/internal/fleet/packetlog.go
@@ -13,41 +13,41 @@
 // resolution is the precision of packet times; it bounds the ledger's memory.
 const resolution = time.Millisecond
 
-// wire records when packets passed the tunnel sockets of each failure domain.
-type wire struct {
+// packetLog records when packets passed the tunnel sockets of each failure domain.
+type packetLog struct {
 	mu    sync.Mutex
 	times map[string][]time.Time // in order, one for each millisecond with packets
 }
 
-func newWire() *wire { return &wire{times: map[string][]time.Time{}} }
+func newPacketLog() *packetLog { return &packetLog{times: map[string][]time.Time{}} }
 
-// open returns a ListenFunc whose sockets report to the wire.
-func (w *wire) open(domain string) udp.ListenFunc {
+// open returns a ListenFunc whose sockets report to it.
+func (l *packetLog) open(domain string) udp.ListenFunc {
 	return func(address netip.AddrPort) (udp.Socket, error) {
 		s, err := udp.Listen(address)
 		if err != nil {
 			return nil, err
 		}
-		return &tappedSocket{Socket: s, wire: w, domain: domain}, nil
+		return &tappedSocket{Socket: s, packetLog: l, domain: domain}, nil
 	}
 }
 
-func (w *wire) passed(domain string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (l *packetLog) passed(domain string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := time.Now()
-	times := w.times[domain]
+	times := l.times[domain]
 	if n := len(times); n > 0 && now.Sub(times[n-1]) < resolution {
 		return
 	}
-	w.times[domain] = append(times, now)
+	l.times[domain] = append(times, now)
 }
 
 // last returns the last packet of a domain in the interval, or zero.
-func (w *wire) last(domain string, during quickstart.Interval) time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, at := range slices.Backward(w.times[domain]) {
+func (l *packetLog) last(domain string, during quickstart.Interval) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, at := range slices.Backward(l.times[domain]) {
 		if at.Before(during.From) {
 			break
 		}
@@ -61,21 +61,21 @@
 // tappedSocket reports each packet that it reads or writes.
 type tappedSocket struct {
 	udp.Socket
-	wire   *wire
-	domain string
+	packetLog *packetLog
+	domain    string
 }
 
 // ReadFromUDPAddrPort implements udp.Socket.
 func (s *tappedSocket) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
 	n, from, err := s.Socket.ReadFromUDPAddrPort(b)
 	if err == nil {
-		s.wire.passed(s.domain)
+		s.packetLog.passed(s.domain)
 	}
 	return n, from, err
 }
 
 // WriteToUDPAddrPort implements udp.Socket.
 func (s *tappedSocket) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
-	s.wire.passed(s.domain)
+	s.packetLog.passed(s.domain)
 	return s.Socket.WriteToUDPAddrPort(b, to)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -116,12 +116,12 @@
 	if own.AcceptAll || hop >= MaxHops {
 		return choice{verdict: Accept}
 	}
-	next, share, ok := t.leastLoaded(now)
+	next, flows, ok := t.leastLoaded(now)
 	if !ok {
 		return choice{verdict: Accept}
 	}
 	unable := own.Full || own.Load.Flags&tunnel.FlagLeaving != 0
-	busier := hop == 0 && share < flowShare(own.Load, 1)
+	busier := hop == 0 && flows < int(own.Load.Flows)
 	if unable || busier {
 		t.peers[next].sent++
 		return choice{PassOn, next}
@@ -129,25 +129,23 @@
 	return choice{verdict: Accept}
 }
 
-// leastLoaded returns the agent with the smallest share of flows for its
-// limit, counting the openings that were passed to it since its report.
-func (t *Table) leastLoaded(now time.Time) (agent netip.AddrPort, share float64, ok bool) {
+// leastLoaded returns the agent with the fewest open flows, counting the
+// openings that were passed to it since its report.
+//
+// Flows are counted without regard to the limit of the moment: a flow lasts
+// far longer than a cold start, and until its backend server is warm the
+// agent relays the requests that it cannot take.
+func (t *Table) leastLoaded(now time.Time) (agent netip.AddrPort, flows int, ok bool) {
 	for candidate, r := range t.peers {
 		if now.Sub(r.At) >= staleAfter || r.Load.Flags&tunnel.FlagLeaving != 0 || r.Load.Limit == 0 {
 			continue
 		}
-		s := flowShare(r.Load, r.sent+1)
-		if !ok || s < share || (s == share && candidate.Compare(agent) < 0) {
-			agent, share, ok = candidate, s, true
+		n := int(r.Load.Flows) + r.sent
+		if !ok || n < flows || (n == flows && candidate.Compare(agent) < 0) {
+			agent, flows, ok = candidate, n, true
 		}
 	}
-	return agent, share, ok
-}
-
-// flowShare is the number of flows per slot once added more are open. A cold
-// backend server has few slots and so attracts few flows.
-func flowShare(load tunnel.Load, added int) float64 {
-	return float64(int(load.Flows)+added) / float64(max(load.Limit, 1))
+	return agent, flows, ok
 }
 
 func (t *Table) rotate(now time.Time) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -126,8 +126,22 @@
 	is.Equal(verdict, PassOn)
 	is.Equal(next, agent(3))
 
-	cold := Own{Load: tunnel.Load{Limit: 2, Flows: 200}}
-	verdict, _ = table.Decide(start, cold, []byte("c"), 0)
+	fuller := Own{Load: tunnel.Load{Limit: 9, Flows: 502}} // one was passed on above
+	verdict, _ = table.Decide(start, fuller, []byte("c"), 0)
 	is.Equal(verdict, PassOn)
 	is.Equal(len(table.Peers(start)), 2)
 }
+
+// Guards against flows that stay uneven for hours because a backend server was
+// cold, for seconds, when they were opened.
+func TestColdStartDoesNotSkewFlows(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Reported(start, agent(1), tunnel.Load{Limit: 9, Flows: 20})
+	cold := Own{Load: tunnel.Load{Limit: 2, Flows: 19, Flags: tunnel.FlagCold}}
+	verdict, _ := table.Decide(start, cold, []byte("a"), 0)
+	is.Equal(verdict, Accept)
+	cold.Load.Flows = 21
+	verdict, _ = table.Decide(start, cold, []byte("b"), 0)
+	is.Equal(verdict, PassOn)
+}
--- a/internal/quickstart/join.go
+++ b/internal/quickstart/join.go
@@ -31,11 +31,11 @@
 // ended otherwise than not-run explain as many runs as there are of them. The
 // result is a lower bound where one of those ended unknown or lost.
 func falseNotRun(o caller.Order, runs int) int {
-	if len(o.Told) == 0 {
+	if len(o.Attempts) == 0 {
 		return min(runs, 1) // never sent, yet it ran
 	}
 	last := map[int]caller.Outcome{}
-	for _, t := range o.Told {
+	for _, t := range o.Attempts {
 		last[t.Ticket] = t.Outcome
 	}
 	notRun := 0
@@ -49,7 +49,7 @@
 }
 
 func toldDone(o caller.Order) bool {
-	for _, t := range o.Told {
+	for _, t := range o.Attempts {
 		if t.Outcome == caller.Done {
 			return true
 		}
--- a/internal/quickstart/join_test.go
+++ b/internal/quickstart/join_test.go
@@ -38,9 +38,9 @@
 			order, runs := caller.Order{ID: fmt.Sprint(i)}, 0
 			for n, kind := range rapid.SliceOfN(rapid.SampledFrom(tickets), 1, 3).Draw(t, "tickets") {
 				if rapid.Bool().Draw(t, "lost first") {
-					order.Told = append(order.Told, caller.Told{Ticket: n, Outcome: caller.Lost})
+					order.Attempts = append(order.Attempts, caller.Attempt{Ticket: n, Outcome: caller.Lost})
 				}
-				order.Told = append(order.Told, caller.Told{Ticket: n, Outcome: kind.told})
+				order.Attempts = append(order.Attempts, caller.Attempt{Ticket: n, Outcome: kind.told})
 				if kind.ran {
 					runs++
 					l.Backends[rapid.IntRange(0, 1).Draw(t, "backend")].Runs[order.ID]++
@@ -65,9 +65,9 @@
 	is := is.New(t)
 	s := Join(Ledgers{
 		Callers: caller.Ledger{Orders: []caller.Order{
-			{ID: "a", Told: []caller.Told{{Ticket: 1, Outcome: caller.Done}}},
+			{ID: "a", Attempts: []caller.Attempt{{Ticket: 1, Outcome: caller.Done}}},
 			{ID: "b"},
-			{ID: "c", Told: []caller.Told{{Ticket: 1, Outcome: caller.NotRun}, {Ticket: 2, Outcome: caller.Done}}},
+			{ID: "c", Attempts: []caller.Attempt{{Ticket: 1, Outcome: caller.NotRun}, {Ticket: 2, Outcome: caller.Done}}},
 		}},
 		Backends: []Backend{{Runs: map[string]int{"b": 1, "c": 3}}},
 	})
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -75,8 +75,8 @@
 	select {
 	case c.slots <- struct{}{}:
 	default:
-		c.load.book.update(func(l *Ledger) { l.Overruns++ })
-		c.load.book.request(Request{Kind: kind, Service: c.service.Name, At: time.Now(), Outcome: NotSent, Flow: NoFlow})
+		c.load.recorder.update(func(l *Ledger) { l.Overruns++ })
+		c.load.recorder.request(Request{Kind: kind, Service: c.service.Name, At: time.Now(), Outcome: NotSent, Flow: NoFlow})
 		return
 	}
 	c.running.Go(func() {
@@ -88,12 +88,12 @@
 
 // record writes the final outcome of a request that began at the given time.
 func (c *caller) record(kind Kind, began time.Time, last reply, attempts int) {
-	c.load.book.request(Request{
+	c.load.recorder.request(Request{
 		Kind: kind, Service: c.service.Name, At: began, Latency: time.Since(began),
 		Outcome: last.outcome, Attempts: attempts, Backend: last.backend, Domain: last.domain, Flow: last.flow,
 	})
 	if last.outcome == Wrong {
-		c.load.book.update(func(l *Ledger) { l.WrongAnswers++ })
+		c.load.recorder.update(func(l *Ledger) { l.WrongAnswers++ })
 	}
 }
 
@@ -102,7 +102,7 @@
 	if c.load.budget.spend() {
 		return true
 	}
-	c.load.book.update(func(l *Ledger) { l.RetriesSpared++ })
+	c.load.recorder.update(func(l *Ledger) { l.RetriesSpared++ })
 	return false
 }
 
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -50,7 +50,7 @@
 	is.Equal(len(breaks(got)), 0)
 	is.Equal(got.Flows[0].Reason, CallerClosed)
 	for _, o := range got.Orders {
-		is.Equal(len(o.Told), 1)
+		is.Equal(len(o.Attempts), 1)
 		is.Equal(s.runs[o.ID], 1)
 	}
 	is.True(len(got.Orders) > 10)
@@ -181,16 +181,16 @@
 	defer s.mu.Unlock()
 	for _, o := range got.Orders {
 		seen := tries[o.ID]
-		is.Equal(len(seen), len(o.Told))
+		is.Equal(len(seen), len(o.Attempts))
 		if len(seen) < 2 {
 			continue
 		}
 		retried++
-		lost := o.Told[0].Outcome == Lost
+		lost := o.Attempts[0].Outcome == Lost
 		is.Equal(lost, seen[0].ticket == seen[1].ticket)
 		is.Equal(lost, seen[1].attempt == "2")
 		is.True(!lost || seen[0].from != seen[1].from)
-		is.Equal(o.Told[1].Outcome, Done)
+		is.Equal(o.Attempts[1].Outcome, Done)
 	}
 	is.True(retried >= startRetries && retried <= startRetries+len(got.Requests)/10+1)
 	is.True(got.RetriesSpared > 0)
--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -76,7 +76,7 @@
 		c.lost(f)
 		return reply{outcome: Lost, flow: f.id}
 	}
-	return c.told(f, resp, body)
+	return c.readAnswer(f, resp, body)
 }
 
 // open sends a request on the current flow, or on a new one while flows refuse
@@ -141,8 +141,8 @@
 	c.retire(f, false)
 }
 
-// told reads what the answer says about the request.
-func (c *caller) told(f *flow, resp *http.Response, body []byte) reply {
+// readAnswer reads what the answer says about the request.
+func (c *caller) readAnswer(f *flow, resp *http.Response, body []byte) reply {
 	r := reply{
 		outcome: Outcome(resp.Header.Get(headerOutcome)),
 		status:  resp.StatusCode,
@@ -158,7 +158,7 @@
 	if r.outcome != Done && r.outcome != NotRun {
 		r.outcome = Unknown
 	}
-	c.load.book.flow(f.id, func(l *Flow) {
+	c.load.recorder.flow(f.id, func(l *Flow) {
 		l.Answers++
 		l.Backend, l.Domain = r.backend, r.domain
 	})
--- a/standin/caller/feed.go
+++ b/standin/caller/feed.go
@@ -48,7 +48,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	r := c.told(f, resp, nil)
+	r := c.readAnswer(f, resp, nil)
 	c.record(Feeding, began, r, 1)
 	if r.outcome == Done && r.status == http.StatusOK {
 		c.read(ctx, f, resp.Body, stop)
@@ -58,7 +58,7 @@
 // read follows the feed's lines and records its end.
 func (c *caller) read(ctx context.Context, f *flow, body io.Reader, stop context.CancelFunc) {
 	feed := &Feed{OpenedAt: time.Now()}
-	c.load.book.flow(f.id, func(r *Flow) { r.Feeds = append(r.Feeds, feed) })
+	c.load.recorder.flow(f.id, func(r *Flow) { r.Feeds = append(r.Feeds, feed) })
 	defer context.AfterFunc(ctx, stop)()
 	silence := time.AfterFunc(feedSilence, stop)
 	defer silence.Stop()
@@ -75,14 +75,14 @@
 		last = now
 	}
 	reason := c.feedEnd(ctx, f, lines.Err(), time.Since(last))
-	c.load.book.update(func(*Ledger) { feed.EndedAt, feed.Reason = time.Now(), reason })
+	c.load.recorder.update(func(*Ledger) { feed.EndedAt, feed.Reason = time.Now(), reason })
 }
 
 // line checks that the line's sequence number rises, and returns it.
 func (c *caller) line(feed *Feed, number string, sequence int, gap time.Duration) int {
 	n, err := strconv.Atoi(number)
 	wrong := err != nil || n <= sequence
-	c.load.book.update(func(l *Ledger) {
+	c.load.recorder.update(func(l *Ledger) {
 		feed.Lines++
 		feed.MaxGap = max(feed.MaxGap, gap)
 		if wrong {
--- a/standin/caller/flow.go
+++ b/standin/caller/flow.go
@@ -61,11 +61,11 @@
 	config := &quic.Config{KeepAlivePeriod: keepAlive, MaxIdleTimeout: idleTimeout}
 	conn, err := quic.DialAddr(ctx, c.service.Address.String(), tlsConfig, config)
 	if err != nil {
-		c.load.book.update(func(l *Ledger) { l.DialFailures++ })
+		c.load.recorder.update(func(l *Ledger) { l.DialFailures++ })
 		return nil, err
 	}
 	f := &flow{
-		id:     c.load.book.openFlow(c.id, c.service.Name),
+		id:     c.load.recorder.openFlow(c.id, c.service.Name),
 		conn:   conn,
 		client: (&http3.Transport{DisableCompression: true}).NewClientConn(conn),
 		ended:  make(chan struct{}),
@@ -91,7 +91,7 @@
 	<-f.conn.Context().Done()
 	cause := context.Cause(f.conn.Context())
 	reason := f.reason(cause)
-	c.load.book.flow(f.id, func(r *Flow) {
+	c.load.recorder.flow(f.id, func(r *Flow) {
 		r.EndedAt, r.Reason, r.GoAway = time.Now(), reason, f.goAway.Load()
 		if reason.breaks() {
 			r.Detail = cause.Error()
@@ -159,7 +159,7 @@
 func (c *caller) retire(f *flow, goAway bool) {
 	if goAway {
 		f.goAway.Store(true)
-		c.load.book.flow(f.id, func(r *Flow) { r.GoAway = true })
+		c.load.recorder.flow(f.id, func(r *Flow) { r.GoAway = true })
 	}
 	if f.retired.Swap(true) || goAway {
 		return
--- a/standin/caller/ledger.go
+++ b/standin/caller/ledger.go
@@ -48,8 +48,8 @@
 // NoFlow is the flow of a request that was not sent.
 const NoFlow = -1
 
-// Told is one outcome that a caller was told for an order.
-type Told struct {
+// Attempt is one attempt of an order with the outcome that its caller was told.
+type Attempt struct {
 	Ticket  int       `json:"ticket"` // counts the tickets used for this order, from 1
 	Attempt int       `json:"attempt"`
 	Outcome Outcome   `json:"outcome"`
@@ -58,9 +58,9 @@
 
 // Order is one order with everything its caller was told, in order.
 type Order struct {
-	ID      string `json:"id"`
-	Service string `json:"service"`
-	Told    []Told `json:"told"`
+	ID       string    `json:"id"`
+	Service  string    `json:"service"`
+	Attempts []Attempt `json:"attempts"`
 }
 
 // Reason says how a flow or feed ended.
@@ -141,20 +141,20 @@
 	Overruns       int       `json:"overruns"`       // not sent because the caller had too many in flight
 }
 
-// book is the ledger while callers write it.
-type book struct {
+// recorder is the ledger while callers write it.
+type recorder struct {
 	mu       sync.Mutex
 	ledger   Ledger
 	answered int
 }
 
-func (b *book) update(change func(*Ledger)) {
+func (b *recorder) update(change func(*Ledger)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	change(&b.ledger)
 }
 
-func (b *book) request(r Request) {
+func (b *recorder) request(r Request) {
 	b.update(func(l *Ledger) {
 		l.Requests = append(l.Requests, r)
 		if r.Outcome == Done {
@@ -163,7 +163,7 @@
 	})
 }
 
-func (b *book) openFlow(caller, service string) (id int) {
+func (b *recorder) openFlow(caller, service string) (id int) {
 	b.update(func(l *Ledger) {
 		id = len(l.Flows)
 		l.Flows = append(l.Flows, Flow{ID: id, Caller: caller, Service: service, OpenedAt: time.Now()})
@@ -171,12 +171,12 @@
 	return id
 }
 
-func (b *book) flow(id int, change func(*Flow)) {
+func (b *recorder) flow(id int, change func(*Flow)) {
 	b.update(func(l *Ledger) { change(&l.Flows[id]) })
 }
 
-// copy returns a ledger that shares nothing with the book.
-func (b *book) copy() Ledger {
+// copy returns a ledger that shares nothing with the recorder.
+func (b *recorder) copy() Ledger {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.ledger
--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -10,12 +10,12 @@
 
 // Load is a set of callers.
 type Load struct {
-	opt     Options
-	book    *book
-	budget  *budget
-	callers []*caller
-	cancel  context.CancelFunc
-	running sync.WaitGroup
+	opt      Options
+	recorder *recorder
+	budget   *budget
+	callers  []*caller
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
 }
 
 // New checks the options. Its errors have kind SettingInvalid.
@@ -24,7 +24,7 @@
 	if err := opt.check(); err != nil {
 		return nil, err
 	}
-	l := &Load{opt: opt, book: &book{}, budget: newBudget(), cancel: func() {}}
+	l := &Load{opt: opt, recorder: &recorder{}, budget: newBudget(), cancel: func() {}}
 	for _, service := range opt.Services {
 		for i := range service.Callers {
 			l.callers = append(l.callers, l.newCaller(service, i))
@@ -68,10 +68,10 @@
 // Progress returns how many requests have an outcome, and how many of them
 // were answered.
 func (l *Load) Progress() (requests, answered int) {
-	l.book.mu.Lock()
-	defer l.book.mu.Unlock()
-	return len(l.book.ledger.Requests), l.book.answered
+	l.recorder.mu.Lock()
+	defer l.recorder.mu.Unlock()
+	return len(l.recorder.ledger.Requests), l.recorder.answered
 }
 
 // Ledger returns a copy of what callers saw so far.
-func (l *Load) Ledger() Ledger { return l.book.copy() }
+func (l *Load) Ledger() Ledger { return l.recorder.copy() }
--- a/standin/caller/order.go
+++ b/standin/caller/order.go
@@ -22,14 +22,14 @@
 
 // orderRun is the progress of one order.
 type orderRun struct {
-	caller  *caller
-	body    orderBody
-	told    []Told
-	ticket  string
-	tickets int // used so far
-	attempt int // with the present ticket
-	sent    int
-	lost    reply // of the last attempt with the present ticket, if it was lost
+	caller   *caller
+	body     orderBody
+	attempts []Attempt
+	ticket   string
+	tickets  int // used so far
+	attempt  int // with the present ticket
+	sent     int
+	lost     reply // of the last attempt with the present ticket, if it was lost
 }
 
 // order places one order. A lost answer is asked for again with the same
@@ -40,8 +40,8 @@
 	run := &orderRun{caller: c, body: orderBody{fmt.Sprintf("%d-%s-%d", c.load.opt.Seed, c.id, n)}}
 	last := run.toEnd()
 	c.record(Ordering, began, last, run.sent)
-	order := Order{ID: run.body.ID, Service: c.service.Name, Told: run.told}
-	c.load.book.update(func(l *Ledger) { l.Orders = append(l.Orders, order) })
+	order := Order{ID: run.body.ID, Service: c.service.Name, Attempts: run.attempts}
+	c.load.recorder.update(func(l *Ledger) { l.Orders = append(l.Orders, order) })
 }
 
 func (o *orderRun) toEnd() reply {
@@ -96,7 +96,7 @@
 	if r.outcome == Lost {
 		o.lost = r
 	}
-	o.told = append(o.told, Told{o.tickets, o.attempt, r.outcome, time.Now()})
+	o.attempts = append(o.attempts, Attempt{o.tickets, o.attempt, r.outcome, time.Now()})
 	o.caller.keepTicket(r)
 	return r
 }
@@ -127,7 +127,7 @@
 		return ticket, reply{}
 	}
 	c.mu.Unlock()
-	c.load.book.update(func(l *Ledger) { l.TicketRequests++ })
+	c.load.recorder.update(func(l *Ledger) { l.TicketRequests++ })
 	r := c.attempt(func(ctx context.Context) (*http.Request, error) {
 		return http.NewRequestWithContext(ctx, http.MethodPost, c.url(ticketPath), nil)
 	})
