--- a/internal/distribution/puller.go
+++ b/internal/distribution/puller.go
@@ -14,9 +14,9 @@
 
 // Times of pulling.
 const (
-	leastRound      = 5 * time.Millisecond // between two pulls from one partner
-	retryPull       = 250 * time.Millisecond
-	farewellTimeout = 2 * time.Second
+	leastRound       = 5 * time.Millisecond // between two pulls from one partner
+	retryPull        = 250 * time.Millisecond
+	departureTimeout = 2 * time.Second
 )
 
 // puller pulls from one partner.
