--- a/internal/distribution/harness_test.go
+++ b/internal/distribution/harness_test.go
@@ -22,7 +22,6 @@
 
 // fakeStore is a platform in memory that can be down.
 type fakeStore struct {
-	lists    atomic.Int64
 	mu       sync.Mutex
 	down     bool
 	revision uint64
