Drain flows that were being opened when a leave came into force

Cause: TestOperatorsRace failed in 3 of about 8 runs of its package: 60 s after a backend server began to leave, a feed had not come back. A flow that was being opened at that moment was served after the drain and never got a GOAWAY; its caller's feed was refused on it as backend-leaving for good. Change: while its backend server leaves, an agent drains again whenever a flow was opened since the last drain. Before: the flow keeps being served; TestFlowOpenedWhileDrainingIsDrained guards the rule.

--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -128,15 +128,19 @@
 	return a.domainOut.Load() && a.closesAt.Load() == deadline.UnixNano()
 }
 
-// followLeaving asks callers to move to new flows when the backend server
-// starts to leave. Feeds go on for as long as they last.
+// followLeaving asks callers to move to new flows while the backend server is
+// leaving. Feeds go on for as long as they last. A flow that was being opened
+// when the leave came into force is asked as soon as it is open: without that,
+// its caller's feeds would be refused on it for good.
 func (a *Agent) followLeaving(ctx context.Context, leaving bool) {
 	leaving = leaving || a.stopping.Load()
-	if !a.setLeaving(leaving) || !leaving {
-		return
+	if a.setLeaving(leaving) && leaving {
+		a.opts.Logger.Emit(event.Leaving, event.Fields{"id": a.opts.ID})
 	}
-	a.opts.Logger.Emit(event.Leaving, event.Fields{"id": a.opts.ID})
 	in := a.current.Load()
+	if !leaving || !in.flows.hasUndrained() {
+		return
+	}
 	a.drains.Go(func() {
 		// The error only says that the process ended before the last feed.
 		_ = in.flows.drain(ctx)
--- a/pkg/agent/flowserver.go
+++ b/pkg/agent/flowserver.go
@@ -37,11 +37,12 @@
 	opened    func()
 	ended     func(errkind.Kind)
 
-	mu     sync.Mutex
-	server *http3.Server // replaced after a graceful end
-	new    func() *http3.Server
-	flows  map[*quic.Conn]*flow
-	done   sync.WaitGroup
+	mu        sync.Mutex
+	server    *http3.Server // replaced after a graceful end
+	new       func() *http3.Server
+	flows     map[*quic.Conn]*flow
+	undrained bool // a flow was opened since the last drain
+	done      sync.WaitGroup
 }
 
 // flowOptions configure a flowServer.
@@ -126,6 +127,7 @@
 	own := &flow{}
 	f.flows[conn] = own
 	server := f.server
+	f.undrained = true
 	f.mu.Unlock()
 	f.opened()
 	defer func() { f.ended(own.end(context.Cause(conn.Context()))) }()
@@ -143,10 +145,18 @@
 	f.mu.Lock()
 	server := f.server
 	f.server = f.new()
+	f.undrained = false
 	f.mu.Unlock()
 	return errkind.Wrap(server.Shutdown(ctx), errkind.DeadlineUnknown, "graceful end of flows")
 }
 
+// hasUndrained reports whether a flow was opened since the last drain.
+func (f *flowServer) hasUndrained() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.undrained
+}
+
 // closeFlows ends all present flows at once; callers are told. Flows with a
 // request in progress count as broken by kind.
 func (f *flowServer) closeFlows(reason string, kind errkind.Kind) {
--- a/pkg/agent/path_test.go
+++ b/pkg/agent/path_test.go
@@ -313,3 +313,24 @@
 	p.is.True(err != nil)
 	p.is.Equal(p.counters.Forward.Count(), before)
 }
+
+// Guards against a flow that is opened while its agent drains and is never
+// asked to move: its caller's feeds would be refused on it for good.
+func TestFlowOpenedWhileDrainingIsDrained(t *testing.T) {
+	p := newTestPath(t, 1)
+	p.startBalancer("127.0.0.11")
+	defer p.stopBalancer("127.0.0.11")
+	flows := p.agents[0].flows
+	p.is.NoErr(flows.drain(t.Context()))
+	p.is.True(!flows.hasUndrained())
+	client, _ := p.caller(t)
+	_, err := p.echo(client, "1")
+	p.is.NoErr(err)
+	p.is.True(flows.hasUndrained())
+	p.is.NoErr(flows.drain(t.Context()))
+	p.is.True(!flows.hasUndrained())
+	for end := time.Now().Add(5 * time.Second); err == nil && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		_, err = p.echo(client, "2")
+	}
+	p.is.True(err != nil) // the caller was told to open a new flow
+}
