Answer truthfully between two incarnations of an agent

Between the end of one incarnation and the beginning of the next, an agent answered every relayed request as backend-leaving, not-run, also a later attempt with a ticket of its last incarnation, which may have run. Change: without a gate, only a first attempt is answered not-run; a later one is answered unknown. Ruled out: the ticket table, which records refusals, and answers of agents that did not record them; both were covered before.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -198,7 +198,7 @@
 func (a *Agent) serveRelay(w http.ResponseWriter, r *http.Request) {
 	in := a.current.Load()
 	if in == nil {
-		gate.Refuse(w, errkind.BackendLeaving)
+		gate.Refuse(w, refusalWithoutGate(r))
 		return
 	}
 	ctx, done := in.relays.begin(r.Context())
@@ -206,6 +206,20 @@
 	in.gate.RelayHandler().ServeHTTP(w, r.WithContext(ctx))
 }
 
+// refusalWithoutGate is the answer to a relayed request between two
+// incarnations. An earlier attempt with a ticket of the last incarnation may
+// have run, so only a first attempt is known not to have.
+func refusalWithoutGate(r *http.Request) errkind.Kind {
+	switch {
+	case r.Header.Get(gate.TicketHeader) == "":
+		return errkind.BackendLeaving
+	case r.Header.Get(gate.AttemptHeader) == "1":
+		return errkind.TicketExpired
+	default:
+		return errkind.TicketUnknown
+	}
+}
+
 // Headers that name the agent which ends the caller's flow, also on answers
 // that a peer's backend server gave.
 const (
--- a/pkg/agent/flow_test.go
+++ b/pkg/agent/flow_test.go
@@ -1,12 +1,15 @@
 package agent
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/gate"
 )
 
 // Guards against a flow that counts as broken because its caller closed it or
@@ -37,3 +40,21 @@
 		})
 	}
 }
+
+// Guards against an untrue not-run: between two incarnations nobody knows
+// whether an earlier attempt with the same ticket ran.
+func TestRelayBetweenIncarnationsIsTruthful(t *testing.T) {
+	is := is.New(t)
+	outcome := func(ticket, attempt string) string {
+		r := httptest.NewRequest(http.MethodPost, "/orders", nil)
+		r.Header.Set(gate.TicketHeader, ticket)
+		r.Header.Set(gate.AttemptHeader, attempt)
+		w := httptest.NewRecorder()
+		(&Agent{}).serveRelay(w, r)
+		return w.Header().Get(gate.OutcomeHeader)
+	}
+	is.Equal(outcome("", ""), "not-run")
+	is.Equal(outcome("t", "1"), "not-run")
+	is.Equal(outcome("t", "2"), "unknown")
+	is.Equal(outcome("t", ""), "unknown")
+}
