Let the flow placement test wait for load reports

Cause: TestFlowsSpreadEvenly opened flows faster than agents reported their load on a busy machine, and failed once beside whole fleets.

--- a/pkg/agent/path_test.go
+++ b/pkg/agent/path_test.go
@@ -247,16 +247,36 @@
 	defer hellos.Wait()
 	defer cancel()
 	time.Sleep(150 * time.Millisecond)
-	for range 12 {
+	for n := range 12 {
 		client, _ := p.caller(t)
 		_, err := p.echo(client, "1")
 		p.is.NoErr(err)
+		p.waitForReports(n + 1)
 	}
 	for _, a := range p.agents {
 		p.is.True(a.open.Load() >= 3 && a.open.Load() <= 5)
 	}
 }
 
+// waitForReports returns once every agent knows of all open flows.
+func (p *testPath) waitForReports(flows int) {
+	for _, a := range p.agents {
+		for end := time.Now().Add(10 * time.Second); a.knownFlows() != flows && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+		p.is.Equal(a.knownFlows(), flows)
+	}
+}
+
+// knownFlows counts the own flows and those that other agents reported.
+func (a *testAgent) knownFlows() int {
+	n := int(a.open.Load())
+	for _, load := range a.endpoint.PeerLoads() {
+		n += int(load.Flows)
+	}
+	return n
+}
+
 // Guards against a successor at the same address that receives, or silently
 // ignores, the flows of its predecessor.
 func TestSuccessorResetsPredecessorsFlows(t *testing.T) {
