Count forwarded packets of the cut test after the last one has passed

Cause: TestCutDomain failed once (5 != 4): a packet that was being forwarded when the plan came into force was counted after the counter had been read. Change: the test reads the counter once it stands still; the check stays that no packet is forwarded afterwards.

--- a/pkg/agent/path_test.go
+++ b/pkg/agent/path_test.go
@@ -327,7 +327,12 @@
 
 	p.plan.Domains = steering.Domains{0: 1}
 	p.is.NoErr(p.balancers["127.0.0.11"].Apply(p.plan))
+	// A packet that was being forwarded when the plan came into force counts too.
 	before := p.counters.Forward.Count()
+	for last := before - 1; last != before; before = p.counters.Forward.Count() {
+		last = before
+		time.Sleep(100 * time.Millisecond)
+	}
 	client.Timeout = 300 * time.Millisecond
 	_, err = p.echo(client, "2")
 	p.is.True(err != nil)
