Drop load reports of agents that left

Nothing called Endpoint.Forget, so the placement table kept a report of every agent it ever heard from. Reports too old to be trusted are now dropped when the table rotates, and the two unused Forget methods are gone. Decisions do not change: such reports were ignored before.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -74,11 +75,6 @@
 	t.peers[agent] = &Report{Load: load, At: now}
 }
 
-// Forget removes an agent that left the service.
-func (t *Table) Forget(agent netip.AddrPort) {
-	delete(t.peers, agent)
-}
-
 // Peers returns the reports that are recent enough to be trusted.
 func (t *Table) Peers(now time.Time) map[netip.AddrPort]tunnel.Load {
 	out := make(map[netip.AddrPort]tunnel.Load, len(t.peers))
@@ -154,4 +150,6 @@
 	}
 	t.last, t.current = t.current, map[string]choice{}
 	t.rotated = now
+	// Reports this old are never trusted; agents that left would stay for good.
+	maps.DeleteFunc(t.peers, func(_ netip.AddrPort, r *Report) bool { return now.Sub(r.At) >= staleAfter })
 }
--- a/pkg/agent/endpoint.go
+++ b/pkg/agent/endpoint.go
@@ -128,13 +128,6 @@
 	return e.placement.Peers(time.Now())
 }
 
-// Forget drops what is known of an agent that left the service.
-func (e *Endpoint) Forget(agent netip.AddrPort) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.placement.Forget(agent)
-}
-
 // Hello sends a sign of life with this agent's load.
 func (e *Endpoint) Hello(to netip.AddrPort) {
 	if e.cut(time.Now()) {
