--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -60,6 +60,10 @@
 	PacketDomainOut   Kind = 206 // the packet's failure domain is out
 	PacketNoAgent     Kind = 207 // no agent is a candidate for the new flow
 	PacketIsolated    Kind = 208 // the balancer is isolated and forwards nothing
+	PacketNoRoute     Kind = 209 // the configuration has no route to the packet's address
+	PacketNoHolder    Kind = 210 // no agent holds the packet's flow
+	PacketFlowLost    Kind = 211 // the backend server lost the packet's flow
+	PacketForged      Kind = 212 // a packet that its place in the system rules out
 )
 
 // Control kinds: platform, peers and configuration.
@@ -77,6 +81,9 @@
 	KeyRingInvalid    Kind = 311 // the key ring does not parse
 	NotInForce        Kind = 312 // a generation is not in force everywhere in time
 	CertificateFailed Kind = 313 // a TLS certificate cannot be loaded
+	HistoryGone       Kind = 314 // the platform no longer holds the changes since a revision
+	ReportStale       Kind = 315 // a report of a backend server is older than the one known
+	ReportMalformed   Kind = 316 // a report doesn't parse or is for another backend server
 )
 
 // Operator kinds: input of operators.
@@ -141,6 +148,10 @@
 	{PacketDomainOut, "packet-domain-out", 0, "", 0, ExitFailure, "A packet's failure domain has been taken out."},
 	{PacketNoAgent, "packet-no-agent", 0, "", 0, ExitFailure, "No agent is a candidate for a new flow."},
 	{PacketIsolated, "packet-isolated", 0, "", 0, ExitFailure, "The balancer is isolated and forwards nothing."},
+	{PacketNoRoute, "packet-no-route", 0, OutcomeNotRun, 0, ExitFailure, "The configuration has no route to the packet's address."},
+	{PacketNoHolder, "packet-no-holder", 0, OutcomeUnknown, 0, ExitFailure, "No agent holds the packet's flow."},
+	{PacketFlowLost, "packet-flow-lost", 0, OutcomeUnknown, 0, ExitFailure, "The backend server no longer holds the packet's flow."},
+	{PacketForged, "packet-forged", 0, "", 0, ExitFailure, "A packet can't come from where it came from, such as an answer that a caller sends."},
 
 	{PlatformDown, "platform-down", http.StatusBadGateway, "", retrySoon, ExitPlatform, "The platform cannot be reached or fails."},
 	{PlatformLimited, "platform-limited", http.StatusTooManyRequests, "", retrySoon, ExitPlatform, "The platform refused a call because of its rate limit."},
@@ -155,6 +166,9 @@
 	{KeyRingInvalid, "key-ring-invalid", 0, "", 0, ExitUsage, "The key ring does not parse."},
 	{NotInForce, "not-in-force", 0, "", 0, ExitLagging, "A generation is not in force everywhere within the time asked for."},
 	{CertificateFailed, "certificate-failed", 0, "", 0, ExitUsage, "A TLS certificate or key cannot be loaded."},
+	{HistoryGone, "history-gone", http.StatusGone, "", 0, ExitPlatform, "The platform no longer holds the changes since a revision; everything is listed again."},
+	{ReportStale, "report-stale", http.StatusConflict, "", 0, ExitFailure, "A report of a backend server is older than the one known."},
+	{ReportMalformed, "report-malformed", http.StatusBadRequest, "", 0, ExitFailure, "A report doesn't parse or is for another backend server."},
 
 	{SheetInvalid, "sheet-invalid", 0, "", 0, ExitUsage, "A sheet has faults, which are listed by line and column."},
 	{SheetStale, "sheet-stale", 0, "", 0, ExitConflict, "A sheet was made on an older base than what is accepted now."},
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -37,6 +37,27 @@
 	AnnouncementFailed  ID = 1110
 	PeerMessageRefused  ID = 1111
 	PlannedChangeActive ID = 1112
+	ViewChanged         ID = 1113
+	ObjectRefused       ID = 1114
+	Announced           ID = 1115
+)
+
+// Events of packet flows, at balancers and agents.
+const (
+	FlowOffered     ID = 1500
+	FlowPlaced      ID = 1501
+	FlowPassedOn    ID = 1502
+	FlowReset       ID = 1503
+	FlowDropped     ID = 1504
+	FlowAnswered    ID = 1505
+	BackendReported ID = 1506
+	ReportRefused   ID = 1507
+	FlowsLost       ID = 1508
+	ZoneOut         ID = 1509
+	ZoneBack        ID = 1510
+	LinesDropped    ID = 1511
+	PacketRefused   ID = 1512
+	RequestSeen     ID = 1513
 )
 
 // Events of the balancer.
@@ -87,6 +108,9 @@
 	{AnnouncementFailed, log.WarnLevel, true, "announcement to the platform failed", "None while the platform is down."},
 	{PeerMessageRefused, log.WarnLevel, true, "peer message refused", "Compare the versions of both processes."},
 	{PlannedChangeActive, log.InfoLevel, false, "planned change in force", "None."},
+	{ViewChanged, log.InfoLevel, false, "view changed", "None."},
+	{ObjectRefused, log.WarnLevel, true, "object of the store refused", "Look for another writer of the object that the message names."},
+	{Announced, log.InfoLevel, false, "announcement stored", "None."},
 
 	{PacketDropped, log.WarnLevel, true, "packet dropped", "See ERRORS.md for the kind."},
 	{TunnelReopened, log.WarnLevel, true, "tunnel socket reopened", "Look for a device that lost the UDP flow."},
@@ -104,6 +128,21 @@
 	{ChangeAccepted, log.InfoLevel, false, "change accepted", "None."},
 	{ChangeReadBack, log.WarnLevel, false, "answer lost, change found accepted by reading back", "None."},
 	{ChangeConflict, log.WarnLevel, false, "change refused because of another operator's change", "Read the difference, then apply again."},
+
+	{FlowOffered, log.InfoLevel, false, "new flow sent to an agent", "None."},
+	{FlowPlaced, log.InfoLevel, false, "new flow delivered to the backend server", "None."},
+	{FlowPassedOn, log.InfoLevel, false, "packet passed on to another agent", "None, unless it lasts: see the reason."},
+	{FlowReset, log.InfoLevel, false, "flow reset", "See ERRORS.md for the kind."},
+	{FlowDropped, log.InfoLevel, true, "packet of a flow dropped", "See ERRORS.md for the kind."},
+	{FlowAnswered, log.InfoLevel, false, "request answered", "None."},
+	{BackendReported, log.InfoLevel, false, "backend server reported a change", "None."},
+	{ReportRefused, log.WarnLevel, true, "report of a backend server refused", "Look for a second sender of reports."},
+	{FlowsLost, log.WarnLevel, false, "backend server lost its flows", "Check why the backend server started again."},
+	{ZoneOut, log.InfoLevel, false, "zone evacuated", "None."},
+	{ZoneBack, log.InfoLevel, false, "zone taken back", "None."},
+	{LinesDropped, log.WarnLevel, false, "log lines dropped", "Read the log faster, or look for the cause of the load."},
+	{PacketRefused, log.WarnLevel, true, "packet refused", "See ERRORS.md for the kind."},
+	{RequestSeen, log.InfoLevel, false, "request seen", "None."},
 }
 
 var byID = index(catalogue)
--- /dev/null
+++ b/internal/flowgate/backend.go
@@ -0,0 +1,207 @@
+package flowgate
+
+import (
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/view"
+)
+
+const (
+	// busyFactor is the number of requests for each slot from which an agent
+	// passes new flows on if another candidate is left.
+	busyFactor = 1.5
+	// trialInterval is the time between openings that an unresponsive backend
+	// server gets.
+	trialInterval = 500 * time.Millisecond
+	// missedReports is the number of report intervals without a report after
+	// which the backend server takes no new flows.
+	missedReports = 4
+	// defaultIdleTimeout applies until a configuration is known.
+	defaultIdleTimeout = 60 * time.Second
+)
+
+// Limits are the bounds of an installation for cold backend servers.
+type Limits struct {
+	ReportInterval time.Duration
+	// ColdBurst is the number of new flows that a cold backend server takes
+	// at once beside its rate.
+	ColdBurst float64
+}
+
+// Report is what a backend server says of itself.
+type Report struct {
+	Instance string
+	Started  time.Time // of the present run of the backend server
+	Sequence uint64
+	State    view.State
+	Slots    int
+	ColdFor  time.Duration // how much longer the backend server is cold
+}
+
+// backend is what the gate knows of its backend server.
+type backend struct {
+	limits   Limits
+	known    bool // a report or an announcement of an earlier process is known
+	reported time.Time
+	report   Report
+
+	out         bool // the zone is evacuated
+	unconfirmed bool // may have become cold since the last report
+	coldUntil   time.Time
+	tokens      float64 // openings that a cold backend server may get now
+	refilled    time.Time
+	learnUntil  time.Time
+
+	coldPerSecond float64
+	maxFlows      int
+	idleTimeout   time.Duration
+
+	heardAt  time.Time // last packet from the backend server
+	asked    time.Time // first opening since then
+	lastTook time.Time // last opening
+}
+
+func newBackend(l Limits, now time.Time) backend {
+	return backend{limits: l, refilled: now, unconfirmed: true, idleTimeout: defaultIdleTimeout}
+}
+
+// restarted notes that the backend server lost its flows.
+func (b *backend) restarted() { b.unconfirmed = true }
+
+// cold reports whether only openings at the cold rate may be delivered.
+func (b *backend) cold(now time.Time) bool {
+	return b.unconfirmed || now.Before(b.coldUntil)
+}
+
+// refusal returns why a new flow can't be taken, 0 if it can.
+func (b *backend) refusal(now time.Time, flows, inProgress int, last bool) errkind.Kind {
+	switch {
+	case !b.known:
+		return errkind.BackendDown
+	case b.report.State != view.Ready:
+		return errkind.BackendLeaving
+	case b.out:
+		return errkind.DomainOut
+	case b.maxFlows > 0 && flows >= b.maxFlows:
+		return errkind.ConnectionsFull
+	case b.gone(now) || b.silent(now):
+		return errkind.BackendDown
+	case b.cold(now) && b.refill(now) < 1:
+		return errkind.BackendFull
+	case !last && float64(inProgress) >= busyFactor*float64(max(b.report.Slots, 1)):
+		return errkind.BackendFull
+	}
+	return 0
+}
+
+// gone reports whether the backend server's reports have stopped.
+func (b *backend) gone(now time.Time) bool {
+	return !b.reported.IsZero() && now.Sub(b.reported) > missedReports*b.limits.ReportInterval
+}
+
+// silent reports whether the backend server answers no openings. It then gets
+// one from time to time.
+func (b *backend) silent(now time.Time) bool {
+	if b.asked.IsZero() || !b.heardAt.Before(b.asked) {
+		return false
+	}
+	return now.Sub(b.asked) > silentAfter && now.Sub(b.lastTook) < trialInterval
+}
+
+// refill returns the number of openings that a cold backend server may get.
+func (b *backend) refill(now time.Time) float64 {
+	earned := now.Sub(b.refilled).Seconds() * b.coldPerSecond
+	b.tokens = min(b.tokens+earned, max(b.limits.ColdBurst, 1))
+	b.refilled = now
+	return b.tokens
+}
+
+// took counts an opening that is delivered.
+func (b *backend) took(now time.Time) {
+	if b.asked.IsZero() || !b.heardAt.Before(b.asked) {
+		b.asked = now
+	}
+	b.lastTook = now
+	if b.cold(now) {
+		b.tokens = b.refill(now) - 1
+	}
+}
+
+// Report takes a backend server's report over. Errors have kind ReportStale.
+// The flows that it returns were lost with an earlier run.
+func (g *Gate) Report(now time.Time, r Report) ([]LostFlow, error) {
+	b := &g.backend
+	if b.known && r.Started.Before(b.report.Started) {
+		return nil, errkind.New(errkind.ReportStale, "of an earlier run of the backend server")
+	}
+	sameRun := b.known && r.Started.Equal(b.report.Started) && r.Instance == b.report.Instance
+	if sameRun && !b.reported.IsZero() && r.Sequence <= b.report.Sequence {
+		return nil, errkind.New(errkind.ReportStale, "sequence number of an earlier report")
+	}
+	if sameRun && b.report.State == view.Leaving {
+		r.State = view.Leaving
+	}
+	newRun, lastOfOldRun := b.known && !sameRun, b.reported
+	b.known, b.reported, b.report = true, now, r
+	b.unconfirmed = false
+	b.coldUntil = now.Add(r.ColdFor)
+	if !newRun {
+		return nil, nil
+	}
+	b.learnUntil = time.Time{}
+	b.asked = time.Time{}
+	return g.loseBefore(lastOfOldRun, now), nil
+}
+
+// LostFlow is a flow whose caller is to be told that it is gone.
+type LostFlow struct {
+	Key flow.Key
+	Ack uint32 // the caller's last acknowledgement
+}
+
+// loseBefore marks the flows that were opened before a moment at which the
+// earlier run still reported. Later ones may belong to the present run; the
+// backend server returns their packets if they don't.
+func (g *Gate) loseBefore(reported, now time.Time) []LostFlow {
+	var gone []LostFlow
+	for key, f := range g.flows.entries {
+		if f.state != open || !f.opened.Before(reported) {
+			continue
+		}
+		g.flows.lose(f)
+		f.last = now
+		gone = append(gone, LostFlow{Key: key, Ack: f.callerAck})
+	}
+	return gone
+}
+
+// Announced takes over what an earlier process of this agent announced. The
+// backend server counts as cold until it reports.
+func (g *Gate) Announced(r Report) {
+	if g.backend.known {
+		return
+	}
+	g.backend.known, g.backend.report = true, r
+}
+
+// Leave makes the gate take no new flows from now on.
+func (g *Gate) Leave() { g.backend.report.State = view.Leaving }
+
+// SetService takes over what the configuration says.
+func (g *Gate) SetService(s view.Service, idle time.Duration) {
+	g.backend.coldPerSecond, g.backend.maxFlows = s.ColdPerSecond, s.MaxFlows
+	if idle > 0 {
+		g.backend.idleTimeout = idle
+	}
+}
+
+// SetOut notes whether the zone is evacuated. After an evacuation the backend
+// server may be cold, so it counts as cold until it reports again.
+func (g *Gate) SetOut(out bool) {
+	if g.backend.out && !out {
+		g.backend.unconfirmed = true
+	}
+	g.backend.out = out
+}
--- /dev/null
+++ b/internal/flowgate/gate.go
@@ -0,0 +1,285 @@
+// Package flowgate decides, without sockets, clocks or goroutines, what an
+// agent does with each packet of a flow: it is the only way to its backend
+// server, so it knows which flows the server holds and what new ones it bears.
+package flowgate
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/hop"
+)
+
+const (
+	// silentAfter is how long the backend server may leave an opening without
+	// an answer before copies of it go to another agent.
+	silentAfter = 150 * time.Millisecond
+	// offerTimeout is how long a packet that was offered to the backend server
+	// may take to come back.
+	offerTimeout = 2 * time.Second
+	// maxOffers bounds the packets that may come back.
+	maxOffers = 4096
+	// ackWindow is the distance up to which an acknowledgement belongs to the
+	// numbers of this backend server, in bytes.
+	ackWindow = 1 << 20
+)
+
+// Verdict says what happens to a packet.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Deliver  Verdict = iota + 1 // to the backend server, with Mark
+	ToCaller                    // the backend server's packet goes to the caller
+	PassOn                      // Message goes to To: another agent, or the balancer
+	Reset                       // the caller gets a reset
+	Drop
+)
+
+// Action is the answer to one packet.
+type Action struct {
+	Verdict Verdict
+	Mark    uint32
+	To      netip.AddrPort
+	Message hop.Message
+	Packet  flow.Packet    // Reset: the packet that is answered
+	Kind    errkind.Kind   // PassOn, Reset, Drop: why
+	Tell    netip.AddrPort // a balancer that is to know that this agent holds the flow
+	Key     flow.Key
+}
+
+// offer is a packet that the backend server may return.
+type offer struct {
+	message hop.Message
+	at      time.Time
+}
+
+// Gate decides for one agent. It is not safe for concurrent use.
+type Gate struct {
+	self    netip.AddrPort
+	service uint32
+	backend backend
+	flows   table
+	offers  map[uint32]offer
+	mark    uint32
+	swept   time.Time
+}
+
+// Options are the fixed facts of a gate.
+type Options struct {
+	Self    netip.AddrPort // where this agent takes messages
+	Service uint32
+	Limits  Limits
+	// Learning is set if the backend server may hold flows from before this
+	// process. Unknown packets are then offered to it for LearnFor.
+	Learning bool
+	LearnFor time.Duration
+}
+
+// New returns a gate that was started at now.
+func New(o Options, now time.Time) *Gate {
+	g := &Gate{
+		self:    o.Self,
+		service: o.Service,
+		backend: newBackend(o.Limits, now),
+		flows:   newTable(),
+		offers:  map[uint32]offer{},
+	}
+	if o.Learning {
+		g.backend.learnUntil = now.Add(o.LearnFor)
+	}
+	return g
+}
+
+// FromPeer decides about a caller's packet that a balancer or another agent
+// sent.
+func (g *Gate) FromPeer(now time.Time, m *hop.Message, p flow.Packet) Action {
+	key := p.CallerKey()
+	if p.Has(flow.Open | flow.Ack) {
+		return Action{Verdict: Drop, Kind: errkind.PacketForged, Key: key}
+	}
+	if p.Opening() {
+		return g.open(now, m, p, key)
+	}
+	f := g.flows.get(key)
+	if f == nil {
+		return g.unknown(now, m, key)
+	}
+	if f.state == opening && f.answered && p.Ack-f.backendSeq > ackWindow {
+		// The caller continues with another backend server that answered the
+		// same opening.
+		g.flows.remove(key)
+		return g.passOn(m, key, errkind.PacketNoHolder)
+	}
+	if f.state == lost {
+		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key}
+	}
+	g.flows.fromCaller(now, f, p)
+	a := Action{Verdict: Deliver, Key: key}
+	if m.Ask || m.Position > 0 {
+		a.Tell = m.Balancer
+	}
+	return a
+}
+
+// unknown handles a packet of a flow that this agent doesn't know.
+func (g *Gate) unknown(now time.Time, m *hop.Message, key flow.Key) Action {
+	if !now.Before(g.backend.learnUntil) {
+		return g.passOn(m, key, errkind.PacketNoHolder)
+	}
+	return Action{Verdict: Deliver, Mark: g.offer(now, m), Key: key}
+}
+
+// offer keeps a message until the backend server may have returned its packet.
+func (g *Gate) offer(now time.Time, m *hop.Message) uint32 {
+	if len(g.offers) >= maxOffers {
+		return 0
+	}
+	g.mark++
+	if g.mark == 0 {
+		g.mark++
+	}
+	kept := *m
+	kept.Candidates = slices.Clone(m.Candidates)
+	kept.Packet = nil
+	g.offers[g.mark] = offer{message: kept, at: now}
+	return g.mark
+}
+
+// open decides about the first packet of a flow or a copy of it.
+func (g *Gate) open(now time.Time, m *hop.Message, p flow.Packet, key flow.Key) Action {
+	f := g.flows.get(key)
+	if f != nil && f.state == open {
+		return Action{Verdict: Deliver, Key: key, Tell: m.Balancer}
+	}
+	if f != nil && f.state == opening {
+		return g.copied(now, f, m, key)
+	}
+	last := int(m.Position) >= len(m.Candidates)-1
+	if kind := g.refusal(now, m.Service, last); kind != 0 {
+		return g.passOn(m, key, kind)
+	}
+	g.backend.took(now)
+	g.flows.add(key, now, opening)
+	return Action{Verdict: Deliver, Mark: g.offer(now, m), Key: key, Tell: m.Balancer}
+}
+
+// copied decides about a copy of an opening that was delivered before.
+func (g *Gate) copied(now time.Time, f *entry, m *hop.Message, key flow.Key) Action {
+	silent := !f.answered && now.Sub(f.opened) >= silentAfter
+	if (silent && len(m.Candidates) > 1) || g.refusal(now, m.Service, true) != 0 {
+		return g.passOn(m, key, errkind.BackendDown)
+	}
+	g.backend.took(now)
+	return Action{Verdict: Deliver, Mark: g.offer(now, m), Key: key, Tell: m.Balancer}
+}
+
+// refusal returns why a new flow can't be taken, 0 if it can. The last
+// candidate takes flows that wait for a slot as well.
+func (g *Gate) refusal(now time.Time, service uint32, last bool) errkind.Kind {
+	if service != g.service {
+		return errkind.PacketWrongTarget
+	}
+	return g.backend.refusal(now, g.flows.open, g.flows.inProgress, last)
+}
+
+// passOn sends a message to its next candidate, or back to the balancer.
+func (g *Gate) passOn(m *hop.Message, key flow.Key, kind errkind.Kind) Action {
+	a := Action{Verdict: PassOn, Message: *m, Kind: kind, Key: key}
+	if int(m.Position)+1 < len(m.Candidates) {
+		a.Message.Position++
+		a.To = m.Candidates[a.Message.Position]
+		return a
+	}
+	a.Message.Type = hop.Declined
+	a.Message.Position = 0
+	a.To = m.Balancer
+	return a
+}
+
+// FromBackend decides about a packet that the backend server sent.
+func (g *Gate) FromBackend(now time.Time, p flow.Packet) Action {
+	if p.Has(flow.Bounced) {
+		return g.bounced(now, p)
+	}
+	key := p.BackendKey()
+	g.backend.heardAt = now
+	f := g.flows.get(key)
+	if f == nil || f.state == lost {
+		if p.Has(flow.Reset) {
+			return Action{Verdict: ToCaller, Key: key}
+		}
+		f = g.flows.add(key, now, open)
+	}
+	g.flows.fromBackend(now, f, p)
+	return Action{Verdict: ToCaller, Key: key}
+}
+
+// bounced decides about a packet that the backend server returned.
+func (g *Gate) bounced(now time.Time, p flow.Packet) Action {
+	key := p.CallerKey()
+	o, offered := g.offers[p.Mark]
+	delete(g.offers, p.Mark)
+	f := g.flows.get(key)
+	if p.Opening() {
+		if f != nil && f.state == opening && !f.answered {
+			g.flows.remove(key)
+		}
+		if !offered {
+			return Action{Verdict: Drop, Kind: errkind.BackendFull, Key: key}
+		}
+		return g.passOn(&o.message, key, errkind.BackendFull)
+	}
+	if f != nil && f.state == open {
+		// The backend server held the flow and doesn't any more: it started
+		// again and its reports have not said so yet.
+		g.backend.restarted()
+		g.flows.lose(f)
+		if p.Has(flow.Reset) {
+			return Action{Verdict: Drop, Kind: errkind.PacketFlowLost, Key: key}
+		}
+		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key}
+	}
+	if !offered {
+		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
+	}
+	return g.passOn(&o.message, key, errkind.PacketNoHolder)
+}
+
+// Tick forgets what is over.
+func (g *Gate) Tick(now time.Time) {
+	if now.Sub(g.swept) < time.Second {
+		return
+	}
+	g.swept = now
+	for mark, o := range g.offers {
+		if now.Sub(o.at) > offerTimeout {
+			delete(g.offers, mark)
+		}
+	}
+	g.flows.sweep(now, g.backend.idleTimeout)
+}
+
+// Load returns what the agent tells balancers.
+func (g *Gate) Load(now time.Time) hop.Load {
+	return hop.Load{
+		Flows:      uint16(min(g.flows.open, 1<<16-1)),
+		InProgress: uint16(min(g.flows.inProgress, 1<<16-1)),
+		Slots:      uint16(min(g.backend.report.Slots, 1<<16-1)),
+		Refusing:   g.backend.refusal(now, g.flows.open, g.flows.inProgress, true) != 0,
+	}
+}
+
+// Placed returns the message that tells a balancer of a flow held here.
+func (g *Gate) Placed(now time.Time, key flow.Key) hop.Message {
+	return hop.Message{Type: hop.Placed, Service: g.service, Key: key, Agent: g.self, Load: g.Load(now)}
+}
+
+// InProgress returns the number of requests without the start of an answer.
+func (g *Gate) InProgress() int { return g.flows.inProgress }
+
+// OpenFlows returns the number of flows that the backend server holds.
+func (g *Gate) OpenFlows() int { return g.flows.open }
--- /dev/null
+++ b/internal/flowgate/table.go
@@ -0,0 +1,161 @@
+package flowgate
+
+import (
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/flow"
+)
+
+const (
+	// openingTimeout is how long an opening may take. Callers give up earlier.
+	openingTimeout = 3 * time.Second
+	// endedMemory is how long an ended flow's late packets still reach the
+	// backend server, which answers them.
+	endedMemory = 5 * time.Second
+	// lostMemory is how long a lost flow's packets are answered with resets.
+	lostMemory = 10 * time.Second
+	// idleMargin is added to the configuration's idle timeout.
+	idleMargin = 5 * time.Second
+)
+
+// state is the state of a flow at its agent.
+type state uint8
+
+const (
+	opening state = iota + 1 // the opening was delivered
+	open
+	ended // both sides closed, or one reset it
+	lost  // the backend server held it and doesn't any more
+)
+
+// entry is one flow.
+type entry struct {
+	state        state
+	opened, last time.Time
+	answered     bool   // the backend server answered the opening
+	backendSeq   uint32 // of that answer
+	callerEnd    uint32 // end of the data that the caller sent
+	callerAck    uint32 // the caller's last acknowledgement
+	sent         bool   // callerEnd is valid
+	waiting      bool   // a request has no start of an answer yet
+	callerClosed bool
+	serverClosed bool
+}
+
+// table holds the flows of one agent.
+type table struct {
+	entries    map[flow.Key]*entry
+	open       int // flows in state opening or open
+	inProgress int // flows that wait for the start of an answer
+}
+
+func newTable() table { return table{entries: map[flow.Key]*entry{}} }
+
+func (t *table) get(key flow.Key) *entry { return t.entries[key] }
+
+func (t *table) add(key flow.Key, now time.Time, s state) *entry {
+	t.remove(key)
+	f := &entry{state: s, opened: now, last: now}
+	t.entries[key] = f
+	t.open++
+	return f
+}
+
+func (t *table) remove(key flow.Key) {
+	f := t.entries[key]
+	if f == nil {
+		return
+	}
+	t.close(f, ended)
+	delete(t.entries, key)
+}
+
+// close takes a flow out of the counts.
+func (t *table) close(f *entry, s state) {
+	t.answer(f)
+	if f.state == opening || f.state == open {
+		t.open--
+	}
+	f.state = s
+}
+
+func (t *table) lose(f *entry) { t.close(f, lost) }
+
+// answer records that the request of a flow, if any, is being answered.
+func (t *table) answer(f *entry) {
+	if f.waiting {
+		f.waiting = false
+		t.inProgress--
+	}
+}
+
+// fromCaller follows a packet that is delivered to the backend server.
+func (t *table) fromCaller(now time.Time, f *entry, p flow.Packet) {
+	f.last = now
+	f.callerAck = p.Ack
+	if p.Has(flow.Reset) {
+		t.close(f, ended)
+		return
+	}
+	if f.state == opening {
+		f.state = open
+	}
+	if f.state != open {
+		return
+	}
+	end := p.Seq + uint32(p.Length)
+	if p.Length > 0 && (!f.sent || int32(end-f.callerEnd) > 0) {
+		f.callerEnd, f.sent = end, true
+		if !f.waiting {
+			f.waiting = true
+			t.inProgress++
+		}
+	}
+	f.callerClosed = f.callerClosed || p.Has(flow.Close)
+	t.endIfClosed(f)
+}
+
+// fromBackend follows a packet that the backend server sent.
+func (t *table) fromBackend(now time.Time, f *entry, p flow.Packet) {
+	f.last = now
+	if p.Has(flow.Open) {
+		f.answered, f.backendSeq = true, p.Seq
+		return
+	}
+	if p.Has(flow.Reset) {
+		t.close(f, ended)
+		return
+	}
+	if p.Length > 0 {
+		t.answer(f)
+	}
+	f.serverClosed = f.serverClosed || p.Has(flow.Close)
+	t.endIfClosed(f)
+}
+
+func (t *table) endIfClosed(f *entry) {
+	if f.callerClosed && f.serverClosed && f.state == open {
+		t.close(f, ended)
+	}
+}
+
+// sweep forgets flows that are over or silent for longer than they may be.
+func (t *table) sweep(now time.Time, idle time.Duration) {
+	for key, f := range t.entries {
+		if now.Sub(f.last) > f.memory(idle) {
+			t.remove(key)
+		}
+	}
+}
+
+func (f *entry) memory(idle time.Duration) time.Duration {
+	switch f.state {
+	case opening:
+		return openingTimeout
+	case ended:
+		return endedMemory
+	case lost:
+		return lostMemory
+	}
+	return idle + idleMargin
+}
--- /dev/null
+++ b/internal/flowsteer/agents.go
@@ -0,0 +1,207 @@
+package flowsteer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
+	"github.com/knapweedpier/knapweedpier/internal/view"
+)
+
+const (
+	// choices is the number of best ranked agents among which a new flow goes
+	// to the least loaded one.
+	choices = 3
+	// flowWeight is the load of an open flow without a request, in requests.
+	flowWeight = 0.1
+	// helloRate bounds the hellos that a balancer sends, in messages a second.
+	helloRate = 50
+	// minHelloInterval is the time between two hellos to an agent at least.
+	minHelloInterval = 250 * time.Millisecond
+	// suspectAfter is how long an agent may leave a hello unanswered.
+	suspectAfter = 150 * time.Millisecond
+	// refusalMemory is how long an agent that takes no new flows is passed
+	// over on its own word.
+	refusalMemory = time.Second
+)
+
+// agent is what the balancer knows of one agent.
+type agent struct {
+	member    view.Member
+	out       bool // its zone is evacuated
+	load      hop.Load
+	heardAt   time.Time
+	placed    int       // flows sent there since its load was heard
+	unheard   time.Time // when the oldest unanswered hello was sent, zero if none
+	nextHello time.Time
+	suspect   bool
+}
+
+// agents are all agents of the view, suspect ones included.
+type agents struct {
+	byAddress map[netip.AddrPort]*agent
+	byService map[string][]*agent
+	all       []*agent
+}
+
+func newAgents() agents {
+	return agents{byAddress: map[netip.AddrPort]*agent{}}
+}
+
+// set takes the members of a view over and keeps what is known of agents that
+// stay.
+func (as *agents) set(v view.View) {
+	next := map[netip.AddrPort]*agent{}
+	as.byService = map[string][]*agent{}
+	as.all = nil
+	for _, m := range v.Members.ByName {
+		if m.Role != view.AgentRole {
+			continue
+		}
+		a := as.byAddress[m.Address]
+		if a == nil || a.member.Name != m.Name {
+			a = &agent{}
+		}
+		a.member, a.out = m, v.Evacuations.Zones[m.Zone]
+		next[m.Address] = a
+		as.all = append(as.all, a)
+	}
+	slices.SortFunc(as.all, func(a, b *agent) int { return cmp.Compare(a.member.Name, b.member.Name) })
+	for _, a := range as.all {
+		as.byService[a.member.Service] = append(as.byService[a.member.Service], a)
+	}
+	as.byAddress = next
+}
+
+// mayOpen reports whether new flows may go to an agent.
+func (a *agent) mayOpen() bool { return !a.out && a.member.State == view.Ready }
+
+// score is the agent's load for its size; lower is better.
+func (a *agent) score() float64 {
+	slots := max(float64(a.member.Slots), 1)
+	return (float64(a.load.InProgress) + flowWeight*float64(a.load.Flows) + float64(a.placed)) / slots
+}
+
+// rankOpen returns the agents that may take a new flow of a service, the one
+// to ask first at the front.
+func (as *agents) rankOpen(hash uint64, service string) []netip.AddrPort {
+	var open []*agent
+	for _, a := range as.byService[service] {
+		if a.mayOpen() {
+			open = append(open, a)
+		}
+	}
+	ranked := rank(open, hash)
+	// Agents that don't answer or refuse are asked last, not left out: the
+	// balancer may be the one that is cut off.
+	slices.SortStableFunc(ranked, func(a, b *agent) int { return cmp.Compare(a.reluctance(), b.reluctance()) })
+	first := ranked[:min(choices, len(ranked))]
+	slices.SortStableFunc(first, func(a, b *agent) int {
+		return cmp.Or(cmp.Compare(a.reluctance(), b.reluctance()), cmp.Compare(a.score(), b.score()))
+	})
+	return addresses(ranked)
+}
+
+// reluctance orders agents by whether they are expected to take a new flow.
+func (a *agent) reluctance() int {
+	switch {
+	case a.suspect:
+		return 2
+	case a.load.Refusing:
+		return 1
+	}
+	return 0
+}
+
+// rankAll returns all agents in the order in which they may hold a flow: first
+// those of its route's services, and those that don't answer last.
+func (as *agents) rankAll(hash uint64, targets []view.Target) []netip.AddrPort {
+	ranked := rank(as.all, hash)
+	order := func(a *agent) int {
+		place := 0
+		if !slices.ContainsFunc(targets, func(t view.Target) bool { return t.Service == a.member.Service }) {
+			place = 1
+		}
+		if a.suspect {
+			place += 2
+		}
+		return place
+	}
+	slices.SortStableFunc(ranked, func(a, b *agent) int { return cmp.Compare(order(a), order(b)) })
+	return addresses(ranked)
+}
+
+func rank(list []*agent, hash uint64) []*agent {
+	nodes := make([]rendezvous.Node, len(list))
+	for i, a := range list {
+		nodes[i] = rendezvous.Node{ID: a.member.Name, Weight: max(float64(a.member.Slots), 1)}
+	}
+	ranked := make([]*agent, 0, len(list))
+	for _, i := range rendezvous.Rank(nodes, hash, len(nodes)) {
+		ranked = append(ranked, list[i])
+	}
+	return ranked
+}
+
+func addresses(list []*agent) []netip.AddrPort {
+	out := make([]netip.AddrPort, len(list))
+	for i, a := range list {
+		out[i] = a.member.Address
+	}
+	return out
+}
+
+// placed counts a flow that was sent to an agent.
+func (as *agents) placed(address netip.AddrPort) {
+	if a := as.byAddress[address]; a != nil {
+		a.placed++
+	}
+}
+
+// heard records a sign of life and the load that came with it.
+func (as *agents) heard(now time.Time, address netip.AddrPort, load hop.Load) {
+	a := as.byAddress[address]
+	if a == nil {
+		return
+	}
+	a.load, a.heardAt, a.placed = load, now, 0
+	a.unheard, a.suspect = time.Time{}, false
+}
+
+// doubt asks for a hello to an agent that left an opening unanswered.
+func (as *agents) doubt(now time.Time, address netip.AddrPort) {
+	if a := as.byAddress[address]; a != nil && a.unheard.IsZero() && a.nextHello.After(now) {
+		a.nextHello = now
+	}
+}
+
+// hellos returns the agents that are due for a hello and marks those that left
+// one unanswered.
+func (as *agents) hellos(now time.Time) []netip.AddrPort {
+	interval := max(minHelloInterval, time.Duration(len(as.all))*time.Second/helloRate)
+	var due []netip.AddrPort
+	for _, a := range as.all {
+		if !a.unheard.IsZero() && now.Sub(a.unheard) > suspectAfter {
+			a.suspect = true
+		}
+		if a.load.Refusing && now.Sub(a.heardAt) > refusalMemory {
+			a.load.Refusing = false
+		}
+		if now.Before(a.nextHello) {
+			continue
+		}
+		if a.unheard.IsZero() {
+			a.unheard = now
+		}
+		a.nextHello = now.Add(interval)
+		due = append(due, a.member.Address)
+	}
+	return due
+}
+
+func (as *agents) anySuspect() bool {
+	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect })
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,341 @@
+// Package follow keeps a process's view current. In each zone one process
+// watches the store and the others ask it over jsonrpc2; a process that has no
+// fresh answer from a peer watches the store itself, and one that the store
+// turns away asks peers in all zones.
+package follow
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/view"
+)
+
+const (
+	// watchWait is how long the store holds a watch without changes. It bounds
+	// how long a channel that went silent stays unnoticed.
+	watchWait = 2 * time.Second
+	// peerWait is how long a peer holds a question without changes.
+	peerWait = 700 * time.Millisecond
+	// peerMargin is added to peerWait until a peer counts as silent.
+	peerMargin = 400 * time.Millisecond
+	// freshAge is the age of a peer's view up to which it is followed.
+	freshAge = 3500 * time.Millisecond
+	// minRetry and maxRetry bound the pause between failed calls of the store.
+	minRetry = 50 * time.Millisecond
+	maxRetry = 500 * time.Millisecond
+	// idleCheck is how often a process without peers looks for some.
+	idleCheck = 300 * time.Millisecond
+	// seedDelay is how long a fresh process waits for the store before it asks
+	// the seeds.
+	seedDelay = 100 * time.Millisecond
+)
+
+// Change is one object of the store.
+type Change struct {
+	Name          string
+	Gone          bool
+	Configuration *view.Configuration // ConfigurationSection
+	Member        *view.Member        // MembersSection
+	Fault         error               // the object can't be used
+}
+
+// Store is the platform's object store. Errors have kind PlatformDown,
+// PlatformLimited, VersionConflict, NotFound or HistoryGone.
+type Store interface {
+	// List returns all objects of a section and the store's revision.
+	List(ctx context.Context, s view.Section) ([]Change, view.Revision, error)
+	// Watch returns the changes after a revision as soon as there are some,
+	// none after wait, and the revision to continue from.
+	Watch(ctx context.Context, s view.Section, since view.Revision, wait time.Duration) ([]Change, view.Revision, error)
+	// WriteMember writes a member if its object still has m.Revision; 0 means
+	// that there is none. It returns the object's revision, after a conflict
+	// too.
+	WriteMember(ctx context.Context, m view.Member) (view.Revision, error)
+	// DeleteMember removes a member if its object still has the revision.
+	DeleteMember(ctx context.Context, name string, known view.Revision) error
+}
+
+// Options are the fixed parts of a follower.
+type Options struct {
+	Name   string // of this process among the members
+	Zone   string
+	Role   view.Role
+	Store  Store
+	Board  *view.Board
+	Logger *event.Logger
+	// Seeds may answer a fresh process while the store doesn't.
+	Seeds []netip.AddrPort
+}
+
+// Follower keeps a board current until its context ends.
+type Follower struct {
+	o         Options
+	following atomic.Bool // a peer's fresh answers make watches needless
+	lost      atomic.Bool
+}
+
+// New returns a follower.
+func New(o Options) *Follower { return &Follower{o: o} }
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, s := range view.Sections() {
+		running.Go(func() { f.followStore(ctx, s) })
+	}
+	running.Go(func() { f.followPeers(ctx) })
+	running.Wait()
+}
+
+// followStore keeps one section current from the store while no peer does.
+func (f *Follower) followStore(ctx context.Context, s view.Section) {
+	var cursor view.Revision
+	retry := minRetry
+	for ctx.Err() == nil {
+		if f.following.Load() {
+			// The peers' changes are newer than the cursor.
+			cursor = 0
+			sleep(ctx, idleCheck)
+			continue
+		}
+		if cursor == 0 {
+			cursor = f.o.Board.View().Revision(s)
+		}
+		next, err := f.step(ctx, s, cursor)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		if errkind.Is(err, errkind.HistoryGone) {
+			next, err = f.list(ctx, s)
+			f.note(err)
+		}
+		if err != nil {
+			sleep(ctx, retry)
+			retry = min(2*retry, maxRetry)
+			continue
+		}
+		cursor, retry = next, minRetry
+	}
+}
+
+// step lists a section that is not known, and watches it otherwise.
+func (f *Follower) step(ctx context.Context, s view.Section, cursor view.Revision) (view.Revision, error) {
+	if cursor == 0 {
+		return f.list(ctx, s)
+	}
+	changes, revision, err := f.o.Store.Watch(ctx, s, cursor, watchWait)
+	if err != nil {
+		return cursor, err
+	}
+	if len(changes) > 0 {
+		f.take(s, changes, revision)
+	}
+	f.o.Board.Confirm(s, time.Now())
+	return revision, nil
+}
+
+func (f *Follower) list(ctx context.Context, s view.Section) (view.Revision, error) {
+	asked := time.Now()
+	changes, revision, err := f.o.Store.List(ctx, s)
+	if err != nil {
+		return 0, err
+	}
+	d := view.Delta{Section: s, To: revision, Full: true}
+	f.fill(&d, view.View{}, changes)
+	if s == view.ConfigurationSection && d.Configuration == nil {
+		// Nothing is desired yet.
+		return 0, errkind.New(errkind.NotFound, "no configuration in the store")
+	}
+	f.apply(d)
+	f.o.Board.Confirm(s, asked)
+	return revision, nil
+}
+
+// take turns changes into a delta.
+func (f *Follower) take(s view.Section, changes []Change, revision view.Revision) {
+	v := f.o.Board.View()
+	d := view.Delta{Section: s, From: v.Revision(s), To: revision}
+	f.fill(&d, v, changes)
+	f.apply(d)
+}
+
+// fill puts changes into a delta against v.
+func (f *Follower) fill(d *view.Delta, v view.View, changes []Change) {
+	zones := map[string]bool{}
+	for zone := range v.Evacuations.Zones {
+		zones[zone] = true
+	}
+	for _, c := range changes {
+		if c.Fault != nil {
+			f.o.Logger.Failure(event.ObjectRefused, c.Fault, event.Fields{"object": c.Name, "section": d.Section})
+			continue
+		}
+		switch {
+		case d.Section == view.EvacuationsSection && c.Gone:
+			delete(zones, c.Name)
+		case d.Section == view.EvacuationsSection:
+			zones[c.Name] = true
+		case c.Gone:
+			d.Gone = append(d.Gone, c.Name)
+		case c.Member != nil:
+			d.Gone = slices.DeleteFunc(d.Gone, func(name string) bool { return name == c.Name })
+			d.Members = append(d.Members, *c.Member)
+		case c.Configuration != nil:
+			d.Configuration = c.Configuration.Difference(v.Configuration)
+		}
+	}
+	if d.Section == view.EvacuationsSection {
+		for zone := range zones {
+			d.Zones = append(d.Zones, zone)
+		}
+		slices.Sort(d.Zones)
+	}
+}
+
+func (f *Follower) apply(d view.Delta) {
+	if !f.o.Board.Apply(d) {
+		return
+	}
+	fields := event.Fields{"section": d.Section, "revision": d.To, "full": d.Full}
+	switch {
+	case d.Configuration != nil:
+		fields["version"], fields["routes"] = d.Configuration.Version, len(d.Configuration.Routes)
+		fields["dropped"] = len(d.Configuration.Dropped)
+	case d.Section == view.EvacuationsSection:
+		fields["zones"] = d.Zones
+	default:
+		fields["members"], fields["gone"] = len(d.Members), len(d.Gone)
+	}
+	f.o.Logger.Emit(event.ViewChanged, fields)
+}
+
+// note records whether the store answers.
+func (f *Follower) note(err error) {
+	if err == nil || errkind.Is(err, errkind.HistoryGone) || errkind.Is(err, errkind.NotFound) {
+		if f.lost.Swap(false) {
+			f.o.Logger.Emit(event.PlatformBack, nil)
+		}
+		return
+	}
+	if !f.lost.Swap(true) {
+		f.o.Logger.Failure(event.PlatformLost, err, nil)
+	}
+}
+
+// upstream returns the peers to ask, in order: those of the own zone that come
+// before this process, and all others while the store is lost.
+func (f *Follower) upstream() []view.Member {
+	var before, others []view.Member
+	for _, m := range f.o.Board.View().Members.ByName {
+		switch {
+		case m.Name == f.o.Name:
+		case m.Zone == f.o.Zone && f.after(m):
+			before = append(before, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	slices.SortFunc(before, compareMembers)
+	if !f.lost.Load() {
+		return before
+	}
+	slices.SortFunc(others, compareMembers)
+	return append(before, others...)
+}
+
+// after reports whether this process comes after m in its zone.
+func (f *Follower) after(m view.Member) bool {
+	return compareMembers(m, view.Member{Name: f.o.Name, Role: f.o.Role}) < 0
+}
+
+// compareMembers puts balancers first: their machines are larger.
+func compareMembers(a, b view.Member) int {
+	if a.Role != b.Role {
+		if a.Role == view.BalancerRole {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Name, b.Name)
+}
+
+// followPeers asks the first peer that answers with a fresh view.
+func (f *Follower) followPeers(ctx context.Context) {
+	links := newLinks()
+	defer links.close()
+	f.askSeeds(ctx, links)
+	for ctx.Err() == nil {
+		fresh := false
+		for _, m := range f.upstream() {
+			if f.ask(ctx, links, m.Peer) {
+				fresh = true
+				break
+			}
+		}
+		f.following.Store(fresh && !f.watchesForOthers())
+		if !fresh {
+			sleep(ctx, idleCheck)
+		}
+	}
+}
+
+// watchesForOthers reports whether the process should try the store although a
+// peer answers: it was turned away, and others may rely on it.
+func (f *Follower) watchesForOthers() bool { return f.lost.Load() }
+
+// askSeeds lets a fresh process learn from peers while the store is silent.
+func (f *Follower) askSeeds(ctx context.Context, links *links) {
+	sleep(ctx, seedDelay)
+	for ctx.Err() == nil && !f.o.Board.View().Complete() {
+		for _, seed := range f.o.Seeds {
+			f.ask(ctx, links, seed)
+		}
+		sleep(ctx, idleCheck)
+	}
+}
+
+// ask sends one question to a peer and reports whether its view is fresh.
+func (f *Follower) ask(ctx context.Context, links *links, peer netip.AddrPort) bool {
+	known := map[view.Section]view.Revision{}
+	v := f.o.Board.View()
+	for _, s := range view.Sections() {
+		known[s] = v.Revision(s)
+	}
+	asked := time.Now()
+	answer, err := links.ask(ctx, peer, Question{Known: known, WaitMS: peerWait.Milliseconds()})
+	if err != nil {
+		if ctx.Err() == nil {
+			f.o.Logger.Failure(event.PeerLost, err, event.Fields{"peer": peer.String()})
+		}
+		return false
+	}
+	for _, d := range answer.Deltas {
+		f.apply(d)
+	}
+	if answer.AgeMS < 0 || answer.AgeMS > freshAge.Milliseconds() {
+		return false
+	}
+	confirmed := asked.Add(-time.Duration(answer.AgeMS) * time.Millisecond)
+	for _, s := range view.Sections() {
+		f.o.Board.Confirm(s, confirmed)
+	}
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,184 @@
+// Package hop encodes what balancers and agents tell each other about a
+// packet of a flow: the agents that may hold the flow, in the order in which
+// they are to be asked, and the answer of the one that does.
+package hop
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flow"
+)
+
+// Type says what a message is.
+type Type uint8
+
+// The messages between balancers and agents.
+const (
+	Forward  Type = iota + 1 // a caller's packet for the agents of its list
+	Placed                   // the sender holds the flow
+	Declined                 // no agent of the list holds or takes the flow; carries the packet
+	Hello                    // asks an agent whether it is there
+	HelloAck                 // answers a hello with the agent's load
+)
+
+// MaxCandidates is the number of agents that one message lists at most.
+const MaxCandidates = 8
+
+const (
+	magic       = 0x6b
+	fixedLen    = 20
+	addressLen  = 6
+	loadLen     = 8
+	keyLen      = 2 * addressLen
+	placedLen   = fixedLen + keyLen + addressLen + loadLen
+	helloAckLen = fixedLen + addressLen + loadLen
+)
+
+// MaxHeader is the largest number of bytes before a forwarded packet.
+const MaxHeader = fixedLen + MaxCandidates*addressLen
+
+// Load is what an agent bears at a moment.
+type Load struct {
+	Flows      uint16 // open flows
+	InProgress uint16 // requests without the start of an answer
+	Slots      uint16 // requests that the backend server works on at a time
+	Refusing   bool   // takes no new flows now
+}
+
+// Message is one datagram between a balancer and an agent, or between two
+// agents. Fields that a type doesn't use are zero.
+type Message struct {
+	Type       Type
+	Ask        bool   // the balancer wants to be told who holds the flow
+	Position   uint8  // index in Candidates of the agent that is asked now
+	Offset     uint16 // rank of the first candidate among all agents of the service
+	Service    uint32 // hash of the service that the flow belongs to
+	Balancer   netip.AddrPort
+	Candidates []netip.AddrPort
+	Key        flow.Key       // Placed
+	Agent      netip.AddrPort // Placed, HelloAck: the sender
+	Load       Load           // Placed, HelloAck
+	Packet     []byte         // Forward, Declined: the caller's packet; aliases the datagram
+}
+
+// Append appends the encoding of m to b.
+func (m *Message) Append(b []byte) []byte {
+	ask := byte(0)
+	if m.Ask {
+		ask = 1
+	}
+	b = append(b, magic, byte(m.Type), ask, m.Position, byte(len(m.Candidates)), 0)
+	b = binary.BigEndian.AppendUint16(b, m.Offset)
+	b = binary.BigEndian.AppendUint32(b, m.Service)
+	b = appendAddress(b, m.Balancer)
+	b = append(b, 0, 0)
+	switch m.Type {
+	case Placed:
+		b = appendAddress(b, m.Key.Caller)
+		b = appendAddress(b, m.Key.Service)
+		b = appendAddress(b, m.Agent)
+		return appendLoad(b, m.Load)
+	case HelloAck:
+		b = appendAddress(b, m.Agent)
+		return appendLoad(b, m.Load)
+	}
+	for _, c := range m.Candidates {
+		b = appendAddress(b, c)
+	}
+	return append(b, m.Packet...)
+}
+
+// Decode reads a datagram. The message aliases b. Errors have kind
+// TunnelMalformed.
+func Decode(b []byte, m *Message) error {
+	if len(b) < fixedLen || b[0] != magic {
+		return errkind.New(errkind.TunnelMalformed, "not a message between nodes")
+	}
+	count := int(b[4])
+	*m = Message{
+		Type:       Type(b[1]),
+		Ask:        b[2] == 1,
+		Position:   b[3],
+		Offset:     binary.BigEndian.Uint16(b[6:]),
+		Service:    binary.BigEndian.Uint32(b[8:]),
+		Balancer:   address(b[12:]),
+		Candidates: m.Candidates[:0],
+	}
+	switch m.Type {
+	case Placed:
+		return m.decodePlaced(b)
+	case HelloAck:
+		return m.decodeHelloAck(b)
+	case Hello:
+		return nil
+	case Forward, Declined:
+		return m.decodePacket(b, count)
+	}
+	return errkind.Errorf(errkind.TunnelMalformed, "message type %d", b[1])
+}
+
+func (m *Message) decodePlaced(b []byte) error {
+	if len(b) < placedLen {
+		return errkind.New(errkind.TunnelMalformed, "short placement")
+	}
+	rest := b[fixedLen:]
+	m.Key = flow.Key{Caller: address(rest), Service: address(rest[addressLen:])}
+	m.Agent = address(rest[keyLen:])
+	m.Load = load(rest[keyLen+addressLen:])
+	return nil
+}
+
+func (m *Message) decodeHelloAck(b []byte) error {
+	if len(b) < helloAckLen {
+		return errkind.New(errkind.TunnelMalformed, "short hello answer")
+	}
+	m.Agent = address(b[fixedLen:])
+	m.Load = load(b[fixedLen+addressLen:])
+	return nil
+}
+
+func (m *Message) decodePacket(b []byte, count int) error {
+	end := fixedLen + count*addressLen
+	if count > MaxCandidates || len(b) < end || int(m.Position) >= max(count, 1) {
+		return errkind.New(errkind.TunnelMalformed, "candidate list and length disagree")
+	}
+	for i := range count {
+		m.Candidates = append(m.Candidates, address(b[fixedLen+i*addressLen:]))
+	}
+	m.Packet = b[end:]
+	return nil
+}
+
+func appendAddress(b []byte, a netip.AddrPort) []byte {
+	ip := [4]byte{}
+	if a.Addr().Is4() {
+		ip = a.Addr().As4()
+	}
+	b = append(b, ip[:]...)
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+func address(b []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
+}
+
+func appendLoad(b []byte, l Load) []byte {
+	b = binary.BigEndian.AppendUint16(b, l.Flows)
+	b = binary.BigEndian.AppendUint16(b, l.InProgress)
+	b = binary.BigEndian.AppendUint16(b, l.Slots)
+	if l.Refusing {
+		return append(b, 1, 0)
+	}
+	return append(b, 0, 0)
+}
+
+func load(b []byte) Load {
+	return Load{
+		Flows:      binary.BigEndian.Uint16(b),
+		InProgress: binary.BigEndian.Uint16(b[2:]),
+		Slots:      binary.BigEndian.Uint16(b[4:]),
+		Refusing:   b[6] == 1,
+	}
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,271 @@
+// Package view holds what a process knows of the configuration, of zones that
+// are taken out and of the members of the system, each with the store's
+// revision up to which it is known. A section never goes back to an older
+// revision within a process.
+package view
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Revision is a position in the store's history of changes.
+type Revision int64
+
+// Section names one part of the view, which has a revision of its own.
+type Section string
+
+// The sections.
+const (
+	ConfigurationSection Section = "configuration"
+	EvacuationsSection   Section = "evacuations"
+	MembersSection       Section = "members"
+)
+
+// Sections lists all sections.
+func Sections() []Section {
+	return []Section{ConfigurationSection, EvacuationsSection, MembersSection}
+}
+
+// Target is a service that takes a share of a route's new flows.
+type Target struct {
+	Service string
+	Weight  int // above 0
+}
+
+// Route says where the flows to an address go.
+type Route struct {
+	Name    string
+	Address netip.AddrPort
+	Targets []Target
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	Priority   int           // 0 is the highest
+	Timeout    time.Duration // of a request
+	Objective  time.Duration // latency objective of a request
+}
+
+// Service is what the configuration says of a service.
+type Service struct {
+	Name          string
+	HealthPath    string
+	MaxFlows      int
+	WarmUp        time.Duration // how long a backend server is cold after its start
+	ColdPerSecond float64       // requests a second that a cold backend server bears
+}
+
+// Configuration is the desired state of routes and services.
+type Configuration struct {
+	Revision Revision
+	Version  int64
+	Routes   map[netip.AddrPort]Route
+	Services map[string]Service
+	// IdleTimeout is how long a flow may be silent before it may be dropped.
+	IdleTimeout time.Duration
+}
+
+// Evacuations are the zones whose backend servers get no new flows.
+type Evacuations struct {
+	Revision Revision
+	Zones    map[string]bool
+}
+
+// Role says what a member does.
+type Role string
+
+// The roles.
+const (
+	BalancerRole Role = "balancer"
+	AgentRole    Role = "agent"
+)
+
+// State is the state of a member's backend server.
+type State string
+
+// The states of a backend server as its agent announces them.
+const (
+	Ready   State = "ready"
+	Leaving State = "leaving"
+)
+
+// Member is what a process announces of itself.
+type Member struct {
+	Name    string
+	Role    Role
+	Zone    string
+	Address netip.AddrPort // takes messages of package hop
+	Peer    netip.AddrPort // answers package follow
+	Service string         // agents: the service of the backend server
+	Slots   int            // agents: requests that the backend server works on at a time
+	State   State          // agents
+	// Instance is the backend server's own name for its present run, and
+	// StartedMS the Unix millisecond at which that run began.
+	Instance  string
+	StartedMS int64
+	Revision  Revision // of the member's object in the store
+}
+
+// Members are all processes that announced themselves.
+type Members struct {
+	Revision Revision
+	ByName   map[string]Member
+}
+
+// View is an immutable snapshot of all sections.
+type View struct {
+	Configuration Configuration
+	Evacuations   Evacuations
+	Members       Members
+}
+
+// Revision returns the revision of a section, 0 if nothing is known of it.
+func (v View) Revision(s Section) Revision {
+	switch s {
+	case ConfigurationSection:
+		return v.Configuration.Revision
+	case EvacuationsSection:
+		return v.Evacuations.Revision
+	}
+	return v.Members.Revision
+}
+
+// Complete reports whether something is known of each section.
+func (v View) Complete() bool {
+	for _, s := range Sections() {
+		if v.Revision(s) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Delta is a change of one section. Values in it are absolute, so that a delta
+// from a revision at or before the known one applies as well.
+type Delta struct {
+	Section  Section
+	From, To Revision
+	Full     bool // replaces the section; From is not used
+
+	Configuration *ConfigurationDelta `json:",omitempty"`
+	Zones         []string            `json:",omitempty"` // EvacuationsSection: all zones
+	Members       []Member            `json:",omitempty"` // new or changed
+	Gone          []string            `json:",omitempty"` // names of members
+}
+
+// ConfigurationDelta is the part of a configuration that changed.
+type ConfigurationDelta struct {
+	Version     int64
+	Routes      []Route          // new or changed
+	Dropped     []netip.AddrPort `json:",omitempty"`
+	Services    []Service        // all services
+	IdleTimeout time.Duration
+}
+
+// Apply returns the view after d. It returns false if d brings nothing new or
+// starts after what is known.
+func (v View) Apply(d Delta) (View, bool) {
+	known := v.Revision(d.Section)
+	if d.To <= known || (!d.Full && (d.From > known || known == 0)) {
+		return v, false
+	}
+	switch d.Section {
+	case ConfigurationSection:
+		v.Configuration = v.Configuration.apply(d)
+	case EvacuationsSection:
+		v.Evacuations = Evacuations{Revision: d.To, Zones: map[string]bool{}}
+		for _, zone := range d.Zones {
+			v.Evacuations.Zones[zone] = true
+		}
+	case MembersSection:
+		v.Members = v.Members.apply(d)
+	default:
+		return v, false
+	}
+	return v, true
+}
+
+func (c Configuration) apply(d Delta) Configuration {
+	next := Configuration{
+		Revision:    d.To,
+		Version:     c.Version,
+		Routes:      map[netip.AddrPort]Route{},
+		Services:    c.Services,
+		IdleTimeout: c.IdleTimeout,
+	}
+	if !d.Full {
+		next.Routes = maps.Clone(c.Routes)
+	}
+	change := d.Configuration
+	if change == nil {
+		return next
+	}
+	next.Version, next.IdleTimeout = change.Version, change.IdleTimeout
+	for _, address := range change.Dropped {
+		delete(next.Routes, address)
+	}
+	for _, r := range change.Routes {
+		next.Routes[r.Address] = r
+	}
+	next.Services = map[string]Service{}
+	for _, s := range change.Services {
+		next.Services[s.Name] = s
+	}
+	return next
+}
+
+func (m Members) apply(d Delta) Members {
+	next := Members{Revision: d.To, ByName: map[string]Member{}}
+	if !d.Full {
+		maps.Copy(next.ByName, m.ByName)
+	}
+	for _, name := range d.Gone {
+		delete(next.ByName, name)
+	}
+	for _, member := range d.Members {
+		next.ByName[member.Name] = member
+	}
+	return next
+}
+
+// Full returns a delta that replaces a section by what v knows of it.
+func (v View) Full(s Section) Delta {
+	d := Delta{Section: s, To: v.Revision(s), Full: true}
+	switch s {
+	case ConfigurationSection:
+		d.Configuration = v.Configuration.Difference(Configuration{})
+	case EvacuationsSection:
+		d.Zones = slices.Sorted(maps.Keys(v.Evacuations.Zones))
+	case MembersSection:
+		for _, name := range slices.Sorted(maps.Keys(v.Members.ByName)) {
+			d.Members = append(d.Members, v.Members.ByName[name])
+		}
+	}
+	return d
+}
+
+// Difference returns what turns old into c.
+func (c Configuration) Difference(old Configuration) *ConfigurationDelta {
+	d := &ConfigurationDelta{Version: c.Version, IdleTimeout: c.IdleTimeout}
+	for address, r := range c.Routes {
+		if before, ok := old.Routes[address]; !ok || !before.equal(r) {
+			d.Routes = append(d.Routes, r)
+		}
+	}
+	for address := range old.Routes {
+		if _, ok := c.Routes[address]; !ok {
+			d.Dropped = append(d.Dropped, address)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		d.Services = append(d.Services, c.Services[name])
+	}
+	return d
+}
+
+func (r Route) equal(other Route) bool {
+	sameTargets := slices.Equal(r.Targets, other.Targets)
+	return sameTargets && r.Name == other.Name && r.Address == other.Address && r.Repeatable == other.Repeatable &&
+		r.Priority == other.Priority && r.Timeout == other.Timeout && r.Objective == other.Objective
+}
--- /dev/null
+++ b/pkg/flowbalancer/balancer.go
@@ -0,0 +1,272 @@
+// Package flowbalancer runs a balancer of packet flows: it sends callers'
+// packets to the agents that hold their flows. Decisions are made in
+// internal/flowsteer.
+package flowbalancer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flownode"
+	"github.com/knapweedpier/knapweedpier/internal/flowsteer"
+	"github.com/knapweedpier/knapweedpier/internal/follow"
+	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/platform"
+)
+
+const (
+	// tick is how often openings without an answer are looked at.
+	tick = 20 * time.Millisecond
+	// drainTime is how long a stopping balancer still forwards packets: the
+	// fabric notices after two probes, half a second apart.
+	drainTime = 2200 * time.Millisecond
+	// maxHeld bounds the packets that wait for the first view.
+	maxHeld = 512
+	// heldTimeout is how long they wait. Callers send copies later.
+	heldTimeout = time.Second
+)
+
+// Balancer is one running balancer.
+type Balancer struct {
+	settings platform.Settings
+	logger   *event.Logger
+	store    follow.Store
+	node     *flownode.Node
+	callers  udp.Socket
+	agents   udp.Socket
+	stopping atomic.Bool
+
+	mu       sync.Mutex
+	steerer  *flowsteer.Steerer
+	complete bool
+	held     []heldPacket
+	out      []byte
+}
+
+type heldPacket struct {
+	raw []byte
+	at  time.Time
+}
+
+// New returns a balancer that was not started.
+func New(s platform.Settings, store follow.Store, logger *event.Logger) *Balancer {
+	return &Balancer{settings: s, store: store, logger: logger, steerer: flowsteer.New(s.Peer)}
+}
+
+// Start opens the sockets and starts forwarding. Errors have kind
+// SettingInvalid.
+func (b *Balancer) Start(context.Context) error {
+	s := b.settings
+	var err error
+	if b.callers, err = udp.Listen(s.Packets); err != nil {
+		return err
+	}
+	if b.agents, err = udp.Listen(s.Peer); err != nil {
+		return err
+	}
+	name := MemberName(s.Address)
+	b.node, err = flownode.Start(flownode.Options{
+		Name: name, Zone: s.Zone, Role: view.BalancerRole, Peer: s.Peer, Seeds: s.Seeds, Store: b.store, Logger: b.logger,
+	})
+	if err != nil {
+		return err
+	}
+	if err := b.node.Serve(s.Probe, platform.ProbeHandler(b.ready)); err != nil {
+		return err
+	}
+	b.node.OnStop(func() { _ = b.callers.Close(); _ = b.agents.Close() })
+	b.node.Go(b.followView)
+	b.node.Go(b.readCallers)
+	b.node.Go(b.readAgents)
+	b.node.Go(b.runTimers)
+	b.logger.Emit(event.Started, event.Fields{"role": "balancer", "name": s.Name, "zone": s.Zone, "first_start": s.FirstStart})
+	return nil
+}
+
+// MemberName names the balancer at an address among the members.
+func MemberName(address netip.Addr) string { return "balancer-" + address.String() }
+
+// Stop leaves the fabric's rotation, forwards until that is noticed, and ends.
+func (b *Balancer) Stop(context.Context) error {
+	b.stopping.Store(true)
+	b.logger.Emit(event.Stopping, event.Fields{"drain_ms": drainTime.Milliseconds()})
+	time.Sleep(drainTime)
+	b.node.Stop()
+	b.logger.Emit(event.Stopped, nil)
+	return nil
+}
+
+func (b *Balancer) ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.complete && !b.stopping.Load()
+}
+
+// followView hands each new view to the steerer.
+func (b *Balancer) followView(ctx context.Context) {
+	changed, cancel := b.node.Board.Subscribe()
+	defer cancel()
+	for {
+		select {
+		case <-changed:
+			b.takeView(b.node.Board.View())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Balancer) takeView(v view.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.steerer.SetView(v)
+	if b.complete || !v.Complete() {
+		return
+	}
+	b.complete = true
+	now := time.Now()
+	for _, h := range b.held {
+		if now.Sub(h.at) < heldTimeout {
+			b.forward(now, h.raw)
+		}
+	}
+	b.held = nil
+	s := b.settings
+	b.node.Announcer.Set(view.Member{
+		Name: MemberName(s.Address), Role: view.BalancerRole, Zone: s.Zone, Address: s.Peer, Peer: s.Peer,
+	})
+}
+
+// readCallers forwards callers' packets until the socket is closed.
+func (b *Balancer) readCallers(ctx context.Context) {
+	buffer := make([]byte, udp.MaxDatagram)
+	for {
+		n, _, err := b.callers.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			b.refuse(errkind.Wrap(err, errkind.PacketMalformed, "read a caller's packet"))
+			continue
+		}
+		b.mu.Lock()
+		if b.complete {
+			b.forward(time.Now(), buffer[:n])
+		} else if len(b.held) < maxHeld {
+			b.held = append(b.held, heldPacket{raw: append([]byte(nil), buffer[:n]...), at: time.Now()})
+		}
+		b.mu.Unlock()
+	}
+}
+
+// forward decides about one caller's packet.
+func (b *Balancer) forward(now time.Time, raw []byte) {
+	p, err := platform.DecodePacket(raw)
+	if err != nil {
+		b.refuse(err)
+		return
+	}
+	a := b.steerer.FromCaller(now, p, raw)
+	if p.Opening() && a.Verdict == flowsteer.Send {
+		b.logger.Emit(event.FlowOffered, event.Fields{
+			"flow": p.From.String(), "to": p.To.String(), "copy": p.Ack, "service": a.Service, "agent": a.To.String(),
+		})
+	}
+	b.do(a)
+}
+
+// readAgents takes agents' messages until the socket is closed.
+func (b *Balancer) readAgents(ctx context.Context) {
+	buffer := make([]byte, udp.MaxDatagram)
+	var m hop.Message
+	for {
+		n, _, err := b.agents.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			err = hop.Decode(buffer[:n], &m)
+		}
+		if err == nil {
+			err = b.fromAgent(&m)
+		}
+		if err != nil {
+			b.refuse(err)
+		}
+	}
+}
+
+func (b *Balancer) fromAgent(m *hop.Message) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	switch m.Type {
+	case hop.Placed:
+		b.steerer.Placed(now, m)
+	case hop.HelloAck:
+		b.steerer.HelloAck(now, m)
+	case hop.Declined:
+		p, err := platform.DecodePacket(m.Packet)
+		if err != nil {
+			return err
+		}
+		b.do(b.steerer.Declined(now, p, m))
+	}
+	return nil
+}
+
+func (b *Balancer) runTimers(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			b.mu.Lock()
+			b.steerer.SetConfirmed(b.node.Board.ConfirmedAt())
+			for _, a := range b.steerer.Tick(time.Now()) {
+				b.do(a)
+			}
+			b.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// do carries an action out.
+func (b *Balancer) do(a flowsteer.Action) {
+	switch a.Verdict {
+	case flowsteer.Send:
+		b.out = a.Message.Append(b.out[:0])
+		b.write(b.agents, a.To)
+	case flowsteer.Reset:
+		key := a.Packet.CallerKey()
+		b.logger.Emit(event.FlowReset, fields(key, a))
+		b.out = platform.AppendReset(b.out[:0], key, a.Packet.Ack)
+		b.write(b.callers, netip.AddrPortFrom(key.Caller.Addr(), b.settings.Packets.Port()))
+	case flowsteer.Drop:
+		b.logger.Failure(event.FlowDropped, errkind.New(a.Kind, "packet dropped"), fields(a.Packet.CallerKey(), a))
+	}
+}
+
+func fields(key flow.Key, a flowsteer.Action) event.Fields {
+	return event.Fields{"flow": key.Caller.String(), "to": key.Service.String(), "reason": a.Kind.String(), "opening": a.Packet.Opening()}
+}
+
+// write sends b.out. A datagram that can't be sent is lost like one on the
+// way: its sender repeats it.
+func (b *Balancer) write(socket udp.Socket, to netip.AddrPort) {
+	if _, err := socket.WriteToUDPAddrPort(b.out, to); err != nil {
+		b.refuse(errkind.Wrap(err, errkind.PacketNoAgent, "send a packet"))
+	}
+}
+
+func (b *Balancer) refuse(err error) { b.logger.Failure(event.PacketRefused, err, nil) }
