Limit cold backend servers only where a cold rate is configured

Change: a cold rate of 0 means a slower server, not a limited one.

Ruled out: late views (complete 0.3 s after the machines were back) and missing reports (all agents had one after 0.2 s).

--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -54,6 +54,7 @@
 	refilled    time.Time
 	learnUntil  time.Time
 
+	configured    bool // the configuration of the service is known
 	coldPerSecond float64
 	maxFlows      int
 	idleTimeout   time.Duration
@@ -70,8 +71,12 @@
 // restarted notes that the backend server lost its flows.
 func (b *backend) restarted() { b.unconfirmed = true }
 
-// cold reports whether only openings at the cold rate may be delivered.
+// cold reports whether only openings at the cold rate may be delivered. A
+// service without a cold rate is slower while it is cold, but not limited.
 func (b *backend) cold(now time.Time) bool {
+	if b.configured && b.coldPerSecond <= 0 {
+		return false
+	}
 	return b.unconfirmed || now.Before(b.coldUntil)
 }
 
@@ -191,6 +196,7 @@
 
 // SetService takes over what the configuration says.
 func (g *Gate) SetService(s view.Service, idle time.Duration) {
+	g.backend.configured = s.Name != ""
 	g.backend.coldPerSecond, g.backend.maxFlows = s.ColdPerSecond, s.MaxFlows
 	if idle > 0 {
 		g.backend.idleTimeout = idle
