Spare calls to the store, reset flows that are nowhere at once

Change: a process that follows a peer makes no calls, bursts of changes cost one call, a cheap read confirms waiting watches; members no longer change with each run of a backend server; one search is enough to reset a flow while the members have been unchanged for 300 ms.

Ruled out: watches of 12 s. Watches of the configuration now last 2.5 s. Also ruled out: asking seeds first after a restart, which cost up to 0.15 s of service after the power cut.

--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -138,17 +138,18 @@
 // The flows that it returns were lost with an earlier run.
 func (g *Gate) Report(now time.Time, r Report) ([]LostFlow, error) {
 	b := &g.backend
-	if b.known && r.Started.Before(b.report.Started) {
+	reportedBefore := !b.reported.IsZero()
+	if reportedBefore && r.Started.Before(b.report.Started) {
 		return nil, errkind.New(errkind.ReportStale, "of an earlier run of the backend server")
 	}
-	sameRun := b.known && r.Started.Equal(b.report.Started) && r.Instance == b.report.Instance
-	if sameRun && !b.reported.IsZero() && r.Sequence <= b.report.Sequence {
+	sameRun := reportedBefore && r.Started.Equal(b.report.Started) && r.Instance == b.report.Instance
+	if sameRun && r.Sequence <= b.report.Sequence {
 		return nil, errkind.New(errkind.ReportStale, "sequence number of an earlier report")
 	}
 	if sameRun && b.report.State == view.Leaving {
 		r.State = view.Leaving
 	}
-	newRun, lastOfOldRun := b.known && !sameRun, b.reported
+	newRun, lastOfOldRun := reportedBefore && !sameRun, b.reported
 	b.known, b.reported, b.report = true, now, r
 	b.unconfirmed = false
 	b.coldUntil = now.Add(r.ColdFor)
--- a/internal/flownode/node.go
+++ b/internal/flownode/node.go
@@ -44,6 +44,8 @@
 	Seeds  []netip.Addr   // machines of other nodes
 	Store  follow.Store
 	Logger *event.Logger
+
+	FirstStart bool // the whole system starts for the first time
 }
 
 // Start opens the peers' listener and starts following the view.
@@ -65,7 +67,7 @@
 	}
 	f := follow.New(follow.Options{
 		Name: o.Name, Zone: o.Zone, Role: o.Role,
-		Store: o.Store, Board: n.Board, Logger: o.Logger, Seeds: seeds,
+		Store: o.Store, Board: n.Board, Logger: o.Logger, Seeds: seeds, FirstStart: o.FirstStart,
 	})
 	n.Go(f.Run)
 	return n, nil
--- a/internal/flowsteer/steer.go
+++ b/internal/flowsteer/steer.go
@@ -24,9 +24,12 @@
 	// ends before the caller sends its first copy after 200 ms.
 	placementTimeout = 80 * time.Millisecond
 	// missInterval is the time between two searches that found a flow nowhere
-	// after which the flow is reset. A flow that was opened just now may be at
-	// an agent that this balancer doesn't know yet.
+	// after which the flow is reset.
 	missInterval = 150 * time.Millisecond
+	// settled is the time without a change of members after which one search
+	// is enough. A flow that was opened just now may be at an agent that this
+	// balancer doesn't know yet.
+	settled = 300 * time.Millisecond
 	// missMemory is how long an unsuccessful search is remembered.
 	missMemory = 3 * time.Second
 	// freshView is the age up to which the view is trusted to name all agents.
@@ -59,6 +62,7 @@
 type Steerer struct {
 	self      netip.AddrPort
 	view      view.View
+	changed   time.Time // when the members changed last
 	confirmed time.Time
 	agents    agents
 	flows     holders
@@ -88,7 +92,10 @@
 }
 
 // SetView takes a new view over.
-func (s *Steerer) SetView(v view.View) {
+func (s *Steerer) SetView(now time.Time, v view.View) {
+	if v.Members.Revision != s.view.Members.Revision {
+		s.changed = now
+	}
 	s.view = v
 	s.agents.set(v)
 }
@@ -245,16 +252,19 @@
 	return Action{Verdict: Reset, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
 }
 
-// missed resets a flow that two searches found at no agent. It is reset only
-// while the view names all agents and each of them answers.
+// missed resets a flow that is at no agent, so that its caller needn't wait for
+// its deadline. It is reset only while the view names all agents and each of
+// them answers.
 func (s *Steerer) missed(now time.Time, key flow.Key, p flow.Packet) Action {
 	drop := Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
-	first, ok := s.misses[key]
-	if !ok {
-		s.misses[key] = now
+	if now.Sub(s.confirmed) > freshView || s.agents.anySuspect() || p.Has(flow.Reset) {
 		return drop
 	}
-	if now.Sub(first) < missInterval || now.Sub(s.confirmed) > freshView || s.agents.anySuspect() || p.Has(flow.Reset) {
+	first, again := s.misses[key]
+	if !again {
+		s.misses[key], first = now, now
+	}
+	if now.Sub(s.changed) < settled && now.Sub(first) < missInterval {
 		return drop
 	}
 	drop.Verdict = Reset
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,9 +19,18 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch without changes. It bounds
-	// how long a channel that went silent stays unnoticed.
-	watchWait = 2 * time.Second
+	// The waits are how long the store holds a watch without changes. They
+	// bound how long a watch that the store no longer serves goes unnoticed,
+	// and are shorter than the time in which a change is to be in force.
+	configurationWait = 2500 * time.Millisecond
+	evacuationsWait   = 4 * time.Second
+	membersWait       = 8 * time.Second
+	// rearm is the pause after changes before the next watch, so that changes
+	// in quick succession cost one call.
+	rearm = 150 * time.Millisecond
+	// pingInterval is how often a process that watches asks whether the store
+	// still answers it.
+	pingInterval = 1200 * time.Millisecond
 	// peerWait is how long a peer holds a question without changes.
 	peerWait = 700 * time.Millisecond
 	// peerMargin is added to peerWait until a peer counts as silent.
@@ -33,9 +42,9 @@
 	maxRetry = 500 * time.Millisecond
 	// idleCheck is how often a process without peers looks for some.
 	idleCheck = 300 * time.Millisecond
-	// seedDelay is how long a fresh process waits for the store before it asks
-	// the seeds.
-	seedDelay = 100 * time.Millisecond
+	// seedTime is how long a fresh process waits for an answer of the seeds
+	// before it asks the store.
+	seedTime = 150 * time.Millisecond
 )
 
 // Change is one object of the store.
@@ -59,6 +68,8 @@
 	// that there is none. It returns the object's revision, after a conflict
 	// too.
 	WriteMember(ctx context.Context, m view.Member) (view.Revision, error)
+	// Ping asks whether the store answers, at the lowest price.
+	Ping(ctx context.Context) error
 	// DeleteMember removes a member if its object still has the revision.
 	DeleteMember(ctx context.Context, name string, known view.Revision) error
 }
@@ -73,10 +84,14 @@
 	Logger *event.Logger
 	// Seeds may answer a fresh process while the store doesn't.
 	Seeds []netip.AddrPort
+	// FirstStart is set when the whole system starts for the first time: the
+	// seeds are asked before the store, because nothing is urgent yet.
+	FirstStart bool
 }
 
 // Follower keeps a board current until its context ends.
 type Follower struct {
+	armed     [3]atomic.Bool // by section: a watch is waiting
 	o         Options
 	following atomic.Bool // a peer's fresh answers make watches needless
 	lost      atomic.Bool
@@ -87,16 +102,49 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	links := newLinks()
+	defer links.close()
+	if f.o.FirstStart {
+		f.askSeeds(ctx, links)
+	}
 	var running sync.WaitGroup
-	for _, s := range view.Sections() {
-		running.Go(func() { f.followStore(ctx, s) })
+	for i, s := range view.Sections() {
+		running.Go(func() { f.followStore(ctx, s, &f.armed[i]) })
 	}
-	running.Go(func() { f.followPeers(ctx) })
+	running.Go(func() { f.ping(ctx) })
+	running.Go(func() {
+		for ctx.Err() == nil && !f.o.Board.View().Complete() {
+			f.askSeeds(ctx, links)
+			sleep(ctx, idleCheck)
+		}
+		f.followPeers(ctx, links)
+	})
 	running.Wait()
 }
 
+// ping confirms the sections whose watches wait, while the store answers.
+func (f *Follower) ping(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, pingInterval)
+		if f.following.Load() || ctx.Err() != nil {
+			continue
+		}
+		asked := time.Now()
+		err := f.o.Store.Ping(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		for i, s := range view.Sections() {
+			if err == nil && f.armed[i].Load() {
+				f.o.Board.Confirm(s, asked)
+			}
+		}
+	}
+}
+
 // followStore keeps one section current from the store while no peer does.
-func (f *Follower) followStore(ctx context.Context, s view.Section) {
+func (f *Follower) followStore(ctx context.Context, s view.Section, armed *atomic.Bool) {
 	var cursor view.Revision
 	retry := minRetry
 	for ctx.Err() == nil {
@@ -109,7 +157,9 @@
 		if cursor == 0 {
 			cursor = f.o.Board.View().Revision(s)
 		}
+		armed.Store(cursor > 0)
 		next, err := f.step(ctx, s, cursor)
+		armed.Store(false)
 		if ctx.Err() != nil {
 			return
 		}
@@ -132,17 +182,28 @@
 	if cursor == 0 {
 		return f.list(ctx, s)
 	}
-	changes, revision, err := f.o.Store.Watch(ctx, s, cursor, watchWait)
+	changes, revision, err := f.o.Store.Watch(ctx, s, cursor, waitFor(s))
 	if err != nil {
 		return cursor, err
 	}
+	f.o.Board.Confirm(s, time.Now())
 	if len(changes) > 0 {
 		f.take(s, changes, revision)
+		sleep(ctx, rearm)
 	}
-	f.o.Board.Confirm(s, time.Now())
 	return revision, nil
 }
 
+func waitFor(s view.Section) time.Duration {
+	switch s {
+	case view.ConfigurationSection:
+		return configurationWait
+	case view.EvacuationsSection:
+		return evacuationsWait
+	}
+	return membersWait
+}
+
 func (f *Follower) list(ctx context.Context, s view.Section) (view.Revision, error) {
 	asked := time.Now()
 	changes, revision, err := f.o.Store.List(ctx, s)
@@ -269,10 +330,7 @@
 }
 
 // followPeers asks the first peer that answers with a fresh view.
-func (f *Follower) followPeers(ctx context.Context) {
-	links := newLinks()
-	defer links.close()
-	f.askSeeds(ctx, links)
+func (f *Follower) followPeers(ctx context.Context, links *links) {
 	for ctx.Err() == nil {
 		fresh := false
 		for _, m := range f.upstream() {
@@ -292,14 +350,16 @@
 // peer answers: it was turned away, and others may rely on it.
 func (f *Follower) watchesForOthers() bool { return f.lost.Load() }
 
-// askSeeds lets a fresh process learn from peers while the store is silent.
+// askSeeds lets a fresh process learn from the first seed that answers, which
+// spares the store a listing by each process.
 func (f *Follower) askSeeds(ctx context.Context, links *links) {
-	sleep(ctx, seedDelay)
-	for ctx.Err() == nil && !f.o.Board.View().Complete() {
-		for _, seed := range f.o.Seeds {
-			f.ask(ctx, links, seed)
+	ctx, cancel := context.WithTimeout(ctx, seedTime)
+	defer cancel()
+	for _, seed := range f.o.Seeds {
+		if ctx.Err() != nil || f.o.Board.View().Complete() {
+			return
 		}
-		sleep(ctx, idleCheck)
+		f.ask(ctx, links, seed)
 	}
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -100,11 +100,8 @@
 	Service string         // agents: the service of the backend server
 	Slots   int            // agents: requests that the backend server works on at a time
 	State   State          // agents
-	// Instance is the backend server's own name for its present run, and
-	// StartedMS the Unix millisecond at which that run began.
-	Instance  string
-	StartedMS int64
-	Revision  Revision // of the member's object in the store
+	// Revision is that of the member's object in the store.
+	Revision Revision
 }
 
 // Members are all processes that announced themselves.
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -82,6 +82,7 @@
 	}
 	a.node, err = flownode.Start(flownode.Options{
 		Name: MemberName(s.Address), Zone: s.Zone, Role: view.AgentRole, Peer: s.Peer, Seeds: s.Seeds, Store: a.store, Logger: a.logger,
+		FirstStart: s.FirstStart,
 	})
 	if err != nil {
 		return err
@@ -154,9 +155,7 @@
 	a.gate.SetOut(out)
 	m, ok := v.Members.ByName[MemberName(s.Address)]
 	if ok && m.Service == s.Service && !s.FirstStart {
-		a.gate.Announced(flowgate.Report{
-			Instance: m.Instance, Started: time.UnixMilli(m.StartedMS), State: m.State, Slots: m.Slots,
-		})
+		a.gate.Announced(flowgate.Report{State: m.State, Slots: m.Slots})
 	}
 }
 
@@ -208,7 +207,7 @@
 	s := a.settings
 	return a.node.Announcer.Set(view.Member{
 		Name: MemberName(s.Address), Role: view.AgentRole, Zone: s.Zone, Address: s.Packets, Peer: s.Peer,
-		Service: s.Service, Slots: r.Slots, State: r.State, Instance: r.Instance, StartedMS: r.Started.UnixMilli(),
+		Service: s.Service, Slots: r.Slots, State: r.State,
 	}), nil
 }
 
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -75,6 +75,7 @@
 	name := MemberName(s.Address)
 	b.node, err = flownode.Start(flownode.Options{
 		Name: name, Zone: s.Zone, Role: view.BalancerRole, Peer: s.Peer, Seeds: s.Seeds, Store: b.store, Logger: b.logger,
+		FirstStart: s.FirstStart,
 	})
 	if err != nil {
 		return err
@@ -127,7 +128,7 @@
 func (b *Balancer) takeView(v view.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.steerer.SetView(v)
+	b.steerer.SetView(time.Now(), v)
 	if b.complete || !v.Complete() {
 		return
 	}
