Let requests wait at the agent by objective and priority

Change: the agent holds requests while all slots are taken. Those that can still meet their objective go first, by priority and age. A new flow goes to the least loaded of eight candidates instead of three.

--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -11,6 +11,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/flow"
 	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/view"
 )
 
 const (
@@ -33,6 +34,7 @@
 // The verdicts.
 const (
 	Deliver  Verdict = iota + 1 // to the backend server, with Mark
+	Hold                        // the packet waits for a slot; see Release
 	ToCaller                    // the backend server's packet goes to the caller
 	PassOn                      // Message goes to To: another agent, or the balancer
 	Reset                       // the caller gets a reset
@@ -63,6 +65,8 @@
 	service uint32
 	backend backend
 	flows   table
+	waiting queue
+	routes  map[netip.AddrPort]view.Route
 	offers  map[uint32]offer
 	mark    uint32
 	swept   time.Time
@@ -117,8 +121,16 @@
 	if f.state == lost {
 		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key}
 	}
-	g.flows.fromCaller(now, f, p)
 	a := Action{Verdict: Deliver, Key: key}
+	if g.hold(now, f, key, p, m.Packet) {
+		a.Verdict = Hold
+	} else {
+		g.flows.fromCaller(now, f, p)
+	}
+	if f.state != open && f.held != nil {
+		g.waiting.remove(f)
+		f.held = nil
+	}
 	if m.Ask || m.Position > 0 {
 		a.Tell = m.Balancer
 	}
@@ -183,7 +195,7 @@
 	if service != g.service {
 		return errkind.PacketWrongTarget
 	}
-	return g.backend.refusal(now, g.flows.open, g.flows.inProgress, last)
+	return g.backend.refusal(now, g.flows.open, g.flows.inProgress+len(g.waiting.list), last)
 }
 
 // passOn sends a message to its next candidate, or back to the balancer.
@@ -267,9 +279,9 @@
 func (g *Gate) Load(now time.Time) hop.Load {
 	return hop.Load{
 		Flows:      uint16(min(g.flows.open, 1<<16-1)),
-		InProgress: uint16(min(g.flows.inProgress, 1<<16-1)),
+		InProgress: uint16(min(g.flows.inProgress+len(g.waiting.list), 1<<16-1)),
 		Slots:      uint16(min(g.backend.report.Slots, 1<<16-1)),
-		Refusing:   g.backend.refusal(now, g.flows.open, g.flows.inProgress, true) != 0,
+		Refusing:   g.backend.refusal(now, g.flows.open, g.flows.inProgress+len(g.waiting.list), true) != 0,
 	}
 }
 
@@ -278,6 +290,9 @@
 	return hop.Message{Type: hop.Placed, Service: g.service, Key: key, Agent: g.self, Load: g.Load(now)}
 }
 
+// SetRoutes takes over what the configuration says of requests.
+func (g *Gate) SetRoutes(routes map[netip.AddrPort]view.Route) { g.routes = routes }
+
 // InProgress returns the number of requests without the start of an answer.
 func (g *Gate) InProgress() int { return g.flows.inProgress }
 
--- a/internal/flowgate/table.go
+++ b/internal/flowgate/table.go
@@ -37,7 +37,9 @@
 	callerEnd    uint32 // end of the data that the caller sent
 	callerAck    uint32 // the caller's last acknowledgement
 	sent         bool   // callerEnd is valid
-	waiting      bool   // a request has no start of an answer yet
+	waiting      bool   // a delivered request has no start of an answer yet
+	asked        time.Time
+	held         *waiting // a request that waits for a slot
 	callerClosed bool
 	serverClosed bool
 }
@@ -97,19 +99,39 @@
 		t.close(f, ended)
 		return
 	}
-	if f.state == opening {
-		f.state = open
-	}
-	if f.state != open {
+	if f.state != opening && f.state != open {
 		return
 	}
+	if t.isNew(f, p) {
+		t.begin(now, f)
+	}
+	t.follow(now, f, p)
+}
+
+// isNew reports whether p carries data that the caller didn't send before.
+func (t *table) isNew(f *entry, p flow.Packet) bool {
 	end := p.Seq + uint32(p.Length)
-	if p.Length > 0 && (!f.sent || int32(end-f.callerEnd) > 0) {
-		f.callerEnd, f.sent = end, true
-		if !f.waiting {
-			f.waiting = true
-			t.inProgress++
-		}
+	return p.Length > 0 && (!f.sent || int32(end-f.callerEnd) > 0)
+}
+
+// begin counts a request that is delivered.
+func (t *table) begin(now time.Time, f *entry) {
+	if f.waiting || (f.state != open && f.state != opening) {
+		return
+	}
+	f.waiting, f.asked = true, now
+	t.inProgress++
+}
+
+// follow takes over how far the caller has come in its flow.
+func (t *table) follow(now time.Time, f *entry, p flow.Packet) {
+	f.last = now
+	f.callerAck = p.Ack
+	if f.state == opening {
+		f.state = open
+	}
+	if t.isNew(f, p) {
+		f.callerEnd, f.sent = p.Seq+uint32(p.Length), true
 	}
 	f.callerClosed = f.callerClosed || p.Has(flow.Close)
 	t.endIfClosed(f)
@@ -139,9 +161,13 @@
 	}
 }
 
-// sweep forgets flows that are over or silent for longer than they may be.
+// sweep forgets flows that are over or silent for longer than they may be, and
+// requests that nobody waits for any more.
 func (t *table) sweep(now time.Time, idle time.Duration) {
 	for key, f := range t.entries {
+		if f.waiting && now.Sub(f.asked) > defaultTimeout {
+			t.answer(f)
+		}
 		if now.Sub(f.last) > f.memory(idle) {
 			t.remove(key)
 		}
--- a/internal/flowsteer/agents.go
+++ b/internal/flowsteer/agents.go
@@ -14,7 +14,7 @@
 const (
 	// choices is the number of best ranked agents among which a new flow goes
 	// to the least loaded one.
-	choices = 3
+	choices = hop.MaxCandidates
 	// flowWeight is the load of an open flow without a request, in requests.
 	flowWeight = 0.1
 	// helloRate bounds the hellos that a balancer sends, in messages a second.
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -30,7 +30,7 @@
 	// drainTime is how long a stopping agent waits for requests at most.
 	drainTime = 1200 * time.Millisecond
 	// sweepInterval is how often what is over is forgotten.
-	sweepInterval = time.Second
+	sweepInterval = 100 * time.Millisecond
 )
 
 // Agent is one running agent.
@@ -142,6 +142,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.settings
+	a.gate.SetRoutes(v.Configuration.Routes)
 	a.gate.SetService(v.Configuration.Services[s.Service], v.Configuration.IdleTimeout)
 	out := v.Evacuations.Zones[s.Zone]
 	if out != a.out {
@@ -286,6 +287,7 @@
 			platform.ClearBounce(buffer[:n])
 		}
 		a.do(now, action, p, buffer[:n])
+		a.release(now)
 		a.mu.Unlock()
 	}
 }
@@ -299,6 +301,10 @@
 		if action.Tell.IsValid() {
 			a.tell(action.Tell, a.gate.Placed(now, action.Key))
 		}
+	case flowgate.Hold:
+		if action.Tell.IsValid() {
+			a.tell(action.Tell, a.gate.Placed(now, action.Key))
+		}
 	case flowgate.ToCaller:
 		a.write(a.nodes, raw, a.callerAddress(action.Key))
 	case flowgate.PassOn:
@@ -310,6 +316,13 @@
 	a.log(action, p)
 }
 
+// release delivers the requests that leave the queue.
+func (a *Agent) release(now time.Time) {
+	for _, d := range a.gate.Release(now) {
+		a.write(a.backend, d.Raw, a.settings.Backend)
+	}
+}
+
 // log writes the decisions that place, move or end a flow.
 func (a *Agent) log(action flowgate.Action, p flow.Packet) {
 	fields := event.Fields{"flow": action.Key.Caller.String(), "to": action.Key.Service.String()}
@@ -358,7 +371,9 @@
 		select {
 		case <-ticker.C:
 			a.mu.Lock()
-			a.gate.Tick(time.Now())
+			now := time.Now()
+			a.gate.Tick(now)
+			a.release(now)
 			a.mu.Unlock()
 		case <-ctx.Done():
 			return
