Leave the rotation while cut off from most nodes

Change: balancers greet each other across zones. One that reaches no balancer of another zone and less than half of the agents answers the ready probe with 503, so that the fabric uses other balancers.

Ruled out: counting agents alone. When all agents stop at once every balancer would leave the rotation.

--- a/internal/flowsteer/agents.go
+++ b/internal/flowsteer/agents.go
@@ -28,37 +28,48 @@
 	refusalMemory = time.Second
 )
 
-// agent is what the balancer knows of one agent.
-type agent struct {
+// contact is what the balancer knows of a node that it sends hellos to.
+type contact struct {
 	member    view.Member
-	out       bool // its zone is evacuated
-	load      hop.Load
-	heardAt   time.Time
-	placed    int       // flows sent there since its load was heard
 	unheard   time.Time // when the oldest unanswered hello was sent, zero if none
 	nextHello time.Time
 	suspect   bool
 }
 
+// agent is what the balancer knows of one agent.
+type agent struct {
+	contact
+	out     bool // its zone is evacuated
+	load    hop.Load
+	heardAt time.Time
+	placed  int // flows sent there since its load was heard
+}
+
 // agents are all agents of the view, suspect ones included.
 type agents struct {
 	byAddress map[netip.AddrPort]*agent
 	byService map[string][]*agent
 	all       []*agent
+	balancers map[netip.AddrPort]*contact // those of other zones
 }
 
 func newAgents() agents {
-	return agents{byAddress: map[netip.AddrPort]*agent{}}
+	return agents{byAddress: map[netip.AddrPort]*agent{}, balancers: map[netip.AddrPort]*contact{}}
 }
 
 // set takes the members of a view over and keeps what is known of agents that
 // stay.
-func (as *agents) set(v view.View) {
+func (as *agents) set(v view.View, zone string) {
 	next := map[netip.AddrPort]*agent{}
+	balancers := map[netip.AddrPort]*contact{}
 	as.byService = map[string][]*agent{}
 	as.all = nil
 	for _, m := range v.Members.ByName {
-		if m.Role != view.AgentRole {
+		if m.Role == view.BalancerRole {
+			if m.Zone != zone {
+				balancers[m.Address] = cmp.Or(as.balancers[m.Address], &contact{})
+				balancers[m.Address].member = m
+			}
 			continue
 		}
 		a := as.byAddress[m.Address]
@@ -73,7 +84,7 @@
 	for _, a := range as.all {
 		as.byService[a.member.Service] = append(as.byService[a.member.Service], a)
 	}
-	as.byAddress = next
+	as.byAddress, as.balancers = next, balancers
 }
 
 // mayOpen reports whether new flows may go to an agent.
@@ -163,6 +174,9 @@
 
 // heard records a sign of life and the load that came with it.
 func (as *agents) heard(now time.Time, address netip.AddrPort, load hop.Load) {
+	if b := as.balancers[address]; b != nil {
+		b.unheard, b.suspect = time.Time{}, false
+	}
 	a := as.byAddress[address]
 	if a == nil {
 		return
@@ -178,30 +192,60 @@
 	}
 }
 
-// hellos returns the agents that are due for a hello and marks those that left
+// hellos returns the nodes that are due for a hello and marks those that left
 // one unanswered.
 func (as *agents) hellos(now time.Time) []netip.AddrPort {
-	interval := max(minHelloInterval, time.Duration(len(as.all))*time.Second/helloRate)
+	interval := max(minHelloInterval, time.Duration(len(as.all)+len(as.balancers))*time.Second/helloRate)
 	var due []netip.AddrPort
 	for _, a := range as.all {
-		if !a.unheard.IsZero() && now.Sub(a.unheard) > suspectAfter {
-			a.suspect = true
-		}
 		if a.load.Refusing && now.Sub(a.heardAt) > refusalMemory {
 			a.load.Refusing = false
 		}
-		if now.Before(a.nextHello) {
-			continue
+		if a.due(now, interval) {
+			due = append(due, a.member.Address)
 		}
-		if a.unheard.IsZero() {
-			a.unheard = now
+	}
+	for _, b := range as.balancers {
+		if b.due(now, interval) {
+			due = append(due, b.member.Address)
 		}
-		a.nextHello = now.Add(interval)
-		due = append(due, a.member.Address)
 	}
 	return due
 }
 
+// due reports whether a hello is to be sent now, and marks a node that left one
+// unanswered.
+func (c *contact) due(now time.Time, interval time.Duration) bool {
+	if !c.unheard.IsZero() && now.Sub(c.unheard) > suspectAfter {
+		c.suspect = true
+	}
+	if now.Before(c.nextHello) {
+		return false
+	}
+	if c.unheard.IsZero() {
+		c.unheard = now
+	}
+	c.nextHello = now.Add(interval)
+	return true
+}
+
 func (as *agents) anySuspect() bool {
 	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect })
 }
+
+// isolated reports whether the balancer rather than the others is cut off: no
+// balancer of another zone answers, and less than half of the agents do.
+func (as *agents) isolated() bool {
+	for _, b := range as.balancers {
+		if !b.suspect {
+			return false
+		}
+	}
+	silent := 0
+	for _, a := range as.all {
+		if a.suspect {
+			silent++
+		}
+	}
+	return len(as.balancers) > 0 && 2*silent > len(as.all)
+}
--- a/internal/flowsteer/steer.go
+++ b/internal/flowsteer/steer.go
@@ -61,6 +61,7 @@
 // Steerer decides for one balancer. It is not safe for concurrent use.
 type Steerer struct {
 	self      netip.AddrPort
+	zone      string
 	view      view.View
 	changed   time.Time // when the members changed last
 	confirmed time.Time
@@ -80,10 +81,11 @@
 	at      time.Time
 }
 
-// New returns a steerer for the balancer that agents answer at self.
-func New(self netip.AddrPort) *Steerer {
+// New returns a steerer for the balancer of a zone that agents answer at self.
+func New(self netip.AddrPort, zone string) *Steerer {
 	return &Steerer{
 		self:     self,
+		zone:     zone,
 		agents:   newAgents(),
 		flows:    newHolders(),
 		openings: map[flow.Key]*opening{},
@@ -97,7 +99,7 @@
 		s.changed = now
 	}
 	s.view = v
-	s.agents.set(v)
+	s.agents.set(v, s.zone)
 }
 
 // SetConfirmed tells when the view was last known to be current.
@@ -308,5 +310,14 @@
 // Flows returns the number of remembered flows.
 func (s *Steerer) Flows() int { return s.flows.len() }
 
+// Isolated reports whether the balancer is cut off, so that callers are better
+// served by others.
+func (s *Steerer) Isolated() bool { return s.agents.isolated() }
+
+// Hello answers another balancer.
+func (s *Steerer) Hello(m *hop.Message) Action {
+	return Action{Verdict: Send, To: m.Balancer, Message: hop.Message{Type: hop.HelloAck, Agent: s.self}}
+}
+
 // ServiceID returns the number by which nodes name a service to each other.
 func ServiceID(service string) uint32 { return uint32(rendezvous.Hash(service)) }
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -47,6 +47,7 @@
 	mu       sync.Mutex
 	steerer  *flowsteer.Steerer
 	complete bool
+	isolated bool
 	held     []heldPacket
 	out      []byte
 }
@@ -58,7 +59,7 @@
 
 // New returns a balancer that was not started.
 func New(s platform.Settings, store follow.Store, logger *event.Logger) *Balancer {
-	return &Balancer{settings: s, store: store, logger: logger, steerer: flowsteer.New(s.Peer)}
+	return &Balancer{settings: s, store: store, logger: logger, steerer: flowsteer.New(s.Peer, s.Zone)}
 }
 
 // Start opens the sockets and starts forwarding. Errors have kind
@@ -108,7 +109,7 @@
 func (b *Balancer) ready() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.complete && !b.stopping.Load()
+	return b.complete && !b.isolated && !b.stopping.Load()
 }
 
 // followView hands each new view to the steerer.
@@ -212,6 +213,8 @@
 	switch m.Type {
 	case hop.Placed:
 		b.steerer.Placed(now, m)
+	case hop.Hello:
+		b.do(b.steerer.Hello(m))
 	case hop.HelloAck:
 		b.steerer.HelloAck(now, m)
 	case hop.Declined:
@@ -235,6 +238,7 @@
 			for _, a := range b.steerer.Tick(time.Now()) {
 				b.do(a)
 			}
+			b.noteIsolation()
 			b.mu.Unlock()
 		case <-ctx.Done():
 			return
@@ -242,6 +246,20 @@
 	}
 }
 
+// noteIsolation makes the balancer leave the rotation while it is cut off.
+func (b *Balancer) noteIsolation() {
+	isolated := b.steerer.Isolated()
+	if isolated == b.isolated {
+		return
+	}
+	b.isolated = isolated
+	id := event.IsolationOver
+	if isolated {
+		id = event.Isolated
+	}
+	b.logger.Emit(id, nil)
+}
+
 // do carries an action out.
 func (b *Balancer) do(a flowsteer.Action) {
 	switch a.Verdict {
