Test the decisions of the packet path, and bound how long a request waits

Cause: a test of a backlog under full load showed that a full queue let the newest requests pass by the waiting ones, which then expired.

Change: beyond the bound the first in turn is delivered, and a request that waited for half of its timeout goes first.

--- /dev/null
+++ b/internal/flowgate/gate_test.go
@@ -0,0 +1,325 @@
+package flowgate
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/view"
+)
+
+const serviceID = 7
+
+var (
+	self     = netip.MustParseAddrPort("10.1.0.12:8172")
+	other    = netip.MustParseAddrPort("10.1.0.13:8172")
+	balancer = netip.MustParseAddrPort("10.1.0.10:7720")
+	orders   = netip.MustParseAddrPort("198.18.0.1:8080")
+	feeds    = netip.MustParseAddrPort("198.18.0.1:8443")
+	start    = time.Unix(1_790_000_000, 0)
+)
+
+func caller(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(port))
+}
+
+// newGate returns the gate of a warm backend server with 2 slots.
+func newGate(learning bool) *Gate {
+	g := New(Options{
+		Self: self, Service: serviceID, Limits: Limits{ReportInterval: time.Second, ColdBurst: 2},
+		Learning: learning, LearnFor: time.Minute,
+	}, start)
+	g.SetService(view.Service{Name: "comptoir", MaxFlows: 100}, 15*time.Second)
+	g.SetRoutes(map[netip.AddrPort]view.Route{
+		orders: {Address: orders, Priority: 1, Objective: 300 * time.Millisecond, Timeout: 2 * time.Second},
+		feeds:  {Address: feeds, Priority: 2, Objective: 250 * time.Millisecond, Timeout: 1500 * time.Millisecond},
+	})
+	return g
+}
+
+func report(sequence uint64) Report {
+	return Report{Instance: "i-1", Started: start, Sequence: sequence, State: view.Ready, Slots: 2}
+}
+
+func readyGate(t *testing.T, learning bool) *Gate {
+	t.Helper()
+	g := newGate(learning)
+	if _, err := g.Report(start, report(1)); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+func forward(candidates ...netip.AddrPort) *hop.Message {
+	return &hop.Message{Type: hop.Forward, Service: serviceID, Balancer: balancer, Candidates: candidates, Packet: []byte("packet")}
+}
+
+func opens(port int) flow.Packet {
+	return flow.Packet{From: caller(port), To: orders, Flags: flow.Open, Seq: 100}
+}
+
+func data(port int, to netip.AddrPort, seq uint32, length int) flow.Packet {
+	return flow.Packet{From: caller(port), To: to, Flags: flow.Ack, Seq: seq, Ack: 5001, Length: length}
+}
+
+func answers(port int, from netip.AddrPort, flags flow.Flags, length int) flow.Packet {
+	return flow.Packet{From: from, To: caller(port), Flags: flags, Seq: 5000, Length: length}
+}
+
+// established opens a flow at g.
+func established(g *Gate, now time.Time, port int, to netip.AddrPort) {
+	p := opens(port)
+	p.To = to
+	g.FromPeer(now, forward(self), p)
+	g.FromBackend(now, answers(port, to, flow.Open|flow.Ack, 0))
+	g.FromPeer(now, forward(self), data(port, to, 101, 0))
+}
+
+// Guards against new work for a backend server that may not get any.
+func TestOpeningsThatAreNotTaken(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(g *Gate)
+		kind   errkind.Kind
+	}{
+		{"leaving", func(g *Gate) { g.Leave() }, errkind.BackendLeaving},
+		{"evacuated", func(g *Gate) { g.SetOut(true) }, errkind.DomainOut},
+		{"all flows taken", func(g *Gate) { g.SetService(view.Service{Name: "comptoir", MaxFlows: 1}, 0) }, errkind.ConnectionsFull},
+		{"other service", func(g *Gate) { g.service = 8 }, errkind.PacketWrongTarget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := readyGate(t, false)
+			established(g, start, 1, feeds)
+			c.change(g)
+			a := g.FromPeer(start, forward(self, other), opens(2))
+			is.Equal(a.Verdict, PassOn)
+			is.Equal(a.To, other)
+			is.Equal(a.Message.Position, uint8(1))
+			is.Equal(a.Kind, c.kind)
+			last := g.FromPeer(start, forward(self), opens(2))
+			is.Equal(last.To, balancer)
+			is.Equal(last.Message.Type, hop.Declined)
+			// The flow that is open stays.
+			is.Equal(g.FromPeer(start, forward(self), data(1, feeds, 101, 10)).Verdict, Deliver)
+		})
+	}
+}
+
+// Guards against openings for a backend server of which nothing is known.
+func TestNoOpeningBeforeTheFirstReport(t *testing.T) {
+	is := is.New(t)
+	g := newGate(false)
+	is.Equal(g.FromPeer(start, forward(self, other), opens(1)).Kind, errkind.BackendDown)
+}
+
+// Guards against a backend server that stopped reporting and still gets flows.
+func TestNoOpeningWithoutReports(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	is.Equal(g.FromPeer(start.Add(3*time.Second), forward(self, other), opens(1)).Verdict, Deliver)
+	is.Equal(g.FromPeer(start.Add(5*time.Second), forward(self, other), opens(2)).Kind, errkind.BackendDown)
+}
+
+// Guards against a caller that is reset while its flow is open at another
+// agent: both backend servers answered the opening.
+func TestAcknowledgementOfAnotherBackendServer(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	g.FromPeer(start, forward(self), opens(1))
+	synAck := answers(1, orders, flow.Open|flow.Ack, 0)
+	synAck.Seq = 3_000_000_000
+	g.FromBackend(start, synAck)
+	a := g.FromPeer(start, forward(self, other), data(1, orders, 101, 10))
+	is.Equal(a.Verdict, PassOn)
+	is.Equal(a.To, other)
+	is.Equal(g.OpenFlows(), 0)
+}
+
+// Guards against an agent that restarted and denies the flows that its backend
+// server still holds.
+func TestLearningAgentOffersUnknownPackets(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	p := data(1, feeds, 900, 10)
+	offered := g.FromPeer(start, forward(self, other), p)
+	is.Equal(offered.Verdict, Deliver)
+	is.True(offered.Mark != 0)
+	// The backend server answers: the flow is its own.
+	is.Equal(g.FromBackend(start, answers(1, feeds, flow.Ack, 20)).Verdict, ToCaller)
+	is.Equal(g.FromPeer(start, forward(self, other), data(1, feeds, 910, 10)).Mark, uint32(0))
+
+	// A packet that comes back goes to the next agent of its own list.
+	q := data(2, feeds, 900, 10)
+	back := g.FromPeer(start, forward(self, other), q)
+	q.Flags |= flow.Bounced
+	q.Mark = back.Mark
+	a := g.FromBackend(start, q)
+	is.Equal(a.Verdict, PassOn)
+	is.Equal(a.To, other)
+}
+
+// Guards against an agent that offers foreign packets for ever.
+func TestLearningEnds(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	late := start.Add(61 * time.Second)
+	is.Equal(g.FromPeer(late, forward(self, other), data(1, feeds, 900, 10)).Verdict, PassOn)
+}
+
+// Guards against a caller that waits for its deadline on a flow that its
+// backend server lost.
+func TestReturnedPacketOfAnOpenFlowResetsIt(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	established(g, start, 1, feeds)
+	p := data(1, feeds, 101, 10)
+	is.Equal(g.FromPeer(start, forward(self), p).Verdict, Deliver)
+	p.Flags |= flow.Bounced
+	is.Equal(g.FromBackend(start, p).Verdict, Reset)
+	is.Equal(g.InProgress(), 0)
+	again := g.FromPeer(start, forward(self), data(1, feeds, 101, 10))
+	is.Equal(again.Verdict, Reset)
+	is.Equal(again.Kind, errkind.PacketFlowLost)
+}
+
+// Guards against an opening that its backend server returned and that then
+// goes nowhere.
+func TestReturnedOpeningGoesToTheNextAgent(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	p := opens(1)
+	a := g.FromPeer(start, forward(self, other), p)
+	p.Flags |= flow.Bounced
+	p.Mark = a.Mark
+	next := g.FromBackend(start, p)
+	is.Equal(next.Verdict, PassOn)
+	is.Equal(next.To, other)
+	is.Equal(g.OpenFlows(), 0)
+}
+
+// Guards against a backend server that hangs and takes the copies of an
+// opening as well.
+func TestCopyLeavesASilentBackendServer(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	is.Equal(g.FromPeer(start, forward(self, other), opens(1)).Verdict, Deliver)
+	is.Equal(g.FromPeer(start.Add(200*time.Millisecond), forward(self, other), opens(1)).Verdict, PassOn)
+}
+
+// Guards against an answer of one backend server that reaches another.
+func TestForgedAnswerIsDropped(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	p := data(1, orders, 1, 0)
+	p.Flags = flow.Open | flow.Ack
+	is.Equal(g.FromPeer(start, forward(self, other), p).Kind, errkind.PacketForged)
+}
+
+// Guards against reports that overtake one another, and against those of an
+// earlier run.
+func TestStaleReports(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	leaving := report(3)
+	leaving.State = view.Leaving
+	_, err := g.Report(start, leaving)
+	is.NoErr(err)
+	_, err = g.Report(start, report(2))
+	is.True(errkind.Is(err, errkind.ReportStale))
+	is.Equal(g.FromPeer(start, forward(self, other), opens(1)).Kind, errkind.BackendLeaving)
+
+	next := report(1)
+	next.Instance, next.Started = "i-2", start.Add(time.Second)
+	_, err = g.Report(start, next)
+	is.NoErr(err) // the count starts anew with a new run
+	_, err = g.Report(start, report(9))
+	is.True(errkind.Is(err, errkind.ReportStale))
+}
+
+// Guards against a backend server that starts again under its old name and is
+// taken for the one before.
+func TestNewRunLosesTheFlowsOfTheOld(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	established(g, start.Add(100*time.Millisecond), 1, feeds)
+	_, err := g.Report(start.Add(time.Second), report(2))
+	is.NoErr(err)
+	established(g, start.Add(1500*time.Millisecond), 2, feeds)
+	again := report(1)
+	again.Started = start.Add(1200 * time.Millisecond)
+	lost, err := g.Report(start.Add(2*time.Second), again)
+	is.NoErr(err)
+	// The second flow may belong to the new run: nothing is said of it.
+	is.Equal(len(lost), 1)
+	is.Equal(lost[0].Key.Caller, caller(1))
+}
+
+// Guards against a cold backend server that gets more than it bears, whatever
+// agents were told: after its own restart and after an evacuation it counts as
+// cold until it reports.
+func TestColdBackendServerIsNeverOverrun(t *testing.T) {
+	const rate, burst = 6.0, 2.0
+	proptest.Check(t, func(t *rapid.T) {
+		g := newGate(false)
+		g.SetService(view.Service{Name: "comptoir", ColdPerSecond: rate}, 0)
+		switch rapid.IntRange(0, 2).Draw(t, "case") {
+		case 0:
+			r := report(1)
+			r.ColdFor = time.Hour
+			_, _ = g.Report(start, r)
+		case 1:
+			g.Announced(Report{State: view.Ready, Slots: 2})
+		case 2:
+			_, _ = g.Report(start, report(1))
+			g.SetOut(true)
+			g.SetOut(false)
+		}
+		var taken []time.Time
+		now := start
+		for port := range rapid.IntRange(1, 80).Draw(t, "openings") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "gap ms")) * time.Millisecond)
+			if g.FromPeer(now, forward(self, other), opens(port+1)).Verdict == Deliver {
+				taken = append(taken, now)
+				g.FromBackend(now, answers(port+1, orders, flow.Open|flow.Ack, 0))
+			}
+			if g.backend.reported.IsZero() {
+				continue
+			}
+			g.backend.reported = now // reports go on but say nothing new
+		}
+		for i, first := range taken {
+			n := 0
+			for _, at := range taken[i:] {
+				if at.Sub(first) < time.Second {
+					n++
+				}
+			}
+			if float64(n) > rate+burst {
+				t.Fatalf("%d openings within a second", n)
+			}
+		}
+	})
+}
+
+// Guards against a service without a cold rate that gets no flows at all while
+// its backend servers are cold, as after a power cut.
+func TestColdWithoutARateIsNotLimited(t *testing.T) {
+	is := is.New(t)
+	g := newGate(false)
+	r := report(1)
+	r.ColdFor = 2 * time.Second
+	_, err := g.Report(start, r)
+	is.NoErr(err)
+	for port := 1; port <= 20; port++ {
+		is.Equal(g.FromPeer(start, forward(self), opens(port)).Verdict, Deliver)
+	}
+}
--- a/internal/flowgate/queue.go
+++ b/internal/flowgate/queue.go
@@ -13,8 +13,9 @@
 	// defaultObjective and defaultTimeout apply to requests without a route.
 	defaultObjective = 300 * time.Millisecond
 	defaultTimeout   = 5 * time.Second
-	// waitPerSlot bounds the requests that wait for each slot. What comes
-	// beyond is delivered at once: the backend server refuses it truthfully.
+	// waitPerSlot bounds the requests that wait for each slot. Beyond it the
+	// first in turn is delivered although all slots are taken: the backend
+	// server queues it or refuses it truthfully.
 	waitPerSlot = 8
 )
 
@@ -25,13 +26,16 @@
 	packets  [][]byte
 	since    time.Time
 	inTime   time.Time // the request can meet its objective until then
+	urgent   time.Time // from then on the request goes first
 	deadline time.Time // nobody waits for an answer after it
 	priority int
 }
 
 // queue holds requests while all slots are taken. Requests that can still meet
 // their objective go first, by priority and then by age; so a backlog after an
-// outage doesn't make every later request late as well.
+// outage doesn't make every later request late as well. A request that has
+// waited for half of its timeout goes before all others, so that none is held
+// until nobody waits for it.
 type queue struct {
 	list []*waiting
 }
@@ -56,9 +60,8 @@
 
 // before reports whether w goes before other.
 func (w *waiting) before(other *waiting, now time.Time) bool {
-	late, otherLate := now.After(w.inTime), now.After(other.inTime)
-	if late != otherLate {
-		return !late
+	if turn, otherTurn := w.turn(now), other.turn(now); turn != otherTurn {
+		return turn < otherTurn
 	}
 	if w.priority != other.priority {
 		return w.priority < other.priority
@@ -66,6 +69,17 @@
 	return w.since.Before(other.since)
 }
 
+// turn orders requests by what waiting further costs them.
+func (w *waiting) turn(now time.Time) int {
+	switch {
+	case !now.Before(w.urgent):
+		return 0
+	case !now.After(w.inTime):
+		return 1
+	}
+	return 2
+}
+
 // remove drops the request of a flow that is over.
 func (q *queue) remove(f *entry) {
 	for i, w := range q.list {
@@ -112,15 +126,12 @@
 	if p.Length == 0 || f.waiting || !g.flows.isNew(f, p) || !g.full() {
 		return false
 	}
-	if len(g.waiting.list) >= waitPerSlot*g.slots() {
-		return false
-	}
 	w := &waiting{key: key, entry: f, since: now, packets: [][]byte{append([]byte(nil), raw...)}}
 	objective, timeout := defaultObjective, defaultTimeout
 	if r, ok := g.routes[key.Service]; ok {
 		objective, timeout, w.priority = r.Objective, r.Timeout, r.Priority
 	}
-	w.inTime, w.deadline = now.Add(objective-workMargin), now.Add(timeout)
+	w.inTime, w.urgent, w.deadline = now.Add(objective-workMargin), now.Add(timeout/2), now.Add(timeout)
 	f.held = w
 	g.waiting.add(w)
 	g.flows.follow(now, f, p)
@@ -142,7 +153,7 @@
 	}
 	g.waiting.expire(now)
 	var out []Delivery
-	for !g.full() {
+	for !g.full() || len(g.waiting.list) > waitPerSlot*g.slots() {
 		w := g.waiting.next(now)
 		if w == nil {
 			break
--- /dev/null
+++ b/internal/flowsteer/steer_test.go
@@ -0,0 +1,259 @@
+package flowsteer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/view"
+)
+
+var (
+	self  = netip.MustParseAddrPort("10.1.0.10:7720")
+	route = netip.MustParseAddrPort("198.18.0.1:8443")
+	start = time.Unix(1_790_000_000, 0)
+)
+
+func agentAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172)
+}
+
+// testView has n agents of comptoir with 9 slots, spread over three zones, and
+// a balancer in another zone.
+func testView(n int) view.View {
+	v := view.View{
+		Configuration: view.Configuration{Revision: 1, Routes: map[netip.AddrPort]view.Route{
+			route: {Address: route, Targets: []view.Target{{Service: "comptoir", Weight: 1}}},
+		}},
+		Evacuations: view.Evacuations{Revision: 1, Zones: map[string]bool{}},
+		Members:     view.Members{Revision: 1, ByName: map[string]view.Member{}},
+	}
+	for i := range n {
+		m := view.Member{
+			Name: fmt.Sprintf("agent-%d", i), Role: view.AgentRole, Zone: []string{"a", "b", "c"}[i%3],
+			Address: agentAddress(i), Service: "comptoir", Slots: 9, State: view.Ready,
+		}
+		v.Members.ByName[m.Name] = m
+	}
+	remote := netip.MustParseAddrPort("10.2.0.10:7720")
+	v.Members.ByName["balancer-b"] = view.Member{Name: "balancer-b", Role: view.BalancerRole, Zone: "b", Address: remote}
+	return v
+}
+
+func newSteerer(v view.View) *Steerer {
+	s := New(self, "a")
+	s.SetView(start.Add(-time.Hour), v)
+	s.SetConfirmed(start)
+	return s
+}
+
+func callerPacket(port int, flags flow.Flags) flow.Packet {
+	from := netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(port))
+	return flow.Packet{From: from, To: route, Flags: flags, Ack: 77}
+}
+
+func placed(p flow.Packet, agent netip.AddrPort, load hop.Load) *hop.Message {
+	return &hop.Message{Type: hop.Placed, Key: p.CallerKey(), Agent: agent, Load: load}
+}
+
+// Guards against a new flow that waits for its caller's copy because its first
+// agent is dead.
+func TestSilentAgentIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(4))
+	first := s.FromCaller(start, callerPacket(1, flow.Open), []byte("syn"))
+	is.Equal(first.Verdict, Send)
+	var again []Action
+	for _, a := range s.Tick(start.Add(placementTimeout)) {
+		if a.Message.Type == hop.Forward {
+			again = append(again, a)
+		}
+	}
+	is.Equal(len(again), 1)
+	is.True(again[0].To != first.To)
+	is.Equal(string(again[0].Message.Packet), "syn")
+}
+
+// Guards against openings that go to agents that may not take new flows.
+func TestOpeningsAvoidLeavingAndEvacuatedAgents(t *testing.T) {
+	is := is.New(t)
+	v := testView(6)
+	m := v.Members.ByName["agent-1"]
+	m.State = view.Leaving
+	v.Members.ByName["agent-1"] = m
+	v.Evacuations.Zones["a"] = true
+	s := newSteerer(v)
+	for port := range 100 {
+		a := s.FromCaller(start, callerPacket(port+1, flow.Open), nil)
+		for _, c := range a.Message.Candidates {
+			is.True(c != agentAddress(0) && c != agentAddress(3)) // zone a
+			is.True(c != agentAddress(1))                         // leaving
+		}
+	}
+}
+
+// Guards against a flow that is held until its caller's deadline although
+// nobody may take it.
+func TestOpeningNobodyTakesIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	v := testView(3)
+	v.Evacuations.Zones = map[string]bool{"a": true, "b": true, "c": true}
+	a := newSteerer(v).FromCaller(start, callerPacket(1, flow.Open), nil)
+	is.Equal(a.Verdict, Reset)
+	is.Equal(a.Kind, errkind.PacketNoAgent)
+}
+
+// Guards against packets of unknown routes that reach a service, and against
+// refusals before the configuration is known.
+func TestUnknownRoutes(t *testing.T) {
+	is := is.New(t)
+	p := callerPacket(1, flow.Open)
+	p.To = netip.MustParseAddrPort("198.18.9.9:1")
+	is.Equal(newSteerer(testView(3)).FromCaller(start, p, nil).Verdict, Reset)
+	is.Equal(New(self, "a").FromCaller(start, p, nil).Verdict, Drop)
+}
+
+// Guards against balancers that choose different services for one flow, and
+// against shares that miss their weights.
+func TestWeightsDivideFlows(t *testing.T) {
+	is := is.New(t)
+	v := testView(3)
+	m := v.Members.ByName["agent-0"]
+	m.Service = "nuancier"
+	v.Members.ByName["agent-0"] = m
+	v.Configuration.Routes[route] = view.Route{Address: route, Targets: []view.Target{{Service: "comptoir", Weight: 3}, {Service: "nuancier", Weight: 1}}}
+	one, two := newSteerer(v), newSteerer(v)
+	share := 0
+	const flows = 2000
+	for port := range flows {
+		a, b := one.FromCaller(start, callerPacket(port+1, flow.Open), nil), two.FromCaller(start, callerPacket(port+1, flow.Open), nil)
+		is.Equal(a.Service, b.Service)
+		if a.Service == "nuancier" {
+			share++
+		}
+	}
+	is.True(share > flows/5 && share < flows*3/10)
+}
+
+// Guards against a flow that another balancer opened and that this one can't
+// find.
+func TestSearchAsksEveryAgent(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(20))
+	p := callerPacket(1, flow.Ack)
+	asked := map[netip.AddrPort]bool{}
+	a := s.FromCaller(start, p, nil)
+	for a.Verdict == Send {
+		for _, c := range a.Message.Candidates {
+			is.True(!asked[c])
+			asked[c] = true
+		}
+		a = s.Declined(start, p, &a.Message)
+	}
+	is.Equal(len(asked), 20)
+	is.Equal(a.Verdict, Reset) // it is nowhere
+}
+
+// Guards against a reset of a flow that may be at an agent that this balancer
+// doesn't know or reach.
+func TestFlowIsResetOnlyWithFullKnowledge(t *testing.T) {
+	miss := func(s *Steerer, at time.Time) Verdict {
+		p := callerPacket(1, flow.Ack)
+		a := s.FromCaller(at, p, nil)
+		for a.Verdict == Send {
+			a = s.Declined(at, p, &a.Message)
+		}
+		return a.Verdict
+	}
+	t.Run("view out of date", func(t *testing.T) {
+		is := is.New(t)
+		s := newSteerer(testView(3))
+		s.SetConfirmed(start.Add(-freshView - time.Second))
+		is.Equal(miss(s, start), Drop)
+	})
+	t.Run("an agent doesn't answer", func(t *testing.T) {
+		is := is.New(t)
+		s := newSteerer(testView(3))
+		s.Tick(start.Add(-time.Second))
+		s.Tick(start.Add(-time.Second / 2))
+		is.Equal(miss(s, start), Drop)
+	})
+	t.Run("members changed just now", func(t *testing.T) {
+		is := is.New(t)
+		s := newSteerer(testView(3))
+		v := testView(4)
+		v.Members.Revision = 2
+		s.SetView(start, v)
+		is.Equal(miss(s, start.Add(10*time.Millisecond)), Drop)
+		is.Equal(miss(s, start.Add(200*time.Millisecond)), Reset)
+	})
+}
+
+// Guards against a remembered holder that lost the flow to nobody's knowledge.
+func TestForgottenHolderLeadsToASearch(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(5))
+	p := callerPacket(1, flow.Ack)
+	s.Placed(start, placed(p, agentAddress(3), hop.Load{}))
+	a := s.FromCaller(start, p, nil)
+	is.Equal(a.To, agentAddress(3))
+	is.Equal(len(a.Message.Candidates), 1)
+	a = s.Declined(start, p, &a.Message)
+	is.Equal(a.Verdict, Send)
+	is.Equal(len(a.Message.Candidates), 5)
+}
+
+// The load pattern: all callers open their flows anew within a moment, as
+// after a power cut, over four balancers that don't know of each other's
+// choices. Guards against agents that get far more than their share.
+func TestCallersThatReturnTogetherAreSpread(t *testing.T) {
+	is := is.New(t)
+	const agents, flows, balancers = 7, 420, 4
+	counts := map[netip.AddrPort]int{}
+	var all []*Steerer
+	for range balancers {
+		all = append(all, newSteerer(testView(agents)))
+	}
+	for port := range flows {
+		s := all[port%balancers]
+		now := start.Add(time.Duration(port) * time.Millisecond)
+		a := s.FromCaller(now, callerPacket(port+1, flow.Open), nil)
+		counts[a.To]++
+		s.Placed(now, placed(callerPacket(port+1, flow.Open), a.To, hop.Load{Flows: uint16(counts[a.To]), Slots: 9}))
+	}
+	for _, n := range counts {
+		is.True(n <= flows/agents*110/100)
+	}
+}
+
+// The load pattern: one agent's requests pile up while the others are idle.
+// Guards against new flows that join the queue.
+func TestBusyAgentGetsNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(4))
+	s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(2), Load: hop.Load{InProgress: 18, Slots: 9}})
+	for port := range 40 {
+		a := s.FromCaller(start, callerPacket(port+1, flow.Open), nil)
+		is.True(a.To != agentAddress(2))
+	}
+}
+
+// Guards against a balancer that keeps its callers although it is cut off, and
+// against one that leaves the rotation because the agents are down.
+func TestIsolation(t *testing.T) {
+	is := is.New(t)
+	v := testView(4)
+	s := newSteerer(v)
+	s.Tick(start)
+	s.Tick(start.Add(200 * time.Millisecond))
+	is.True(s.Isolated())
+	remote := v.Members.ByName["balancer-b"].Address
+	s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: remote})
+	is.True(!s.Isolated()) // the agents are down, not this balancer
+}
--- /dev/null
+++ b/internal/hop/hop_test.go
@@ -0,0 +1,76 @@
+package hop
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+)
+
+func drawAddress(t *rapid.T, label string) netip.AddrPort {
+	ip := [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, label))
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), rapid.Uint16().Draw(t, label+" port"))
+}
+
+func drawMessage(t *rapid.T) Message {
+	m := Message{Type: Type(rapid.IntRange(int(Forward), int(HelloAck)).Draw(t, "type")), Balancer: drawAddress(t, "balancer")}
+	load := Load{Flows: rapid.Uint16().Draw(t, "flows"), InProgress: rapid.Uint16().Draw(t, "requests"), Slots: 9, Refusing: rapid.Bool().Draw(t, "refusing")}
+	switch m.Type {
+	case Forward, Declined:
+		for range rapid.IntRange(1, MaxCandidates).Draw(t, "candidates") {
+			m.Candidates = append(m.Candidates, drawAddress(t, "candidate"))
+		}
+		m.Position = uint8(rapid.IntRange(0, len(m.Candidates)-1).Draw(t, "position"))
+		m.Offset, m.Service, m.Ask = rapid.Uint16().Draw(t, "offset"), rapid.Uint32().Draw(t, "service"), rapid.Bool().Draw(t, "ask")
+		m.Packet = rapid.SliceOf(rapid.Byte()).Draw(t, "packet")
+	case Placed:
+		m.Key = flow.Key{Caller: drawAddress(t, "caller"), Service: drawAddress(t, "service address")}
+		m.Agent, m.Load = drawAddress(t, "agent"), load
+	case HelloAck:
+		m.Agent, m.Load = drawAddress(t, "agent"), load
+	}
+	return m
+}
+
+var sameAddress = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+
+// Guards against a field that one side writes and the other reads elsewhere.
+func TestMessagesSurviveTheWire(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		sent := drawMessage(t)
+		var got Message
+		if err := Decode(sent.Append(nil), &got); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(sent, got, sameAddress, cmpopts.EquateEmpty()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// Guards against a header that outgrows the room that MaxHeader promises.
+func TestForwardHeaderFitsItsBound(t *testing.T) {
+	is := is.New(t)
+	m := Message{Type: Forward, Candidates: make([]netip.AddrPort, MaxCandidates)}
+	is.Equal(len(m.Append(nil)), MaxHeader)
+}
+
+// Guards against a panic or a wrong kind on datagrams of another sender.
+func FuzzDecode(f *testing.F) {
+	placed := Message{Type: Placed}
+	f.Add(placed.Append(nil))
+	f.Add([]byte{magic, byte(Forward), 0, 7, 9})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Message
+		if err := Decode(b, &m); err != nil && !errkind.Is(err, errkind.TunnelMalformed) {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,120 @@
+package view
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/proptest"
+)
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(i))
+}
+
+func drawConfiguration(t *rapid.T, version int64) Configuration {
+	c := Configuration{Version: version, Routes: map[netip.AddrPort]Route{}, Services: map[string]Service{}, IdleTimeout: time.Second}
+	for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
+		if rapid.Bool().Draw(t, "present") {
+			weight := rapid.IntRange(1, 3).Draw(t, "weight")
+			c.Routes[address(i)] = Route{Name: "r", Address: address(i), Targets: []Target{{Service: "comptoir", Weight: weight}}}
+		}
+	}
+	return c
+}
+
+// Guards against a process that follows changes and ends up with another
+// configuration than one that reads it whole.
+func TestChangesLeadToTheSameConfiguration(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		follower := NewBoard()
+		var last Configuration
+		for revision := range Revision(rapid.IntRange(1, 8).Draw(t, "changes")) {
+			next := drawConfiguration(t, int64(revision))
+			d := Delta{Section: ConfigurationSection, From: revision, To: revision + 1, Full: revision == 0}
+			d.Configuration = next.Difference(last)
+			follower.Apply(d)
+			last = next
+		}
+		got := follower.View().Configuration
+		if diff := cmp.Diff(last.Routes, got.Routes, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }), cmpopts.EquateEmpty()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// Guards against a process that goes back to an older configuration because a
+// slow peer answers late.
+func TestSectionsNeverGoBack(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		b := NewBoard()
+		var highest Revision
+		for range rapid.IntRange(1, 30).Draw(t, "deltas") {
+			d := Delta{
+				Section: MembersSection, Full: rapid.Bool().Draw(t, "full"),
+				From: Revision(rapid.IntRange(0, 20).Draw(t, "from")), To: Revision(rapid.IntRange(1, 20).Draw(t, "to")),
+			}
+			b.Apply(d)
+			now := b.View().Revision(MembersSection)
+			if now < highest {
+				t.Fatalf("revision %d after %d", now, highest)
+			}
+			highest = now
+		}
+	})
+}
+
+// Guards against a change that is lost between two peers: a delta that starts
+// after what is known must not be taken.
+func TestGapIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := NewBoard()
+	is.True(b.Apply(Delta{Section: EvacuationsSection, To: 5, Full: true}))
+	is.True(!b.Apply(Delta{Section: EvacuationsSection, From: 7, To: 8, Zones: []string{"shawi"}}))
+	is.True(b.Apply(Delta{Section: EvacuationsSection, From: 4, To: 8, Zones: []string{"shawi"}}))
+	is.True(b.View().Evacuations.Zones["shawi"])
+}
+
+// Guards against a peer that is a little behind and gets a change twice or not
+// at all.
+func TestSinceLeadsToThePresent(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		source := NewBoard()
+		source.Apply(Delta{Section: MembersSection, To: 1, Full: true})
+		views := []View{{}, source.View()}
+		for i := range rapid.IntRange(0, keptDeltas+10).Draw(t, "changes") {
+			member := Member{Name: rapid.StringMatching(`[a-d]`).Draw(t, "name"), Slots: i}
+			d := Delta{Section: MembersSection, From: Revision(i + 1), To: Revision(i + 2), Members: []Member{member}}
+			if rapid.Bool().Draw(t, "gone") {
+				d.Members, d.Gone = nil, []string{member.Name}
+			}
+			source.Apply(d)
+			views = append(views, source.View())
+		}
+		behind := views[rapid.IntRange(0, len(views)-1).Draw(t, "behind")]
+		for _, d := range source.Since(MembersSection, behind.Members.Revision) {
+			behind, _ = behind.Apply(d)
+		}
+		if diff := cmp.Diff(source.View().Members, behind.Members, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }), cmpopts.EquateEmpty()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// Guards against a view that counts as current while one section isn't.
+func TestConfirmedByItsOldestSection(t *testing.T) {
+	is := is.New(t)
+	b := NewBoard()
+	now := time.Now()
+	b.Confirm(ConfigurationSection, now)
+	b.Confirm(EvacuationsSection, now)
+	is.True(b.ConfirmedAt().IsZero())
+	b.Confirm(MembersSection, now.Add(-time.Second))
+	b.Confirm(MembersSection, now.Add(-2*time.Second))
+	is.Equal(b.ConfirmedAt(), now.Add(-time.Second))
+}
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -260,6 +260,7 @@
 			return err
 		}
 		a.do(now, a.gate.FromPeer(now, m, p), p, m.Packet)
+		a.release(now)
 	}
 	return nil
 }
