--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,251 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/follow"
+	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/platform"
+	"github.com/knapweedpier/knapweedpier/platform/platformtest"
+)
+
+// patience bounds the waits of these tests.
+const patience = 10 * time.Second
+
+func configuration(version int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[],"services":[],"limits":{}}`, version)
+}
+
+// process is a follower with its board, and its peers' address.
+type process struct {
+	board *view.Board
+	peer  netip.AddrPort
+}
+
+// startProcess runs a follower against a store. Its member is announced if the
+// store answers.
+func startProcess(t *testing.T, name string, role view.Role, zone string, server *platformtest.Store, announced []process) process {
+	t.Helper()
+	store := platform.NewStore(server.Address())
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := process{board: view.NewBoard(), peer: l.Addr().(*net.TCPAddr).AddrPort()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go follow.Serve(ctx, l, p.board)
+	var seeds []netip.AddrPort
+	for _, other := range announced {
+		seeds = append(seeds, other.peer)
+	}
+	f := follow.New(follow.Options{Name: name, Role: role, Zone: zone, Store: store, Board: p.board, Logger: event.Discard(), Seeds: seeds})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		store.Close()
+		<-done
+	})
+	return p
+}
+
+func announce(t *testing.T, server *platformtest.Store, name string, role view.Role, zone string, p process) {
+	t.Helper()
+	store := platform.NewStore(server.Address())
+	defer store.Close()
+	if _, err := store.WriteMember(context.Background(), view.Member{Name: name, Role: role, Zone: zone, Address: p.peer, Peer: p.peer}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", patience, what)
+}
+
+func (p process) version() int64 { return p.board.View().Configuration.Version }
+
+// Guards against a process that misses changes: from the store, after the
+// store forgot its history, and after the store was down.
+func TestFollowsTheStore(t *testing.T) {
+	server := platformtest.New()
+	defer server.Close()
+	server.Put("config", "main", configuration(1))
+	p := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	eventually(t, "first configuration", func() bool { return p.version() == 1 && p.board.View().Complete() })
+	server.Put("config", "main", configuration(2))
+	eventually(t, "change", func() bool { return p.version() == 2 })
+	server.Put("evacuations", "a", "{}")
+	eventually(t, "evacuation", func() bool { return p.board.View().Evacuations.Zones["a"] })
+	server.Put("config", "main", configuration(3))
+	server.Delete("evacuations", "a")
+	server.Forget()
+	eventually(t, "changes before the forgotten history", func() bool {
+		return p.version() == 3 && !p.board.View().Evacuations.Zones["a"]
+	})
+	server.Set(platformtest.Busy)
+	server.Put("config", "main", configuration(4))
+	time.Sleep(200 * time.Millisecond)
+	server.Set(platformtest.None)
+	eventually(t, "change during the outage", func() bool { return p.version() == 4 })
+}
+
+// Guards against a configuration that another writer made unreadable and that
+// takes the one in force away.
+func TestUnreadableConfigurationIsPassedOver(t *testing.T) {
+	server := platformtest.New()
+	defer server.Close()
+	server.Put("config", "main", configuration(1))
+	p := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	eventually(t, "first configuration", func() bool { return p.version() == 1 })
+	server.Put("config", "main", `{"version":"two"}`)
+	server.Put("config", "other", configuration(9))
+	server.Put("config", "main", configuration(3))
+	eventually(t, "next readable one", func() bool { return p.version() == 3 })
+}
+
+// Guards against a fleet in which each process calls the store: those that
+// follow a peer make no calls.
+func TestOneProcessOfAZoneCallsTheStore(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	server.Put("config", "main", configuration(1))
+	first := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	announce(t, server, "balancer-1", view.BalancerRole, "a", first)
+	var rest []process
+	for i := range 6 {
+		rest = append(rest, startProcess(t, fmt.Sprintf("agent-%d", i), view.AgentRole, "a", server, nil))
+	}
+	for _, p := range rest {
+		eventually(t, "first configuration", func() bool { return p.version() == 1 })
+	}
+	// Their own watches end after at most 8 s; an earlier change ends them too.
+	time.Sleep(3 * time.Second)
+	server.Put("members", "wake", `{"Name":"wake"}`)
+	server.Put("evacuations", "z", "{}")
+	server.Put("config", "main", configuration(2))
+	for _, p := range rest {
+		eventually(t, "change", func() bool { return p.version() == 2 })
+	}
+	time.Sleep(time.Second)
+	before := server.Calls()
+	server.Put("config", "main", configuration(3))
+	for _, p := range rest {
+		eventually(t, "change over the peer", func() bool { return p.version() == 3 })
+	}
+	is.True(server.Calls()-before <= 6) // of the first process alone
+}
+
+// Guards against machines that the store turns away while it serves others:
+// they learn changes from peers of other zones.
+func TestTurnedAwayProcessLearnsFromPeers(t *testing.T) {
+	server, unreachable := platformtest.New(), platformtest.New()
+	defer server.Close()
+	defer unreachable.Close()
+	server.Put("config", "main", configuration(1))
+	served := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	announce(t, server, "balancer-1", view.BalancerRole, "a", served)
+	eventually(t, "its own member", func() bool { return len(served.board.View().Members.ByName) == 1 })
+	for _, fault := range []platformtest.Fault{platformtest.Busy, platformtest.Limited, platformtest.Silent} {
+		unreachable.Set(fault)
+		name := fmt.Sprintf("balancer-%d", fault+1)
+		p := startProcess(t, name, view.BalancerRole, "b", unreachable, []process{served})
+		eventually(t, "the configuration over a seed", func() bool { return p.version() == served.version() })
+		next := int(served.version()) + 1
+		server.Put("config", "main", configuration(next))
+		eventually(t, "a change over a peer", func() bool { return p.version() == int64(next) })
+	}
+}
+
+func newAnnouncer(t *testing.T, server *platformtest.Store) (*follow.Announcer, *view.Board) {
+	t.Helper()
+	store := platform.NewStore(server.Address())
+	board := view.NewBoard()
+	a := follow.NewAnnouncer(store, board, event.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		store.Close()
+	})
+	return a, board
+}
+
+var agentMember = view.Member{
+	Name: "agent-1", Role: view.AgentRole, Service: "comptoir", State: view.Ready,
+	Address: netip.MustParseAddrPort("10.1.0.12:8172"), Peer: netip.MustParseAddrPort("10.1.0.12:7720"),
+}
+
+func waitFor(t *testing.T, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Fatal("the store doesn't hold the announcement")
+	}
+}
+
+// Guards against an announcement that stays undone after lost answers, after an
+// outage, or because another process wrote the object before.
+func TestAnnouncementReachesTheStore(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	server.Put("members", "agent-1", `{"Name":"agent-1","Service":"of an earlier owner"}`)
+	a, _ := newAnnouncer(t, server)
+	waitFor(t, a.Set(agentMember))
+	leaving := agentMember
+	leaving.State = view.Leaving
+	server.Set(platformtest.Lost)
+	done := a.Set(leaving)
+	time.Sleep(100 * time.Millisecond)
+	server.Set(platformtest.Busy)
+	time.Sleep(100 * time.Millisecond)
+	server.Set(platformtest.None)
+	waitFor(t, done)
+	is.Equal(server.Spec("members", "agent-1") != "", true)
+	waitFor(t, a.Withdraw())
+	is.Equal(len(server.Names("members")), 0)
+}
+
+// Guards against a member that another write changed and that stays wrong.
+func TestForeignWriteIsCorrected(t *testing.T) {
+	server := platformtest.New()
+	defer server.Close()
+	a, board := newAnnouncer(t, server)
+	waitFor(t, a.Set(agentMember))
+	wanted := server.Spec("members", "agent-1")
+	server.Put("members", "agent-1", `{"Name":"agent-1","State":"ready"}`)
+	store := platform.NewStore(server.Address())
+	defer store.Close()
+	_, revision, err := store.List(context.Background(), view.MembersSection)
+	if err != nil {
+		t.Fatal(err)
+	}
+	foreign := view.Member{Name: "agent-1", State: view.Ready, Revision: revision}
+	board.Apply(view.Delta{Section: view.MembersSection, To: revision, Full: true, Members: []view.Member{foreign}})
+	eventually(t, "the announcement again", func() bool { return server.Spec("members", "agent-1") == wanted })
+}
