Explain requests: ids in logs, metrics, bounded lines, trace; reload settings

Counters and latency histograms are read on port 9108. knapweedpier trace tells a request's story from several logs. Settings are read again on SIGHUP and every 5 s.

The lines showed a fault: answers with status 0, which were repeated ends of the answer before and freed a slot too early. The gate now counts an answer by its first new byte (test first).

--- a/cmd/knapweedpier-node/main.go
+++ b/cmd/knapweedpier-node/main.go
@@ -5,9 +5,12 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/fx"
@@ -21,40 +24,52 @@
 )
 
 type commands struct {
-	LogFormat string   `help:"Format of log lines on standard output: text or json." env:"KNAPWEEDPIER_LOG_FORMAT" default:"json"`
-	Balancer  struct{} `cmd:"" help:"Forward callers' packets to agents."`
-	Agent     struct{} `cmd:"" help:"Guard the backend server on this machine."`
+	LogFormat   string   `help:"Format of log lines on standard output: text or json." env:"KNAPWEEDPIER_LOG_FORMAT" default:"json"`
+	MetricsPort uint16   `help:"Port of the machine's address on which metrics are read." env:"KNAPWEEDPIER_METRICS_PORT" default:"9108"`
+	Balancer    struct{} `cmd:"" help:"Forward callers' packets to agents."`
+	Agent       struct{} `cmd:"" help:"Guard the backend server on this machine."`
 }
 
 // service is what the process runs.
 type service interface {
 	Start(context.Context) error
 	Stop(context.Context) error
+	// Reload takes settings over that changed while the process runs.
+	Reload(platform.Settings)
 }
 
+// settingsCheck is how often the settings file is compared with what is in
+// use: it may change without a signal.
+const settingsCheck = 5 * time.Second
+
 func main() {
 	var c commands
 	role := kong.Parse(&c, kong.Name("knapweedpier-node")).Command()
-	if err := run(role, c.LogFormat); err != nil {
+	if err := run(role, c); err != nil {
 		fmt.Fprintln(os.Stderr, "knapweedpier-node:", err)
 		os.Exit(errkind.ExitCode(err))
 	}
 }
 
-func run(role, format string) error {
+func run(role string, c commands) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	lines := event.NewAsyncWriter(os.Stdout)
 	defer lines.Close()
-	logger, err := event.New(lines, format)
+	logger, err := event.New(lines, c.LogFormat)
 	if err != nil {
 		return err
 	}
-	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go lines.TellDropped(logger, stopped)
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		logger.Failure(event.SettingRefused, err, nil)
 		return err
 	}
+	settings.Metrics = netip.AddrPortFrom(settings.Address, c.MetricsPort)
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(settings, logger),
@@ -67,19 +82,48 @@
 		fx.Invoke(func(lc fx.Lifecycle, s service, store *platform.Store) {
 			lc.Append(fx.StopHook(store.Close))
 			lc.Append(fx.StartStopHook(s.Start, s.Stop))
+			go reload(path, settings, s, logger, stopped)
 		}),
 	)
 	if err := app.Start(ctx); err != nil {
 		return errkind.Wrap(err, errkind.Of(err), "start")
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	<-ctx.Done()
 	stop, cancelStop := context.WithTimeout(context.Background(), settings.Grace)
 	defer cancelStop()
 	return app.Stop(stop)
 }
 
+// reload hands changed settings to the service, after SIGHUP and from time to
+// time, until stopped is closed. A file that can't be read changes nothing.
+func reload(path string, inUse platform.Settings, s service, logger *event.Logger, stopped <-chan struct{}) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsCheck)
+	defer ticker.Stop()
+	metrics := inUse.Metrics
+	for {
+		select {
+		case <-signals:
+		case <-ticker.C:
+		case <-stopped:
+			return
+		}
+		next, err := platform.ReadSettings(path)
+		if err != nil {
+			logger.Failure(event.ReloadFailed, err, nil)
+			continue
+		}
+		next.Metrics = metrics
+		if reflect.DeepEqual(next, inUse) {
+			continue
+		}
+		inUse = next
+		s.Reload(next)
+		logger.Emit(event.SettingsReloaded, event.Fields{"report_interval_ms": next.ReportInterval.Milliseconds(), "seeds": len(next.Seeds)})
+	}
+}
+
 func builder(role string) any {
 	if role == "agent" {
 		return func(s platform.Settings, store follow.Store, l *event.Logger) service {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -20,6 +20,7 @@
 	KeyRingReloaded   ID = 1004
 	CertificateLoaded ID = 1005
 	ReloadFailed      ID = 1006
+	SettingsReloaded  ID = 1007
 )
 
 // Events of the control path.
@@ -94,6 +95,7 @@
 	{KeyRingReloaded, log.InfoLevel, false, "key ring reloaded", "None."},
 	{CertificateLoaded, log.InfoLevel, false, "certificate loaded", "None."},
 	{ReloadFailed, log.ErrorLevel, true, "reload failed, previous value stays in use", "Correct the file that the message names."},
+	{SettingsReloaded, log.InfoLevel, false, "settings reloaded", "None."},
 
 	{GenerationInForce, log.InfoLevel, false, "configuration generation in force", "None."},
 	{GenerationRefused, log.WarnLevel, true, "configuration generation refused", "Look for an object restored to an older state in the platform."},
--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -161,6 +161,17 @@
 	return g.loseBefore(lastOfOldRun, now), nil
 }
 
+// SetLimits takes changed bounds over.
+func (g *Gate) SetLimits(l Limits) { g.backend.limits = l }
+
+// ReportAge returns the time since the last report, 0 if there was none.
+func (g *Gate) ReportAge(now time.Time) time.Duration {
+	if g.backend.reported.IsZero() {
+		return 0
+	}
+	return now.Sub(g.backend.reported)
+}
+
 // LostFlow is a flow whose caller is to be told that it is gone.
 type LostFlow struct {
 	Key flow.Key
--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -51,6 +51,16 @@
 	Kind    errkind.Kind   // PassOn, Reset, Drop: why
 	Tell    netip.AddrPort // a balancer that is to know that this agent holds the flow
 	Key     flow.Key
+	Seen    Seen
+}
+
+// Seen is what a packet shows of its flow, for logs and metrics.
+type Seen struct {
+	Request  bool          // the packet starts a request
+	Answered bool          // the packet starts the answer of a request
+	Took     time.Duration // Answered: since the request was seen
+	Opened   bool          // the packet answers the flow's opening
+	OpenTook time.Duration // Opened: since the opening was delivered
 }
 
 // offer is a packet that the backend server may return.
@@ -122,6 +132,10 @@
 		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key}
 	}
 	a := Action{Verdict: Deliver, Key: key}
+	a.Seen.Request = f.held == nil && !f.waiting && (f.state == open || f.state == opening) && g.flows.isNew(f, p)
+	if a.Seen.Request {
+		f.asked = now
+	}
 	if g.hold(now, f, key, p, m.Packet) {
 		a.Verdict = Hold
 	} else {
@@ -226,8 +240,15 @@
 		}
 		f = g.flows.add(key, now, open)
 	}
+	a := Action{Verdict: ToCaller, Key: key}
+	switch {
+	case p.Has(flow.Open) && !f.answered:
+		a.Seen.Opened, a.Seen.OpenTook = true, now.Sub(f.opened)
+	case f.isNewReply(p) && f.waiting:
+		a.Seen.Answered, a.Seen.Took = true, now.Sub(f.asked)
+	}
 	g.flows.fromBackend(now, f, p)
-	return Action{Verdict: ToCaller, Key: key}
+	return a
 }
 
 // bounced decides about a packet that the backend server returned.
--- a/internal/flowgate/gate_test.go
+++ b/internal/flowgate/gate_test.go
@@ -323,3 +323,20 @@
 		is.Equal(g.FromPeer(start, forward(self), opens(port)).Verdict, Deliver)
 	}
 }
+
+// Guards against a slot that counts as free because the end of the answer
+// before was repeated.
+func TestRepeatedAnswerFreesNoSlot(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	established(g, start, 1, feeds)
+	g.FromPeer(start, forward(self), data(1, feeds, 101, 10))
+	answer := answers(1, feeds, flow.Ack, 100)
+	is.True(g.FromBackend(start, answer).Seen.Answered)
+	g.FromPeer(start, forward(self), data(1, feeds, 111, 10))
+	is.True(!g.FromBackend(start, answer).Seen.Answered)
+	is.Equal(g.InProgress(), 1)
+	answer.Seq += 100
+	is.True(g.FromBackend(start, answer).Seen.Answered)
+	is.Equal(g.InProgress(), 0)
+}
--- a/internal/flowgate/table.go
+++ b/internal/flowgate/table.go
@@ -32,14 +32,17 @@
 type entry struct {
 	state        state
 	opened, last time.Time
-	answered     bool   // the backend server answered the opening
-	backendSeq   uint32 // of that answer
-	callerEnd    uint32 // end of the data that the caller sent
-	callerAck    uint32 // the caller's last acknowledgement
-	sent         bool   // callerEnd is valid
-	waiting      bool   // a delivered request has no start of an answer yet
-	asked        time.Time
-	held         *waiting // a request that waits for a slot
+	answered     bool      // the backend server answered the opening
+	backendSeq   uint32    // of that answer
+	callerEnd    uint32    // end of the data that the caller sent
+	callerAck    uint32    // the caller's last acknowledgement
+	sent         bool      // callerEnd is valid
+	serverEnd    uint32    // end of the data that the backend server sent
+	replied      bool      // serverEnd is valid
+	waiting      bool      // a delivered request has no start of an answer yet
+	asked        time.Time // when the request was seen
+	began        time.Time // when it was delivered
+	held         *waiting  // a request that waits for a slot
 	callerClosed bool
 	serverClosed bool
 }
@@ -119,7 +122,7 @@
 	if f.waiting || (f.state != open && f.state != opening) {
 		return
 	}
-	f.waiting, f.asked = true, now
+	f.waiting, f.began = true, now
 	t.inProgress++
 }
 
@@ -148,13 +151,21 @@
 		t.close(f, ended)
 		return
 	}
-	if p.Length > 0 {
+	if f.isNewReply(p) {
+		f.serverEnd, f.replied = p.Seq+uint32(p.Length), true
 		t.answer(f)
 	}
 	f.serverClosed = f.serverClosed || p.Has(flow.Close)
 	t.endIfClosed(f)
 }
 
+// isNewReply reports whether p carries data that the backend server didn't send
+// before. The end of an answer is repeated until the caller acknowledges it.
+func (f *entry) isNewReply(p flow.Packet) bool {
+	end := p.Seq + uint32(p.Length)
+	return p.Length > 0 && (!f.replied || int32(end-f.serverEnd) > 0)
+}
+
 func (t *table) endIfClosed(f *entry) {
 	if f.callerClosed && f.serverClosed && f.state == open {
 		t.close(f, ended)
@@ -165,7 +176,7 @@
 // requests that nobody waits for any more.
 func (t *table) sweep(now time.Time, idle time.Duration) {
 	for key, f := range t.entries {
-		if f.waiting && now.Sub(f.asked) > defaultTimeout {
+		if f.waiting && now.Sub(f.began) > defaultTimeout {
 			t.answer(f)
 		}
 		if now.Sub(f.last) > f.memory(idle) {
--- a/internal/follow/peer.go
+++ b/internal/follow/peer.go
@@ -70,14 +70,14 @@
 	for {
 		deltas := newer(board, q)
 		if len(deltas) > 0 {
-			return Answer{Deltas: deltas, AgeMS: age(board)}
+			return Answer{Deltas: deltas, AgeMS: board.AgeMS()}
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return Answer{AgeMS: age(board)}
+			return Answer{AgeMS: board.AgeMS()}
 		case <-ctx.Done():
-			return Answer{AgeMS: age(board)}
+			return Answer{AgeMS: board.AgeMS()}
 		}
 	}
 }
@@ -90,14 +90,6 @@
 	return deltas
 }
 
-func age(board *view.Board) int64 {
-	at := board.ConfirmedAt()
-	if at.IsZero() {
-		return -1
-	}
-	return time.Since(at).Milliseconds()
-}
-
 // links are the connections to peers.
 type links struct {
 	open map[netip.AddrPort]*jsonrpc2.Conn
--- a/internal/metrics/handler.go
+++ b/internal/metrics/handler.go
@@ -38,6 +38,18 @@
 	serveJSON(w, http.StatusOK, r.inner)
 }
 
+// TextHandler serves /metrics in the text exposition format. It calls measure
+// before each answer, to bring gauges up to date.
+func (r *Registry) TextHandler(measure func()) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		measure()
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		_ = r.WriteText(w) // a failed write means that the reader is gone
+	})
+	return mux
+}
+
 func serveHealth(w http.ResponseWriter, err error) {
 	if err == nil {
 		serveJSON(w, http.StatusOK, HealthAnswer{Healthy: true})
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -33,6 +33,34 @@
 	AgentBackendConns Name = "agent.backend_conns" // open connections to the backend server
 )
 
+// Metrics of a balancer of packet flows.
+const (
+	FlowBalancerOpenings Name = "flow_balancer.openings"    // new flows sent to agents
+	FlowBalancerPackets  Name = "flow_balancer.packets"     // other packets sent to agents
+	FlowBalancerSearches Name = "flow_balancer.searches"    // packets of flows whose agent was not remembered
+	FlowBalancerResets   Name = "flow_balancer.resets"      // flows reset, by error kind
+	FlowBalancerDrops    Name = "flow_balancer.drops"       // packets dropped, by error kind
+	FlowBalancerHolders  Name = "flow_balancer.holders"     // flows whose agent is remembered
+	FlowBalancerViewAge  Name = "flow_balancer.view_age_ms" // milliseconds since the view was known to be current, -1 if never
+	FlowBalancerVersion  Name = "flow_balancer.version"     // version of the configuration in force
+)
+
+// Metrics of an agent of packet flows.
+const (
+	FlowAgentOpenings   Name = "flow_agent.openings"      // new flows delivered to the backend server
+	FlowAgentPassedOn   Name = "flow_agent.passed_on"     // packets passed on or returned, by error kind
+	FlowAgentBounced    Name = "flow_agent.bounced"       // packets that the backend server returned
+	FlowAgentResets     Name = "flow_agent.resets"        // flows reset
+	FlowAgentDrops      Name = "flow_agent.drops"         // packets dropped, by error kind
+	FlowAgentFlows      Name = "flow_agent.flows"         // open flows
+	FlowAgentInProgress Name = "flow_agent.in_progress"   // requests without the start of an answer
+	FlowAgentWaiting    Name = "flow_agent.waiting"       // requests that wait for a slot
+	FlowAgentOpenTime   Name = "flow_agent.open_us"       // microseconds from an opening to its answer
+	FlowAgentAnswerTime Name = "flow_agent.answer_us"     // microseconds from a request to the start of its answer
+	FlowAgentReportAge  Name = "flow_agent.report_age_ms" // milliseconds since the backend server's last report
+	FlowAgentViewAge    Name = "flow_agent.view_age_ms"   // milliseconds since the view was known to be current, -1 if never
+)
+
 // Metrics of the control path of every process.
 const (
 	ControlPulls            Name = "control.pulls"             // pulls answered by partners
--- a/internal/view/board.go
+++ b/internal/view/board.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// AgeMS returns the milliseconds since all sections were known to be current,
+// -1 if they never were.
+func (b *Board) AgeMS() int64 {
+	at := b.ConfirmedAt()
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
+}
+
 // ConfirmedAt returns the moment at which all sections were last known to be
 // current, the zero time if one never was.
 func (b *Board) ConfirmedAt() time.Time {
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -14,6 +14,7 @@
 
 	Status StatusCmd `cmd:"" help:"Show the state of the fleet or of one service."`
 	Report ReportCmd `cmd:"" help:"Report on service levels."`
+	Trace  TraceCmd  `cmd:"" help:"Tell the story of one request from processes' logs."`
 
 	Quickstart QuickstartCmd `cmd:"" help:"Run all roles in this process under load, with planned changes."`
 
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/flowsteer"
 	"github.com/knapweedpier/knapweedpier/internal/follow"
 	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/udp"
 	"github.com/knapweedpier/knapweedpier/internal/view"
 	"github.com/knapweedpier/knapweedpier/platform"
@@ -38,6 +39,8 @@
 	settings platform.Settings
 	logger   *event.Logger
 	store    follow.Store
+	registry *metrics.Registry
+	metrics  *metrics.FlowAgent
 	node     *flownode.Node
 	nodes    udp.Socket // messages of balancers and agents
 	backend  udp.Socket // the backend server's packets
@@ -52,14 +55,17 @@
 
 // New returns an agent that was not started.
 func New(s platform.Settings, store follow.Store, logger *event.Logger) *Agent {
+	registry := metrics.New()
 	return &Agent{
 		settings: s,
 		store:    store,
 		logger:   logger,
+		registry: registry,
+		metrics:  metrics.NewFlowAgent(registry),
 		gate: flowgate.New(flowgate.Options{
 			Self:     s.Packets,
 			Service:  flowsteer.ServiceID(s.Service),
-			Limits:   flowgate.Limits{ReportInterval: s.ReportInterval, ColdBurst: s.ColdBurst / 2},
+			Limits:   limits(s),
 			Learning: !s.FirstStart,
 			LearnFor: s.FlowLifetime,
 		}, time.Now()),
@@ -93,6 +99,9 @@
 	if err := a.node.Serve(s.Probe, platform.ProbeHandler(func() bool { return true })); err != nil {
 		return err
 	}
+	if err := a.node.Serve(s.Metrics, a.registry.TextHandler(a.measure)); err != nil {
+		return err
+	}
 	a.node.OnStop(func() { _ = a.nodes.Close(); _ = a.backend.Close() })
 	a.node.Go(a.followView)
 	a.node.Go(a.readNodes)
@@ -118,6 +127,20 @@
 	return nil
 }
 
+// Reload takes the limits of the backend server over. Addresses stay as they
+// were at the start.
+func (a *Agent) Reload(s platform.Settings) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.SetLimits(limits(s))
+}
+
+// limits are the bounds that settings give for the backend server. Half of the
+// burst that the installation allows is left to flows that are on their way.
+func limits(s platform.Settings) flowgate.Limits {
+	return flowgate.Limits{ReportInterval: s.ReportInterval, ColdBurst: s.ColdBurst / 2}
+}
+
 func (a *Agent) inProgress() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -314,7 +337,58 @@
 	case flowgate.Reset:
 		a.reset(action.Key, action.Packet.Ack)
 	}
+	a.count(action, p)
 	a.log(action, p)
+	a.logRequest(action.Key, action.Seen, raw)
+}
+
+// count updates the counters that an action changes.
+func (a *Agent) count(action flowgate.Action, p flow.Packet) {
+	if p.Has(flow.Bounced) {
+		a.metrics.Bounced.Inc(1)
+	}
+	switch {
+	case action.Verdict == flowgate.Deliver && p.Opening():
+		a.metrics.Openings.Inc(1)
+	case action.Verdict == flowgate.PassOn:
+		a.metrics.PassedOn.Inc(action.Kind)
+	case action.Verdict == flowgate.Reset:
+		a.metrics.Resets.Inc(1)
+	case action.Verdict == flowgate.Drop:
+		a.metrics.Drops.Inc(action.Kind)
+	}
+	if action.Seen.Opened {
+		a.metrics.OpenTime.Update(action.Seen.OpenTook.Microseconds())
+	}
+	if action.Seen.Answered {
+		a.metrics.AnswerTime.Update(action.Seen.Took.Microseconds())
+	}
+}
+
+// measure updates the gauges, before they are read.
+func (a *Agent) measure() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.metrics.Flows.Update(int64(a.gate.OpenFlows()))
+	a.metrics.InProgress.Update(int64(a.gate.InProgress()))
+	a.metrics.Waiting.Update(int64(a.gate.Waiting()))
+	a.metrics.ReportAge.Update(a.gate.ReportAge(time.Now()).Milliseconds())
+	a.metrics.ViewAge.Update(a.node.Board.AgeMS())
+}
+
+// logRequest writes when a request is seen, with its id, and when its answer
+// starts.
+func (a *Agent) logRequest(key flow.Key, seen flowgate.Seen, raw []byte) {
+	fields := event.Fields{"flow": key.Caller.String(), "to": key.Service.String()}
+	switch {
+	case seen.Request:
+		fields["request"] = platform.RequestID(raw)
+		fields["in_progress"], fields["waiting"] = a.gate.InProgress(), a.gate.Waiting()
+		a.logger.Emit(event.RequestSeen, fields)
+	case seen.Answered:
+		fields["status"], fields["ms"] = platform.AnswerStatus(raw), seen.Took.Milliseconds()
+		a.logger.Emit(event.FlowAnswered, fields)
+	}
 }
 
 // release delivers the requests that leave the queue.
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -17,6 +17,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/flowsteer"
 	"github.com/knapweedpier/knapweedpier/internal/follow"
 	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/udp"
 	"github.com/knapweedpier/knapweedpier/internal/view"
 	"github.com/knapweedpier/knapweedpier/platform"
@@ -39,6 +40,8 @@
 	settings platform.Settings
 	logger   *event.Logger
 	store    follow.Store
+	registry *metrics.Registry
+	metrics  *metrics.FlowBalancer
 	node     *flownode.Node
 	callers  udp.Socket
 	agents   udp.Socket
@@ -59,7 +62,15 @@
 
 // New returns a balancer that was not started.
 func New(s platform.Settings, store follow.Store, logger *event.Logger) *Balancer {
-	return &Balancer{settings: s, store: store, logger: logger, steerer: flowsteer.New(s.Peer, s.Zone)}
+	registry := metrics.New()
+	return &Balancer{
+		settings: s,
+		store:    store,
+		logger:   logger,
+		registry: registry,
+		metrics:  metrics.NewFlowBalancer(registry),
+		steerer:  flowsteer.New(s.Peer, s.Zone),
+	}
 }
 
 // Start opens the sockets and starts forwarding. Errors have kind
@@ -84,6 +95,9 @@
 	if err := b.node.Serve(s.Probe, platform.ProbeHandler(b.ready)); err != nil {
 		return err
 	}
+	if err := b.node.Serve(s.Metrics, b.registry.TextHandler(b.measure)); err != nil {
+		return err
+	}
 	b.node.OnStop(func() { _ = b.callers.Close(); _ = b.agents.Close() })
 	b.node.Go(b.followView)
 	b.node.Go(b.readCallers)
@@ -106,6 +120,10 @@
 	return nil
 }
 
+// Reload does nothing: a balancer's settings are addresses, which stay as they
+// were at the start.
+func (b *Balancer) Reload(platform.Settings) {}
+
 func (b *Balancer) ready() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -177,6 +195,7 @@
 		return
 	}
 	a := b.steerer.FromCaller(now, p, raw)
+	b.count(p, a)
 	if p.Opening() && a.Verdict == flowsteer.Send {
 		b.logger.Emit(event.FlowOffered, event.Fields{
 			"flow": p.From.String(), "to": p.To.String(), "copy": p.Ack, "service": a.Service, "agent": a.To.String(),
@@ -185,6 +204,29 @@
 	b.do(a)
 }
 
+// count updates the counters of a caller's packet.
+func (b *Balancer) count(p flow.Packet, a flowsteer.Action) {
+	switch {
+	case a.Verdict != flowsteer.Send:
+	case p.Opening():
+		b.metrics.Openings.Inc(1)
+	default:
+		b.metrics.Packets.Inc(1)
+		if a.Message.Ask {
+			b.metrics.Searches.Inc(1)
+		}
+	}
+}
+
+// measure updates the gauges, before they are read.
+func (b *Balancer) measure() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.metrics.Holders.Update(int64(b.steerer.Flows()))
+	b.metrics.ViewAge.Update(b.node.Board.AgeMS())
+	b.metrics.Version.Update(b.node.Board.View().Configuration.Version)
+}
+
 // readAgents takes agents' messages until the socket is closed.
 func (b *Balancer) readAgents(ctx context.Context) {
 	buffer := make([]byte, udp.MaxDatagram)
@@ -268,10 +310,12 @@
 		b.write(b.agents, a.To)
 	case flowsteer.Reset:
 		key := a.Packet.CallerKey()
+		b.metrics.Resets.Inc(a.Kind)
 		b.logger.Emit(event.FlowReset, fields(key, a))
 		b.out = platform.AppendReset(b.out[:0], key, a.Packet.Ack)
 		b.write(b.callers, netip.AddrPortFrom(key.Caller.Addr(), b.settings.Packets.Port()))
 	case flowsteer.Drop:
+		b.metrics.Drops.Inc(a.Kind)
 		b.logger.Failure(event.FlowDropped, errkind.New(a.Kind, "packet dropped"), fields(a.Packet.CallerKey(), a))
 	}
 }
