Keep the order of a search from its first agent to its last

With 63 agents a search takes eight rounds, and each round ranked the agents anew: one that answered hellos again meanwhile moved ahead of the offset and was never asked.

Change: a search keeps its order until it ends; a flow is reset only if the order names every agent that is known at the end.

Test: TestSearchKeepsItsOrder failed before the change.

--- a/internal/flowsteer/agents.go
+++ b/internal/flowsteer/agents.go
@@ -233,6 +233,11 @@
 	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect })
 }
 
+// allIn reports whether every agent is in a list.
+func (as *agents) allIn(list []netip.AddrPort) bool {
+	return !slices.ContainsFunc(as.all, func(a *agent) bool { return !slices.Contains(list, a.member.Address) })
+}
+
 // isolated reports whether the balancer rather than the others is cut off: no
 // balancer of another zone answers, and less than half of the agents do.
 func (as *agents) isolated() bool {
--- a/internal/flowsteer/steer.go
+++ b/internal/flowsteer/steer.go
@@ -32,6 +32,9 @@
 	settled = 300 * time.Millisecond
 	// missMemory is how long an unsuccessful search is remembered.
 	missMemory = 3 * time.Second
+	// searchMemory is how long the order of a search is kept after its last
+	// use. It covers all agents of the largest service, asked one by one.
+	searchMemory = time.Second
 	// freshView is the age up to which the view is trusted to name all agents.
 	freshView = 2 * time.Second
 	// maxOpenings bounds the flows that wait for an agent's answer.
@@ -69,9 +72,18 @@
 	flows     holders
 	openings  map[flow.Key]*opening
 	misses    map[flow.Key]time.Time
+	searches  map[flow.Key]*search
 	swept     time.Time
 }
 
+// search is the order in which agents are asked for a flow. It stays the same
+// from the first agent to the last, so that none is skipped when agents become
+// or cease to be suspect meanwhile.
+type search struct {
+	order []netip.AddrPort
+	used  time.Time
+}
+
 // opening is a new flow whose agent has not answered yet.
 type opening struct {
 	packet  []byte
@@ -90,6 +102,7 @@
 		flows:    newHolders(),
 		openings: map[flow.Key]*opening{},
 		misses:   map[flow.Key]time.Time{},
+		searches: map[flow.Key]*search{},
 	}
 }
 
@@ -121,7 +134,7 @@
 	if agent, ok := s.flows.get(key, now); ok {
 		return s.toHolder(agent, raw)
 	}
-	return s.search(key, p, raw, 0)
+	return s.search(now, key, p, raw, 0)
 }
 
 // toHolder sends a packet to the agent that holds its flow.
@@ -195,13 +208,25 @@
 	return ""
 }
 
-// search asks agents for the holder of a flow, by rank from offset.
-func (s *Steerer) search(key flow.Key, p flow.Packet, raw []byte, offset int) Action {
-	all := s.agents.rankAll(key.Hash(), s.targets(p.To))
-	if offset >= len(all) {
+// search asks agents for the holder of a flow, from offset in the search's
+// order.
+func (s *Steerer) search(now time.Time, key flow.Key, p flow.Packet, raw []byte, offset int) Action {
+	found := s.searches[key]
+	if found == nil || now.Sub(found.used) > searchMemory {
+		found = &search{order: s.agents.rankAll(key.Hash(), s.targets(p.To))}
+		if offset > 0 {
+			// The offset belongs to an order that is forgotten.
+			offset = 0
+		}
+	}
+	found.used = now
+	if len(s.searches) < maxOpenings {
+		s.searches[key] = found
+	}
+	if offset >= len(found.order) {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
 	}
-	list := all[offset:min(len(all), offset+hop.MaxCandidates)]
+	list := found.order[offset:min(len(found.order), offset+hop.MaxCandidates)]
 	return s.forward(list, offset, 0, true, raw)
 }
 
@@ -214,6 +239,7 @@
 	s.agents.heard(now, m.Agent, m.Load)
 	delete(s.openings, m.Key)
 	delete(s.misses, m.Key)
+	delete(s.searches, m.Key)
 	s.flows.set(m.Key, m.Agent, now)
 }
 
@@ -231,9 +257,9 @@
 	if _, known := s.flows.get(key, now); known {
 		// The remembered agent doesn't hold the flow: ask all of them.
 		s.flows.remove(key)
-		return s.search(key, p, m.Packet, 0)
+		return s.search(now, key, p, m.Packet, 0)
 	}
-	a := s.search(key, p, m.Packet, int(m.Offset)+len(m.Candidates))
+	a := s.search(now, key, p, m.Packet, int(m.Offset)+len(m.Candidates))
 	if a.Verdict == Send {
 		return a
 	}
@@ -259,6 +285,11 @@
 // them answers.
 func (s *Steerer) missed(now time.Time, key flow.Key, p flow.Packet) Action {
 	drop := Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
+	found := s.searches[key]
+	delete(s.searches, key)
+	if found == nil || !s.agents.allIn(found.order) {
+		return drop
+	}
 	if now.Sub(s.confirmed) > freshView || s.agents.anySuspect() || p.Has(flow.Reset) {
 		return drop
 	}
@@ -300,6 +331,11 @@
 		return
 	}
 	s.swept = now
+	for key, found := range s.searches {
+		if now.Sub(found.used) > searchMemory {
+			delete(s.searches, key)
+		}
+	}
 	for key, at := range s.misses {
 		if now.Sub(at) > missMemory {
 			delete(s.misses, key)
--- a/internal/flowsteer/steer_test.go
+++ b/internal/flowsteer/steer_test.go
@@ -257,3 +257,37 @@
 	s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: remote})
 	is.True(!s.Isolated()) // the agents are down, not this balancer
 }
+
+// Guards against an agent that is skipped because the order of the search
+// changed between two rounds, and a flow that is then reset while that agent
+// holds it.
+func TestSearchKeepsItsOrder(t *testing.T) {
+	is := is.New(t)
+	silent := agentAddress(7)
+	answer := func(s *Steerer, i int) {
+		s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
+	}
+	for port := range 20 {
+		s := newSteerer(testView(20))
+		// At first one agent doesn't answer, so it is asked last.
+		for _, at := range []time.Time{start.Add(-time.Second), start.Add(-time.Second / 2)} {
+			s.Tick(at)
+			for i := range 20 {
+				if agentAddress(i) != silent {
+					answer(s, i)
+				}
+			}
+		}
+		asked := false
+		p := callerPacket(port+1, flow.Ack)
+		a := s.FromCaller(start, p, nil)
+		answer(s, 7)
+		for a.Verdict == Send {
+			for _, c := range a.Message.Candidates {
+				asked = asked || c == silent
+			}
+			a = s.Declined(start, p, &a.Message)
+		}
+		is.True(asked || a.Verdict == Drop)
+	}
+}
