Let processes of a starting system follow the seeds

Change: a process that is no seed waits up to 2 s for the seeds when the whole system starts, and follows them until it knows members.

--- a/internal/flownode/node.go
+++ b/internal/flownode/node.go
@@ -61,12 +61,10 @@
 	n.Go(n.Announcer.Run)
 	var seeds []netip.AddrPort
 	for _, ip := range o.Seeds {
-		if ip != o.Peer.Addr() {
-			seeds = append(seeds, netip.AddrPortFrom(ip, o.Peer.Port()))
-		}
+		seeds = append(seeds, netip.AddrPortFrom(ip, o.Peer.Port()))
 	}
 	f := follow.New(follow.Options{
-		Name: o.Name, Zone: o.Zone, Role: o.Role,
+		Name: o.Name, Self: o.Peer, Zone: o.Zone, Role: o.Role,
 		Store: o.Store, Board: n.Board, Logger: o.Logger, Seeds: seeds, FirstStart: o.FirstStart,
 	})
 	n.Go(f.Run)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -42,9 +42,11 @@
 	maxRetry = 500 * time.Millisecond
 	// idleCheck is how often a process without peers looks for some.
 	idleCheck = 300 * time.Millisecond
-	// seedTime is how long a fresh process waits for an answer of the seeds
-	// before it asks the store.
-	seedTime = 150 * time.Millisecond
+	// firstStartTime is how long a process waits for the seeds when the whole
+	// system starts, before it asks the store itself.
+	firstStartTime = 2 * time.Second
+	// seedRetry is the pause between two rounds of the seeds.
+	seedRetry = 100 * time.Millisecond
 )
 
 // Change is one object of the store.
@@ -76,13 +78,14 @@
 
 // Options are the fixed parts of a follower.
 type Options struct {
-	Name   string // of this process among the members
+	Name   string         // of this process among the members
+	Self   netip.AddrPort // where this process answers peers
 	Zone   string
 	Role   view.Role
 	Store  Store
 	Board  *view.Board
 	Logger *event.Logger
-	// Seeds may answer a fresh process while the store doesn't.
+	// Seeds answer processes that know no peers yet; Self may be one of them.
 	Seeds []netip.AddrPort
 	// FirstStart is set when the whole system starts for the first time: the
 	// seeds are asked before the store, because nothing is urgent yet.
@@ -104,21 +107,15 @@
 func (f *Follower) Run(ctx context.Context) {
 	links := newLinks()
 	defer links.close()
-	if f.o.FirstStart {
-		f.askSeeds(ctx, links)
+	if f.o.FirstStart && !f.isSeed() {
+		f.awaitSeeds(ctx, links)
 	}
 	var running sync.WaitGroup
 	for i, s := range view.Sections() {
 		running.Go(func() { f.followStore(ctx, s, &f.armed[i]) })
 	}
 	running.Go(func() { f.ping(ctx) })
-	running.Go(func() {
-		for ctx.Err() == nil && !f.o.Board.View().Complete() {
-			f.askSeeds(ctx, links)
-			sleep(ctx, idleCheck)
-		}
-		f.followPeers(ctx, links)
-	})
+	running.Go(func() { f.followPeers(ctx, links) })
 	running.Wait()
 }
 
@@ -293,10 +290,12 @@
 }
 
 // upstream returns the peers to ask, in order: those of the own zone that come
-// before this process, and all others while the store is lost.
-func (f *Follower) upstream() []view.Member {
+// before this process, all others while the store is lost, and the seeds while
+// no peers are known.
+func (f *Follower) upstream() []netip.AddrPort {
 	var before, others []view.Member
-	for _, m := range f.o.Board.View().Members.ByName {
+	v := f.o.Board.View()
+	for _, m := range v.Members.ByName {
 		switch {
 		case m.Name == f.o.Name:
 		case m.Zone == f.o.Zone && f.after(m):
@@ -306,13 +305,24 @@
 		}
 	}
 	slices.SortFunc(before, compareMembers)
-	if !f.lost.Load() {
-		return before
+	if f.lost.Load() {
+		slices.SortFunc(others, compareMembers)
+		before = append(before, others...)
+	}
+	var peers []netip.AddrPort
+	for _, m := range before {
+		peers = append(peers, m.Peer)
+	}
+	alone := len(v.Members.ByName) == 0 && !f.isSeed()
+	if !v.Complete() || alone {
+		peers = append(peers, f.o.Seeds...)
 	}
-	slices.SortFunc(others, compareMembers)
-	return append(before, others...)
+	return slices.DeleteFunc(peers, func(peer netip.AddrPort) bool { return peer == f.o.Self })
 }
 
+// isSeed reports whether this process is one that others ask first.
+func (f *Follower) isSeed() bool { return slices.Contains(f.o.Seeds, f.o.Self) }
+
 // after reports whether this process comes after m in its zone.
 func (f *Follower) after(m view.Member) bool {
 	return compareMembers(m, view.Member{Name: f.o.Name, Role: f.o.Role}) < 0
@@ -333,8 +343,8 @@
 func (f *Follower) followPeers(ctx context.Context, links *links) {
 	for ctx.Err() == nil {
 		fresh := false
-		for _, m := range f.upstream() {
-			if f.ask(ctx, links, m.Peer) {
+		for _, peer := range f.upstream() {
+			if f.ask(ctx, links, peer) {
 				fresh = true
 				break
 			}
@@ -350,16 +360,19 @@
 // peer answers: it was turned away, and others may rely on it.
 func (f *Follower) watchesForOthers() bool { return f.lost.Load() }
 
-// askSeeds lets a fresh process learn from the first seed that answers, which
-// spares the store a listing by each process.
-func (f *Follower) askSeeds(ctx context.Context, links *links) {
-	ctx, cancel := context.WithTimeout(ctx, seedTime)
+// awaitSeeds lets a process of a system that starts learn from the first seed
+// that answers, which spares the store a listing by each process.
+func (f *Follower) awaitSeeds(ctx context.Context, links *links) {
+	ctx, cancel := context.WithTimeout(ctx, firstStartTime)
 	defer cancel()
-	for _, seed := range f.o.Seeds {
-		if ctx.Err() != nil || f.o.Board.View().Complete() {
-			return
+	for ctx.Err() == nil {
+		for _, seed := range f.o.Seeds {
+			if f.ask(ctx, links, seed) && f.o.Board.View().Complete() {
+				f.following.Store(true)
+				return
+			}
 		}
-		f.ask(ctx, links, seed)
+		sleep(ctx, seedRetry)
 	}
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -43,7 +43,7 @@
 	for _, other := range announced {
 		seeds = append(seeds, other.peer)
 	}
-	f := follow.New(follow.Options{Name: name, Role: role, Zone: zone, Store: store, Board: p.board, Logger: event.Discard(), Seeds: seeds})
+	f := follow.New(follow.Options{Name: name, Self: p.peer, Role: role, Zone: zone, Store: store, Board: p.board, Logger: event.Discard(), Seeds: seeds})
 	go func() {
 		defer close(done)
 		f.Run(ctx)
