--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -59,6 +59,7 @@
 	LinesDropped    ID = 1511
 	PacketRefused   ID = 1512
 	RequestSeen     ID = 1513
+	NewFlowsChanged ID = 1514
 )
 
 // Events of the balancer.
@@ -145,6 +146,7 @@
 	{LinesDropped, log.WarnLevel, false, "log lines dropped", "Read the log faster, or look for the cause of the load."},
 	{PacketRefused, log.WarnLevel, true, "packet refused", "See ERRORS.md for the kind."},
 	{RequestSeen, log.InfoLevel, false, "request seen", "None."},
+	{NewFlowsChanged, log.InfoLevel, false, "agent takes new flows, or no longer", "See ERRORS.md for the reason."},
 }
 
 var byID = index(catalogue)
--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -302,7 +302,7 @@
 		Flows:      uint16(min(g.flows.open, 1<<16-1)),
 		InProgress: uint16(min(g.flows.inProgress+len(g.waiting.list), 1<<16-1)),
 		Slots:      uint16(min(g.backend.report.Slots, 1<<16-1)),
-		Refusing:   g.backend.refusal(now, g.flows.open, g.flows.inProgress+len(g.waiting.list), true) != 0,
+		Refusing:   g.Refusal(now) != 0,
 	}
 }
 
@@ -311,6 +311,11 @@
 	return hop.Message{Type: hop.Placed, Service: g.service, Key: key, Agent: g.self, Load: g.Load(now)}
 }
 
+// Refusal returns why the agent takes no new flows now, 0 if it takes some.
+func (g *Gate) Refusal(now time.Time) errkind.Kind {
+	return g.backend.refusal(now, g.flows.open, g.flows.inProgress+len(g.waiting.list), true)
+}
+
 // SetRoutes takes over what the configuration says of requests.
 func (g *Gate) SetRoutes(routes map[netip.AddrPort]view.Route) { g.routes = routes }
 
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -93,16 +93,18 @@
 	Shifts map[string]time.Duration
 }
 
-// Tell finds the story of a request. Errors have kind NotFound.
+// Tell finds the story of a request by its id, or of a flow that never carried
+// one by its caller's address and port. Errors have kind NotFound.
 func Tell(id string, all []Line) (Story, error) {
 	s := Story{Request: id, Shifts: map[string]time.Duration{}}
 	for _, l := range all {
-		if l.Event == event.RequestSeen && l.text("request") == id {
+		request := l.Event == event.RequestSeen && l.text("request") == id
+		if request || (s.Flow == "" && l.text("flow") == id) {
 			s.Flow = l.flow()
 		}
 	}
 	if s.Flow == "" {
-		return s, errkind.Errorf(errkind.NotFound, "no line of these logs names the request %s", id)
+		return s, errkind.Errorf(errkind.NotFound, "no line of these logs names the request or flow %s", id)
 	}
 	slices.SortStableFunc(all, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	s.correct(all)
@@ -133,9 +135,15 @@
 // end of the flow's lines.
 func (s *Story) span(all []Line) (first, last time.Time) {
 	var seen time.Time
+	byFlow := strings.HasPrefix(s.Flow, s.Request+" ")
 	for _, l := range all {
 		at := l.Time.Add(s.Shifts[l.Process])
 		switch {
+		case byFlow && l.flow() == s.Flow:
+			if seen.IsZero() {
+				seen = at
+			}
+			last = at
 		case l.flow() != s.Flow:
 		case l.Event == event.RequestSeen && l.text("request") == s.Request:
 			seen, last = at, at
@@ -148,7 +156,8 @@
 			}
 		}
 	}
-	return seen.Add(-context), last.Add(context)
+	// Why a request got no answer shows later.
+	return seen.Add(-context), last.Add(maxStory)
 }
 
 // collect takes the lines of the flow, and what else happened to the processes
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -18,7 +18,7 @@
 const agentLog = `  34.02 side-1 {"fields":{"event":1501,"flow":"100.64.0.7:40001","to":"198.18.0.1:8443"},"timestamp":"2026-12-04T08:00:00.950Z","message":"new flow delivered to the backend server"}
   34.02 side-1 {"fields":{"event":1513,"flow":"100.64.0.7:40001","to":"198.18.0.1:8443","request":"c1ae"},"timestamp":"2026-12-04T08:00:00.960Z","message":"request seen"}
   35.02 side-1 {"fields":{"event":1508,"flows":7},"timestamp":"2026-12-04T08:00:01.500Z","message":"backend server lost its flows"}
-  39.02 side-1 {"fields":{"event":1001},"timestamp":"2026-12-04T08:00:09.500Z","message":"graceful shutdown started"}
+  39.02 side-1 {"fields":{"event":1001},"timestamp":"2026-12-04T08:00:19.500Z","message":"graceful shutdown started"}
 `
 
 func read(t *testing.T) []Line {
@@ -57,3 +57,12 @@
 	_, err := Tell("beef", read(t))
 	is.True(errkind.Is(err, errkind.NotFound))
 }
+
+// Guards against a refused opening, which carries no id, that can't be traced.
+func TestFlowWithoutARequest(t *testing.T) {
+	is := is.New(t)
+	s, err := Tell("100.64.0.7:40002", read(t))
+	is.NoErr(err)
+	is.Equal(len(s.Lines), 1)
+	is.Equal(s.Lines[0].Process, "balancer-1")
+}
--- a/pkg/cli/trace.go
+++ b/pkg/cli/trace.go
@@ -9,7 +9,7 @@
 
 // TraceCmd prints what the logs tell of one request. It needs no platform.
 type TraceCmd struct {
-	Request string   `arg:"" help:"Id of the request."`
+	Request string   `arg:"" help:"Id of the request, or IP:PORT of its caller if it never reached a backend server."`
 	Files   []string `arg:"" help:"Logs of the processes, JSON." type:"existingfile"`
 }
 
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -48,8 +48,9 @@
 	mu       sync.Mutex
 	gate     *flowgate.Gate
 	reported flowgate.Report
-	left     bool // the backend server said that it ends
-	out      bool // the zone is evacuated
+	left     bool         // the backend server said that it ends
+	out      bool         // the zone is evacuated
+	refusal  errkind.Kind // why no new flows are taken, 0 if they are
 	buffer   []byte
 }
 
@@ -391,6 +392,20 @@
 	}
 }
 
+// noteRefusal writes when the agent begins or ceases to take new flows.
+func (a *Agent) noteRefusal(now time.Time) {
+	kind := a.gate.Refusal(now)
+	if kind == a.refusal {
+		return
+	}
+	a.refusal = kind
+	fields := event.Fields{"taking": kind == 0, "report_age_ms": a.gate.ReportAge(now).Milliseconds()}
+	if kind != 0 {
+		fields["reason"] = kind.String()
+	}
+	a.logger.Emit(event.NewFlowsChanged, fields)
+}
+
 // release delivers the requests that leave the queue.
 func (a *Agent) release(now time.Time) {
 	for _, d := range a.gate.Release(now) {
@@ -449,6 +464,7 @@
 			now := time.Now()
 			a.gate.Tick(now)
 			a.release(now)
+			a.noteRefusal(now)
 			a.mu.Unlock()
 		case <-ctx.Done():
 			return
