--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -387,7 +387,12 @@
 		fields["in_progress"], fields["waiting"] = a.gate.InProgress(), a.gate.Waiting()
 		a.logger.Emit(event.RequestSeen, fields)
 	case seen.Answered:
-		fields["status"], fields["ms"] = platform.AnswerStatus(raw), seen.Took.Milliseconds()
+		fields["ms"] = seen.Took.Milliseconds()
+		// The first packet seen of a long answer needn't be the one with its
+		// status.
+		if status := platform.AnswerStatus(raw); status > 0 {
+			fields["status"] = status
+		}
 		a.logger.Emit(event.FlowAnswered, fields)
 	}
 }
