Keep a fresh balancer in the rotation until it has reached others

Change: a balancer counts as cut off only after a balancer of another zone has answered since its start. Test first: TestFreshBalancerIsNotIsolated.

--- a/internal/flowsteer/agents.go
+++ b/internal/flowsteer/agents.go
@@ -51,6 +51,7 @@
 	byService map[string][]*agent
 	all       []*agent
 	balancers map[netip.AddrPort]*contact // those of other zones
+	reached   bool                        // a balancer of another zone answered since the start
 }
 
 func newAgents() agents {
@@ -176,6 +177,7 @@
 func (as *agents) heard(now time.Time, address netip.AddrPort, load hop.Load) {
 	if b := as.balancers[address]; b != nil {
 		b.unheard, b.suspect = time.Time{}, false
+		as.reached = true
 	}
 	a := as.byAddress[address]
 	if a == nil {
@@ -239,7 +241,8 @@
 }
 
 // isolated reports whether the balancer rather than the others is cut off: no
-// balancer of another zone answers, and less than half of the agents do.
+// balancer of another zone answers any more, and less than half of the agents
+// do. A balancer that has just started may be ahead of the others.
 func (as *agents) isolated() bool {
 	for _, b := range as.balancers {
 		if !b.suspect {
@@ -252,5 +255,5 @@
 			silent++
 		}
 	}
-	return len(as.balancers) > 0 && 2*silent > len(as.all)
+	return as.reached && len(as.balancers) > 0 && 2*silent > len(as.all)
 }
--- a/internal/flowsteer/steer_test.go
+++ b/internal/flowsteer/steer_test.go
@@ -250,10 +250,11 @@
 	is := is.New(t)
 	v := testView(4)
 	s := newSteerer(v)
+	remote := v.Members.ByName["balancer-b"].Address
+	s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: remote})
 	s.Tick(start)
 	s.Tick(start.Add(200 * time.Millisecond))
 	is.True(s.Isolated())
-	remote := v.Members.ByName["balancer-b"].Address
 	s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: remote})
 	is.True(!s.Isolated()) // the agents are down, not this balancer
 }
@@ -291,3 +292,13 @@
 		is.True(asked || a.Verdict == Drop)
 	}
 }
+
+// Guards against a balancer that stays out of the rotation after a power cut
+// because the other machines start a little later.
+func TestFreshBalancerIsNotIsolated(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(4))
+	s.Tick(start)
+	s.Tick(start.Add(200 * time.Millisecond))
+	is.True(!s.Isolated())
+}
