--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -26,9 +26,17 @@
 const (
 	// tick is how often openings without an answer are looked at.
 	tick = 20 * time.Millisecond
-	// drainTime is how long a stopping balancer still forwards packets: the
+	// minDrain is how long a stopping balancer forwards packets at least: the
 	// fabric notices after two probes, half a second apart.
-	drainTime = 2200 * time.Millisecond
+	minDrain = 1100 * time.Millisecond
+	// quietTime is how long no packet may come until the balancer counts as
+	// out of the rotation. The fabric goes on using it while too few others of
+	// the zone are ready.
+	quietTime = 300 * time.Millisecond
+	// stopMargin is left of the grace period to end in.
+	stopMargin = time.Second
+	// stopCheck is how often a stopping balancer looks whether it may end.
+	stopCheck = 50 * time.Millisecond
 	// maxHeld bounds the packets that wait for the first view.
 	maxHeld = 512
 	// heldTimeout is how long they wait. Callers send copies later.
@@ -52,7 +60,9 @@
 	complete bool
 	isolated bool
 	held     []heldPacket
-	out      []byte
+	// lastPacket is when a caller's packet came last.
+	lastPacket time.Time
+	out        []byte
 }
 
 type heldPacket struct {
@@ -113,8 +123,11 @@
 // Stop leaves the fabric's rotation, forwards until that is noticed, and ends.
 func (b *Balancer) Stop(context.Context) error {
 	b.stopping.Store(true)
-	b.logger.Emit(event.Stopping, event.Fields{"drain_ms": drainTime.Milliseconds()})
-	time.Sleep(drainTime)
+	began := time.Now()
+	b.logger.Emit(event.Stopping, nil)
+	for now := began; !b.drained(began, now); now = time.Now() {
+		time.Sleep(stopCheck)
+	}
 	b.node.Stop()
 	b.logger.Emit(event.Stopped, nil)
 	return nil
@@ -124,6 +137,17 @@
 // were at the start.
 func (b *Balancer) Reload(platform.Settings) {}
 
+// drained reports whether a balancer that began to stop may end now: callers'
+// packets have ceased, or the grace period is nearly over.
+func (b *Balancer) drained(began, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(began) >= b.settings.Grace-stopMargin {
+		return true
+	}
+	return now.Sub(began) >= minDrain && now.Sub(b.lastPacket) >= quietTime
+}
+
 func (b *Balancer) ready() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -177,11 +201,13 @@
 			b.refuse(errkind.Wrap(err, errkind.PacketMalformed, "read a caller's packet"))
 			continue
 		}
+		now := time.Now()
 		b.mu.Lock()
+		b.lastPacket = now
 		if b.complete {
-			b.forward(time.Now(), buffer[:n])
+			b.forward(now, buffer[:n])
 		} else if len(b.held) < maxHeld {
-			b.held = append(b.held, heldPacket{raw: append([]byte(nil), buffer[:n]...), at: time.Now()})
+			b.held = append(b.held, heldPacket{raw: append([]byte(nil), buffer[:n]...), at: now})
 		}
 		b.mu.Unlock()
 	}
