Give dead agents up, so that lost flows are reset

An agent whose machine had gone for good was still announced: it was asked last, its packets ended the search unseen, and as a suspect it forbade resets. A balancer that remembered it sent packets there for good.

Change: an agent that has been silent for 2 s while other machines of its zone answer (0.7 s if it was never heard) is left out of searches and forgotten as a holder. A zone of which no machine answers may be cut off from this balancer alone: its flows are kept.

Ruled out: giving every silent agent up. A balancer cut off from a zone would reset flows that live on there (TestFlowsOfAnUnreachableZoneAreKept).

--- a/internal/flowsteer/agents.go
+++ b/internal/flowsteer/agents.go
@@ -23,6 +23,12 @@
 	minHelloInterval = 250 * time.Millisecond
 	// suspectAfter is how long an agent may leave a hello unanswered.
 	suspectAfter = 150 * time.Millisecond
+	// deadAfter is how long an agent may be silent until the flows that it may
+	// hold are given up. Callers' deadlines are not longer.
+	deadAfter = 2 * time.Second
+	// neverHeard is the same for an agent that has not answered since this
+	// balancer started: it may be gone for long.
+	neverHeard = 700 * time.Millisecond
 	// refusalMemory is how long an agent that takes no new flows is passed
 	// over on its own word.
 	refusalMemory = time.Second
@@ -128,10 +134,32 @@
 	return 0
 }
 
+// dead reports whether an agent is given up: it has been silent for long while
+// other machines of its zone answer. A zone of which none answers may be cut
+// off from this balancer alone.
+func (as *agents) dead(now time.Time, a *agent) bool {
+	patience := deadAfter
+	if a.heardAt.IsZero() {
+		patience = neverHeard
+	}
+	return a.suspect && now.Sub(a.unheard) > patience && as.answers(a.member.Zone)
+}
+
+// answers reports whether a machine of a zone answers hellos.
+func (as *agents) answers(zone string) bool {
+	for _, b := range as.balancers {
+		if b.member.Zone == zone && !b.suspect {
+			return true
+		}
+	}
+	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.member.Zone == zone && !a.suspect })
+}
+
 // rankAll returns all agents in the order in which they may hold a flow: first
-// those of its route's services, and those that don't answer last.
-func (as *agents) rankAll(hash uint64, targets []view.Target) []netip.AddrPort {
-	ranked := rank(as.all, hash)
+// those of its route's services, and those that don't answer last. Dead ones
+// are left out: a packet that is sent there goes no further.
+func (as *agents) rankAll(now time.Time, hash uint64, targets []view.Target) []netip.AddrPort {
+	ranked := slices.DeleteFunc(rank(as.all, hash), func(a *agent) bool { return as.dead(now, a) })
 	order := func(a *agent) int {
 		place := 0
 		if !slices.ContainsFunc(targets, func(t view.Target) bool { return t.Service == a.member.Service }) {
@@ -231,13 +259,22 @@
 	return true
 }
 
-func (as *agents) anySuspect() bool {
-	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect })
+// anyDoubtful reports whether an agent is silent that isn't given up yet.
+func (as *agents) anyDoubtful(now time.Time) bool {
+	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect && !as.dead(now, a) })
+}
+
+// lost reports whether the agent at an address is dead or announced no more.
+func (as *agents) lost(now time.Time, address netip.AddrPort) bool {
+	a := as.byAddress[address]
+	return a == nil || as.dead(now, a)
 }
 
-// allIn reports whether every agent is in a list.
-func (as *agents) allIn(list []netip.AddrPort) bool {
-	return !slices.ContainsFunc(as.all, func(a *agent) bool { return !slices.Contains(list, a.member.Address) })
+// allIn reports whether every agent that isn't dead is in a list.
+func (as *agents) allIn(now time.Time, list []netip.AddrPort) bool {
+	return !slices.ContainsFunc(as.all, func(a *agent) bool {
+		return !as.dead(now, a) && !slices.Contains(list, a.member.Address)
+	})
 }
 
 // isolated reports whether the balancer rather than the others is cut off: no
--- a/internal/flowsteer/steer.go
+++ b/internal/flowsteer/steer.go
@@ -132,7 +132,10 @@
 		return s.open(now, key, p, raw, route)
 	}
 	if agent, ok := s.flows.get(key, now); ok {
-		return s.toHolder(agent, raw)
+		if !s.agents.lost(now, agent) {
+			return s.toHolder(agent, raw)
+		}
+		s.flows.remove(key)
 	}
 	return s.search(now, key, p, raw, 0)
 }
@@ -213,7 +216,7 @@
 func (s *Steerer) search(now time.Time, key flow.Key, p flow.Packet, raw []byte, offset int) Action {
 	found := s.searches[key]
 	if found == nil || now.Sub(found.used) > searchMemory {
-		found = &search{order: s.agents.rankAll(key.Hash(), s.targets(p.To))}
+		found = &search{order: s.agents.rankAll(now, key.Hash(), s.targets(p.To))}
 		if offset > 0 {
 			// The offset belongs to an order that is forgotten.
 			offset = 0
@@ -287,10 +290,10 @@
 	drop := Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
 	found := s.searches[key]
 	delete(s.searches, key)
-	if found == nil || !s.agents.allIn(found.order) {
+	if found == nil || !s.agents.allIn(now, found.order) {
 		return drop
 	}
-	if now.Sub(s.confirmed) > freshView || s.agents.anySuspect() || p.Has(flow.Reset) {
+	if now.Sub(s.confirmed) > freshView || s.agents.anyDoubtful(now) || p.Has(flow.Reset) {
 		return drop
 	}
 	first, again := s.misses[key]
--- a/internal/flowsteer/steer_test.go
+++ b/internal/flowsteer/steer_test.go
@@ -302,3 +302,73 @@
 	s.Tick(start.Add(200 * time.Millisecond))
 	is.True(!s.Isolated())
 }
+
+// silence lets all agents but one answer hellos until a moment.
+func silence(s *Steerer, agents, silent int, until time.Time) {
+	for at := until.Add(-4 * time.Second); at.Before(until); at = at.Add(100 * time.Millisecond) {
+		s.Tick(at)
+		for i := range agents {
+			if i != silent {
+				s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
+			}
+		}
+	}
+}
+
+// Guards against callers that wait for their deadlines for good, because one
+// machine is gone whose member is still announced: after a power cut each flow
+// from before it is at no agent.
+func TestDeadAgentDoesNotKeepLostFlows(t *testing.T) {
+	is := is.New(t)
+	for port := range 10 {
+		s := newSteerer(testView(12))
+		silence(s, 12, 5, start)
+		p := callerPacket(port+1, flow.Ack)
+		a := s.FromCaller(start, p, nil)
+		for a.Verdict == Send {
+			for _, c := range a.Message.Candidates {
+				is.True(c != agentAddress(5)) // a packet sent there would end the search unseen
+			}
+			a = s.Declined(start, p, &a.Message)
+		}
+		is.Equal(a.Verdict, Reset)
+	}
+}
+
+// Guards against packets that go to a dead agent for as long as it is
+// remembered.
+func TestDeadHolderIsForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(12))
+	p := callerPacket(1, flow.Ack)
+	s.Placed(start.Add(-5*time.Second), placed(p, agentAddress(5), hop.Load{}))
+	silence(s, 12, 5, start)
+	a := s.FromCaller(start, p, nil)
+	is.True(a.To != agentAddress(5))
+	is.True(a.Message.Ask)
+}
+
+// Guards against resets of flows that live on in a zone that this balancer is
+// cut off from.
+func TestFlowsOfAnUnreachableZoneAreKept(t *testing.T) {
+	is := is.New(t)
+	v := testView(9)
+	s := newSteerer(v)
+	for at := start.Add(-4 * time.Second); at.Before(start); at = at.Add(100 * time.Millisecond) {
+		s.Tick(at)
+		for i := range 9 {
+			if i%3 != 1 { // zone b doesn't answer
+				s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
+			}
+		}
+	}
+	for port := range 10 {
+		p := callerPacket(port+1, flow.Ack)
+		s.Placed(start, placed(p, agentAddress(0), hop.Load{}))
+		a := s.FromCaller(start, p, nil)
+		for a.Verdict == Send {
+			a = s.Declined(start, p, &a.Message)
+		}
+		is.Equal(a.Verdict, Drop)
+	}
+}
