Pass packets on that a vanished backend server neither took nor returned

Cause: an agent that learns its flows offers unknown packets to its backend server; if that server is gone the search for the holder ends there unseen.

Change: after 450 ms without any packet from the server since an offer the packet goes on to the next agent, and nothing more is offered until the server shows itself.

--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -59,7 +59,9 @@
 	maxFlows      int
 	idleTimeout   time.Duration
 
-	heardAt  time.Time // last packet from the backend server
+	heardAt  time.Time // last packet of the backend server's own
+	aliveAt  time.Time // the same, or a packet that it returned
+	offer    time.Time // first packet offered to it since then
 	asked    time.Time // first opening since then
 	lastTook time.Time // last opening
 }
@@ -115,6 +117,19 @@
 	return now.Sub(b.asked) > silentAfter && now.Sub(b.lastTook) < trialInterval
 }
 
+// offered notes that a packet was offered to the backend server.
+func (b *backend) offered(now time.Time) {
+	if b.offer.IsZero() || !b.aliveAt.Before(b.offer) {
+		b.offer = now
+	}
+}
+
+// mute reports whether the backend server has sent nothing since packets were
+// offered to it.
+func (b *backend) mute(now time.Time) bool {
+	return !b.offer.IsZero() && b.aliveAt.Before(b.offer) && now.Sub(b.offer) >= muteAfter
+}
+
 // refill returns the number of openings that a cold backend server may get.
 func (b *backend) refill(now time.Time) float64 {
 	earned := now.Sub(b.refilled).Seconds() * b.coldPerSecond
--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -21,6 +21,9 @@
 	// offerTimeout is how long a packet that was offered to the backend server
 	// may take to come back.
 	offerTimeout = 2 * time.Second
+	// muteAfter is how long a backend server may send nothing after a packet
+	// was offered to it. It covers the work on a request.
+	muteAfter = 450 * time.Millisecond
 	// maxOffers bounds the packets that may come back.
 	maxOffers = 4096
 	// ackWindow is the distance up to which an acknowledgement belongs to the
@@ -66,7 +69,9 @@
 // offer is a packet that the backend server may return.
 type offer struct {
 	message hop.Message
+	key     flow.Key
 	at      time.Time
+	raw     []byte // kept for packets that may have to go on to other agents
 }
 
 // Gate decides for one agent. It is not safe for concurrent use.
@@ -153,14 +158,38 @@
 
 // unknown handles a packet of a flow that this agent doesn't know.
 func (g *Gate) unknown(now time.Time, m *hop.Message, key flow.Key) Action {
-	if !now.Before(g.backend.learnUntil) {
+	if !now.Before(g.backend.learnUntil) || g.backend.mute(now) {
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
-	return Action{Verdict: Deliver, Mark: g.offer(now, m), Key: key}
+	g.backend.offered(now)
+	mark := g.offer(now, m, key)
+	if o, kept := g.offers[mark]; kept {
+		o.raw = slices.Clone(m.Packet)
+		g.offers[mark] = o
+	}
+	return Action{Verdict: Deliver, Mark: mark, Key: key}
+}
+
+// Unanswered returns the packets that were offered to a backend server which
+// has sent nothing since: it is gone, and another agent may hold their flows.
+func (g *Gate) Unanswered(now time.Time) []Action {
+	if !g.backend.mute(now) {
+		return nil
+	}
+	var out []Action
+	for mark, o := range g.offers {
+		if o.raw == nil || now.Sub(o.at) < muteAfter {
+			continue
+		}
+		delete(g.offers, mark)
+		o.message.Packet = o.raw
+		out = append(out, g.passOn(&o.message, o.key, errkind.BackendDown))
+	}
+	return out
 }
 
 // offer keeps a message until the backend server may have returned its packet.
-func (g *Gate) offer(now time.Time, m *hop.Message) uint32 {
+func (g *Gate) offer(now time.Time, m *hop.Message, key flow.Key) uint32 {
 	if len(g.offers) >= maxOffers {
 		return 0
 	}
@@ -171,7 +200,7 @@
 	kept := *m
 	kept.Candidates = slices.Clone(m.Candidates)
 	kept.Packet = nil
-	g.offers[g.mark] = offer{message: kept, at: now}
+	g.offers[g.mark] = offer{message: kept, key: key, at: now}
 	return g.mark
 }
 
@@ -190,7 +219,7 @@
 	}
 	g.backend.took(now)
 	g.flows.add(key, now, opening)
-	return Action{Verdict: Deliver, Mark: g.offer(now, m), Key: key, Tell: m.Balancer}
+	return Action{Verdict: Deliver, Mark: g.offer(now, m, key), Key: key, Tell: m.Balancer}
 }
 
 // copied decides about a copy of an opening that was delivered before.
@@ -200,7 +229,7 @@
 		return g.passOn(m, key, errkind.BackendDown)
 	}
 	g.backend.took(now)
-	return Action{Verdict: Deliver, Mark: g.offer(now, m), Key: key, Tell: m.Balancer}
+	return Action{Verdict: Deliver, Mark: g.offer(now, m, key), Key: key, Tell: m.Balancer}
 }
 
 // refusal returns why a new flow can't be taken, 0 if it can. The last
@@ -232,7 +261,7 @@
 		return g.bounced(now, p)
 	}
 	key := p.BackendKey()
-	g.backend.heardAt = now
+	g.backend.heardAt, g.backend.aliveAt = now, now
 	f := g.flows.get(key)
 	if f == nil || f.state == lost {
 		if p.Has(flow.Reset) {
@@ -254,6 +283,7 @@
 // bounced decides about a packet that the backend server returned.
 func (g *Gate) bounced(now time.Time, p flow.Packet) Action {
 	key := p.CallerKey()
+	g.backend.aliveAt = now
 	o, offered := g.offers[p.Mark]
 	delete(g.offers, p.Mark)
 	f := g.flows.get(key)
--- a/internal/flowgate/gate_test.go
+++ b/internal/flowgate/gate_test.go
@@ -340,3 +340,34 @@
 	is.True(g.FromBackend(start, answer).Seen.Answered)
 	is.Equal(g.InProgress(), 0)
 }
+
+// Guards against searches that end unseen at an agent whose backend server is
+// gone: a packet offered there neither is taken nor comes back.
+func TestOfferToAMuteBackendServerIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	g := newGate(true)
+	p := data(1, feeds, 900, 10)
+	is.Equal(g.FromPeer(start, forward(self, other), p).Verdict, Deliver)
+	is.Equal(len(g.Unanswered(start.Add(300*time.Millisecond))), 0)
+	late := g.Unanswered(start.Add(500 * time.Millisecond))
+	is.Equal(len(late), 1)
+	is.Equal(late[0].Verdict, PassOn)
+	is.Equal(late[0].To, other)
+	is.Equal(string(late[0].Message.Packet), "packet")
+	is.Equal(len(g.Unanswered(start.Add(600*time.Millisecond))), 0)
+	// While it stays mute nothing more is offered.
+	is.Equal(g.FromPeer(start.Add(600*time.Millisecond), forward(self, other), data(2, feeds, 900, 10)).Verdict, PassOn)
+	// A packet of its own shows that it is there.
+	g.FromBackend(start.Add(700*time.Millisecond), answers(3, feeds, flow.Ack, 10))
+	is.Equal(g.FromPeer(start.Add(800*time.Millisecond), forward(self, other), data(2, feeds, 900, 10)).Verdict, Deliver)
+}
+
+// Guards against a second copy of a packet that the backend server took and is
+// still working on.
+func TestOfferToALivingBackendServerIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	g := newGate(true)
+	g.FromPeer(start, forward(self, other), data(1, feeds, 900, 10))
+	g.FromBackend(start.Add(10*time.Millisecond), answers(3, feeds, flow.Ack, 10))
+	is.Equal(len(g.Unanswered(start.Add(time.Second))), 0)
+}
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -470,6 +470,9 @@
 			a.gate.Tick(now)
 			a.release(now)
 			a.noteRefusal(now)
+			for _, action := range a.gate.Unanswered(now) {
+				a.tell(action.To, action.Message)
+			}
 			a.mu.Unlock()
 		case <-ctx.Done():
 			return
