--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -188,6 +188,12 @@
 	return out
 }
 
+// Vanished reports whether the backend server has ended unseen: it has said
+// nothing since this process started and leaves offered packets unanswered.
+func (g *Gate) Vanished(now time.Time) bool {
+	return g.backend.reported.IsZero() && g.backend.mute(now)
+}
+
 // offer keeps a message until the backend server may have returned its packet.
 func (g *Gate) offer(now time.Time, m *hop.Message, key flow.Key) uint32 {
 	if len(g.offers) >= maxOffers {
--- a/internal/flowgate/gate_test.go
+++ b/internal/flowgate/gate_test.go
@@ -371,3 +371,17 @@
 	g.FromBackend(start.Add(10*time.Millisecond), answers(3, feeds, flow.Ack, 10))
 	is.Equal(len(g.Unanswered(start.Add(time.Second))), 0)
 }
+
+// Guards against an agent that stays announced after its backend server ended
+// while no agent ran, and against one that gives a living server up.
+func TestVanishedBackendServer(t *testing.T) {
+	is := is.New(t)
+	g := newGate(true)
+	is.True(!g.Vanished(start.Add(time.Hour))) // nothing was offered
+	g.FromPeer(start, forward(self, other), data(1, feeds, 900, 10))
+	is.True(!g.Vanished(start.Add(300 * time.Millisecond)))
+	is.True(g.Vanished(start.Add(500 * time.Millisecond)))
+	_, err := g.Report(start.Add(600*time.Millisecond), report(1))
+	is.NoErr(err)
+	is.True(!g.Vanished(start.Add(time.Second)))
+}
--- a/internal/follow/announce.go
+++ b/internal/follow/announce.go
@@ -43,12 +43,10 @@
 	return a.want(m, false)
 }
 
-// Withdraw removes the member.
-func (a *Announcer) Withdraw() <-chan struct{} {
-	a.mu.Lock()
-	m := a.wanted
-	a.mu.Unlock()
-	return a.want(m, true)
+// Withdraw removes the member of a name, whichever process announced it. The
+// returned channel is closed when the store holds it no more.
+func (a *Announcer) Withdraw(name string) <-chan struct{} {
+	return a.want(view.Member{Name: name}, true)
 }
 
 func (a *Announcer) want(m view.Member, gone bool) <-chan struct{} {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -222,7 +222,7 @@
 	server.Set(platformtest.None)
 	waitFor(t, done)
 	is.Equal(server.Member("agent-1") != "", true)
-	waitFor(t, a.Withdraw())
+	waitFor(t, a.Withdraw("agent-1"))
 	is.Equal(len(server.Members()), 0)
 }
 
@@ -244,3 +244,21 @@
 	board.Apply(view.Delta{Section: view.MembersSection, To: revision, Full: true, Members: []view.Member{foreign}})
 	eventually(t, "the announcement again", func() bool { return server.Member("agent-1") == wanted })
 }
+
+// Guards against a member that stays for good because the process that
+// announced it lost power, and its successor found no backend server.
+func TestSuccessorWithdraws(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	before, _ := newAnnouncer(t, server)
+	waitFor(t, before.Set(agentMember))
+	a, board := newAnnouncer(t, server)
+	store := platform.NewStore(server.Address())
+	defer store.Close()
+	changes, revision, err := store.List(context.Background(), view.MembersSection)
+	is.NoErr(err)
+	board.Apply(view.Delta{Section: view.MembersSection, To: revision, Full: true, Members: []view.Member{*changes[0].Member}})
+	waitFor(t, a.Withdraw("agent-1"))
+	is.Equal(len(server.Members()), 0)
+}
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -115,10 +115,12 @@
 // Stop takes no new flows, waits for requests in progress, and ends.
 func (a *Agent) Stop(context.Context) error {
 	a.mu.Lock()
-	if !a.left {
-		a.gate.Leave()
-	}
+	a.gate.Leave()
+	ended := a.left || a.gate.Vanished(time.Now())
 	a.mu.Unlock()
+	if ended {
+		a.withdraw()
+	}
 	a.logger.Emit(event.Stopping, event.Fields{"drain_ms": drainTime.Milliseconds()})
 	for end := time.Now().Add(drainTime); time.Now().Before(end) && a.inProgress() > 0; {
 		time.Sleep(stopCheck)
@@ -240,16 +242,29 @@
 func (a *Agent) Left(instance string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.reported.Instance != instance {
+	if a.reported.Instance != instance && a.reported.Instance != "" {
 		return nil
 	}
 	a.left = true
 	a.gate.Leave()
-	a.node.Announcer.Withdraw()
+	a.node.Announcer.Withdraw(MemberName(a.settings.Address))
 	a.logger.Emit(event.Leaving, event.Fields{"instance": instance, "ended": true})
 	return nil
 }
 
+// withdraw removes the member of a backend server that has ended. If
+// the store doesn't answer in time the member stays until its address is used
+// again.
+func (a *Agent) withdraw() {
+	stored := false
+	select {
+	case <-a.node.Announcer.Withdraw(MemberName(a.settings.Address)):
+		stored = true
+	case <-time.After(storeTimeout):
+	}
+	a.logger.Emit(event.Leaving, event.Fields{"ended": true, "stored": stored})
+}
+
 // readNodes takes messages of balancers and agents until the socket is closed.
 func (a *Agent) readNodes(ctx context.Context) {
 	buffer := make([]byte, udp.MaxDatagram)
