Withdraw a leaving server that ended while its agent was restarted

Change: a stopping agent whose server is announced as leaving looks whether it still accepts connections, and withdraws the member if it doesn't.

Ruled out: servers that leave offers unanswered (these still returned packets), and stale views (fresh throughout).

--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -221,6 +221,9 @@
 // Leave makes the gate take no new flows from now on.
 func (g *Gate) Leave() { g.backend.report.State = view.Leaving }
 
+// Leaving reports whether the backend server is known to leave.
+func (g *Gate) Leaving() bool { return g.backend.known && g.backend.report.State == view.Leaving }
+
 // SetService takes over what the configuration says.
 func (g *Gate) SetService(s view.Service, idle time.Duration) {
 	g.backend.configured = s.Name != ""
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	// storeTimeout is how long the confirmation of a leave waits for the store.
 	// The backend server waits a second for the confirmation.
 	storeTimeout = 700 * time.Millisecond
+	// dialTimeout bounds the look whether a leaving backend server is there.
+	dialTimeout = 200 * time.Millisecond
 	// stopCheck is how often a stopping agent looks for requests in progress.
 	stopCheck = 20 * time.Millisecond
 	// drainTime is how long a stopping agent waits for requests at most.
@@ -114,13 +117,12 @@
 
 // Stop takes no new flows, waits for requests in progress, and ends.
 func (a *Agent) Stop(context.Context) error {
+	if a.backendEnded() {
+		a.withdraw()
+	}
 	a.mu.Lock()
 	a.gate.Leave()
-	ended := a.left || a.gate.Vanished(time.Now())
 	a.mu.Unlock()
-	if ended {
-		a.withdraw()
-	}
 	a.logger.Emit(event.Stopping, event.Fields{"drain_ms": drainTime.Milliseconds()})
 	for end := time.Now().Add(drainTime); time.Now().Before(end) && a.inProgress() > 0; {
 		time.Sleep(stopCheck)
@@ -252,6 +254,26 @@
 	return nil
 }
 
+// backendEnded reports whether the backend server is gone, rather than this
+// process being restarted beside it: the server said so, leaves offers
+// unanswered, or is leaving and accepts no connections any more.
+func (a *Agent) backendEnded() bool {
+	a.mu.Lock()
+	ended := a.left || a.gate.Vanished(time.Now())
+	leaving := a.gate.Leaving()
+	a.mu.Unlock()
+	if ended || !leaving {
+		return ended
+	}
+	conn, err := net.DialTimeout("tcp4", a.settings.Backend.String(), dialTimeout)
+	if err != nil {
+		a.logger.Failure(event.BackendConnFailed, errkind.Wrap(err, errkind.BackendDown, "connect to the backend server"), nil)
+		return true
+	}
+	_ = conn.Close() // nothing was sent
+	return false
+}
+
 // withdraw removes the member of a backend server that has ended. If
 // the store doesn't answer in time the member stays until its address is used
 // again.
