--- a/cmd/knapweedpier-node/main.go
+++ b/cmd/knapweedpier-node/main.go
@@ -18,18 +18,12 @@
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/follow"
+	"github.com/knapweedpier/knapweedpier/internal/settings"
 	"github.com/knapweedpier/knapweedpier/pkg/flowagent"
 	"github.com/knapweedpier/knapweedpier/pkg/flowbalancer"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
-type commands struct {
-	LogFormat   string   `help:"Format of log lines on standard output: text or json." env:"KNAPWEEDPIER_LOG_FORMAT" default:"json"`
-	MetricsPort uint16   `help:"Port of the machine's address on which metrics are read." env:"KNAPWEEDPIER_METRICS_PORT" default:"9108"`
-	Balancer    struct{} `cmd:"" help:"Forward callers' packets to agents."`
-	Agent       struct{} `cmd:"" help:"Guard the backend server on this machine."`
-}
-
 // service is what the process runs.
 type service interface {
 	Start(context.Context) error
@@ -43,7 +37,7 @@
 const settingsCheck = 5 * time.Second
 
 func main() {
-	var c commands
+	var c settings.Node
 	role := kong.Parse(&c, kong.Name("knapweedpier-node")).Command()
 	if err := run(role, c); err != nil {
 		fmt.Fprintln(os.Stderr, "knapweedpier-node:", err)
@@ -51,7 +45,7 @@
 	}
 }
 
-func run(role string, c commands) error {
+func run(role string, c settings.Node) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	lines := event.NewAsyncWriter(os.Stdout)
@@ -64,32 +58,32 @@
 	defer close(stopped)
 	go lines.TellDropped(logger, stopped)
 	path := os.Getenv(platform.SettingsVariable)
-	settings, err := platform.ReadSettings(path)
+	node, err := platform.ReadSettings(path)
 	if err != nil {
 		logger.Failure(event.SettingRefused, err, nil)
 		return err
 	}
-	settings.Metrics = netip.AddrPortFrom(settings.Address, c.MetricsPort)
+	node.Metrics = netip.AddrPortFrom(node.Address, c.MetricsPort)
 	app := fx.New(
 		fx.NopLogger,
-		fx.Supply(settings, logger),
-		fx.StopTimeout(settings.Grace),
+		fx.Supply(node, logger),
+		fx.StopTimeout(node.Grace),
 		fx.Provide(
-			func() *platform.Store { return platform.NewStore(settings.Store) },
+			func() *platform.Store { return platform.NewStore(node.Store) },
 			func(s *platform.Store) follow.Store { return s },
 			builder(role),
 		),
 		fx.Invoke(func(lc fx.Lifecycle, s service, store *platform.Store) {
 			lc.Append(fx.StopHook(store.Close))
 			lc.Append(fx.StartStopHook(s.Start, s.Stop))
-			go reload(path, settings, s, logger, stopped)
+			go reload(path, node, s, logger, stopped)
 		}),
 	)
 	if err := app.Start(ctx); err != nil {
 		return errkind.Wrap(err, errkind.Of(err), "start")
 	}
 	<-ctx.Done()
-	stop, cancelStop := context.WithTimeout(context.Background(), settings.Grace)
+	stop, cancelStop := context.WithTimeout(context.Background(), node.Grace)
 	defer cancelStop()
 	return app.Stop(stop)
 }
--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -26,6 +26,7 @@
 	}{
 		{"knapweedpier-balancer", &Balancer{}},
 		{"knapweedpier-agent", &Agent{}},
+		{"knapweedpier-node", &Node{}},
 		{"knapweedpier", &Operator{}},
 	} {
 		table, err := Table(program.dst)
