--- a/internal/change/editor.go
+++ b/internal/change/editor.go
@@ -11,7 +11,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 )
@@ -40,7 +40,7 @@
 
 // Editor updates the accepted configuration.
 type Editor struct {
-	store   platform.Store
+	store   objectstore.Store
 	options Options
 }
 
@@ -52,7 +52,7 @@
 }
 
 // New returns an editor of the configuration in store.
-func New(store platform.Store, o Options) *Editor {
+func New(store objectstore.Store, o Options) *Editor {
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/internal/change/store_test.go
+++ b/internal/change/store_test.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
@@ -28,8 +28,8 @@
 
 // scripted is a store in memory whose writes fail as the script says.
 type scripted struct {
-	platform.Store
-	object  platform.Object
+	objectstore.Store
+	object  objectstore.Object
 	history []*config.Config
 	next    func() script
 	failing int
@@ -41,14 +41,14 @@
 	apply func()
 }
 
-func (s *scripted) Get(context.Context, string) (platform.Object, error) {
+func (s *scripted) Get(context.Context, string) (objectstore.Object, error) {
 	s.tick()
 	if s.failing > 0 {
 		s.failing--
-		return platform.Object{}, errkind.New(errkind.PlatformDown, "scripted")
+		return objectstore.Object{}, errkind.New(errkind.PlatformDown, "scripted")
 	}
 	if s.object.Version == 0 {
-		return platform.Object{}, errkind.New(errkind.NotFound, "scripted")
+		return objectstore.Object{}, errkind.New(errkind.NotFound, "scripted")
 	}
 	return s.object, nil
 }
@@ -63,7 +63,7 @@
 	}
 }
 
-func (s *scripted) Put(_ context.Context, _ string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (s *scripted) Put(_ context.Context, _ string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	step := s.next()
 	var err error
 	switch step.fault {
@@ -72,11 +72,11 @@
 	case late:
 		s.pending = append(s.pending, &lateWrite{step.delay, func() { _ = s.put(value, ifVersion) }})
 	case limited:
-		return platform.Object{}, errkind.New(errkind.PlatformLimited, "scripted")
+		return objectstore.Object{}, errkind.New(errkind.PlatformLimited, "scripted")
 	}
 	if step.fault != none {
 		s.failing = step.failing
-		return platform.Object{}, errkind.New(errkind.PlatformDown, "scripted")
+		return objectstore.Object{}, errkind.New(errkind.PlatformDown, "scripted")
 	}
 	return s.object, err
 }
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	s.object = platform.Object{Key: config.ObjectKey, Version: ifVersion + 1, Value: value}
+	s.object = objectstore.Object{Key: config.ObjectKey, Version: ifVersion + 1, Value: value}
 	s.history = append(s.history, c)
 	return nil
 }
@@ -100,7 +100,7 @@
 	began int // length of the history at its first read, 0 before
 }
 
-func (o *observed) Get(ctx context.Context, key string) (platform.Object, error) {
+func (o *observed) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	object, err := o.scripted.Get(ctx, key)
 	if o.began == 0 {
 		o.began = len(o.history)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/internal/settings"
 )
 
@@ -41,7 +41,7 @@
 type Parts struct {
 	Logger       *event.Logger
 	Ring         *settings.RingSource
-	Store        platform.Store
+	Store        objectstore.Store
 	PeerListener net.Listener
 	Metrics      *metrics.Registry
 	Seeds        []netip.AddrPort
@@ -106,8 +106,8 @@
 	return ring, nil
 }
 
-func newStore(lc fx.Lifecycle, common *settings.Common) platform.Store {
-	client := platform.NewClient(common.Platform, platformTimeout)
+func newStore(lc fx.Lifecycle, common *settings.Common) objectstore.Store {
+	client := objectstore.NewClient(common.Platform, platformTimeout)
 	lc.Append(fx.StopHook(client.Close))
 	return client
 }
@@ -120,7 +120,7 @@
 	return l, nil
 }
 
-func newParts(common *settings.Common, logger *event.Logger, ring *settings.RingSource, store platform.Store, l net.Listener, registry *metrics.Registry) Parts {
+func newParts(common *settings.Common, logger *event.Logger, ring *settings.RingSource, store objectstore.Store, l net.Listener, registry *metrics.Registry) Parts {
 	p := Parts{Logger: logger, Ring: ring, Store: store, PeerListener: l, Metrics: registry}
 	for _, seed := range common.Seeds {
 		p.Seeds = append(p.Seeds, seed.AddrPort)
--- a/internal/distribution/harness_test.go
+++ b/internal/distribution/harness_test.go
@@ -16,7 +16,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
@@ -25,12 +25,12 @@
 	mu       sync.Mutex
 	down     bool
 	revision uint64
-	objects  map[string]platform.Object // with the revision as version
+	objects  map[string]objectstore.Object // with the revision as version
 	changed  signal
 	calls    int
 }
 
-func newStore() *fakeStore { return &fakeStore{objects: map[string]platform.Object{}} }
+func newStore() *fakeStore { return &fakeStore{objects: map[string]objectstore.Object{}} }
 
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
@@ -47,11 +47,11 @@
 	return nil
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	object, ok := s.objects[key]
 	if !ok {
@@ -60,17 +60,17 @@
 	return object, nil
 }
 
-func (s *fakeStore) Put(_ context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	if s.objects[key].Version != ifVersion {
-		return platform.Object{}, errkind.New(errkind.VersionConflict, key)
+		return objectstore.Object{}, errkind.New(errkind.VersionConflict, key)
 	}
 	s.revision++
-	s.objects[key] = platform.Object{Key: key, Version: s.revision, Value: value}
+	s.objects[key] = objectstore.Object{Key: key, Version: s.revision, Value: value}
 	s.changed.fire()
 	return s.objects[key], nil
 }
@@ -82,14 +82,14 @@
 	return nil
 }
 
-func (s *fakeStore) List(_ context.Context, prefix string) (platform.Listing, error) {
+func (s *fakeStore) List(_ context.Context, prefix string) (objectstore.Listing, error) {
 	return s.since(prefix, 0)
 }
 
-func (s *fakeStore) since(prefix string, after uint64) (platform.Listing, error) {
+func (s *fakeStore) since(prefix string, after uint64) (objectstore.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listing := platform.Listing{Revision: s.revision}
+	listing := objectstore.Listing{Revision: s.revision}
 	if err := s.enter(); err != nil {
 		return listing, err
 	}
@@ -101,7 +101,7 @@
 	return listing, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Listing, error) {
+func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectstore.Listing, error) {
 	timeout := time.After(wait)
 	for {
 		changed := s.changed.wait()
@@ -222,12 +222,12 @@
 
 // countedListings counts the listings of one node.
 type countedListings struct {
-	platform.Store
+	objectstore.Store
 	lists atomic.Int64
 }
 
-// List implements platform.Store.
-func (s *countedListings) List(ctx context.Context, prefix string) (platform.Listing, error) {
+// List implements objectstore.Store.
+func (s *countedListings) List(ctx context.Context, prefix string) (objectstore.Listing, error) {
 	s.lists.Add(1)
 	return s.Store.List(ctx, prefix)
 }
--- a/internal/distribution/metrics.go
+++ b/internal/distribution/metrics.go
@@ -6,7 +6,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 )
 
 // initMetrics registers the metrics of the control path. The peer package
@@ -38,7 +38,7 @@
 
 // countedStore counts the calls of a Store.
 type countedStore struct {
-	platform.Store
+	objectstore.Store
 	metrics *metrics.Control
 }
 
@@ -52,36 +52,36 @@
 	}
 }
 
-// Get implements platform.Store.
-func (s countedStore) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s countedStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	object, err := s.Store.Get(ctx, key)
 	s.count(ctx, err)
 	return object, err
 }
 
-// Put implements platform.Store.
-func (s countedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+// Put implements objectstore.Store.
+func (s countedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	object, err := s.Store.Put(ctx, key, value, ifVersion)
 	s.count(ctx, err)
 	return object, err
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (s countedStore) Delete(ctx context.Context, key string, ifVersion uint64) error {
 	err := s.Store.Delete(ctx, key, ifVersion)
 	s.count(ctx, err)
 	return err
 }
 
-// List implements platform.Store.
-func (s countedStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
+// List implements objectstore.Store.
+func (s countedStore) List(ctx context.Context, prefix string) (objectstore.Listing, error) {
 	listing, err := s.Store.List(ctx, prefix)
 	s.count(ctx, err)
 	return listing, err
 }
 
-// Watch implements platform.Store.
-func (s countedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Listing, error) {
+// Watch implements objectstore.Store.
+func (s countedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectstore.Listing, error) {
 	listing, err := s.Store.Watch(ctx, prefix, after, wait)
 	s.count(ctx, err)
 	return listing, err
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -18,9 +18,9 @@
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/internal/peer"
 	"github.com/knapweedpier/knapweedpier/internal/peertls"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
 )
 
 // Options are the parts of a Node. Self, Store, Ring and one of Listen and
@@ -28,7 +28,7 @@
 type Options struct {
 	Self     membership.Record // Peer may be unset: it is then taken from the listener
 	Seeds    []netip.AddrPort  // peer addresses to start from
-	Store    platform.Store
+	Store    objectstore.Store
 	Ring     func() *keyring.Ring
 	Listen   string            // TCP address
 	Listener net.Listener      // instead of Listen
--- a/internal/distribution/watcher.go
+++ b/internal/distribution/watcher.go
@@ -9,7 +9,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
@@ -114,7 +114,7 @@
 }
 
 // read returns everything under prefix, or what changed after a revision.
-func (w *watcher) read(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Listing, error) {
+func (w *watcher) read(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectstore.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+platformTimeout)
 	defer cancel()
 	if after == 0 {
@@ -145,7 +145,7 @@
 // collect deletes announcements of processes that have long ceased to exist.
 // Hosts are replaced with new IDs, so nobody else would. A conditional delete
 // that fails is tried again by a later full listing.
-func (w *watcher) collect(ctx context.Context, objects []platform.Object, now time.Time) {
+func (w *watcher) collect(ctx context.Context, objects []objectstore.Object, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	deleted := 0
@@ -162,7 +162,7 @@
 
 func (n *Node) hasPeers() bool { return len(n.Board.Members.Get().Members) > 1 }
 
-func (n *Node) takeAnnouncements(objects []platform.Object) {
+func (n *Node) takeAnnouncements(objects []objectstore.Object) {
 	now := n.now()
 	var changes []membership.Change
 	for _, object := range objects {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,7 +17,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/event"
 	"github.com/knapweedpier/knapweedpier/internal/gate"
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/internal/quickstart"
 	"github.com/knapweedpier/knapweedpier/internal/steering"
 	"github.com/knapweedpier/knapweedpier/internal/testcert"
@@ -75,7 +75,7 @@
 	ringText string
 	cert     *testcert.Pair
 	platform *platformstandin.Server
-	store    *platform.Client
+	store    *objectstore.Client
 	editor   *change.Editor
 
 	platformURL string
@@ -253,7 +253,7 @@
 		return err
 	}
 	f.platformURL = "http://" + address.String()
-	f.store = platform.NewClient(f.platformURL, platformTimeout)
+	f.store = objectstore.NewClient(f.platformURL, platformTimeout)
 	f.editor = change.New(f.store, change.Options{})
 	if _, err := f.editor.ApplySheet(ctx, f.sheet); err != nil {
 		return err
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 )
 
 // link is how one process reaches its peers and the platform. A cut link
@@ -102,27 +102,27 @@
 
 // linkedStore is the platform as a process behind a link reaches it.
 type linkedStore struct {
-	store platform.Store
+	store objectstore.Store
 	link  *link
 }
 
-// Get implements platform.Store.
-func (s linkedStore) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s linkedStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if err := s.link.down(); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return s.store.Get(ctx, key)
 }
 
-// Put implements platform.Store.
-func (s linkedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+// Put implements objectstore.Store.
+func (s linkedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	if err := s.link.down(); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return s.store.Put(ctx, key, value, ifVersion)
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (s linkedStore) Delete(ctx context.Context, key string, ifVersion uint64) error {
 	if err := s.link.down(); err != nil {
 		return err
@@ -130,22 +130,22 @@
 	return s.store.Delete(ctx, key, ifVersion)
 }
 
-// List implements platform.Store.
-func (s linkedStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
+// List implements objectstore.Store.
+func (s linkedStore) List(ctx context.Context, prefix string) (objectstore.Listing, error) {
 	if err := s.link.down(); err != nil {
-		return platform.Listing{}, err
+		return objectstore.Listing{}, err
 	}
 	return s.store.List(ctx, prefix)
 }
 
-// Watch implements platform.Store. An answer that comes after the cut is lost.
-func (s linkedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Listing, error) {
+// Watch implements objectstore.Store. An answer that comes after the cut is lost.
+func (s linkedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectstore.Listing, error) {
 	if err := s.link.down(); err != nil {
-		return platform.Listing{}, err
+		return objectstore.Listing{}, err
 	}
 	listing, err := s.store.Watch(ctx, prefix, after, wait)
 	if cut := s.link.down(); cut != nil {
-		return platform.Listing{}, cut
+		return objectstore.Listing{}, cut
 	}
 	return listing, err
 }
--- a/internal/platform/client.go
+++ b/internal/objectstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
--- a/internal/platform/platform.go
+++ b/internal/objectstore/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's object API: versioned
+// Package objectstore is the client of the platform's object API: versioned
 // objects, conditional updates and long-poll watches over HTTP.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -19,8 +19,8 @@
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/internal/peer"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
 	"github.com/knapweedpier/knapweedpier/internal/udp"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
@@ -35,7 +35,7 @@
 	PeerListener   net.Listener   // TCP, for other processes of the fleet
 	TunnelListen   netip.AddrPort // UDP, for balancers; the same over restarts
 	Seeds          []netip.AddrPort
-	Store          platform.Store
+	Store          objectstore.Store
 	Ring           func() *keyring.Ring
 	GetCertificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
 	Policy         Policy
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -15,8 +15,8 @@
 	"github.com/knapweedpier/knapweedpier/internal/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/membership"
 	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/internal/peer"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
 	"github.com/knapweedpier/knapweedpier/internal/steering"
 	"github.com/knapweedpier/knapweedpier/internal/udp"
 )
@@ -39,7 +39,7 @@
 	TunnelListen netip.AddrPort // UDP, for agents
 	BindHost     netip.Addr     // bound in place of service addresses; invalid for those
 	Seeds        []netip.AddrPort
-	Store        platform.Store
+	Store        objectstore.Store
 	Ring         func() *keyring.Ring
 	Policy       steering.Policy
 	Logger       *event.Logger
--- a/pkg/cli/env.go
+++ b/pkg/cli/env.go
@@ -9,7 +9,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/change"
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 )
 
 // InForce reports which processes do not yet have a generation in force.
@@ -18,13 +18,13 @@
 // Options connect the commands to their surroundings. Zero fields give the
 // defaults.
 type Options struct {
-	Out, Err io.Writer        // results, and errors with logged events
-	Version  string           // printed by --version
-	Now      func() time.Time // clock of the operator's host
-	NewID    func() string    // random change IDs
-	Exit     func(code int)   // after --help and --version
-	Store    platform.Store   // instead of a client of the platform in the settings
-	InForce  InForce          // nil: asks the balancers in the settings; without any, --wait is refused
+	Out, Err io.Writer         // results, and errors with logged events
+	Version  string            // printed by --version
+	Now      func() time.Time  // clock of the operator's host
+	NewID    func() string     // random change IDs
+	Exit     func(code int)    // after --help and --version
+	Store    objectstore.Store // instead of a client of the platform in the settings
+	InForce  InForce           // nil: asks the balancers in the settings; without any, --wait is refused
 }
 
 // Env is what commands use.
@@ -35,7 +35,7 @@
 	Log      *event.Logger
 
 	editor *change.Editor
-	store  platform.Store
+	store  objectstore.Store
 	usable bool // a platform is set
 }
 
@@ -47,7 +47,7 @@
 
 // Store returns the platform's objects, or a SettingInvalid error when no
 // platform is set.
-func (e *Env) Store() (platform.Store, error) {
+func (e *Env) Store() (objectstore.Store, error) {
 	return e.store, e.needPlatform()
 }
 
--- a/pkg/cli/session_test.go
+++ b/pkg/cli/session_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 	standin "github.com/knapweedpier/knapweedpier/standin/platform"
 )
 
@@ -25,7 +25,7 @@
 // session runs command lines ("$ ...") and directives ("! ...") of a golden
 // file against a stand-in platform and writes them with their output.
 type session struct {
-	platform.Store
+	objectstore.Store
 	server *standin.Server
 	race   string // command line that another operator runs inside the next write
 	minute int
@@ -33,7 +33,7 @@
 }
 
 // Put lets the other operator in before the write.
-func (s *session) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (s *session) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	if other := s.race; other != "" {
 		s.race = ""
 		fmt.Fprintln(&s.out, "(other operator)")
@@ -101,7 +101,7 @@
 			addr, err := server.Start("127.0.0.1:0")
 			is.NoErr(err)
 			defer server.Close()
-			client := platform.NewClient("http://"+addr.String(), time.Second)
+			client := objectstore.NewClient("http://"+addr.String(), time.Second)
 			defer client.Close()
 			s := &session{Store: client, server: server}
 			got := s.play(t, string(golden))
--- a/pkg/cli/wire.go
+++ b/pkg/cli/wire.go
@@ -8,7 +8,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/change"
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/platform"
+	"github.com/knapweedpier/knapweedpier/internal/objectstore"
 )
 
 // inApp builds the parts of an Env, runs do, and closes the parts again.
@@ -37,20 +37,20 @@
 	return event.New(o.Err, s.Log)
 }
 
-func newStore(lc fx.Lifecycle, s Settings, o Options) platform.Store {
+func newStore(lc fx.Lifecycle, s Settings, o Options) objectstore.Store {
 	if o.Store != nil {
 		return o.Store
 	}
-	client := platform.NewClient(s.Platform, s.Timeout)
+	client := objectstore.NewClient(s.Platform, s.Timeout)
 	lc.Append(fx.StopHook(client.Close))
 	return client
 }
 
-func newEditor(store platform.Store, log *event.Logger, o Options) *change.Editor {
+func newEditor(store objectstore.Store, log *event.Logger, o Options) *change.Editor {
 	return change.New(store, change.Options{Now: o.Now, NewID: o.NewID, Log: log})
 }
 
-func newEnv(s Settings, o Options, log *event.Logger, editor *change.Editor, store platform.Store) *Env {
+func newEnv(s Settings, o Options, log *event.Logger, editor *change.Editor, store objectstore.Store) *Env {
 	inForce := o.InForce
 	if inForce == nil && len(s.Peers) > 0 {
 		inForce = balancers{s}.InForce
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	api "github.com/knapweedpier/knapweedpier/internal/platform"
+	api "github.com/knapweedpier/knapweedpier/internal/objectstore"
 	"github.com/knapweedpier/knapweedpier/standin/platform"
 )
 
