--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,6 +15,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
 	"github.com/knapweedpier/knapweedpier/internal/view"
 )
 
@@ -37,6 +38,9 @@
 	peerMargin = 400 * time.Millisecond
 	// freshAge is the age of a peer's view up to which it is followed.
 	freshAge = 3500 * time.Millisecond
+	// followersEach is the number of processes for each of those that others
+	// of the zone ask, so that what one answers doesn't grow with the zone.
+	followersEach = 24
 	// minRetry and maxRetry bound the pause between failed calls of the store.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
@@ -305,6 +309,7 @@
 		}
 	}
 	slices.SortFunc(before, compareMembers)
+	before = spread(before, f.o.Name)
 	if f.lost.Load() {
 		slices.SortFunc(others, compareMembers)
 		before = append(before, others...)
@@ -320,6 +325,17 @@
 	return slices.DeleteFunc(peers, func(peer netip.AddrPort) bool { return peer == f.o.Self })
 }
 
+// spread lets the processes of a large zone begin with different ones of those
+// that come first.
+func spread(before []view.Member, name string) []view.Member {
+	asked := 1 + len(before)/followersEach
+	if len(before) <= asked {
+		return before
+	}
+	first := int(rendezvous.Hash(name) % uint64(asked))
+	return slices.Concat(before[first:asked], before[:first], before[asked:])
+}
+
 // isSeed reports whether this process is one that others ask first.
 func (f *Follower) isSeed() bool { return slices.Contains(f.o.Seeds, f.o.Self) }
 
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -108,10 +108,9 @@
 	if err := b.node.Serve(s.Metrics, b.registry.TextHandler(b.measure)); err != nil {
 		return err
 	}
-	b.node.OnStop(func() { _ = b.callers.Close(); _ = b.agents.Close() })
-	b.node.Go(b.followView)
-	b.node.Go(b.readCallers)
-	b.node.Go(b.readAgents)
+	b.node.FollowView(b.takeView)
+	b.node.ReadPackets(b.callers, b.fromCaller)
+	b.node.ReadMessages(b.agents, b.fromAgent)
 	b.node.Go(b.runTimers)
 	b.logger.Emit(event.Started, event.Fields{"role": "balancer", "name": s.Name, "zone": s.Zone, "first_start": s.FirstStart})
 	return nil
@@ -154,20 +153,7 @@
 	return b.complete && !b.isolated && !b.stopping.Load()
 }
 
-// followView hands each new view to the steerer.
-func (b *Balancer) followView(ctx context.Context) {
-	changed, cancel := b.node.Board.Subscribe()
-	defer cancel()
-	for {
-		select {
-		case <-changed:
-			b.takeView(b.node.Board.View())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
+// takeView hands a new view to the steerer.
 func (b *Balancer) takeView(v view.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -178,8 +164,11 @@
 	b.complete = true
 	now := time.Now()
 	for _, h := range b.held {
-		if now.Sub(h.at) < heldTimeout {
-			b.forward(now, h.raw)
+		if now.Sub(h.at) >= heldTimeout {
+			continue
+		}
+		if err := b.forward(now, h.raw); err != nil {
+			b.node.Refuse(err)
 		}
 	}
 	b.held = nil
@@ -189,36 +178,27 @@
 	})
 }
 
-// readCallers forwards callers' packets until the socket is closed.
-func (b *Balancer) readCallers(ctx context.Context) {
-	buffer := make([]byte, udp.MaxDatagram)
-	for {
-		n, _, err := b.callers.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			b.refuse(errkind.Wrap(err, errkind.PacketMalformed, "read a caller's packet"))
-			continue
-		}
-		now := time.Now()
-		b.mu.Lock()
-		b.lastPacket = now
-		if b.complete {
-			b.forward(now, buffer[:n])
-		} else if len(b.held) < maxHeld {
-			b.held = append(b.held, heldPacket{raw: append([]byte(nil), buffer[:n]...), at: now})
-		}
-		b.mu.Unlock()
+// fromCaller forwards one packet of a caller, or keeps it until the first view
+// is known.
+func (b *Balancer) fromCaller(raw []byte) error {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lastPacket = now
+	if b.complete {
+		return b.forward(now, raw)
+	}
+	if len(b.held) < maxHeld {
+		b.held = append(b.held, heldPacket{raw: append([]byte(nil), raw...), at: now})
 	}
+	return nil
 }
 
 // forward decides about one caller's packet.
-func (b *Balancer) forward(now time.Time, raw []byte) {
+func (b *Balancer) forward(now time.Time, raw []byte) error {
 	p, err := platform.DecodePacket(raw)
 	if err != nil {
-		b.refuse(err)
-		return
+		return err
 	}
 	a := b.steerer.FromCaller(now, p, raw)
 	b.count(p, a)
@@ -228,6 +208,7 @@
 		})
 	}
 	b.do(a)
+	return nil
 }
 
 // count updates the counters of a caller's packet.
@@ -253,27 +234,7 @@
 	b.metrics.Version.Update(b.node.Board.View().Configuration.Version)
 }
 
-// readAgents takes agents' messages until the socket is closed.
-func (b *Balancer) readAgents(ctx context.Context) {
-	buffer := make([]byte, udp.MaxDatagram)
-	var m hop.Message
-	for {
-		n, _, err := b.agents.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
-			err = hop.Decode(buffer[:n], &m)
-		}
-		if err == nil {
-			err = b.fromAgent(&m)
-		}
-		if err != nil {
-			b.refuse(err)
-		}
-	}
-}
-
+// fromAgent takes a message of an agent or of another balancer.
 func (b *Balancer) fromAgent(m *hop.Message) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -354,8 +315,6 @@
 // way: its sender repeats it.
 func (b *Balancer) write(socket udp.Socket, to netip.AddrPort) {
 	if _, err := socket.WriteToUDPAddrPort(b.out, to); err != nil {
-		b.refuse(errkind.Wrap(err, errkind.PacketNoAgent, "send a packet"))
+		b.node.Refuse(errkind.Wrap(err, errkind.PacketNoAgent, "send a packet"))
 	}
 }
-
-func (b *Balancer) refuse(err error) { b.logger.Failure(event.PacketRefused, err, nil) }
