--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -54,8 +54,8 @@
 	BackendReported ID = 1506
 	ReportRefused   ID = 1507
 	FlowsLost       ID = 1508
-	ZoneOut         ID = 1509
-	ZoneBack        ID = 1510
+	DomainEvacuated ID = 1509
+	DomainTakenBack ID = 1510
 	LinesDropped    ID = 1511
 	PacketRefused   ID = 1512
 	RequestSeen     ID = 1513
@@ -141,8 +141,8 @@
 	{BackendReported, log.InfoLevel, false, "backend server reported a change", "None."},
 	{ReportRefused, log.WarnLevel, true, "report of a backend server refused", "Look for a second sender of reports."},
 	{FlowsLost, log.WarnLevel, false, "backend server lost its flows", "Check why the backend server started again."},
-	{ZoneOut, log.InfoLevel, false, "zone evacuated", "None."},
-	{ZoneBack, log.InfoLevel, false, "zone taken back", "None."},
+	{DomainEvacuated, log.InfoLevel, false, "failure domain evacuated", "None."},
+	{DomainTakenBack, log.InfoLevel, false, "failure domain taken back", "None."},
 	{LinesDropped, log.WarnLevel, false, "log lines dropped", "Read the log faster, or look for the cause of the load."},
 	{PacketRefused, log.WarnLevel, true, "packet refused", "See ERRORS.md for the kind."},
 	{RequestSeen, log.InfoLevel, false, "request seen", "None."},
--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -47,7 +47,7 @@
 	reported time.Time
 	report   Report
 
-	out         bool // the zone is evacuated
+	out         bool // the failure domain is evacuated
 	unconfirmed bool // may have become cold since the last report
 	coldUntil   time.Time
 	tokens      float64 // openings that a cold backend server may get now
@@ -233,7 +233,7 @@
 	}
 }
 
-// SetOut notes whether the zone is evacuated. After an evacuation the backend
+// SetOut notes whether the failure domain is evacuated. After an evacuation the backend
 // server may be cold, so it counts as cold until it reports again.
 func (g *Gate) SetOut(out bool) {
 	if g.backend.out && !out {
--- a/internal/flowgate/queue_test.go
+++ b/internal/flowgate/queue_test.go
@@ -72,7 +72,7 @@
 	return n
 }
 
-// The load pattern: a backlog that all arrives at once when machines are back,
+// The load pattern: a backlog that all arrives at once when hosts are back,
 // followed by the usual rate below what the slots bear. Guards against a
 // backlog that makes every later request late.
 func TestBacklogAfterAnOutage(t *testing.T) {
--- a/internal/flownode/node.go
+++ b/internal/flownode/node.go
@@ -38,10 +38,10 @@
 // Options are the fixed parts of a node.
 type Options struct {
 	Name   string
-	Zone   string
+	Domain string
 	Role   view.Role
 	Peer   netip.AddrPort // answers peers
-	Seeds  []netip.Addr   // machines of other nodes
+	Seeds  []netip.Addr   // hosts of other nodes
 	Store  follow.Store
 	Logger *event.Logger
 
@@ -64,7 +64,7 @@
 		seeds = append(seeds, netip.AddrPortFrom(ip, o.Peer.Port()))
 	}
 	f := follow.New(follow.Options{
-		Name: o.Name, Self: o.Peer, Zone: o.Zone, Role: o.Role,
+		Name: o.Name, Self: o.Peer, Domain: o.Domain, Role: o.Role,
 		Store: o.Store, Board: n.Board, Logger: o.Logger, Seeds: seeds, FirstStart: o.FirstStart,
 	})
 	n.Go(f.Run)
--- a/internal/flowsteer/agents.go
+++ b/internal/flowsteer/agents.go
@@ -45,7 +45,7 @@
 // agent is what the balancer knows of one agent.
 type agent struct {
 	contact
-	out     bool // its zone is evacuated
+	out     bool // its failure domain is evacuated
 	load    hop.Load
 	heardAt time.Time
 	placed  int // flows sent there since its load was heard
@@ -56,8 +56,8 @@
 	byAddress map[netip.AddrPort]*agent
 	byService map[string][]*agent
 	all       []*agent
-	balancers map[netip.AddrPort]*contact // those of other zones
-	reached   bool                        // a balancer of another zone answered since the start
+	balancers map[netip.AddrPort]*contact // those of other failure domains
+	reached   bool                        // a balancer of another failure domain answered since the start
 }
 
 func newAgents() agents {
@@ -66,14 +66,14 @@
 
 // set takes the members of a view over and keeps what is known of agents that
 // stay.
-func (as *agents) set(v view.View, zone string) {
+func (as *agents) set(v view.View, domain string) {
 	next := map[netip.AddrPort]*agent{}
 	balancers := map[netip.AddrPort]*contact{}
 	as.byService = map[string][]*agent{}
 	as.all = nil
 	for _, m := range v.Members.ByName {
 		if m.Role == view.BalancerRole {
-			if m.Zone != zone {
+			if m.Domain != domain {
 				balancers[m.Address] = cmp.Or(as.balancers[m.Address], &contact{})
 				balancers[m.Address].member = m
 			}
@@ -83,7 +83,7 @@
 		if a == nil || a.member.Name != m.Name {
 			a = &agent{}
 		}
-		a.member, a.out = m, v.Evacuations.Zones[m.Zone]
+		a.member, a.out = m, v.Evacuations.Domains[m.Domain]
 		next[m.Address] = a
 		as.all = append(as.all, a)
 	}
@@ -135,24 +135,24 @@
 }
 
 // dead reports whether an agent is given up: it has been silent for long while
-// other machines of its zone answer. A zone of which none answers may be cut
+// other hosts of its failure domain answer. A failure domain of which none answers may be cut
 // off from this balancer alone.
 func (as *agents) dead(now time.Time, a *agent) bool {
 	patience := deadAfter
 	if a.heardAt.IsZero() {
 		patience = neverHeard
 	}
-	return a.suspect && now.Sub(a.unheard) > patience && as.answers(a.member.Zone)
+	return a.suspect && now.Sub(a.unheard) > patience && as.answers(a.member.Domain)
 }
 
-// answers reports whether a machine of a zone answers hellos.
-func (as *agents) answers(zone string) bool {
+// answers reports whether a host of a failure domain answers hellos.
+func (as *agents) answers(domain string) bool {
 	for _, b := range as.balancers {
-		if b.member.Zone == zone && !b.suspect {
+		if b.member.Domain == domain && !b.suspect {
 			return true
 		}
 	}
-	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.member.Zone == zone && !a.suspect })
+	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.member.Domain == domain && !a.suspect })
 }
 
 // rankAll returns all agents in the order in which they may hold a flow: first
@@ -278,7 +278,7 @@
 }
 
 // isolated reports whether the balancer rather than the others is cut off: no
-// balancer of another zone answers any more, and less than half of the agents
+// balancer of another failure domain answers any more, and less than half of the agents
 // do. A balancer that has just started may be ahead of the others.
 func (as *agents) isolated() bool {
 	for _, b := range as.balancers {
--- a/internal/flowsteer/steer.go
+++ b/internal/flowsteer/steer.go
@@ -20,7 +20,7 @@
 
 const (
 	// placementTimeout is how long an agent may take to say that it holds a
-	// new flow. It covers a round trip between zones and a busy agent, and
+	// new flow. It covers a round trip between failure domains and a busy agent, and
 	// ends before the caller sends its first copy after 200 ms.
 	placementTimeout = 80 * time.Millisecond
 	// missInterval is the time between two searches that found a flow nowhere
@@ -64,7 +64,7 @@
 // Steerer decides for one balancer. It is not safe for concurrent use.
 type Steerer struct {
 	self      netip.AddrPort
-	zone      string
+	domain    string
 	view      view.View
 	changed   time.Time // when the members changed last
 	confirmed time.Time
@@ -93,11 +93,11 @@
 	at      time.Time
 }
 
-// New returns a steerer for the balancer of a zone that agents answer at self.
-func New(self netip.AddrPort, zone string) *Steerer {
+// New returns a steerer for the balancer of a failure domain that agents answer at self.
+func New(self netip.AddrPort, domain string) *Steerer {
 	return &Steerer{
 		self:     self,
-		zone:     zone,
+		domain:   domain,
 		agents:   newAgents(),
 		flows:    newHolders(),
 		openings: map[flow.Key]*opening{},
@@ -112,7 +112,7 @@
 		s.changed = now
 	}
 	s.view = v
-	s.agents.set(v, s.zone)
+	s.agents.set(v, s.domain)
 }
 
 // SetConfirmed tells when the view was last known to be current.
--- a/internal/flowsteer/steer_test.go
+++ b/internal/flowsteer/steer_test.go
@@ -24,25 +24,25 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172)
 }
 
-// testView has n agents of comptoir with 9 slots, spread over three zones, and
-// a balancer in another zone.
+// testView has n agents of comptoir with 9 slots, spread over three failure domains, and
+// a balancer in another failure domain.
 func testView(n int) view.View {
 	v := view.View{
 		Configuration: view.Configuration{Revision: 1, Routes: map[netip.AddrPort]view.Route{
 			route: {Address: route, Targets: []view.Target{{Service: "comptoir", Weight: 1}}},
 		}},
-		Evacuations: view.Evacuations{Revision: 1, Zones: map[string]bool{}},
+		Evacuations: view.Evacuations{Revision: 1, Domains: map[string]bool{}},
 		Members:     view.Members{Revision: 1, ByName: map[string]view.Member{}},
 	}
 	for i := range n {
 		m := view.Member{
-			Name: fmt.Sprintf("agent-%d", i), Role: view.AgentRole, Zone: []string{"a", "b", "c"}[i%3],
+			Name: fmt.Sprintf("agent-%d", i), Role: view.AgentRole, Domain: []string{"a", "b", "c"}[i%3],
 			Address: agentAddress(i), Service: "comptoir", Slots: 9, State: view.Ready,
 		}
 		v.Members.ByName[m.Name] = m
 	}
 	remote := netip.MustParseAddrPort("10.2.0.10:7720")
-	v.Members.ByName["balancer-b"] = view.Member{Name: "balancer-b", Role: view.BalancerRole, Zone: "b", Address: remote}
+	v.Members.ByName["balancer-b"] = view.Member{Name: "balancer-b", Role: view.BalancerRole, Domain: "b", Address: remote}
 	return v
 }
 
@@ -87,12 +87,12 @@
 	m := v.Members.ByName["agent-1"]
 	m.State = view.Leaving
 	v.Members.ByName["agent-1"] = m
-	v.Evacuations.Zones["a"] = true
+	v.Evacuations.Domains["a"] = true
 	s := newSteerer(v)
 	for port := range 100 {
 		a := s.FromCaller(start, callerPacket(port+1, flow.Open), nil)
 		for _, c := range a.Message.Candidates {
-			is.True(c != agentAddress(0) && c != agentAddress(3)) // zone a
+			is.True(c != agentAddress(0) && c != agentAddress(3)) // failure domain a
 			is.True(c != agentAddress(1))                         // leaving
 		}
 	}
@@ -103,7 +103,7 @@
 func TestOpeningNobodyTakesIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	v := testView(3)
-	v.Evacuations.Zones = map[string]bool{"a": true, "b": true, "c": true}
+	v.Evacuations.Domains = map[string]bool{"a": true, "b": true, "c": true}
 	a := newSteerer(v).FromCaller(start, callerPacket(1, flow.Open), nil)
 	is.Equal(a.Verdict, Reset)
 	is.Equal(a.Kind, errkind.PacketNoAgent)
@@ -294,7 +294,7 @@
 }
 
 // Guards against a balancer that stays out of the rotation after a power cut
-// because the other machines start a little later.
+// because the other hosts start a little later.
 func TestFreshBalancerIsNotIsolated(t *testing.T) {
 	is := is.New(t)
 	s := newSteerer(testView(4))
@@ -316,7 +316,7 @@
 }
 
 // Guards against callers that wait for their deadlines for good, because one
-// machine is gone whose member is still announced: after a power cut each flow
+// host is gone whose member is still announced: after a power cut each flow
 // from before it is at no agent.
 func TestDeadAgentDoesNotKeepLostFlows(t *testing.T) {
 	is := is.New(t)
@@ -348,16 +348,16 @@
 	is.True(a.Message.Ask)
 }
 
-// Guards against resets of flows that live on in a zone that this balancer is
+// Guards against resets of flows that live on in a failure domain that this balancer is
 // cut off from.
-func TestFlowsOfAnUnreachableZoneAreKept(t *testing.T) {
+func TestFlowsOfAnUnreachableDomainAreKept(t *testing.T) {
 	is := is.New(t)
 	v := testView(9)
 	s := newSteerer(v)
 	for at := start.Add(-4 * time.Second); at.Before(start); at = at.Add(100 * time.Millisecond) {
 		s.Tick(at)
 		for i := range 9 {
-			if i%3 != 1 { // zone b doesn't answer
+			if i%3 != 1 { // failure domain b doesn't answer
 				s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
 			}
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,7 +1,7 @@
-// Package follow keeps a process's view current. In each zone one process
+// Package follow keeps a process's view current. In each failure domain one process
 // watches the store and the others ask it over jsonrpc2; a process that has no
 // fresh answer from a peer watches the store itself, and one that the store
-// turns away asks peers in all zones.
+// turns away asks peers in all failure domains.
 package follow
 
 import (
@@ -39,7 +39,7 @@
 	// freshAge is the age of a peer's view up to which it is followed.
 	freshAge = 3500 * time.Millisecond
 	// followersEach is the number of processes for each of those that others
-	// of the zone ask, so that what one answers doesn't grow with the zone.
+	// of the failure domain ask, so that what one answers doesn't grow with the failure domain.
 	followersEach = 24
 	// minRetry and maxRetry bound the pause between failed calls of the store.
 	minRetry = 50 * time.Millisecond
@@ -84,7 +84,7 @@
 type Options struct {
 	Name   string         // of this process among the members
 	Self   netip.AddrPort // where this process answers peers
-	Zone   string
+	Domain string
 	Role   view.Role
 	Store  Store
 	Board  *view.Board
@@ -232,9 +232,9 @@
 
 // fill puts changes into a delta against v.
 func (f *Follower) fill(d *view.Delta, v view.View, changes []Change) {
-	zones := map[string]bool{}
-	for zone := range v.Evacuations.Zones {
-		zones[zone] = true
+	domains := map[string]bool{}
+	for domain := range v.Evacuations.Domains {
+		domains[domain] = true
 	}
 	for _, c := range changes {
 		if c.Fault != nil {
@@ -243,9 +243,9 @@
 		}
 		switch {
 		case d.Section == view.EvacuationsSection && c.Gone:
-			delete(zones, c.Name)
+			delete(domains, c.Name)
 		case d.Section == view.EvacuationsSection:
-			zones[c.Name] = true
+			domains[c.Name] = true
 		case c.Gone:
 			d.Gone = append(d.Gone, c.Name)
 		case c.Member != nil:
@@ -256,10 +256,10 @@
 		}
 	}
 	if d.Section == view.EvacuationsSection {
-		for zone := range zones {
-			d.Zones = append(d.Zones, zone)
+		for domain := range domains {
+			d.Domains = append(d.Domains, domain)
 		}
-		slices.Sort(d.Zones)
+		slices.Sort(d.Domains)
 	}
 }
 
@@ -273,7 +273,7 @@
 		fields["version"], fields["routes"] = d.Configuration.Version, len(d.Configuration.Routes)
 		fields["dropped"] = len(d.Configuration.Dropped)
 	case d.Section == view.EvacuationsSection:
-		fields["zones"] = d.Zones
+		fields["domains"] = d.Domains
 	default:
 		fields["members"], fields["gone"] = len(d.Members), len(d.Gone)
 	}
@@ -293,7 +293,7 @@
 	}
 }
 
-// upstream returns the peers to ask, in order: those of the own zone that come
+// upstream returns the peers to ask, in order: those of the own failure domain that come
 // before this process, all others while the store is lost, and the seeds while
 // no peers are known.
 func (f *Follower) upstream() []netip.AddrPort {
@@ -302,7 +302,7 @@
 	for _, m := range v.Members.ByName {
 		switch {
 		case m.Name == f.o.Name:
-		case m.Zone == f.o.Zone && f.after(m):
+		case m.Domain == f.o.Domain && f.after(m):
 			before = append(before, m)
 		default:
 			others = append(others, m)
@@ -325,7 +325,7 @@
 	return slices.DeleteFunc(peers, func(peer netip.AddrPort) bool { return peer == f.o.Self })
 }
 
-// spread lets the processes of a large zone begin with different ones of those
+// spread lets the processes of a large failure domain begin with different ones of those
 // that come first.
 func spread(before []view.Member, name string) []view.Member {
 	asked := 1 + len(before)/followersEach
@@ -339,12 +339,12 @@
 // isSeed reports whether this process is one that others ask first.
 func (f *Follower) isSeed() bool { return slices.Contains(f.o.Seeds, f.o.Self) }
 
-// after reports whether this process comes after m in its zone.
+// after reports whether this process comes after m in its failure domain.
 func (f *Follower) after(m view.Member) bool {
 	return compareMembers(m, view.Member{Name: f.o.Name, Role: f.o.Role}) < 0
 }
 
-// compareMembers puts balancers first: their machines are larger.
+// compareMembers puts balancers first: their hosts are larger.
 func compareMembers(a, b view.Member) int {
 	if a.Role != b.Role {
 		if a.Role == view.BalancerRole {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -28,7 +28,7 @@
 
 // startProcess runs a follower against a store. Its member is announced if the
 // store answers.
-func startProcess(t *testing.T, name string, role view.Role, zone string, server *platformtest.Store, announced []process) process {
+func startProcess(t *testing.T, name string, role view.Role, domain string, server *platformtest.Store, announced []process) process {
 	t.Helper()
 	store := platform.NewStore(server.Address())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -43,7 +43,7 @@
 	for _, other := range announced {
 		seeds = append(seeds, other.peer)
 	}
-	f := follow.New(follow.Options{Name: name, Self: p.peer, Role: role, Zone: zone, Store: store, Board: p.board, Logger: event.Discard(), Seeds: seeds})
+	f := follow.New(follow.Options{Name: name, Self: p.peer, Role: role, Domain: domain, Store: store, Board: p.board, Logger: event.Discard(), Seeds: seeds})
 	go func() {
 		defer close(done)
 		f.Run(ctx)
@@ -57,11 +57,11 @@
 	return p
 }
 
-func announce(t *testing.T, server *platformtest.Store, name string, role view.Role, zone string, p process) {
+func announce(t *testing.T, server *platformtest.Store, name string, role view.Role, domain string, p process) {
 	t.Helper()
 	store := platform.NewStore(server.Address())
 	defer store.Close()
-	if _, err := store.WriteMember(context.Background(), view.Member{Name: name, Role: role, Zone: zone, Address: p.peer, Peer: p.peer}); err != nil {
+	if _, err := store.WriteMember(context.Background(), view.Member{Name: name, Role: role, Domain: domain, Address: p.peer, Peer: p.peer}); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -89,12 +89,12 @@
 	server.SetConfiguration(2)
 	eventually(t, "change", func() bool { return p.version() == 2 })
 	server.Evacuate("a", true)
-	eventually(t, "evacuation", func() bool { return p.board.View().Evacuations.Zones["a"] })
+	eventually(t, "evacuation", func() bool { return p.board.View().Evacuations.Domains["a"] })
 	server.SetConfiguration(3)
 	server.Evacuate("a", false)
 	server.Forget()
 	eventually(t, "changes before the forgotten history", func() bool {
-		return p.version() == 3 && !p.board.View().Evacuations.Zones["a"]
+		return p.version() == 3 && !p.board.View().Evacuations.Domains["a"]
 	})
 	server.Set(platformtest.Busy)
 	server.SetConfiguration(4)
@@ -118,7 +118,7 @@
 
 // Guards against a fleet in which each process calls the store: those that
 // follow a peer make no calls.
-func TestOneProcessOfAZoneCallsTheStore(t *testing.T) {
+func TestOneProcessOfADomainCallsTheStore(t *testing.T) {
 	is := is.New(t)
 	server := platformtest.New()
 	defer server.Close()
@@ -149,8 +149,8 @@
 	is.True(server.Calls()-before <= 6) // of the first process alone
 }
 
-// Guards against machines that the store turns away while it serves others:
-// they learn changes from peers of other zones.
+// Guards against hosts that the store turns away while it serves others:
+// they learn changes from peers of other failure domains.
 func TestTurnedAwayProcessLearnsFromPeers(t *testing.T) {
 	server, unreachable := platformtest.New(), platformtest.New()
 	defer server.Close()
--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -9,10 +9,10 @@
 	"github.com/knapweedpier/knapweedpier/internal/view"
 )
 
-// The load pattern: all processes of a zone ask for changes. Guards against one
+// The load pattern: all processes of a failure domain ask for changes. Guards against one
 // process that answers them all however many there are, and against processes
 // that ask each other in a circle.
-func TestQuestionsOfALargeZoneAreSpread(t *testing.T) {
+func TestQuestionsOfALargeDomainAreSpread(t *testing.T) {
 	is := is.New(t)
 	for _, size := range []int{3, 30, 110, 300} {
 		var all []view.Member
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -1,4 +1,4 @@
-// Package view holds what a process knows of the configuration, of zones that
+// Package view holds what a process knows of the configuration, of failure domains that
 // are taken out and of the members of the system, each with the store's
 // revision up to which it is known. A section never goes back to an older
 // revision within a process.
@@ -66,10 +66,10 @@
 	IdleTimeout time.Duration
 }
 
-// Evacuations are the zones whose backend servers get no new flows.
+// Evacuations are the failure domains whose backend servers get no new flows.
 type Evacuations struct {
 	Revision Revision
-	Zones    map[string]bool
+	Domains  map[string]bool
 }
 
 // Role says what a member does.
@@ -94,7 +94,7 @@
 type Member struct {
 	Name    string
 	Role    Role
-	Zone    string
+	Domain  string
 	Address netip.AddrPort // takes messages of package hop
 	Peer    netip.AddrPort // answers package follow
 	Service string         // agents: the service of the backend server
@@ -146,7 +146,7 @@
 	Full     bool // replaces the section; From is not used
 
 	Configuration *ConfigurationDelta `json:",omitempty"`
-	Zones         []string            `json:",omitempty"` // EvacuationsSection: all zones
+	Domains       []string            `json:",omitempty"` // EvacuationsSection: all failure domains
 	Members       []Member            `json:",omitempty"` // new or changed
 	Gone          []string            `json:",omitempty"` // names of members
 }
@@ -171,9 +171,9 @@
 	case ConfigurationSection:
 		v.Configuration = v.Configuration.apply(d)
 	case EvacuationsSection:
-		v.Evacuations = Evacuations{Revision: d.To, Zones: map[string]bool{}}
-		for _, zone := range d.Zones {
-			v.Evacuations.Zones[zone] = true
+		v.Evacuations = Evacuations{Revision: d.To, Domains: map[string]bool{}}
+		for _, domain := range d.Domains {
+			v.Evacuations.Domains[domain] = true
 		}
 	case MembersSection:
 		v.Members = v.Members.apply(d)
@@ -233,7 +233,7 @@
 	case ConfigurationSection:
 		d.Configuration = v.Configuration.Difference(Configuration{})
 	case EvacuationsSection:
-		d.Zones = slices.Sorted(maps.Keys(v.Evacuations.Zones))
+		d.Domains = slices.Sorted(maps.Keys(v.Evacuations.Domains))
 	case MembersSection:
 		for _, name := range slices.Sorted(maps.Keys(v.Members.ByName)) {
 			d.Members = append(d.Members, v.Members.ByName[name])
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -75,9 +75,9 @@
 	is := is.New(t)
 	b := NewBoard()
 	is.True(b.Apply(Delta{Section: EvacuationsSection, To: 5, Full: true}))
-	is.True(!b.Apply(Delta{Section: EvacuationsSection, From: 7, To: 8, Zones: []string{"shawi"}}))
-	is.True(b.Apply(Delta{Section: EvacuationsSection, From: 4, To: 8, Zones: []string{"shawi"}}))
-	is.True(b.View().Evacuations.Zones["shawi"])
+	is.True(!b.Apply(Delta{Section: EvacuationsSection, From: 7, To: 8, Domains: []string{"shawi"}}))
+	is.True(b.Apply(Delta{Section: EvacuationsSection, From: 4, To: 8, Domains: []string{"shawi"}}))
+	is.True(b.View().Evacuations.Domains["shawi"])
 }
 
 // Guards against a peer that is a little behind and gets a change twice or not
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -49,7 +49,7 @@
 	gate     *flowgate.Gate
 	reported flowgate.Report
 	left     bool         // the backend server said that it ends
-	out      bool         // the zone is evacuated
+	out      bool         // the failure domain is evacuated
 	refusal  errkind.Kind // why no new flows are taken, 0 if they are
 	buffer   []byte
 }
@@ -88,7 +88,7 @@
 		return err
 	}
 	a.node, err = flownode.Start(flownode.Options{
-		Name: MemberName(s.Address), Zone: s.Zone, Role: view.AgentRole, Peer: s.Peer, Seeds: s.Seeds, Store: a.store, Logger: a.logger,
+		Name: MemberName(s.Address), Domain: s.Domain, Role: view.AgentRole, Peer: s.Peer, Seeds: s.Seeds, Store: a.store, Logger: a.logger,
 		FirstStart: s.FirstStart,
 	})
 	if err != nil {
@@ -107,7 +107,7 @@
 	a.node.ReadMessages(a.nodes, a.fromNode)
 	a.node.ReadPackets(a.backend, a.fromBackend)
 	a.node.Go(a.sweep)
-	a.logger.Emit(event.Started, event.Fields{"role": "agent", "name": s.Name, "zone": s.Zone, "service": s.Service, "first_start": s.FirstStart})
+	a.logger.Emit(event.Started, event.Fields{"role": "agent", "name": s.Name, "domain": s.Domain, "service": s.Service, "first_start": s.FirstStart})
 	return nil
 }
 
@@ -155,13 +155,13 @@
 	s := a.settings
 	a.gate.SetRoutes(v.Configuration.Routes)
 	a.gate.SetService(v.Configuration.Services[s.Service], v.Configuration.IdleTimeout)
-	out := v.Evacuations.Zones[s.Zone]
+	out := v.Evacuations.Domains[s.Domain]
 	if out != a.out {
-		id := event.ZoneBack
+		id := event.DomainTakenBack
 		if out {
-			id = event.ZoneOut
+			id = event.DomainEvacuated
 		}
-		a.logger.Emit(id, event.Fields{"zone": s.Zone, "revision": v.Evacuations.Revision})
+		a.logger.Emit(id, event.Fields{"domain": s.Domain, "revision": v.Evacuations.Revision})
 	}
 	a.out = out
 	a.gate.SetOut(out)
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -58,7 +58,7 @@
 	}
 	s := a.settings
 	return a.node.Announcer.Set(view.Member{
-		Name: MemberName(s.Address), Role: view.AgentRole, Zone: s.Zone, Address: s.Packets, Peer: s.Peer,
+		Name: MemberName(s.Address), Role: view.AgentRole, Domain: s.Domain, Address: s.Packets, Peer: s.Peer,
 		Service: s.Service, Slots: r.Slots, State: r.State,
 	}), nil
 }
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -31,7 +31,7 @@
 	minDrain = 1100 * time.Millisecond
 	// quietTime is how long no packet may come until the balancer counts as
 	// out of the rotation. The fabric goes on using it while too few others of
-	// the zone are ready.
+	// the failure domain are ready.
 	quietTime = 300 * time.Millisecond
 	// stopMargin is left of the grace period to end in.
 	stopMargin = time.Second
@@ -79,7 +79,7 @@
 		logger:   logger,
 		registry: registry,
 		metrics:  metrics.NewFlowBalancer(registry),
-		steerer:  flowsteer.New(s.Peer, s.Zone),
+		steerer:  flowsteer.New(s.Peer, s.Domain),
 	}
 }
 
@@ -96,7 +96,7 @@
 	}
 	name := MemberName(s.Address)
 	b.node, err = flownode.Start(flownode.Options{
-		Name: name, Zone: s.Zone, Role: view.BalancerRole, Peer: s.Peer, Seeds: s.Seeds, Store: b.store, Logger: b.logger,
+		Name: name, Domain: s.Domain, Role: view.BalancerRole, Peer: s.Peer, Seeds: s.Seeds, Store: b.store, Logger: b.logger,
 		FirstStart: s.FirstStart,
 	})
 	if err != nil {
@@ -112,7 +112,7 @@
 	b.node.ReadPackets(b.callers, b.fromCaller)
 	b.node.ReadMessages(b.agents, b.fromAgent)
 	b.node.Go(b.runTimers)
-	b.logger.Emit(event.Started, event.Fields{"role": "balancer", "name": s.Name, "zone": s.Zone, "first_start": s.FirstStart})
+	b.logger.Emit(event.Started, event.Fields{"role": "balancer", "name": s.Name, "domain": s.Domain, "first_start": s.FirstStart})
 	return nil
 }
 
@@ -174,7 +174,7 @@
 	b.held = nil
 	s := b.settings
 	b.node.Announcer.Set(view.Member{
-		Name: MemberName(s.Address), Role: view.BalancerRole, Zone: s.Zone, Address: s.Peer, Peer: s.Peer,
+		Name: MemberName(s.Address), Role: view.BalancerRole, Domain: s.Domain, Address: s.Peer, Peer: s.Peer,
 	})
 }
 
