--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -233,8 +233,8 @@
 	}
 }
 
-// SetOut notes whether the failure domain is evacuated. After an evacuation the backend
-// server may be cold, so it counts as cold until it reports again.
+// SetOut notes whether the failure domain is evacuated. After an evacuation the
+// backend server may be cold, so it counts as cold until it reports again.
 func (g *Gate) SetOut(out bool) {
 	if g.backend.out && !out {
 		g.backend.unconfirmed = true
--- a/internal/flowsteer/agents.go
+++ b/internal/flowsteer/agents.go
@@ -135,8 +135,8 @@
 }
 
 // dead reports whether an agent is given up: it has been silent for long while
-// other hosts of its failure domain answer. A failure domain of which none answers may be cut
-// off from this balancer alone.
+// other hosts of its failure domain answer. A failure domain of which none
+// answers may be cut off from this balancer alone.
 func (as *agents) dead(now time.Time, a *agent) bool {
 	patience := deadAfter
 	if a.heardAt.IsZero() {
@@ -278,8 +278,8 @@
 }
 
 // isolated reports whether the balancer rather than the others is cut off: no
-// balancer of another failure domain answers any more, and less than half of the agents
-// do. A balancer that has just started may be ahead of the others.
+// balancer of another failure domain answers any more, and less than half of
+// the agents do. A balancer that has just started may be ahead of the others.
 func (as *agents) isolated() bool {
 	for _, b := range as.balancers {
 		if !b.suspect {
--- a/internal/flowsteer/steer.go
+++ b/internal/flowsteer/steer.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// placementTimeout is how long an agent may take to say that it holds a
-	// new flow. It covers a round trip between failure domains and a busy agent, and
-	// ends before the caller sends its first copy after 200 ms.
+	// placementTimeout is how long an agent may take to say that it holds a new
+	// flow. It covers a round trip between failure domains and a busy agent,
+	// and ends before the caller sends its first copy after 200 ms.
 	placementTimeout = 80 * time.Millisecond
 	// missInterval is the time between two searches that found a flow nowhere
 	// after which the flow is reset.
@@ -93,7 +93,8 @@
 	at      time.Time
 }
 
-// New returns a steerer for the balancer of a failure domain that agents answer at self.
+// New returns a steerer for the balancer of a failure domain that agents answer
+// at self.
 func New(self netip.AddrPort, domain string) *Steerer {
 	return &Steerer{
 		self:     self,
--- a/internal/flowsteer/steer_test.go
+++ b/internal/flowsteer/steer_test.go
@@ -24,8 +24,8 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172)
 }
 
-// testView has n agents of comptoir with 9 slots, spread over three failure domains, and
-// a balancer in another failure domain.
+// testView has n agents of comptoir with 9 slots, spread over three failure
+// domains, and a balancer in another failure domain.
 func testView(n int) view.View {
 	v := view.View{
 		Configuration: view.Configuration{Revision: 1, Routes: map[netip.AddrPort]view.Route{
@@ -348,8 +348,8 @@
 	is.True(a.Message.Ask)
 }
 
-// Guards against resets of flows that live on in a failure domain that this balancer is
-// cut off from.
+// Guards against resets of flows that live on in a failure domain that this
+// balancer is cut off from.
 func TestFlowsOfAnUnreachableDomainAreKept(t *testing.T) {
 	is := is.New(t)
 	v := testView(9)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -38,8 +38,9 @@
 	peerMargin = 400 * time.Millisecond
 	// freshAge is the age of a peer's view up to which it is followed.
 	freshAge = 3500 * time.Millisecond
-	// followersEach is the number of processes for each of those that others
-	// of the failure domain ask, so that what one answers doesn't grow with the failure domain.
+	// followersEach is the number of processes for each of those that others of
+	// the failure domain ask, so that what one answers doesn't grow with the
+	// failure domain.
 	followersEach = 24
 	// minRetry and maxRetry bound the pause between failed calls of the store.
 	minRetry = 50 * time.Millisecond
@@ -293,9 +294,9 @@
 	}
 }
 
-// upstream returns the peers to ask, in order: those of the own failure domain that come
-// before this process, all others while the store is lost, and the seeds while
-// no peers are known.
+// upstream returns the peers to ask, in order: those of the own failure domain
+// that come before this process, all others while the store is lost, and the
+// seeds while no peers are known.
 func (f *Follower) upstream() []netip.AddrPort {
 	var before, others []view.Member
 	v := f.o.Board.View()
@@ -325,8 +326,8 @@
 	return slices.DeleteFunc(peers, func(peer netip.AddrPort) bool { return peer == f.o.Self })
 }
 
-// spread lets the processes of a large failure domain begin with different ones of those
-// that come first.
+// spread lets the processes of a large failure domain begin with different ones
+// of those that come first.
 func spread(before []view.Member, name string) []view.Member {
 	asked := 1 + len(before)/followersEach
 	if len(before) <= asked {
--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -9,9 +9,9 @@
 	"github.com/knapweedpier/knapweedpier/internal/view"
 )
 
-// The load pattern: all processes of a failure domain ask for changes. Guards against one
-// process that answers them all however many there are, and against processes
-// that ask each other in a circle.
+// The load pattern: all processes of a failure domain ask for changes. Guards
+// against one process that answers them all however many there are, and against
+// processes that ask each other in a circle.
 func TestQuestionsOfALargeDomainAreSpread(t *testing.T) {
 	is := is.New(t)
 	for _, size := range []int{3, 30, 110, 300} {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -1,7 +1,7 @@
-// Package view holds what a process knows of the configuration, of failure domains that
-// are taken out and of the members of the system, each with the store's
-// revision up to which it is known. A section never goes back to an older
-// revision within a process.
+// Package view holds what a process knows of the configuration, of failure
+// domains that are taken out and of the members of the system, each with the
+// store's revision up to which it is known. A section never goes back to an
+// older revision within a process.
 package view
 
 import (
