Look up kept packets again instead of dropping them

Change: such a packet is kept and all agents are asked again after 150 ms, or as soon as each of them answers; also if nobody answered about it for 200 ms. Only an agent that is new counts as a change of members, not one that is announced anew. An agent that starts, or whose server begins or ceases to take flows, tells the balancers at once. Orders of searches and misses are one map with one lifetime, in lookup.go.

Ruled out: resetting without the second round. A flow that was opened just now may be at an agent that this balancer doesn't know.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -60,6 +60,7 @@
 	PacketRefused   ID = 1512
 	RequestSeen     ID = 1513
 	NewFlowsChanged ID = 1514
+	PacketKept      ID = 1515
 )
 
 // Events of the balancer.
@@ -135,6 +136,7 @@
 	{FlowOffered, log.InfoLevel, false, "new flow sent to an agent", "None."},
 	{FlowPlaced, log.InfoLevel, false, "new flow delivered to the backend server", "None."},
 	{FlowPassedOn, log.InfoLevel, false, "packet passed on to another agent", "None, unless it lasts: see the reason."},
+	{PacketKept, log.InfoLevel, true, "packet kept until the agent of its flow is known", "None, unless it lasts: look for agents that don't answer."},
 	{FlowReset, log.InfoLevel, false, "flow reset", "See ERRORS.md for the kind."},
 	{FlowDropped, log.InfoLevel, true, "packet of a flow dropped", "See ERRORS.md for the kind."},
 	{FlowAnswered, log.InfoLevel, false, "request answered", "None."},
--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -52,7 +52,7 @@
 	Message hop.Message
 	Packet  flow.Packet    // Reset: the packet that is answered
 	Kind    errkind.Kind   // PassOn, Reset, Drop: why
-	Tell    netip.AddrPort // a balancer that is to know that this agent holds the flow
+	Tell    netip.AddrPort // a balancer that is to know that this agent holds or lost the flow
 	Key     flow.Key
 	Seen    Seen
 }
@@ -133,10 +133,14 @@
 		g.flows.remove(key)
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
+	a := Action{Verdict: Deliver, Key: key}
+	if m.Ask || m.Position > 0 {
+		a.Tell = m.Balancer
+	}
 	if f.state == lost {
-		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key}
+		a.Verdict, a.Packet, a.Kind = Reset, p, errkind.PacketFlowLost
+		return a
 	}
-	a := Action{Verdict: Deliver, Key: key}
 	a.Seen.Request = f.held == nil && !f.waiting && (f.state == open || f.state == opening) && g.flows.isNew(f, p)
 	if a.Seen.Request {
 		f.asked = now
@@ -150,9 +154,6 @@
 		g.waiting.remove(f)
 		f.held = nil
 	}
-	if m.Ask || m.Position > 0 {
-		a.Tell = m.Balancer
-	}
 	return a
 }
 
@@ -162,12 +163,7 @@
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
 	g.backend.offered(now)
-	mark := g.offer(now, m, key)
-	if o, kept := g.offers[mark]; kept {
-		o.raw = slices.Clone(m.Packet)
-		g.offers[mark] = o
-	}
-	return Action{Verdict: Deliver, Mark: mark, Key: key}
+	return Action{Verdict: Deliver, Mark: g.offer(now, m, key, slices.Clone(m.Packet)), Key: key}
 }
 
 // Unanswered returns the packets that were offered to a backend server which
@@ -195,7 +191,8 @@
 }
 
 // offer keeps a message until the backend server may have returned its packet.
-func (g *Gate) offer(now time.Time, m *hop.Message, key flow.Key) uint32 {
+// It also keeps raw, if that may have to go on to other agents.
+func (g *Gate) offer(now time.Time, m *hop.Message, key flow.Key, raw []byte) uint32 {
 	if len(g.offers) >= maxOffers {
 		return 0
 	}
@@ -206,7 +203,7 @@
 	kept := *m
 	kept.Candidates = slices.Clone(m.Candidates)
 	kept.Packet = nil
-	g.offers[g.mark] = offer{message: kept, key: key, at: now}
+	g.offers[g.mark] = offer{message: kept, key: key, at: now, raw: raw}
 	return g.mark
 }
 
@@ -225,7 +222,7 @@
 	}
 	g.backend.took(now)
 	g.flows.add(key, now, opening)
-	return Action{Verdict: Deliver, Mark: g.offer(now, m, key), Key: key, Tell: m.Balancer}
+	return Action{Verdict: Deliver, Mark: g.offer(now, m, key, nil), Key: key, Tell: m.Balancer}
 }
 
 // copied decides about a copy of an opening that was delivered before.
@@ -235,7 +232,7 @@
 		return g.passOn(m, key, errkind.BackendDown)
 	}
 	g.backend.took(now)
-	return Action{Verdict: Deliver, Mark: g.offer(now, m, key), Key: key, Tell: m.Balancer}
+	return Action{Verdict: Deliver, Mark: g.offer(now, m, key, nil), Key: key, Tell: m.Balancer}
 }
 
 // refusal returns why a new flow can't be taken, 0 if it can. The last
@@ -244,9 +241,13 @@
 	if service != g.service {
 		return errkind.PacketWrongTarget
 	}
-	return g.backend.refusal(now, g.flows.open, g.flows.inProgress+len(g.waiting.list), last)
+	return g.backend.refusal(now, g.flows.open, g.requests(), last)
 }
 
+// requests returns the number of requests that wait for a slot or for the
+// start of their answer.
+func (g *Gate) requests() int { return g.flows.inProgress + len(g.waiting.list) }
+
 // passOn sends a message to its next candidate, or back to the balancer.
 func (g *Gate) passOn(m *hop.Message, key flow.Key, kind errkind.Kind) Action {
 	a := Action{Verdict: PassOn, Message: *m, Kind: kind, Key: key}
@@ -336,7 +337,7 @@
 func (g *Gate) Load(now time.Time) hop.Load {
 	return hop.Load{
 		Flows:      uint16(min(g.flows.open, 1<<16-1)),
-		InProgress: uint16(min(g.flows.inProgress+len(g.waiting.list), 1<<16-1)),
+		InProgress: uint16(min(g.requests(), 1<<16-1)),
 		Slots:      uint16(min(g.backend.report.Slots, 1<<16-1)),
 		Refusing:   g.Refusal(now) != 0,
 	}
@@ -349,7 +350,7 @@
 
 // Refusal returns why the agent takes no new flows now, 0 if it takes some.
 func (g *Gate) Refusal(now time.Time) errkind.Kind {
-	return g.backend.refusal(now, g.flows.open, g.flows.inProgress+len(g.waiting.list), true)
+	return g.refusal(now, g.service, true)
 }
 
 // SetRoutes takes over what the configuration says of requests.
--- a/internal/flowsteer/agents.go
+++ b/internal/flowsteer/agents.go
@@ -21,6 +21,9 @@
 	helloRate = 50
 	// minHelloInterval is the time between two hellos to an agent at least.
 	minHelloInterval = 250 * time.Millisecond
+	// suspectInterval is the longest time between two hellos to an agent that
+	// left one unanswered: flows wait until it is known whether it is gone.
+	suspectInterval = 500 * time.Millisecond
 	// suspectAfter is how long an agent may leave a hello unanswered.
 	suspectAfter = 150 * time.Millisecond
 	// deadAfter is how long an agent may be silent until the flows that it may
@@ -65,8 +68,9 @@
 }
 
 // set takes the members of a view over and keeps what is known of agents that
-// stay.
-func (as *agents) set(v view.View, domain string) {
+// stay. It reports whether there is an agent that was not known before.
+func (as *agents) set(v view.View, domain string) bool {
+	added := false
 	next := map[netip.AddrPort]*agent{}
 	balancers := map[netip.AddrPort]*contact{}
 	as.byService = map[string][]*agent{}
@@ -81,7 +85,7 @@
 		}
 		a := as.byAddress[m.Address]
 		if a == nil || a.member.Name != m.Name {
-			a = &agent{}
+			a, added = &agent{}, true
 		}
 		a.member, a.out = m, v.Evacuations.Domains[m.Domain]
 		next[m.Address] = a
@@ -92,6 +96,7 @@
 		as.byService[a.member.Service] = append(as.byService[a.member.Service], a)
 	}
 	as.byAddress, as.balancers = next, balancers
+	return added
 }
 
 // mayOpen reports whether new flows may go to an agent.
@@ -255,6 +260,9 @@
 	if c.unheard.IsZero() {
 		c.unheard = now
 	}
+	if c.suspect {
+		interval = min(interval, suspectInterval)
+	}
 	c.nextHello = now.Add(interval)
 	return true
 }
--- a/internal/flowsteer/steer.go
+++ b/internal/flowsteer/steer.go
@@ -23,20 +23,6 @@
 	// flow. It covers a round trip between failure domains and a busy agent,
 	// and ends before the caller sends its first copy after 200 ms.
 	placementTimeout = 80 * time.Millisecond
-	// missInterval is the time between two searches that found a flow nowhere
-	// after which the flow is reset.
-	missInterval = 150 * time.Millisecond
-	// settled is the time without a change of members after which one search
-	// is enough. A flow that was opened just now may be at an agent that this
-	// balancer doesn't know yet.
-	settled = 300 * time.Millisecond
-	// missMemory is how long an unsuccessful search is remembered.
-	missMemory = 3 * time.Second
-	// searchMemory is how long the order of a search is kept after its last
-	// use. It covers all agents of the largest service, asked one by one.
-	searchMemory = time.Second
-	// freshView is the age up to which the view is trusted to name all agents.
-	freshView = 2 * time.Second
 	// maxOpenings bounds the flows that wait for an agent's answer.
 	maxOpenings = 4096
 )
@@ -48,6 +34,7 @@
 const (
 	Send  Verdict = iota + 1 // Message goes to To
 	Reset                    // the caller gets a reset of Packet's flow
+	Keep                     // Tick asks the agents for the packet's flow again
 	Drop
 )
 
@@ -57,7 +44,7 @@
 	To      netip.AddrPort
 	Message hop.Message
 	Packet  flow.Packet  // Reset: the packet that is answered
-	Kind    errkind.Kind // Reset, Drop: why
+	Kind    errkind.Kind // Reset, Keep, Drop: why
 	Service string       // the service that the packet was meant for, if known
 }
 
@@ -66,22 +53,12 @@
 	self      netip.AddrPort
 	domain    string
 	view      view.View
-	changed   time.Time // when the members changed last
+	changed   time.Time // when an agent was added last
 	confirmed time.Time
 	agents    agents
 	flows     holders
 	openings  map[flow.Key]*opening
-	misses    map[flow.Key]time.Time
-	searches  map[flow.Key]*search
-	swept     time.Time
-}
-
-// search is the order in which agents are asked for a flow. It stays the same
-// from the first agent to the last, so that none is skipped when agents become
-// or cease to be suspect meanwhile.
-type search struct {
-	order []netip.AddrPort
-	used  time.Time
+	lookups   map[flow.Key]*lookup
 }
 
 // opening is a new flow whose agent has not answered yet.
@@ -102,18 +79,16 @@
 		agents:   newAgents(),
 		flows:    newHolders(),
 		openings: map[flow.Key]*opening{},
-		misses:   map[flow.Key]time.Time{},
-		searches: map[flow.Key]*search{},
+		lookups:  map[flow.Key]*lookup{},
 	}
 }
 
 // SetView takes a new view over.
 func (s *Steerer) SetView(now time.Time, v view.View) {
-	if v.Members.Revision != s.view.Members.Revision {
+	s.view = v
+	if s.agents.set(v, s.domain) {
 		s.changed = now
 	}
-	s.view = v
-	s.agents.set(v, s.domain)
 }
 
 // SetConfirmed tells when the view was last known to be current.
@@ -138,7 +113,7 @@
 		}
 		s.flows.remove(key)
 	}
-	return s.search(now, key, p, raw, 0)
+	return s.lookUp(now, key, p, raw)
 }
 
 // toHolder sends a packet to the agent that holds its flow.
@@ -212,38 +187,11 @@
 	return ""
 }
 
-// search asks agents for the holder of a flow, from offset in the search's
-// order.
-func (s *Steerer) search(now time.Time, key flow.Key, p flow.Packet, raw []byte, offset int) Action {
-	found := s.searches[key]
-	if found == nil || now.Sub(found.used) > searchMemory {
-		found = &search{order: s.agents.rankAll(now, key.Hash(), s.targets(p.To))}
-		if offset > 0 {
-			// The offset belongs to an order that is forgotten.
-			offset = 0
-		}
-	}
-	found.used = now
-	if len(s.searches) < maxOpenings {
-		s.searches[key] = found
-	}
-	if offset >= len(found.order) {
-		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
-	}
-	list := found.order[offset:min(len(found.order), offset+hop.MaxCandidates)]
-	return s.forward(list, offset, 0, true, raw)
-}
-
-func (s *Steerer) targets(address netip.AddrPort) []view.Target {
-	return s.view.Configuration.Routes[address].Targets
-}
-
 // Placed records that an agent holds a flow.
 func (s *Steerer) Placed(now time.Time, m *hop.Message) {
 	s.agents.heard(now, m.Agent, m.Load)
 	delete(s.openings, m.Key)
-	delete(s.misses, m.Key)
-	delete(s.searches, m.Key)
+	delete(s.lookups, m.Key)
 	s.flows.set(m.Key, m.Agent, now)
 }
 
@@ -261,13 +209,9 @@
 	if _, known := s.flows.get(key, now); known {
 		// The remembered agent doesn't hold the flow: ask all of them.
 		s.flows.remove(key)
-		return s.search(now, key, p, m.Packet, 0)
-	}
-	a := s.search(now, key, p, m.Packet, int(m.Offset)+len(m.Candidates))
-	if a.Verdict == Send {
-		return a
+		return s.lookUp(now, key, p, m.Packet)
 	}
-	return s.missed(now, key, p)
+	return s.continueLookup(now, key, p, m)
 }
 
 // declinedOpening asks further candidates or refuses the flow at once.
@@ -284,31 +228,8 @@
 	return Action{Verdict: Reset, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
 }
 
-// missed resets a flow that is at no agent, so that its caller needn't wait for
-// its deadline. It is reset only while the view names all agents and each of
-// them answers.
-func (s *Steerer) missed(now time.Time, key flow.Key, p flow.Packet) Action {
-	drop := Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
-	found := s.searches[key]
-	delete(s.searches, key)
-	if found == nil || !s.agents.allIn(now, found.order) {
-		return drop
-	}
-	if now.Sub(s.confirmed) > freshView || s.agents.anyDoubtful(now) || p.Has(flow.Reset) {
-		return drop
-	}
-	first, again := s.misses[key]
-	if !again {
-		s.misses[key], first = now, now
-	}
-	if now.Sub(s.changed) < settled && now.Sub(first) < missInterval {
-		return drop
-	}
-	drop.Verdict = Reset
-	return drop
-}
-
-// Tick returns what is due: openings that nobody answered, and hellos.
+// Tick returns what is due: openings and lookups that nobody answered, and
+// hellos.
 func (s *Steerer) Tick(now time.Time) []Action {
 	var due []Action
 	for key, o := range s.openings {
@@ -326,25 +247,7 @@
 	for _, agent := range s.agents.hellos(now) {
 		due = append(due, Action{Verdict: Send, To: agent, Message: hop.Message{Type: hop.Hello, Balancer: s.self}})
 	}
-	s.sweep(now)
-	return due
-}
-
-func (s *Steerer) sweep(now time.Time) {
-	if now.Sub(s.swept) < missMemory {
-		return
-	}
-	s.swept = now
-	for key, found := range s.searches {
-		if now.Sub(found.used) > searchMemory {
-			delete(s.searches, key)
-		}
-	}
-	for key, at := range s.misses {
-		if now.Sub(at) > missMemory {
-			delete(s.misses, key)
-		}
-	}
+	return append(due, s.repeatLookups(now)...)
 }
 
 // Flows returns the number of remembered flows.
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -52,6 +52,8 @@
 	out      bool         // the failure domain is evacuated
 	refusal  errkind.Kind // why no new flows are taken, 0 if they are
 	buffer   []byte
+
+	balancers []netip.AddrPort // all that the view names
 }
 
 // New returns an agent that was not started.
@@ -169,6 +171,17 @@
 	if ok && m.Service == s.Service && !s.FirstStart {
 		a.gate.Announced(flowgate.Report{State: m.State, Slots: m.Slots})
 	}
+	first := len(a.balancers) == 0
+	a.balancers = a.balancers[:0]
+	for _, m := range v.Members.ByName {
+		if m.Role == view.BalancerRole {
+			a.balancers = append(a.balancers, m.Address)
+		}
+	}
+	if first {
+		// Balancers that found the agent silent learn at once that it is back.
+		a.tellBalancers(time.Now())
+	}
 }
 
 func (a *Agent) sweep(ctx context.Context) {
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -20,7 +20,7 @@
 	now := time.Now()
 	switch m.Type {
 	case hop.Hello:
-		a.tell(m.Balancer, hop.Message{Type: hop.HelloAck, Agent: a.settings.Packets, Load: a.gate.Load(now)})
+		a.tell(m.Balancer, a.helloAck(now))
 	case hop.Forward:
 		p, err := platform.DecodePacket(m.Packet)
 		if err != nil {
@@ -32,6 +32,17 @@
 	return nil
 }
 
+func (a *Agent) helloAck(now time.Time) hop.Message {
+	return hop.Message{Type: hop.HelloAck, Agent: a.settings.Packets, Load: a.gate.Load(now)}
+}
+
+// tellBalancers tells all balancers that the agent is there, and its load.
+func (a *Agent) tellBalancers(now time.Time) {
+	for _, b := range a.balancers {
+		a.tell(b, a.helloAck(now))
+	}
+}
+
 // fromBackend takes a packet of the backend server.
 func (a *Agent) fromBackend(raw []byte) error {
 	p, err := platform.DecodePacket(raw)
@@ -70,6 +81,9 @@
 		a.tell(action.To, action.Message)
 	case flowgate.Reset:
 		a.reset(action.Key, action.Packet.Ack)
+		if action.Tell.IsValid() {
+			a.tell(action.Tell, a.gate.Placed(now, action.Key))
+		}
 	}
 	a.count(action, p)
 	a.log(action, p)
@@ -176,12 +190,17 @@
 	}
 }
 
-// noteRefusal writes when the agent begins or ceases to take new flows.
+// noteRefusal tells the balancers and the log when the agent begins or ceases
+// to take new flows.
 func (a *Agent) noteRefusal(now time.Time) {
 	kind := a.gate.Refusal(now)
 	if kind == a.refusal {
 		return
 	}
+	if kind != errkind.BackendFull && a.refusal != errkind.BackendFull {
+		// A server that is full changes too often to tell of it.
+		a.tellBalancers(now)
+	}
 	a.refusal = kind
 	fields := event.Fields{"taking": kind == 0, "report_age_ms": a.gate.ReportAge(now).Milliseconds()}
 	if kind != 0 {
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -39,10 +39,12 @@
 func (a *Agent) takeReport(r flowgate.Report) (<-chan struct{}, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	lost, err := a.gate.Report(time.Now(), r)
+	now := time.Now()
+	lost, err := a.gate.Report(now, r)
 	if err != nil {
 		return nil, err
 	}
+	a.noteRefusal(now)
 	if r.Instance != a.reported.Instance || !r.Started.Equal(a.reported.Started) || r.State != a.reported.State {
 		a.logger.Emit(event.BackendReported, event.Fields{
 			"instance": r.Instance, "started": r.Started.UnixMilli(), "state": r.State, "cold_ms": r.ColdFor.Milliseconds(), "sequence": r.Sequence,
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -301,6 +301,8 @@
 		b.logger.Emit(event.FlowReset, fields(key, a))
 		b.out = platform.AppendReset(b.out[:0], key, a.Packet.Ack)
 		b.write(b.callers, netip.AddrPortFrom(key.Caller.Addr(), b.settings.Packets.Port()))
+	case flowsteer.Keep:
+		b.logger.Emit(event.PacketKept, fields(a.Packet.CallerKey(), a))
 	case flowsteer.Drop:
 		b.metrics.Drops.Inc(a.Kind)
 		b.logger.Failure(event.FlowDropped, errkind.New(a.Kind, "packet dropped"), fields(a.Packet.CallerKey(), a))
