Leave a new flow to the least busy candidate when all are busy

Cause: an opening passes along its candidates while their servers are busy, and the last one took it whatever it bore.

Change: agents that yield note the least busy of them in the message, and that one takes the flow in a second round. Loads count flows that are being opened, which balancers could not see before their requests arrived.

Ruled out: refusing the flow at the last candidate: callers try twice more and would use up their tries within the second that the overload lasts.

--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// busyFactor is the number of requests for each slot from which an agent
-	// passes new flows on if another candidate is left.
-	busyFactor = 1.5
 	// trialInterval is the time between openings that an unresponsive backend
 	// server gets.
 	trialInterval = 500 * time.Millisecond
@@ -83,7 +80,7 @@
 }
 
 // refusal returns why a new flow can't be taken, 0 if it can.
-func (b *backend) refusal(now time.Time, flows, inProgress int, last bool) errkind.Kind {
+func (b *backend) refusal(now time.Time, flows int) errkind.Kind {
 	switch {
 	case !b.known:
 		return errkind.BackendDown
@@ -97,8 +94,6 @@
 		return errkind.BackendDown
 	case b.cold(now) && b.refill(now) < 1:
 		return errkind.BackendFull
-	case !last && float64(inProgress) >= busyFactor*float64(max(b.report.Slots, 1)):
-		return errkind.BackendFull
 	}
 	return 0
 }
--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -216,10 +216,12 @@
 	if f != nil && f.state == opening {
 		return g.copied(now, f, m, key)
 	}
-	last := int(m.Position) >= len(m.Candidates)-1
-	if kind := g.refusal(now, m.Service, last); kind != 0 {
+	if kind := g.refusal(now, m.Service); kind != 0 {
 		return g.passOn(m, key, kind)
 	}
+	if g.yields(m) {
+		return g.passOn(m, key, errkind.BackendFull)
+	}
 	g.backend.took(now)
 	g.flows.add(key, now, opening)
 	return Action{Verdict: Deliver, Mark: g.offer(now, m, key, nil), Key: key, Tell: m.Balancer}
@@ -228,27 +230,23 @@
 // copied decides about a copy of an opening that was delivered before.
 func (g *Gate) copied(now time.Time, f *entry, m *hop.Message, key flow.Key) Action {
 	silent := !f.answered && now.Sub(f.opened) >= silentAfter
-	if (silent && len(m.Candidates) > 1) || g.refusal(now, m.Service, true) != 0 {
+	if (silent && len(m.Candidates) > 1) || g.refusal(now, m.Service) != 0 {
 		return g.passOn(m, key, errkind.BackendDown)
 	}
 	g.backend.took(now)
 	return Action{Verdict: Deliver, Mark: g.offer(now, m, key, nil), Key: key, Tell: m.Balancer}
 }
 
-// refusal returns why a new flow can't be taken, 0 if it can. The last
-// candidate takes flows that wait for a slot as well.
-func (g *Gate) refusal(now time.Time, service uint32, last bool) errkind.Kind {
+// refusal returns why a new flow can't be taken, 0 if it can.
+func (g *Gate) refusal(now time.Time, service uint32) errkind.Kind {
 	if service != g.service {
 		return errkind.PacketWrongTarget
 	}
-	return g.backend.refusal(now, g.flows.open, g.requests(), last)
+	return g.backend.refusal(now, g.flows.open)
 }
 
-// requests returns the number of requests that wait for a slot or for the
-// start of their answer.
-func (g *Gate) requests() int { return g.flows.inProgress + len(g.waiting.list) }
-
-// passOn sends a message to its next candidate, or back to the balancer.
+// passOn sends a message to its next candidate, then to the least busy of those
+// that yielded, or back to the balancer.
 func (g *Gate) passOn(m *hop.Message, key flow.Key, kind errkind.Kind) Action {
 	a := Action{Verdict: PassOn, Message: *m, Kind: kind, Key: key}
 	if int(m.Position)+1 < len(m.Candidates) {
@@ -256,6 +254,11 @@
 		a.To = m.Candidates[a.Message.Position]
 		return a
 	}
+	if m.Best > 0 && !m.Final {
+		a.Message.Position, a.Message.Final = m.Best-1, true
+		a.To = m.Candidates[a.Message.Position]
+		return a
+	}
 	a.Message.Type = hop.Declined
 	a.Message.Position = 0
 	a.To = m.Balancer
@@ -350,7 +353,7 @@
 
 // Refusal returns why the agent takes no new flows now, 0 if it takes some.
 func (g *Gate) Refusal(now time.Time) errkind.Kind {
-	return g.refusal(now, g.service, true)
+	return g.refusal(now, g.service)
 }
 
 // SetRoutes takes over what the configuration says of requests.
--- /dev/null
+++ b/internal/flowgate/load.go
@@ -0,0 +1,39 @@
+package flowgate
+
+import "github.com/knapweedpier/knapweedpier/internal/hop"
+
+const (
+	// busyFactor is the number of requests for each slot from which an agent
+	// leaves new flows to less busy ones.
+	busyFactor = 1.5
+	// loadScale is the unit of hop.Message.BestLoad, in parts of a request for
+	// each slot.
+	loadScale = 64
+)
+
+// requests returns the number of requests that wait for a slot or for the start
+// of their answer, flows included that are just being opened.
+func (g *Gate) requests() int {
+	return g.flows.inProgress + len(g.waiting.list) + g.flows.pending
+}
+
+func (g *Gate) busy() bool { return float64(g.requests()) >= busyFactor*float64(g.slots()) }
+
+// load returns the number of requests for each slot, in parts of loadScale.
+func (g *Gate) load() uint16 { return uint16(min(g.requests()*loadScale/g.slots(), 1<<16-1)) }
+
+// yields reports whether an opening is left to a less busy agent. While there
+// may be one the opening passes along its candidates, which note the least busy
+// of them in m; that one takes it. Without the second round the last candidate
+// would take all flows as soon as every agent is busy, and it is the one whose
+// load is highest.
+func (g *Gate) yields(m *hop.Message) bool {
+	if m.Final || !g.busy() {
+		return false
+	}
+	if load := g.load(); m.Best == 0 || load < m.BestLoad {
+		m.Best, m.BestLoad = m.Position+1, load
+	}
+	last := int(m.Position) == len(m.Candidates)-1
+	return !last || m.Best != m.Position+1
+}
--- a/internal/flowgate/table.go
+++ b/internal/flowgate/table.go
@@ -51,6 +51,7 @@
 type table struct {
 	entries    map[flow.Key]*entry
 	open       int // flows in state opening or open
+	pending    int // flows in state opening: most ask for something next
 	inProgress int // flows that wait for the start of an answer
 }
 
@@ -63,6 +64,9 @@
 	f := &entry{state: s, opened: now, last: now}
 	t.entries[key] = f
 	t.open++
+	if s == opening {
+		t.pending++
+	}
 	return f
 }
 
@@ -81,6 +85,9 @@
 	if f.state == opening || f.state == open {
 		t.open--
 	}
+	if f.state == opening {
+		t.pending--
+	}
 	f.state = s
 }
 
@@ -132,6 +139,7 @@
 	f.callerAck = p.Ack
 	if f.state == opening {
 		f.state = open
+		t.pending--
 	}
 	if t.isNew(f, p) {
 		f.callerEnd, f.sent = p.Seq+uint32(p.Length), true
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -28,6 +28,8 @@
 
 const (
 	magic       = 0x6b
+	askFlag     = 1
+	finalFlag   = 2
 	fixedLen    = 20
 	addressLen  = 6
 	loadLen     = 8
@@ -52,7 +54,10 @@
 type Message struct {
 	Type       Type
 	Ask        bool   // the balancer wants to be told who holds the flow
+	Final      bool   // all candidates were asked: the one that is asked now takes the flow even if it is busy
 	Position   uint8  // index in Candidates of the agent that is asked now
+	Best       uint8  // 1 + the index of the least busy agent that passed the flow on, 0 if none did
+	BestLoad   uint16 // the load of that agent; see flowgate
 	Offset     uint16 // rank of the first candidate among all agents of the service
 	Service    uint32 // hash of the service that the flow belongs to
 	Balancer   netip.AddrPort
@@ -65,15 +70,18 @@
 
 // Append appends the encoding of m to b.
 func (m *Message) Append(b []byte) []byte {
-	ask := byte(0)
+	flags := byte(0)
 	if m.Ask {
-		ask = 1
+		flags |= askFlag
 	}
-	b = append(b, magic, byte(m.Type), ask, m.Position, byte(len(m.Candidates)), 0)
+	if m.Final {
+		flags |= finalFlag
+	}
+	b = append(b, magic, byte(m.Type), flags, m.Position, byte(len(m.Candidates)), m.Best)
 	b = binary.BigEndian.AppendUint16(b, m.Offset)
 	b = binary.BigEndian.AppendUint32(b, m.Service)
 	b = appendAddress(b, m.Balancer)
-	b = append(b, 0, 0)
+	b = binary.BigEndian.AppendUint16(b, m.BestLoad)
 	switch m.Type {
 	case Placed:
 		b = appendAddress(b, m.Key.Caller)
@@ -99,11 +107,14 @@
 	count := int(b[4])
 	*m = Message{
 		Type:       Type(b[1]),
-		Ask:        b[2] == 1,
+		Ask:        b[2]&askFlag != 0,
+		Final:      b[2]&finalFlag != 0,
 		Position:   b[3],
+		Best:       b[5],
 		Offset:     binary.BigEndian.Uint16(b[6:]),
 		Service:    binary.BigEndian.Uint32(b[8:]),
 		Balancer:   address(b[12:]),
+		BestLoad:   binary.BigEndian.Uint16(b[18:]),
 		Candidates: m.Candidates[:0],
 	}
 	switch m.Type {
@@ -141,7 +152,7 @@
 
 func (m *Message) decodePacket(b []byte, count int) error {
 	end := fixedLen + count*addressLen
-	if count > MaxCandidates || len(b) < end || int(m.Position) >= max(count, 1) {
+	if count > MaxCandidates || len(b) < end || int(m.Position) >= max(count, 1) || int(m.Best) > count {
 		return errkind.New(errkind.TunnelMalformed, "candidate list and length disagree")
 	}
 	for i := range count {
