Serve the newest of the requests that can still be in time

Cause: with equal queues and the oldest first, each request of an overload just misses its objective.

Change: among requests of one priority that can still meet their objective the newest goes first. The first request of a flow counts as old as the flow's opening, whose copies tell how long its caller has tried. A request goes before all others after five eighths of its timeout (before: half).

Tests: an overload of a slow server and the age of openings; the first fails with the oldest first.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
 )
@@ -46,6 +47,8 @@
 	Length   int    // bytes of data
 	Seq      uint32
 	Ack      uint32
+	// Age is how long ago the caller sent the first copy of an opening.
+	Age time.Duration
 }
 
 // Has reports whether all of flags are set.
--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -223,7 +223,7 @@
 		return g.passOn(m, key, errkind.BackendFull)
 	}
 	g.backend.took(now)
-	g.flows.add(key, now, opening)
+	g.flows.add(key, now, opening).tried = now.Add(-p.Age)
 	return Action{Verdict: Deliver, Mark: g.offer(now, m, key, nil), Key: key, Tell: m.Balancer}
 }
 
--- a/internal/flowgate/queue.go
+++ b/internal/flowgate/queue.go
@@ -13,6 +13,8 @@
 	// defaultObjective and defaultTimeout apply to requests without a route.
 	defaultObjective = 300 * time.Millisecond
 	defaultTimeout   = 5 * time.Second
+	// urgentShare is the part of its timeout after which a request goes first.
+	urgentShare = 5.0 / 8
 	// waitPerSlot bounds the requests that wait for each slot. Beyond it the
 	// first in turn is delivered although all slots are taken: the backend
 	// server queues it or refuses it truthfully.
@@ -32,10 +34,11 @@
 }
 
 // queue holds requests while all slots are taken. Requests that can still meet
-// their objective go first, by priority and then by age; so a backlog after an
-// outage doesn't make every later request late as well. A request that has
-// waited for half of its timeout goes before all others, so that none is held
-// until nobody waits for it.
+// their objective go first, by priority, and of one priority the newest: with
+// the oldest first, each request of an overload would just miss its objective.
+// So a backlog after an outage doesn't make every later request late as well.
+// A request that has waited for urgentShare of its timeout goes before all
+// others, so that none is held until nobody waits for it.
 type queue struct {
 	list []*waiting
 }
@@ -60,24 +63,35 @@
 
 // before reports whether w goes before other.
 func (w *waiting) before(other *waiting, now time.Time) bool {
-	if turn, otherTurn := w.turn(now), other.turn(now); turn != otherTurn {
+	turn, otherTurn := w.turn(now), other.turn(now)
+	if turn != otherTurn {
 		return turn < otherTurn
 	}
 	if w.priority != other.priority {
 		return w.priority < other.priority
 	}
+	if turn == inTime {
+		return w.since.After(other.since)
+	}
 	return w.since.Before(other.since)
 }
 
-// turn orders requests by what waiting further costs them.
+// The classes in which requests leave the queue.
+const (
+	urgent = iota // waited for urgentShare of the timeout
+	inTime        // can still meet the objective
+	late
+)
+
+// turn returns the class of a request, by what waiting further costs it.
 func (w *waiting) turn(now time.Time) int {
 	switch {
 	case !now.Before(w.urgent):
-		return 0
+		return urgent
 	case !now.After(w.inTime):
-		return 1
+		return inTime
 	}
-	return 2
+	return late
 }
 
 // remove drops the request of a flow that is over.
@@ -131,7 +145,10 @@
 	if r, ok := g.routes[key.Service]; ok {
 		objective, timeout, w.priority = r.Objective, r.Timeout, r.Priority
 	}
-	w.inTime, w.urgent, w.deadline = now.Add(objective-workMargin), now.Add(timeout/2), now.Add(timeout)
+	asked := f.askedAt(now)
+	w.inTime = asked.Add(objective - workMargin)
+	w.urgent = asked.Add(time.Duration(urgentShare * float64(timeout)))
+	w.deadline = asked.Add(timeout)
 	f.held = w
 	g.waiting.add(w)
 	g.flows.follow(now, f, p)
--- a/internal/flowgate/queue_test.go
+++ b/internal/flowgate/queue_test.go
@@ -196,3 +196,47 @@
 	}
 	is.Equal(l.inTime(1, backlog, 1500*time.Millisecond), backlog)
 }
+
+// The load pattern: twice the requests that a slow, cold server bears. Guards
+// against a queue in which each request just misses its objective.
+func TestOverloadKeepsSomeRequestsInTime(t *testing.T) {
+	is := is.New(t)
+	const work, span = 120 * time.Millisecond, 900
+	l := newLoad(t, work)
+	next := 1
+	for ms := range span {
+		if ms%30 == 0 {
+			l.arrive(next, feeds)
+			next++
+		}
+		l.step()
+	}
+	borne := serverSlots * span * time.Millisecond / work
+	is.True(l.inTime(1, next-1, 250*time.Millisecond) >= int(borne)*8/10)
+}
+
+// The load pattern: callers whose openings were lost in an outage, and fresh
+// ones. Guards against a request that is late already and goes before one that
+// can still be in time.
+func TestAgeCountsFromTheFirstOpening(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(t, time.Hour)
+	for port := 1; port <= 3; port++ {
+		l.arrive(port, feeds)
+	}
+	p := opens(10)
+	p.To, p.Age = feeds, 600*time.Millisecond
+	for _, port := range []int{11, 10} {
+		p.From = caller(port)
+		l.gate.FromPeer(l.now, forward(self), p)
+		l.gate.FromBackend(l.now, answers(port, feeds, flow.Open|flow.Ack, 0))
+		l.gate.FromPeer(l.now, forward(self), data(port, feeds, 101, 0))
+		is.Equal(l.gate.FromPeer(l.now, forward(self), data(port, feeds, 101, 10)).Verdict, Hold)
+		p.Age = 0
+		l.now = l.now.Add(-time.Millisecond) // the fresh one isn't first by its arrival
+	}
+	l.gate.FromBackend(l.now, answers(1, feeds, flow.Ack, 100))
+	released := l.gate.Release(l.now)
+	is.Equal(len(released), 1)
+	is.Equal(released[0].Key.Caller.Port(), uint16(10))
+}
--- a/internal/flowgate/table.go
+++ b/internal/flowgate/table.go
@@ -32,6 +32,7 @@
 type entry struct {
 	state        state
 	opened, last time.Time
+	tried        time.Time // when the caller sent its first opening, zero if not known
 	answered     bool      // the backend server answered the opening
 	backendSeq   uint32    // of that answer
 	callerEnd    uint32    // end of the data that the caller sent
@@ -124,6 +125,15 @@
 	return p.Length > 0 && (!f.sent || int32(end-f.callerEnd) > 0)
 }
 
+// askedAt returns when a caller first wanted the answer to a request that
+// arrives now: the first request of a flow has waited for its opening.
+func (f *entry) askedAt(now time.Time) time.Time {
+	if !f.sent && !f.tried.IsZero() {
+		return f.tried
+	}
+	return now
+}
+
 // begin counts a request that is delivered.
 func (t *table) begin(now time.Time, f *entry) {
 	if f.waiting || (f.state != open && f.state != opening) {
