Ask several peers at a time for the first view

Change: a process without a complete view 60 ms after its start asks up to four peers at a time.

Ruled out: asking them from the first moment: the store answers within 20 ms as a rule, and each answer carries the whole configuration.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -52,6 +52,11 @@
 	firstStartTime = 2 * time.Second
 	// seedRetry is the pause between two rounds of the seeds.
 	seedRetry = 100 * time.Millisecond
+	// firstAnswer is how long the store may take until a process without a
+	// complete view asks several peers at a time.
+	firstAnswer = 60 * time.Millisecond
+	// askedAtOnce is the number of peers that it then asks.
+	askedAtOnce = 4
 )
 
 // Change is one object of the store.
@@ -121,6 +126,7 @@
 	}
 	running.Go(func() { f.ping(ctx) })
 	running.Go(func() { f.followPeers(ctx, links) })
+	running.Go(func() { f.fetchFirstView(ctx) })
 	running.Wait()
 }
 
@@ -393,6 +399,35 @@
 	}
 }
 
+// fetchFirstView asks several peers at a time while the view isn't complete: a
+// balancer can't forward anything until then, and after a power cut some peers
+// are down and don't refuse connections.
+func (f *Follower) fetchFirstView(ctx context.Context) {
+	sleep(ctx, firstAnswer)
+	for ctx.Err() == nil && !f.o.Board.View().Complete() {
+		peers := f.upstream()
+		f.askTogether(ctx, peers[:min(len(peers), askedAtOnce)])
+		sleep(ctx, minRetry)
+	}
+}
+
+// askTogether asks peers until the view is complete or all have answered.
+func (f *Follower) askTogether(ctx context.Context, peers []netip.AddrPort) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var running sync.WaitGroup
+	for _, peer := range peers {
+		running.Go(func() {
+			links := newLinks()
+			defer links.close()
+			if f.ask(ctx, links, peer) && f.o.Board.View().Complete() {
+				cancel()
+			}
+		})
+	}
+	running.Wait()
+}
+
 // ask sends one question to a peer and reports whether its view is fresh.
 func (f *Follower) ask(ctx context.Context, links *links, peer netip.AddrPort) bool {
 	known := map[view.Section]view.Revision{}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -170,6 +170,28 @@
 	}
 }
 
+// Guards against a balancer that can't forward for more than a second after a
+// power cut: the store turns it away, and the first seeds are not back yet.
+func TestFirstViewDoesNotWaitForSilentPeers(t *testing.T) {
+	is := is.New(t)
+	server, unreachable := platformtest.New(), platformtest.New()
+	defer server.Close()
+	defer unreachable.Close()
+	server.SetConfiguration(1)
+	served := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	announce(t, server, "balancer-1", view.BalancerRole, "a", served)
+	eventually(t, "complete view of the seed", func() bool { return served.board.View().Complete() })
+	silent, err := net.Listen("tcp4", "127.0.0.1:0") // takes connections and never answers
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	dead := process{peer: silent.Addr().(*net.TCPAddr).AddrPort()}
+	unreachable.Set(platformtest.Limited)
+	began := time.Now()
+	p := startProcess(t, "balancer-2", view.BalancerRole, "b", unreachable, []process{dead, served})
+	eventually(t, "complete view", func() bool { return p.board.View().Complete() })
+	is.True(time.Since(began) < 600*time.Millisecond)
+}
+
 func newAnnouncer(t *testing.T, server *platformtest.Store) (*follow.Announcer, *view.Board) {
 	t.Helper()
 	store := platform.NewStore(server.Address())
