Search lost flows in two rounds

Resets came from 0.4 s after the hosts were back.

Change: the first eight agents are asked one after the other, as they hold nearly every flow, all others then in lists at the same time. Agents that have denied a flow are remembered and not asked again, since the flow was open when the packet was sent; so the message needs no offset. Further packets of the flow wait for the answer and then go to its agent. An agent that learns a flow from its server's answer tells the balancer that asked.

Tests: two rounds, late denials, waiting packets, added agents; the property test over restarts found that packets waited at a restarted agent until the search was repeated. Two tests expect the reset from the timer now, without another packet of the caller.

Ruled out: asking all agents at a time from the beginning: most flows are found at the first.

--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -278,6 +278,7 @@
 			return Action{Verdict: ToCaller, Key: key}
 		}
 		f = g.flows.add(key, now, open)
+		return g.adopted(now, f, p, key)
 	}
 	a := Action{Verdict: ToCaller, Key: key}
 	switch {
@@ -290,6 +291,21 @@
 	return a
 }
 
+// adopted handles the first packet of a flow that the backend server held
+// already when this process started. The balancer that asked for the flow is
+// told who holds it.
+func (g *Gate) adopted(now time.Time, f *entry, p flow.Packet, key flow.Key) Action {
+	a := Action{Verdict: ToCaller, Key: key}
+	for _, o := range g.offers {
+		if o.raw != nil && o.key == key && o.message.Ask {
+			a.Tell = o.message.Balancer
+			break
+		}
+	}
+	g.flows.fromBackend(now, f, p)
+	return a
+}
+
 // bounced decides about a packet that the backend server returned.
 func (g *Gate) bounced(now time.Time, p flow.Packet) Action {
 	key := p.CallerKey()
--- a/internal/flowsteer/lookup.go
+++ b/internal/flowsteer/lookup.go
@@ -22,8 +22,14 @@
 	// answerTimeout is how long the agents may take to find a flow. A lookup
 	// that takes longer ended at an agent that is down.
 	answerTimeout = 200 * time.Millisecond
-	// maxAsked bounds how often one packet is offered to all agents.
+	// maxAsked bounds how often all agents are asked for one flow.
 	maxAsked = 4
+	// fanOut is the number of lists of agents that are asked at a time after
+	// the first one, which names the agents that hold a flow as a rule.
+	fanOut = 16
+	// maxMore bounds the further packets of a flow that wait for a lookup. A
+	// caller has no more than that on the way.
+	maxMore = 16
 	// lookupTimeout is how long a packet is kept whose flow is not found.
 	// Callers repeat it more often.
 	lookupTimeout = 1200 * time.Millisecond
@@ -33,54 +39,81 @@
 	maxLookups = 4096
 )
 
-// lookup is the search for the agent that holds a flow. Agents are asked in an
-// order that stays the same from the first to the last, so that none is skipped
-// when agents become or cease to be suspect meanwhile.
+// lookup is the search for the agent that holds a flow. The flow was open when
+// the packet was sent, so an agent that has denied it needn't be asked again.
 type lookup struct {
-	order  []netip.AddrPort
+	order  []netip.AddrPort // agents to ask, in this order
+	next   int              // index in order of the first that was not asked
+	denied []netip.AddrPort // agents that don't hold the flow
 	packet flow.Packet
-	raw    []byte // the encoding of packet
+	raw    []byte   // the encoding of packet
+	more   [][]byte // further packets of the flow
 	began  time.Time
 	sent   time.Time // when agents were asked last
-	asked  int       // how often all agents were asked
+	asked  int       // how often the search began
 	missed time.Time // when all agents had denied the flow first, zero if not yet
-	again  time.Time // when to ask all agents again, zero while answers are awaited
+	again  time.Time // when to go on, zero while answers are awaited
 }
 
-// lookUp asks all agents for the holder of a packet's flow. A packet of a flow
-// that is being looked up takes the same way.
+// lookUp begins to ask the agents for the holder of a packet's flow. A packet
+// of a flow that is being looked up waits for the answer.
 func (s *Steerer) lookUp(now time.Time, key flow.Key, p flow.Packet, raw []byte) Action {
-	l := s.lookups[key]
-	if l == nil {
-		l = &lookup{packet: p, raw: slices.Clone(raw), began: now, order: s.agents.rankAll(now, key.Hash(), s.targets(p.To))}
-		if len(s.lookups) < maxLookups {
-			s.lookups[key] = l
+	if l := s.lookups[key]; l != nil {
+		if len(l.more) >= maxMore {
+			return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
 		}
+		l.more = append(l.more, slices.Clone(raw))
+		return Action{Verdict: Keep, Packet: p}
+	}
+	if len(s.lookups) >= maxLookups {
+		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
 	}
-	return s.askFrom(now, l, p, raw, 0)
+	l := &lookup{packet: p, raw: slices.Clone(raw), began: now, order: s.agents.rankAll(now, key.Hash(), s.targets(p.To))}
+	if len(l.order) == 0 {
+		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
+	}
+	s.lookups[key] = l
+	return s.ask(now, l, 1)[0]
+}
+
+// ask sends the packet of a lookup to the next agents of its order, in several
+// lists at a time.
+func (s *Steerer) ask(now time.Time, l *lookup, lists int) []Action {
+	l.sent, l.again = now, time.Time{}
+	var due []Action
+	for range lists {
+		if l.next == len(l.order) {
+			break
+		}
+		list := l.order[l.next:min(len(l.order), l.next+hop.MaxCandidates)]
+		l.next += len(list)
+		due = append(due, s.forward(list, 0, true, l.raw))
+	}
+	return due
 }
 
-// continueLookup asks the agents after those that denied a flow.
-func (s *Steerer) continueLookup(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) Action {
+// denied notes the agents that don't hold a flow, and asks further ones when
+// all that were asked have denied it.
+func (s *Steerer) denied(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) []Action {
 	l := s.lookups[key]
+	if _, found := s.flows.get(key, now); l == nil && found {
+		return nil // an agent of another list holds the flow and has the packet
+	}
 	if l == nil {
-		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
+		return []Action{{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}}
 	}
-	next := int(m.Offset) + len(m.Candidates)
-	if next < len(l.order) {
-		return s.askFrom(now, l, p, m.Packet, next)
+	for _, agent := range m.Candidates {
+		if !slices.Contains(l.denied, agent) {
+			l.denied = append(l.denied, agent)
+		}
 	}
-	return s.missed(now, key, l, p)
-}
-
-// askFrom sends a packet to the agents from offset in the lookup's order.
-func (s *Steerer) askFrom(now time.Time, l *lookup, p flow.Packet, raw []byte, offset int) Action {
-	if offset >= len(l.order) {
-		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
+	if slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !slices.Contains(l.denied, agent) }) {
+		return nil
 	}
-	l.sent, l.again = now, time.Time{}
-	list := l.order[offset:min(len(l.order), offset+hop.MaxCandidates)]
-	return s.forward(list, offset, 0, true, raw)
+	if l.next < len(l.order) {
+		return s.ask(now, l, fanOut)
+	}
+	return []Action{s.missed(now, key, l)}
 }
 
 func (s *Steerer) targets(address netip.AddrPort) []view.Target {
@@ -90,16 +123,16 @@
 // missed resets a flow that is at no agent, so that its caller needn't wait for
 // its deadline. It is reset only while the view names all agents and each of
 // them answers; until then the packet is kept.
-func (s *Steerer) missed(now time.Time, key flow.Key, l *lookup, p flow.Packet) Action {
-	a := Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
+func (s *Steerer) missed(now time.Time, key flow.Key, l *lookup) Action {
+	a := Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: l.packet}
 	if l.missed.IsZero() {
 		l.missed = now
 	}
 	stable := now.Sub(s.changed) >= settled || now.Sub(l.missed) >= missInterval
 	switch {
-	case p.Has(flow.Reset):
+	case l.packet.Has(flow.Reset):
 		delete(s.lookups, key)
-	case s.certain(now) && s.agents.allIn(now, l.order) && stable:
+	case s.certain(now) && s.agents.allIn(now, l.denied) && stable:
 		a.Verdict = Reset
 		delete(s.lookups, key)
 	default:
@@ -115,8 +148,8 @@
 	return now.Sub(s.confirmed) <= freshView && !s.agents.anyDoubtful(now)
 }
 
-// repeatLookups asks all agents again for flows that were at none of them while
-// that was not certain, and for those that nobody answered about.
+// repeatLookups goes on with lookups that found a flow nowhere while that was
+// not certain, and with those that nobody answered about.
 func (s *Steerer) repeatLookups(now time.Time) []Action {
 	if len(s.lookups) == 0 {
 		return nil
@@ -124,22 +157,32 @@
 	var due []Action
 	certain := s.certain(now)
 	for key, l := range s.lookups {
-		if now.Sub(l.began) > lookupTimeout {
+		switch {
+		case now.Sub(l.began) > lookupTimeout:
 			delete(s.lookups, key)
 			due = append(due, Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: l.packet})
-			continue
-		}
-		if !l.due(now) || (!l.missed.IsZero() && !certain) || l.asked >= maxAsked {
-			continue
+		case !l.due(now) || (!l.missed.IsZero() && !certain) || l.asked >= maxAsked:
+		default:
+			due = append(due, s.repeat(now, key, l)...)
 		}
-		l.asked++
-		l.order = s.agents.rankAll(now, key.Hash(), s.targets(l.packet.To))
-		due = append(due, s.askFrom(now, l, l.packet, l.raw, 0))
 	}
 	return due
 }
 
-// due reports whether all agents are to be asked again.
+// repeat asks the agents that have not denied a flow.
+func (s *Steerer) repeat(now time.Time, key flow.Key, l *lookup) []Action {
+	l.order = slices.DeleteFunc(s.agents.rankAll(now, key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
+		return slices.Contains(l.denied, agent)
+	})
+	l.next = 0
+	if len(l.order) == 0 {
+		return []Action{s.missed(now, key, l)}
+	}
+	l.asked++
+	return s.ask(now, l, fanOut)
+}
+
+// due reports whether the lookup is to go on.
 func (l *lookup) due(now time.Time) bool {
 	if l.again.IsZero() {
 		return now.Sub(l.sent) >= answerTimeout
--- a/internal/flowsteer/lookup_test.go
+++ b/internal/flowsteer/lookup_test.go
@@ -1,6 +1,7 @@
 package flowsteer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -8,16 +9,39 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/flow"
 	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/view"
 )
 
-// deny lets every agent deny the flow of a, until the steerer stops asking.
-func deny(s *Steerer, at time.Time, p flow.Packet, a Action) Action {
-	for a.Verdict == Send {
-		a = s.Declined(at, p, &a.Message)
+// deny lets every agent that is asked deny the flow of p, and returns what the
+// steerer decides in the end. visit sees each list of agents.
+func deny(s *Steerer, at time.Time, p flow.Packet, first Action, visit func([]netip.AddrPort)) Action {
+	last, due := first, []Action{first}
+	for len(due) > 0 {
+		a := due[0]
+		due = due[1:]
+		if a.Verdict != Send {
+			last = a
+			continue
+		}
+		visit(a.Message.Candidates)
+		due = append(due, s.Declined(at, p, &a.Message)...)
+	}
+	return last
+}
+
+// resets counts the resets among actions.
+func resets(actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if a.Verdict == Reset {
+			n++
+		}
 	}
-	return a
+	return n
 }
 
+func ignore([]netip.AddrPort) {}
+
 // forwards returns the caller's packets among actions.
 func forwards(actions []Action) []Action {
 	var out []Action
@@ -40,13 +64,29 @@
 	v.Members.Revision = 2
 	s.SetView(start, v)
 	p := callerPacket(1, flow.Ack)
-	is.Equal(deny(s, start, p, s.FromCaller(start, p, []byte("data"))).Verdict, Keep)
-	is.Equal(len(forwards(s.Tick(start.Add(missInterval/2)))), 0)
-	at := start.Add(missInterval)
-	again := forwards(s.Tick(at))
+	is.Equal(deny(s, start, p, s.FromCaller(start, p, []byte("data")), ignore).Verdict, Keep)
+	is.Equal(resets(s.Tick(start.Add(missInterval/2))), 0)
+	is.Equal(resets(s.Tick(start.Add(missInterval))), 1)
+}
+
+// Guards against a flow that is reset although it is at an agent that the view
+// names only after the first search.
+func TestAgentThatIsAddedIsAskedToo(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(3))
+	add := func(at time.Time, agents int) {
+		v := testView(agents)
+		v.Members.Revision = view.Revision(agents)
+		s.SetView(at, v)
+	}
+	add(start, 4)
+	p := callerPacket(1, flow.Ack)
+	is.Equal(deny(s, start, p, s.FromCaller(start, p, []byte("data")), ignore).Verdict, Keep)
+	add(start.Add(missInterval/2), 5)
+	again := forwards(s.Tick(start.Add(missInterval)))
 	is.Equal(len(again), 1)
+	is.Equal(again[0].Message.Candidates, []netip.AddrPort{agentAddress(4)})
 	is.Equal(string(again[0].Message.Packet), "data")
-	is.Equal(deny(s, at, p, again[0]).Verdict, Reset)
 }
 
 // Guards against a lookup that ends unseen at an agent that is down.
@@ -90,5 +130,63 @@
 	v.Members.ByName["agent-1"] = m
 	s.SetView(start, v)
 	p := callerPacket(1, flow.Ack)
-	is.Equal(deny(s, start, p, s.FromCaller(start, p, nil)).Verdict, Reset)
+	is.Equal(deny(s, start, p, s.FromCaller(start, p, nil), ignore).Verdict, Reset)
+}
+
+// Guards against packets of a flow that overtake each other or are lost while
+// its agent is looked up, and against a search for each of them.
+func TestFurtherPacketsWaitForTheLookup(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(20))
+	p := callerPacket(1, flow.Ack)
+	is.Equal(s.FromCaller(start, p, []byte("1")).Verdict, Send)
+	is.Equal(s.FromCaller(start, p, []byte("2")).Verdict, Keep)
+	is.Equal(s.FromCaller(start, p, []byte("3")).Verdict, Keep)
+	due := s.Placed(start, placed(p, agentAddress(4), hop.Load{}))
+	is.Equal(len(due), 2)
+	for i, a := range due {
+		is.Equal(a.To, agentAddress(4))
+		is.Equal(string(a.Message.Packet), string([]byte{byte('2' + i)}))
+	}
+}
+
+// The load pattern: a power cut leaves a thousand flows at no agent of sixty.
+// Guards against searches that ask one agent after the other, up to 90 ms for
+// each flow.
+func TestLostFlowIsSearchedInTwoRounds(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(60))
+	p := callerPacket(1, flow.Ack)
+	first := s.FromCaller(start, p, nil)
+	is.Equal(len(first.Message.Candidates), hop.MaxCandidates)
+	rest := s.Declined(start, p, &first.Message)
+	asked := 0
+	for _, a := range rest {
+		asked += len(a.Message.Candidates)
+	}
+	is.Equal(asked, 60-hop.MaxCandidates)
+	for i, a := range rest {
+		due := s.Declined(start, p, &a.Message)
+		if i < len(rest)-1 {
+			is.Equal(len(due), 0) // not all agents have answered
+			continue
+		}
+		is.Equal(len(due), 1)
+		is.Equal(due[0].Verdict, Reset)
+	}
+}
+
+// Guards against a late denial of one list that counts against an agent of
+// another list, which holds the flow.
+func TestDenialAfterTheFlowWasFound(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(20))
+	p := callerPacket(1, flow.Ack)
+	first := s.FromCaller(start, p, nil)
+	rest := s.Declined(start, p, &first.Message)
+	is.True(len(rest) > 1)
+	holder := rest[0].To
+	s.Placed(start, placed(p, holder, hop.Load{}))
+	is.Equal(len(s.Declined(start, p, &rest[1].Message)), 0)
+	is.Equal(s.FromCaller(start, p, nil).To, holder)
 }
--- a/internal/flowsteer/path_test.go
+++ b/internal/flowsteer/path_test.go
@@ -121,13 +121,15 @@
 	switch action.Verdict {
 	case flowgate.Deliver:
 		if action.Tell.IsValid() {
-			m := a.gate.Placed(p.now, key)
-			p.balancers[balancer].Placed(p.now, &m)
+			p.placed(balancer, a, packet)
 		}
 		p.toBackend(balancer, a, packet, action.Mark)
 	case flowgate.PassOn:
+		action.Message.Packet = []byte("x")
 		if action.Message.Type == hop.Declined {
-			p.fromBalancer(balancer, packet, p.balancers[balancer].Declined(p.now, packet, &action.Message))
+			for _, due := range p.balancers[balancer].Declined(p.now, packet, &action.Message) {
+				p.fromBalancer(balancer, packet, due)
+			}
 			return
 		}
 		p.toAgent(balancer, packet, action.To, action.Message)
@@ -136,6 +138,14 @@
 	}
 }
 
+// placed tells a balancer who holds a packet's flow.
+func (p *path) placed(balancer int, a *pathAgent, packet flow.Packet) {
+	m := a.gate.Placed(p.now, packet.CallerKey())
+	for _, due := range p.balancers[balancer].Placed(p.now, &m) {
+		p.fromBalancer(balancer, packet, due)
+	}
+}
+
 // toBackend lets the backend server answer an opening, take a packet of its
 // flow, or return one of another's.
 func (p *path) toBackend(balancer int, a *pathAgent, packet flow.Packet, mark uint32) {
@@ -151,7 +161,10 @@
 	}
 	if a.holds[key] {
 		p.delivered[key] = a
-		a.gate.FromBackend(p.now, flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: 5001, Length: 10})
+		answer := a.gate.FromBackend(p.now, flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: 5001, Length: 10})
+		if answer.Tell.IsValid() {
+			p.placed(balancer, a, packet)
+		}
 		return
 	}
 	packet.Flags |= flow.Bounced
--- a/internal/flowsteer/steer.go
+++ b/internal/flowsteer/steer.go
@@ -34,7 +34,7 @@
 const (
 	Send  Verdict = iota + 1 // Message goes to To
 	Reset                    // the caller gets a reset of Packet's flow
-	Keep                     // Tick asks the agents for the packet's flow again
+	Keep                     // the packet waits until the agent of its flow is known
 	Drop
 )
 
@@ -44,7 +44,7 @@
 	To      netip.AddrPort
 	Message hop.Message
 	Packet  flow.Packet  // Reset: the packet that is answered
-	Kind    errkind.Kind // Reset, Keep, Drop: why
+	Kind    errkind.Kind // Reset, Drop: why; Keep: the same, 0 while agents are being asked
 	Service string       // the service that the packet was meant for, if known
 }
 
@@ -118,14 +118,13 @@
 
 // toHolder sends a packet to the agent that holds its flow.
 func (s *Steerer) toHolder(agent netip.AddrPort, raw []byte) Action {
-	return s.forward([]netip.AddrPort{agent}, 0, 0, false, raw)
+	return s.forward([]netip.AddrPort{agent}, 0, false, raw)
 }
 
-func (s *Steerer) forward(candidates []netip.AddrPort, offset int, service uint32, ask bool, raw []byte) Action {
+func (s *Steerer) forward(candidates []netip.AddrPort, service uint32, ask bool, raw []byte) Action {
 	return Action{Verdict: Send, To: candidates[0], Message: hop.Message{
 		Type:       hop.Forward,
 		Ask:        ask,
-		Offset:     uint16(offset),
 		Service:    service,
 		Balancer:   s.self,
 		Candidates: candidates,
@@ -161,7 +160,7 @@
 	o.asked, o.at = list[0], now
 	o.rest = o.rest[1:]
 	s.agents.placed(o.asked)
-	a := s.forward(list, 0, ServiceID(o.service), true, o.packet)
+	a := s.forward(list, ServiceID(o.service), true, o.packet)
 	a.Service = o.service
 	return a
 }
@@ -187,12 +186,22 @@
 	return ""
 }
 
-// Placed records that an agent holds a flow.
-func (s *Steerer) Placed(now time.Time, m *hop.Message) {
+// Placed records that an agent holds a flow. Packets that waited for that go to
+// the agent.
+func (s *Steerer) Placed(now time.Time, m *hop.Message) []Action {
 	s.agents.heard(now, m.Agent, m.Load)
 	delete(s.openings, m.Key)
-	delete(s.lookups, m.Key)
 	s.flows.set(m.Key, m.Agent, now)
+	l := s.lookups[m.Key]
+	if l == nil {
+		return nil
+	}
+	delete(s.lookups, m.Key)
+	var due []Action
+	for _, raw := range l.more {
+		due = append(due, s.toHolder(m.Agent, raw))
+	}
+	return due
 }
 
 // HelloAck records an agent's load.
@@ -201,17 +210,17 @@
 }
 
 // Declined decides about a packet that no agent of its list took.
-func (s *Steerer) Declined(now time.Time, p flow.Packet, m *hop.Message) Action {
+func (s *Steerer) Declined(now time.Time, p flow.Packet, m *hop.Message) []Action {
 	key := p.CallerKey()
 	if p.Opening() {
-		return s.declinedOpening(now, key, p)
+		return []Action{s.declinedOpening(now, key, p)}
 	}
-	if _, known := s.flows.get(key, now); known {
+	if holder, known := s.flows.get(key, now); known && slices.Contains(m.Candidates, holder) {
 		// The remembered agent doesn't hold the flow: ask all of them.
 		s.flows.remove(key)
-		return s.lookUp(now, key, p, m.Packet)
+		return []Action{s.lookUp(now, key, p, m.Packet)}
 	}
-	return s.continueLookup(now, key, p, m)
+	return s.denied(now, key, p, m)
 }
 
 // declinedOpening asks further candidates or refuses the flow at once.
--- a/internal/flowsteer/steer_test.go
+++ b/internal/flowsteer/steer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -148,14 +149,12 @@
 	s := newSteerer(testView(20))
 	p := callerPacket(1, flow.Ack)
 	asked := map[netip.AddrPort]bool{}
-	a := s.FromCaller(start, p, nil)
-	for a.Verdict == Send {
-		for _, c := range a.Message.Candidates {
+	a := deny(s, start, p, s.FromCaller(start, p, nil), func(list []netip.AddrPort) {
+		for _, c := range list {
 			is.True(!asked[c])
 			asked[c] = true
 		}
-		a = s.Declined(start, p, &a.Message)
-	}
+	})
 	is.Equal(len(asked), 20)
 	is.Equal(a.Verdict, Reset) // it is nowhere
 }
@@ -165,11 +164,7 @@
 func TestFlowIsResetOnlyWithFullKnowledge(t *testing.T) {
 	miss := func(s *Steerer, at time.Time) Verdict {
 		p := callerPacket(1, flow.Ack)
-		a := s.FromCaller(at, p, nil)
-		for a.Verdict == Send {
-			a = s.Declined(at, p, &a.Message)
-		}
-		return a.Verdict
+		return deny(s, at, p, s.FromCaller(at, p, nil), ignore).Verdict
 	}
 	t.Run("view out of date", func(t *testing.T) {
 		is := is.New(t)
@@ -191,7 +186,8 @@
 		v.Members.Revision = 2
 		s.SetView(start, v)
 		is.Equal(miss(s, start.Add(10*time.Millisecond)), Keep)
-		is.Equal(miss(s, start.Add(200*time.Millisecond)), Reset)
+		is.Equal(resets(s.Tick(start.Add(missInterval))), 0)
+		is.Equal(resets(s.Tick(start.Add(200*time.Millisecond))), 1)
 	})
 }
 
@@ -204,7 +200,7 @@
 	a := s.FromCaller(start, p, nil)
 	is.Equal(a.To, agentAddress(3))
 	is.Equal(len(a.Message.Candidates), 1)
-	a = s.Declined(start, p, &a.Message)
+	a = s.Declined(start, p, &a.Message)[0]
 	is.Equal(a.Verdict, Send)
 	is.Equal(len(a.Message.Candidates), 5)
 }
@@ -283,12 +279,7 @@
 		p := callerPacket(port+1, flow.Ack)
 		a := s.FromCaller(start, p, nil)
 		answer(s, 7)
-		for a.Verdict == Send {
-			for _, c := range a.Message.Candidates {
-				asked = asked || c == silent
-			}
-			a = s.Declined(start, p, &a.Message)
-		}
+		a = deny(s, start, p, a, func(list []netip.AddrPort) { asked = asked || slices.Contains(list, silent) })
 		is.True(asked || a.Verdict == Keep)
 	}
 }
@@ -324,13 +315,9 @@
 		s := newSteerer(testView(12))
 		silence(s, 12, 5, start)
 		p := callerPacket(port+1, flow.Ack)
-		a := s.FromCaller(start, p, nil)
-		for a.Verdict == Send {
-			for _, c := range a.Message.Candidates {
-				is.True(c != agentAddress(5)) // a packet sent there would end the search unseen
-			}
-			a = s.Declined(start, p, &a.Message)
-		}
+		a := deny(s, start, p, s.FromCaller(start, p, nil), func(list []netip.AddrPort) {
+			is.True(!slices.Contains(list, agentAddress(5))) // a packet sent there would end the search unseen
+		})
 		is.Equal(a.Verdict, Reset)
 	}
 }
@@ -365,10 +352,7 @@
 	for port := range 10 {
 		p := callerPacket(port+1, flow.Ack)
 		s.Placed(start, placed(p, agentAddress(0), hop.Load{}))
-		a := s.FromCaller(start, p, nil)
-		for a.Verdict == Send {
-			a = s.Declined(start, p, &a.Message)
-		}
+		a := deny(s, start, p, s.FromCaller(start, p, nil), ignore)
 		is.Equal(a.Verdict, Keep)
 	}
 }
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -58,7 +58,6 @@
 	Position   uint8  // index in Candidates of the agent that is asked now
 	Best       uint8  // 1 + the index of the least busy agent that passed the flow on, 0 if none did
 	BestLoad   uint16 // the load of that agent; see flowgate
-	Offset     uint16 // rank of the first candidate among all agents of the service
 	Service    uint32 // hash of the service that the flow belongs to
 	Balancer   netip.AddrPort
 	Candidates []netip.AddrPort
@@ -78,7 +77,7 @@
 		flags |= finalFlag
 	}
 	b = append(b, magic, byte(m.Type), flags, m.Position, byte(len(m.Candidates)), m.Best)
-	b = binary.BigEndian.AppendUint16(b, m.Offset)
+	b = append(b, 0, 0)
 	b = binary.BigEndian.AppendUint32(b, m.Service)
 	b = appendAddress(b, m.Balancer)
 	b = binary.BigEndian.AppendUint16(b, m.BestLoad)
@@ -111,7 +110,6 @@
 		Final:      b[2]&finalFlag != 0,
 		Position:   b[3],
 		Best:       b[5],
-		Offset:     binary.BigEndian.Uint16(b[6:]),
 		Service:    binary.BigEndian.Uint32(b[8:]),
 		Balancer:   address(b[12:]),
 		BestLoad:   binary.BigEndian.Uint16(b[18:]),
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -28,7 +28,7 @@
 			m.Candidates = append(m.Candidates, drawAddress(t, "candidate"))
 		}
 		m.Position = uint8(rapid.IntRange(0, len(m.Candidates)-1).Draw(t, "position"))
-		m.Offset, m.Service, m.Ask = rapid.Uint16().Draw(t, "offset"), rapid.Uint32().Draw(t, "service"), rapid.Bool().Draw(t, "ask")
+		m.Service, m.Ask = rapid.Uint32().Draw(t, "service"), rapid.Bool().Draw(t, "ask")
 		m.Final, m.Best, m.BestLoad = rapid.Bool().Draw(t, "final"), uint8(rapid.IntRange(0, len(m.Candidates)).Draw(t, "best")), rapid.Uint16().Draw(t, "best load")
 		m.Packet = rapid.SliceOf(rapid.Byte()).Draw(t, "packet")
 	case Placed:
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -67,13 +67,6 @@
 	case flowgate.Deliver:
 		platform.SetMark(raw, action.Mark)
 		a.write(a.backend, raw, a.settings.Backend)
-		if action.Tell.IsValid() {
-			a.tell(action.Tell, a.gate.Placed(now, action.Key))
-		}
-	case flowgate.Hold:
-		if action.Tell.IsValid() {
-			a.tell(action.Tell, a.gate.Placed(now, action.Key))
-		}
 	case flowgate.ToCaller:
 		a.write(a.nodes, raw, a.callerAddress(action.Key))
 	case flowgate.PassOn:
@@ -81,9 +74,9 @@
 		a.tell(action.To, action.Message)
 	case flowgate.Reset:
 		a.reset(action.Key, action.Packet.Ack)
-		if action.Tell.IsValid() {
-			a.tell(action.Tell, a.gate.Placed(now, action.Key))
-		}
+	}
+	if action.Tell.IsValid() {
+		a.tell(action.Tell, a.gate.Placed(now, action.Key))
 	}
 	a.count(action, p)
 	a.log(action, p)
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -241,7 +241,7 @@
 	now := time.Now()
 	switch m.Type {
 	case hop.Placed:
-		b.steerer.Placed(now, m)
+		b.doAll(b.steerer.Placed(now, m))
 	case hop.Hello:
 		b.do(b.steerer.Hello(m))
 	case hop.HelloAck:
@@ -251,7 +251,7 @@
 		if err != nil {
 			return err
 		}
-		b.do(b.steerer.Declined(now, p, m))
+		b.doAll(b.steerer.Declined(now, p, m))
 	}
 	return nil
 }
@@ -264,9 +264,7 @@
 		case <-ticker.C:
 			b.mu.Lock()
 			b.steerer.SetConfirmed(b.node.Board.ConfirmedAt())
-			for _, a := range b.steerer.Tick(time.Now()) {
-				b.do(a)
-			}
+			b.doAll(b.steerer.Tick(time.Now()))
 			b.noteIsolation()
 			b.mu.Unlock()
 		case <-ctx.Done():
@@ -289,6 +287,12 @@
 	b.logger.Emit(id, nil)
 }
 
+func (b *Balancer) doAll(actions []flowsteer.Action) {
+	for _, a := range actions {
+		b.do(a)
+	}
+}
+
 // do carries an action out.
 func (b *Balancer) do(a flowsteer.Action) {
 	switch a.Verdict {
@@ -302,6 +306,9 @@
 		b.out = platform.AppendReset(b.out[:0], key, a.Packet.Ack)
 		b.write(b.callers, netip.AddrPortFrom(key.Caller.Addr(), b.settings.Packets.Port()))
 	case flowsteer.Keep:
+		if a.Kind == 0 {
+			return // the answer of an agent is awaited
+		}
 		b.logger.Emit(event.PacketKept, fields(a.Packet.CallerKey(), a))
 	case flowsteer.Drop:
 		b.metrics.Drops.Inc(a.Kind)
