Judge backend servers by the outcomes of their requests

Change: an agent counts answers with a server error, resets and requests whose answer doesn't start within a second. From three recent failures that are a fifth of all outcomes it passes new flows on, but for one each 500 ms, and takes them when nobody else does; balancers ask it after others. It gets all of them again after three successes and 2 s without a failure. A server that starts anew twice within 8 s counts as failing. Open flows stay.

Ruled out: calls of the health check. They occupy a slot, are priced, and may lie themselves.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -48,6 +48,7 @@
 	RequestTooLarge  Kind = 115 // the request body exceeds the limit for kept requests
 	CallerCancelled  Kind = 116 // the caller cancelled the request
 	RelayNotPossible Kind = 117 // a relayed request cannot be relayed again
+	BackendFailing   Kind = 118 // the backend server fails too many of its requests
 )
 
 // Packet kinds: malformed or unauthenticated input on the data path.
@@ -139,6 +140,7 @@
 	{RequestTooLarge, "request-too-large", http.StatusRequestEntityTooLarge, OutcomeNotRun, 0, ExitFailure, "The request body is larger than a relayed or ticketed request may be."},
 	{CallerCancelled, "caller-cancelled", 499, OutcomeUnknown, 0, ExitFailure, "The caller cancelled the request."},
 	{RelayNotPossible, "relay-not-possible", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "A relayed request found no room and is not relayed again."},
+	{BackendFailing, "backend-failing", http.StatusServiceUnavailable, OutcomeNotRun, retrySoon, ExitFailure, "The backend server fails too many of its requests and gets few new flows."},
 
 	{PacketMalformed, "packet-malformed", 0, "", 0, ExitFailure, "A datagram is not a QUIC packet."},
 	{PacketUnsteerable, "packet-unsteerable", 0, "", 0, ExitFailure, "A packet's connection ID fails its tag."},
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -47,6 +47,9 @@
 	Length   int    // bytes of data
 	Seq      uint32
 	Ack      uint32
+	// Status is the status of the answer that the packet starts, 0 if it shows
+	// none.
+	Status int
 	// Age is how long ago the caller sent the first copy of an opening.
 	Age time.Duration
 }
--- a/internal/flowgate/backend.go
+++ b/internal/flowgate/backend.go
@@ -168,6 +168,7 @@
 	}
 	b.learnUntil = time.Time{}
 	b.asked = time.Time{}
+	g.health.restarted(now)
 	return g.loseBefore(lastOfOldRun, now), nil
 }
 
--- a/internal/flowgate/gate.go
+++ b/internal/flowgate/gate.go
@@ -79,6 +79,7 @@
 	self    netip.AddrPort
 	service uint32
 	backend backend
+	health  health
 	flows   table
 	waiting queue
 	routes  map[netip.AddrPort]view.Route
@@ -145,6 +146,9 @@
 	if a.Seen.Request {
 		f.asked = now
 	}
+	if p.Has(flow.Reset) || p.Has(flow.Close) {
+		g.noteGivenUp(now, f)
+	}
 	if g.hold(now, f, key, p, m.Packet) {
 		a.Verdict = Hold
 	} else {
@@ -219,10 +223,11 @@
 	if kind := g.refusal(now, m.Service); kind != 0 {
 		return g.passOn(m, key, kind)
 	}
-	if g.yields(m) {
-		return g.passOn(m, key, errkind.BackendFull)
+	if kind := g.yield(now, m); kind != 0 {
+		return g.passOn(m, key, kind)
 	}
 	g.backend.took(now)
+	g.health.took(now)
 	g.flows.add(key, now, opening).tried = now.Add(-p.Age)
 	return Action{Verdict: Deliver, Mark: g.offer(now, m, key, nil), Key: key, Tell: m.Balancer}
 }
@@ -287,6 +292,9 @@
 	case f.isNewReply(p) && f.waiting:
 		a.Seen.Answered, a.Seen.Took = true, now.Sub(f.asked)
 	}
+	if f.waiting && (a.Seen.Answered || p.Has(flow.Reset)) {
+		g.noteAnswer(now, p.Has(flow.Reset), p.Status)
+	}
 	g.flows.fromBackend(now, f, p)
 	return a
 }
@@ -344,6 +352,7 @@
 		return
 	}
 	g.swept = now
+	g.noteOverdue(now)
 	for mark, o := range g.offers {
 		if now.Sub(o.at) > offerTimeout {
 			delete(g.offers, mark)
@@ -367,9 +376,13 @@
 	return hop.Message{Type: hop.Placed, Service: g.service, Key: key, Agent: g.self, Load: g.Load(now)}
 }
 
-// Refusal returns why the agent takes no new flows now, 0 if it takes some.
+// Refusal returns why the agent takes no new flows now, or only a few, and 0
+// otherwise.
 func (g *Gate) Refusal(now time.Time) errkind.Kind {
-	return g.refusal(now, g.service)
+	if kind := g.refusal(now, g.service); kind != 0 || !g.health.failing {
+		return kind
+	}
+	return errkind.BackendFailing
 }
 
 // SetRoutes takes over what the configuration says of requests.
--- a/internal/flowgate/load.go
+++ b/internal/flowgate/load.go
@@ -1,6 +1,12 @@
 package flowgate
 
-import "github.com/knapweedpier/knapweedpier/internal/hop"
+import (
+	"math"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/hop"
+)
 
 const (
 	// busyFactor is the number of requests for each slot from which an agent
@@ -22,18 +28,27 @@
 // load returns the number of requests for each slot, in parts of loadScale.
 func (g *Gate) load() uint16 { return uint16(min(g.requests()*loadScale/g.slots(), 1<<16-1)) }
 
-// yields reports whether an opening is left to a less busy agent. While there
-// may be one the opening passes along its candidates, which note the least busy
-// of them in m; that one takes it. Without the second round the last candidate
-// would take all flows as soon as every agent is busy, and it is the one whose
-// load is highest.
-func (g *Gate) yields(m *hop.Message) bool {
-	if m.Final || !g.busy() {
-		return false
+// yield returns why an opening is left to another agent, 0 if it isn't. While
+// there may be a better one the opening passes along its candidates, which note
+// the least busy of them in m; that one takes it. Without the second round the
+// last candidate would take all flows as soon as every agent is busy, and it is
+// the one whose load is highest.
+func (g *Gate) yield(now time.Time, m *hop.Message) errkind.Kind {
+	kind, load := errkind.Kind(0), g.load()
+	switch {
+	case !g.health.admits(now):
+		kind, load = errkind.BackendFailing, math.MaxUint16
+	case g.busy():
+		kind = errkind.BackendFull
 	}
-	if load := g.load(); m.Best == 0 || load < m.BestLoad {
+	if m.Final || kind == 0 {
+		return 0
+	}
+	if m.Best == 0 || load < m.BestLoad {
 		m.Best, m.BestLoad = m.Position+1, load
 	}
-	last := int(m.Position) == len(m.Candidates)-1
-	return !last || m.Best != m.Position+1
+	if int(m.Position) == len(m.Candidates)-1 && m.Best == m.Position+1 {
+		return 0
+	}
+	return kind
 }
--- a/internal/flowgate/table.go
+++ b/internal/flowgate/table.go
@@ -43,6 +43,7 @@
 	waiting      bool      // a delivered request has no start of an answer yet
 	asked        time.Time // when the request was seen
 	began        time.Time // when it was delivered
+	overdue      bool      // its answer takes too long
 	held         *waiting  // a request that waits for a slot
 	callerClosed bool
 	serverClosed bool
@@ -139,7 +140,7 @@
 	if f.waiting || (f.state != open && f.state != opening) {
 		return
 	}
-	f.waiting, f.began = true, now
+	f.waiting, f.began, f.overdue = true, now, false
 	t.inProgress++
 }
 
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -80,7 +80,7 @@
 	}
 	a.count(action, p)
 	a.log(action, p)
-	a.logRequest(action.Key, action.Seen, raw)
+	a.logRequest(action.Key, action.Seen, p.Status, raw)
 }
 
 // release delivers the requests that leave the queue.
@@ -148,7 +148,7 @@
 
 // logRequest writes when a request is seen, with its id, and when its answer
 // starts.
-func (a *Agent) logRequest(key flow.Key, seen flowgate.Seen, raw []byte) {
+func (a *Agent) logRequest(key flow.Key, seen flowgate.Seen, status int, raw []byte) {
 	fields := event.Fields{"flow": key.Caller.String(), "to": key.Service.String()}
 	switch {
 	case seen.Request:
@@ -159,7 +159,7 @@
 		fields["ms"] = seen.Took.Milliseconds()
 		// The first packet seen of a long answer needn't be the one with its
 		// status.
-		if status := platform.AnswerStatus(raw); status > 0 {
+		if status > 0 {
 			fields["status"] = status
 		}
 		a.logger.Emit(event.FlowAnswered, fields)
@@ -198,6 +198,7 @@
 	fields := event.Fields{"taking": kind == 0, "report_age_ms": a.gate.ReportAge(now).Milliseconds()}
 	if kind != 0 {
 		fields["reason"] = kind.String()
+		fields["failures"], fields["outcomes"] = a.gate.Failures()
 	}
 	a.logger.Emit(event.NewFlowsChanged, fields)
 }
