Follow only peers that a served process keeps current

The store turned frontend-tr-centre-1 away, which watches it for its failure domain. It asked its own follower, whose view was younger than 3.5 s, and that one asked it in turn, so both kept an old view until its age had passed the bound.

Change: an answer names the process whose calls of the store keep the view current. A process doesn't follow a peer without such a source, nor one whose source it is itself. A peer that loses its source says so at once. Changes of the source are logged (event 1116).

Test: TestTurnedAwayWatcherAndItsFollowers takes longer than 2 s without the rule.

Ruled out: a shorter bound of the age; it would only shorten the circle, and pings at 1.2 s need room.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,7 @@
 	ViewChanged         ID = 1113
 	ObjectRefused       ID = 1114
 	Announced           ID = 1115
+	SourceChanged       ID = 1116
 )
 
 // Events of packet flows, at balancers and agents.
@@ -115,6 +116,7 @@
 	{ViewChanged, log.InfoLevel, false, "view changed", "None."},
 	{ObjectRefused, log.WarnLevel, true, "object of the store refused", "Look for another writer of the object that the message names."},
 	{Announced, log.InfoLevel, false, "announcement stored", "None."},
+	{SourceChanged, log.InfoLevel, false, "view comes from another process", "None, unless there is none for long: look for hosts that the store turns away."},
 
 	{PacketDropped, log.WarnLevel, true, "packet dropped", "See ERRORS.md for the kind."},
 	{TunnelReopened, log.WarnLevel, true, "tunnel socket reopened", "Look for a device that lost the UDP flow."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -290,6 +290,9 @@
 // note records whether the store answers.
 func (f *Follower) note(err error) {
 	if err == nil || errkind.Is(err, errkind.HistoryGone) || errkind.Is(err, errkind.NotFound) {
+		if !f.following.Load() {
+			f.setSource(f.o.Name)
+		}
 		if f.lost.Swap(false) {
 			f.o.Logger.Emit(event.PlatformBack, nil)
 		}
@@ -298,6 +301,16 @@
 	if !f.lost.Swap(true) {
 		f.o.Logger.Failure(event.PlatformLost, err, nil)
 	}
+	if f.o.Board.Source() == f.o.Name {
+		f.setSource("")
+	}
+}
+
+// setSource notes the process whose calls of the store the view comes from.
+func (f *Follower) setSource(process string) {
+	if f.o.Board.SetSource(process) {
+		f.o.Logger.Emit(event.SourceChanged, event.Fields{"source": process, "age_ms": f.o.Board.AgeMS()})
+	}
 }
 
 // upstream returns the peers to ask, in order: those of the own failure domain
@@ -372,6 +385,9 @@
 				break
 			}
 		}
+		if !fresh && f.o.Board.Source() != f.o.Name {
+			f.setSource("")
+		}
 		f.following.Store(fresh && !f.watchesForOthers())
 		if !fresh {
 			sleep(ctx, idleCheck)
@@ -428,7 +444,8 @@
 	running.Wait()
 }
 
-// ask sends one question to a peer and reports whether its view is fresh.
+// ask sends one question to a peer and reports whether its view is fresh and
+// comes from a process that the store serves.
 func (f *Follower) ask(ctx context.Context, links *links, peer netip.AddrPort) bool {
 	known := map[view.Section]view.Revision{}
 	v := f.o.Board.View()
@@ -449,6 +466,12 @@
 	if answer.AgeMS < 0 || answer.AgeMS > freshAge.Milliseconds() {
 		return false
 	}
+	if answer.Source == "" || answer.Source == f.o.Name {
+		// The peer has no source, or this process is its source: following it
+		// would keep an old view in a circle.
+		return false
+	}
+	f.setSource(answer.Source)
 	confirmed := asked.Add(-time.Duration(answer.AgeMS) * time.Millisecond)
 	for _, s := range view.Sections() {
 		f.o.Board.Confirm(s, confirmed)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,7 +32,13 @@
 // store answers.
 func startProcess(t *testing.T, name string, role view.Role, domain string, server *platformtest.Store, announced []process) process {
 	t.Helper()
-	store := platform.NewStore(server.Address())
+	return startProcessAt(t, name, role, domain, server.Address(), announced)
+}
+
+// startProcessAt does the same with a store's address.
+func startProcessAt(t *testing.T, name string, role view.Role, domain string, address netip.AddrPort, announced []process) process {
+	t.Helper()
+	store := platform.NewStore(address)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -192,6 +200,94 @@
 	is.True(time.Since(began) < 600*time.Millisecond)
 }
 
+// line forwards connections to a store until it is cut.
+type line struct {
+	listener net.Listener
+	mu       sync.Mutex
+	open     []net.Conn
+	cut      bool
+}
+
+func newLine(t *testing.T, to netip.AddrPort) *line {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &line{listener: listener}
+	t.Cleanup(func() { _ = listener.Close(); l.setCut(true) })
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return // closed at the end of the test
+			}
+			far, err := net.Dial("tcp4", to.String())
+			if err != nil || !l.keep(near, far) {
+				_ = near.Close()
+				continue
+			}
+			go func() { _, _ = io.Copy(near, far); _ = near.Close() }()
+			go func() { _, _ = io.Copy(far, near); _ = far.Close() }()
+		}
+	}()
+	return l
+}
+
+// keep remembers the connections, unless the line is cut.
+func (l *line) keep(near, far net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		_ = far.Close()
+		return false
+	}
+	l.open = append(l.open, near, far)
+	return true
+}
+
+func (l *line) setCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+	l.open = nil
+}
+
+// Guards against two processes that keep each other's old view: the one that
+// watches the store for its failure domain is turned away, and asks the one
+// that follows it. A configuration stayed in use 3.1 s after its successor was
+// confirmed (gelatines-tr, hunt-92e0-15).
+func TestTurnedAwayWatcherAndItsFollowers(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	server.SetConfiguration(1)
+	line := newLine(t, server.Address())
+	watcher := startProcessAt(t, "balancer-1", view.BalancerRole, "a", line.listener.Addr().(*net.TCPAddr).AddrPort(), nil)
+	announce(t, server, "balancer-1", view.BalancerRole, "a", watcher)
+	eventually(t, "view of the watcher", func() bool { return watcher.board.View().Complete() })
+	var others []process
+	for i, domain := range []string{"a", "c"} {
+		name := fmt.Sprintf("balancer-%d", i+2)
+		p := startProcess(t, name, view.BalancerRole, domain, server, nil)
+		announce(t, server, name, view.BalancerRole, domain, p)
+		others = append(others, p)
+	}
+	eventually(t, "the follower's source", func() bool { return others[0].board.Source() == "balancer-1" })
+	// The follower's own watch of the configuration ends after at most 2.5 s.
+	time.Sleep(3 * time.Second)
+	line.setCut(true)
+	began := time.Now()
+	server.SetConfiguration(2)
+	for _, p := range append(others, watcher) {
+		eventually(t, "the change", func() bool { return p.version() == 2 })
+	}
+	is.True(time.Since(began) < 2*time.Second)
+}
+
 func newAnnouncer(t *testing.T, server *platformtest.Store) (*follow.Announcer, *view.Board) {
 	t.Helper()
 	store := platform.NewStore(server.Address())
--- a/internal/follow/peer.go
+++ b/internal/follow/peer.go
@@ -27,11 +27,11 @@
 	WaitMS int64 // how long to hold the question without changes
 }
 
-// Answer holds the changes, and the age of the peer's view in milliseconds, -1
-// if it was never current.
+// Answer holds the changes, and how far the peer's view is to be relied on.
 type Answer struct {
 	Deltas []view.Delta
-	AgeMS  int64
+	AgeMS  int64  // of the peer's view, -1 if it was never current
+	Source string // the process whose calls of the store keep it current, "" if there is none
 }
 
 // Serve answers peers on l until l is closed.
@@ -65,23 +65,31 @@
 func hold(ctx context.Context, board *view.Board, q Question, wait time.Duration) Answer {
 	changed, cancel := board.Subscribe()
 	defer cancel()
+	sourced, cancelSource := board.SubscribeSource()
+	defer cancelSource()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
+	for first := board.Source(); ; {
 		deltas := newer(board, q)
-		if len(deltas) > 0 {
-			return Answer{Deltas: deltas, AgeMS: board.AgeMS()}
+		// A peer that has lost its source says so at once.
+		if len(deltas) > 0 || board.Source() != first {
+			return answer(board, deltas)
 		}
 		select {
 		case <-changed:
+		case <-sourced:
 		case <-timer.C:
-			return Answer{AgeMS: board.AgeMS()}
+			return answer(board, nil)
 		case <-ctx.Done():
-			return Answer{AgeMS: board.AgeMS()}
+			return answer(board, nil)
 		}
 	}
 }
 
+func answer(board *view.Board, deltas []view.Delta) Answer {
+	return Answer{Deltas: deltas, AgeMS: board.AgeMS(), Source: board.Source()}
+}
+
 func newer(board *view.Board, q Question) []view.Delta {
 	var deltas []view.Delta
 	for _, s := range view.Sections() {
--- a/internal/view/board.go
+++ b/internal/view/board.go
@@ -14,7 +14,8 @@
 // Board is the entry of the blackboard that holds the view of a process. It is
 // safe for concurrent use.
 type Board struct {
-	entry blackboard.Entry[View]
+	entry  blackboard.Entry[View]
+	source blackboard.Entry[string]
 
 	mu        sync.Mutex
 	recent    map[Section][]Delta
@@ -81,6 +82,18 @@
 	}
 }
 
+// SetSource names the process whose calls of the store keep the view current,
+// "" if there is none. It reports whether that is a change.
+func (b *Board) SetSource(process string) bool {
+	return b.source.Update(func(old string) (string, bool) { return process, process != old })
+}
+
+// Source returns what SetSource has set.
+func (b *Board) Source() string { return b.source.Get() }
+
+// SubscribeSource returns a channel that is notified of changes of the source.
+func (b *Board) SubscribeSource() (<-chan struct{}, func()) { return b.source.Subscribe() }
+
 // AgeMS returns the milliseconds since all sections were known to be current,
 // -1 if they never were.
 func (b *Board) AgeMS() int64 {
