Call a store that is lost for one section only

Change: while the store is lost only the configuration is asked for. After changes the next watch begins after 300 ms.

Test: TestStoreThatIsLostGetsFewCalls counts them.

Ruled out: longer waits of the configuration's watch; a watch that the store forgot would then go unnoticed for as long as a version may stay in use.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,7 +28,7 @@
 	membersWait       = 8 * time.Second
 	// rearm is the pause after changes before the next watch, so that changes
 	// in quick succession cost one call.
-	rearm = 150 * time.Millisecond
+	rearm = 300 * time.Millisecond
 	// pingInterval is how often a process that watches asks whether the store
 	// still answers it.
 	pingInterval = 1200 * time.Millisecond
@@ -162,6 +162,11 @@
 			sleep(ctx, idleCheck)
 			continue
 		}
+		if f.lost.Load() && s != view.ConfigurationSection {
+			// One section's calls find out whether the store is back.
+			sleep(ctx, minRetry)
+			continue
+		}
 		if cursor == 0 {
 			cursor = f.o.Board.View().Revision(s)
 		}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -200,6 +200,27 @@
 	is.True(time.Since(began) < 600*time.Millisecond)
 }
 
+// Guards against a process that the store turns away and that asks it again for
+// each section: calls that are refused are priced too.
+func TestStoreThatIsLostGetsFewCalls(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	server.SetConfiguration(1)
+	p := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	eventually(t, "complete view", func() bool { return p.board.View().Complete() })
+	server.Set(platformtest.Limited)
+	server.SetConfiguration(2) // ends the waiting watch
+	server.Evacuate("z", true)
+	server.PutMember("wake", `{"Name":"wake"}`)
+	time.Sleep(time.Second)
+	before := server.Calls()
+	time.Sleep(2 * time.Second)
+	is.True(server.Calls()-before <= 7) // one each 500 ms, and pings
+	server.Set(platformtest.None)
+	eventually(t, "all changes", func() bool { return p.version() == 2 && p.board.View().Evacuations.Domains["z"] })
+}
+
 // line forwards connections to a store until it is cut.
 type line struct {
 	listener net.Listener
