--- a/cmd/knapweedpier-agent/main.go
+++ b/cmd/knapweedpier-agent/main.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/fx"
 
-	"github.com/knapweedpier/knapweedpier/internal/daemon"
-	"github.com/knapweedpier/knapweedpier/internal/settings"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/settings"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/daemon"
 	"github.com/knapweedpier/knapweedpier/pkg/agent"
 )
 
--- a/internal/event/event.go
+++ b/internal/base/event/event.go
@@ -12,7 +12,7 @@
 	"github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/text"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // ID is the number of an event. Numbers are stable and never reused.
--- a/internal/event/event_test.go
+++ b/internal/base/event/event_test.go
@@ -10,7 +10,7 @@
 	"github.com/apex/log"
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Guards against a flood of log lines for one repeated fault, and against
--- a/internal/keyring/keyring.go
+++ b/internal/base/keyring/keyring.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // SecretSize is the length of a secret in bytes.
--- a/internal/keyring/keyring_test.go
+++ b/internal/base/keyring/keyring_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 var secretA = strings.Repeat("a1", SecretSize)
--- a/internal/metrics/handler.go
+++ b/internal/base/metrics/handler.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Health says whether the process can do its work; nil means that it can.
--- a/internal/metrics/metrics_test.go
+++ b/internal/base/metrics/metrics_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Guards against allocations for each packet or request, which would make the
--- a/internal/metrics/registry.go
+++ b/internal/base/metrics/registry.go
@@ -7,7 +7,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Counter counts things. It is safe for concurrent use.
--- a/internal/metrics/roles.go
+++ b/internal/base/metrics/roles.go
@@ -1,6 +1,6 @@
 package metrics
 
-import "github.com/knapweedpier/knapweedpier/internal/errkind"
+import "github.com/knapweedpier/knapweedpier/internal/base/errkind"
 
 // Ranges of error kinds, as the list of kinds divides them.
 const (
--- a/internal/metrics/server.go
+++ b/internal/base/metrics/server.go
@@ -8,7 +8,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Bounds on what one reader of the operators' address can hold: it has no
--- a/internal/settings/certificate.go
+++ b/internal/base/settings/certificate.go
@@ -6,8 +6,8 @@
 	"crypto/tls"
 	"sync/atomic"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 // CertificateSource holds the certificate for callers' TLS and follows its
--- a/internal/settings/checkfile.go
+++ b/internal/base/settings/checkfile.go
@@ -5,8 +5,8 @@
 	"net/url"
 	"os"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
 // othersMode are the permission bits of users that are neither the owner nor
--- a/internal/settings/faults.go
+++ b/internal/base/settings/faults.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Fault is one setting that was refused.
--- a/internal/settings/operator.go
+++ b/internal/base/settings/operator.go
@@ -4,8 +4,8 @@
 	"net/url"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
 // Operator holds the settings that all commands of knapweedpier share.
--- a/internal/settings/page.go
+++ b/internal/base/settings/page.go
@@ -6,14 +6,14 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 const pageHead = `# Settings
 
 Each setting is a flag and an environment variable; the flag wins. All settings are checked before anything is opened.
 A refused setting ends the program with exit code 2 and is named on standard error, together with the reason. This page
-is generated: ` + "`go test ./internal/settings -run TestSettingsPage -update`" + `.
+is generated: ` + "`go test ./internal/base/settings -run TestSettingsPage -update`" + `.
 `
 
 // Page renders docs/SETTINGS.md.
--- a/internal/settings/parse.go
+++ b/internal/base/settings/parse.go
@@ -8,8 +8,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 // Checker is implemented by settings that can be checked as a whole.
--- a/internal/settings/reload_test.go
+++ b/internal/base/settings/reload_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/testcert"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/testcert"
 )
 
 func write(t *testing.T, path, text string, mode os.FileMode) {
--- a/internal/settings/ring.go
+++ b/internal/base/settings/ring.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
 // reloadInterval is how often files are re-read.
--- a/internal/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/golden"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/golden"
 )
 
 var update = flag.Bool("update", false, "rewrite the page")
@@ -138,5 +138,5 @@
 	is := is.New(t)
 	page, err := Page()
 	is.NoErr(err)
-	golden.Compare(t, filepath.Join("..", "..", "docs", "SETTINGS.md"), page, *update)
+	golden.Compare(t, filepath.Join("..", "..", "..", "docs", "SETTINGS.md"), page, *update)
 }
--- a/internal/udp/udp.go
+++ b/internal/base/udp/udp.go
@@ -5,7 +5,7 @@
 	"net"
 	"net/netip"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // bufferSize is asked of the kernel for each direction of a socket. It holds
--- a/internal/distribution/announcement.go
+++ b/internal/control/distribution/announcement.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 )
 
 // announcement is what a process writes to the platform. It is signed, so that
--- a/internal/distribution/announcement_test.go
+++ b/internal/control/distribution/announcement_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 )
 
 // Guards against an announcement that was changed, or was written by a process
--- a/internal/distribution/announcer.go
+++ b/internal/control/distribution/announcer.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 // Times of announcements.
--- a/internal/distribution/answer.go
+++ b/internal/control/distribution/answer.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
 )
 
 // answer serves peer.pull: it waits for news for as long as the requester asks. A
--- a/internal/distribution/bench_test.go
+++ b/internal/control/distribution/bench_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/distribution/board.go
+++ b/internal/control/distribution/board.go
@@ -6,9 +6,9 @@
 import (
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/blackboard"
-	"github.com/knapweedpier/knapweedpier/internal/isolation"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/base/blackboard"
+	"github.com/knapweedpier/knapweedpier/internal/control/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/distribution/configuration.go
+++ b/internal/control/distribution/configuration.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/distribution/distribution_test.go
+++ b/internal/control/distribution/distribution_test.go
@@ -1,7 +1,7 @@
 package distribution
 
 import (
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 	"slices"
 	"strings"
 	"testing"
@@ -10,10 +10,10 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/isolation"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/distribution/fleet_bench_test.go
+++ b/internal/control/distribution/fleet_bench_test.go
@@ -18,8 +18,8 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/distribution/graph_bench_test.go
+++ b/internal/control/distribution/graph_bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 )
 
 // graph is who pulls from whom in a fleet.
--- a/internal/distribution/health.go
+++ b/internal/control/distribution/health.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/clockoffset"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/isolation"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/base/clockoffset"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 )
 
 // Times of the health controller.
--- a/internal/distribution/members.go
+++ b/internal/control/distribution/members.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 )
 
 // Intervals that grow with the fleet, so that control traffic stays within the
--- a/internal/distribution/metrics.go
+++ b/internal/control/distribution/metrics.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 )
 
 // initMetrics registers the metrics of the control path. The peer package
--- a/internal/distribution/node.go
+++ b/internal/control/distribution/node.go
@@ -11,16 +11,16 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
-	"github.com/knapweedpier/knapweedpier/internal/clockoffset"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/isolation"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
-	"github.com/knapweedpier/knapweedpier/internal/peertls"
+	"github.com/knapweedpier/knapweedpier/internal/base/clockoffset"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/control/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
+	"github.com/knapweedpier/knapweedpier/internal/control/peertls"
 )
 
 // Options are the parts of a Node. Self, Store, Ring and one of Listen and
--- a/internal/distribution/partners.go
+++ b/internal/control/distribution/partners.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/isolation"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
+	"github.com/knapweedpier/knapweedpier/internal/control/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
 )
 
 // Numbers of partners. More are chosen in a region with so many failure
--- a/internal/distribution/partners_test.go
+++ b/internal/control/distribution/partners_test.go
@@ -8,9 +8,9 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/isolation"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/control/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 func everything(members []membership.Member, domains int) fleetView {
--- a/internal/distribution/puller.go
+++ b/internal/control/distribution/puller.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
 )
 
 // Times of pulling.
--- a/internal/distribution/watcher.go
+++ b/internal/control/distribution/watcher.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/fence/fence.go
+++ b/internal/control/fence/fence.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Times of the fence.
--- a/internal/fence/fence_test.go
+++ b/internal/control/fence/fence_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 // Guards against work that runs after a pause longer than the lease, whoever
--- a/internal/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
 // checkInterval is how often the announcement is compared with the view. A
--- a/internal/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -13,10 +13,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/rendezvous"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
 const (
--- a/internal/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/follow"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/platform"
 	"github.com/knapweedpier/knapweedpier/platform/platformtest"
 )
--- a/internal/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -9,8 +9,8 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
 const (
--- a/internal/follow/spread_test.go
+++ b/internal/control/follow/spread_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
 // The load pattern: all processes of a failure domain ask for changes. Guards
--- a/internal/objectstore/client.go
+++ b/internal/control/objectstore/client.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Bounds of one client's connections and answers.
--- a/internal/peer/client.go
+++ b/internal/control/peer/client.go
@@ -11,8 +11,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/peertls"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/peertls"
 )
 
 // DialFunc opens a TCP connection.
--- a/internal/peer/codec.go
+++ b/internal/control/peer/codec.go
@@ -9,7 +9,7 @@
 	"io"
 	"sync"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // A frame is a 4-byte big-endian header and a JSON message. The header's
--- a/internal/peer/connections_bench_test.go
+++ b/internal/control/peer/connections_bench_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/peertls"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/control/peertls"
 )
 
 // benchPeer returns a dialer and the address of a server that answers pulls
--- a/internal/peer/message.go
+++ b/internal/control/peer/message.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 )
 
 // The application protocols of the listener.
--- a/internal/peer/peer_test.go
+++ b/internal/control/peer/peer_test.go
@@ -19,11 +19,11 @@
 	"github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/peertls"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/control/peertls"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 func identity(t *testing.T, secret string) *peertls.Identity {
--- a/internal/peer/relay.go
+++ b/internal/control/peer/relay.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Limits of kept connections.
--- a/internal/peer/server.go
+++ b/internal/control/peer/server.go
@@ -15,10 +15,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	names "github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/peertls"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	names "github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/control/peertls"
 )
 
 // Limits of a connection to the server.
--- a/internal/peertls/peertls.go
+++ b/internal/control/peertls/peertls.go
@@ -18,8 +18,8 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
 // ServerName is the name in every certificate. Processes are distinguished by
--- a/internal/peertls/peertls_test.go
+++ b/internal/control/peertls/peertls_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
 var keyA, keyB = "1:" + strings.Repeat("a1", 32), "2:" + strings.Repeat("b2", 32)
--- a/internal/view/board.go
+++ b/internal/control/view/board.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/blackboard"
+	"github.com/knapweedpier/knapweedpier/internal/base/blackboard"
 )
 
 // keptDeltas is the number of recent changes of each section that are kept for
--- a/internal/view/view_test.go
+++ b/internal/control/view/view_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 func address(i int) netip.AddrPort {
--- a/internal/fleet/burn_test.go
+++ b/internal/embedded/fleet/burn_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/fleet"
-	"github.com/knapweedpier/knapweedpier/internal/status"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/fleet"
+	"github.com/knapweedpier/knapweedpier/internal/operators/status"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
 
--- a/internal/fleet/changes.go
+++ b/internal/embedded/fleet/changes.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/change"
-	"github.com/knapweedpier/knapweedpier/internal/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/operators/change"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 )
--- a/internal/fleet/faults.go
+++ b/internal/embedded/fleet/faults.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/change"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/operators/change"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 	"github.com/knapweedpier/knapweedpier/standin/backend"
--- a/internal/fleet/hosts.go
+++ b/internal/embedded/fleet/hosts.go
@@ -9,9 +9,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 	"github.com/knapweedpier/knapweedpier/pkg/agent"
 	"github.com/knapweedpier/knapweedpier/pkg/balancer"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
--- a/internal/fleet/link.go
+++ b/internal/embedded/fleet/link.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 )
 
 // link is how one process reaches its peers and the platform. A cut link
--- a/internal/fleet/ops_test.go
+++ b/internal/embedded/fleet/ops_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/fleet"
-	"github.com/knapweedpier/knapweedpier/internal/status"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/fleet"
+	"github.com/knapweedpier/knapweedpier/internal/operators/status"
 	"github.com/knapweedpier/knapweedpier/pkg/cli"
 )
 
@@ -35,7 +35,7 @@
 // gelDesk is the sheet of the first user, with services on 127.prefix.0.1.
 func gelDesk(t *testing.T, prefix byte) string {
 	t.Helper()
-	text, err := os.ReadFile("../../examples/gel-desk.csv")
+	text, err := os.ReadFile("../../../examples/gel-desk.csv")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/packetlog.go
+++ b/internal/embedded/fleet/packetlog.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/quickstart"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
 )
 
 // resolution is the precision of packet times; it bounds the ledger's memory.
--- a/internal/fleet/path.go
+++ b/internal/embedded/fleet/path.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"sync"
 
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 )
 
 // path is the network between one agent and the balancers. It can lose track
--- a/internal/fleet/promises_test.go
+++ b/internal/embedded/fleet/promises_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
 )
 
 // testDuration is the shortest run that holds all planned changes.
@@ -23,7 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			prefix := byte(90 + i)
-			text, err := os.ReadFile("../../examples/" + name + ".csv")
+			text, err := os.ReadFile("../../../examples/" + name + ".csv")
 			is.NoErr(err)
 			// Other tests and runs use the addresses of the examples.
 			own := strings.ReplaceAll(string(text), "127.0.0.1:", fmt.Sprintf("127.%d.0.1:", prefix))
--- a/internal/fleet/watch.go
+++ b/internal/embedded/fleet/watch.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/distribution"
-	"github.com/knapweedpier/knapweedpier/internal/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/control/distribution"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/quickstart/join_test.go
+++ b/internal/embedded/quickstart/join_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
 
--- a/internal/quickstart/plan.go
+++ b/internal/embedded/quickstart/plan.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Durations of a run.
--- a/internal/quickstart/progress.go
+++ b/internal/embedded/quickstart/progress.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // say writes one progress line with the seconds since the load began. A
--- a/internal/quickstart/run.go
+++ b/internal/embedded/quickstart/run.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
 
--- a/internal/quickstart/summary.go
+++ b/internal/embedded/quickstart/summary.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
 
--- a/internal/testcert/testcert.go
+++ b/internal/embedded/testcert/testcert.go
@@ -13,7 +13,7 @@
 	"math/big"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Lifetime is how long a certificate is valid.
--- a/internal/flow/flow.go
+++ b/internal/flowpath/flow/flow.go
@@ -7,7 +7,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
+	"github.com/knapweedpier/knapweedpier/internal/base/rendezvous"
 )
 
 // Key identifies a flow in both directions.
--- a/internal/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
 const (
--- a/internal/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -8,11 +8,11 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 const serviceID = 7
--- a/internal/flowgate/health_test.go
+++ b/internal/flowpath/flowgate/health_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 // request plays one request on a flow of its own, which the backend server
--- a/internal/flowgate/load.go
+++ b/internal/flowpath/flowgate/load.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 const (
--- a/internal/flowgate/load_test.go
+++ b/internal/flowpath/flowgate/load_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 // row is a list of agents that an opening names, in the order of a balancer.
--- a/internal/flowgate/queue.go
+++ b/internal/flowpath/flowgate/queue.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
 const (
--- a/internal/flowgate/queue_test.go
+++ b/internal/flowpath/flowgate/queue_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
 // serverSlots is the number of requests that the backend server works on.
--- a/internal/flownode/loops.go
+++ b/internal/flowpath/flownode/loops.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 // FollowView hands each new view to take until the node stops.
--- a/internal/flownode/node.go
+++ b/internal/flowpath/flownode/node.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/follow"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
 const (
--- a/internal/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/hop"
-	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/rendezvous"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 const (
--- a/internal/flowsteer/holders.go
+++ b/internal/flowpath/flowsteer/holders.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
 const (
--- a/internal/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 // deny lets every agent that is asked deny the flow of p, and returns what the
--- a/internal/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -8,12 +8,12 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/flowgate"
-	"github.com/knapweedpier/knapweedpier/internal/flowsteer"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowsteer"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 var (
--- a/internal/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -7,8 +7,8 @@
 	"encoding/binary"
 	"net/netip"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/flow"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
 // Type says what a message is.
--- a/internal/hop/hop_test.go
+++ b/internal/flowpath/hop/hop_test.go
@@ -9,9 +9,9 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 func drawAddress(t *rapid.T, label string) netip.AddrPort {
--- a/internal/burnpage/burnpage_test.go
+++ b/internal/operators/burnpage/burnpage_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/golden"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/golden"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/burnpage/html.go
+++ b/internal/operators/burnpage/html.go
@@ -7,8 +7,8 @@
 	"io"
 	"strings"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 )
 
 //go:embed page.html.tmpl
--- a/internal/burnpage/text.go
+++ b/internal/operators/burnpage/text.go
@@ -8,8 +8,8 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 )
 
 const timeLayout = "2006-01-02 15:04:05 MST"
--- a/internal/change/editor.go
+++ b/internal/operators/change/editor.go
@@ -9,9 +9,9 @@
 	"crypto/rand"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 )
--- a/internal/change/editor_test.go
+++ b/internal/operators/change/editor_test.go
@@ -11,8 +11,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 )
--- a/internal/change/policy.go
+++ b/internal/operators/change/policy.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 )
--- a/internal/change/single.go
+++ b/internal/operators/change/single.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 )
--- a/internal/change/store_test.go
+++ b/internal/operators/change/store_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/docpages/docpages.go
+++ b/internal/operators/docpages/docpages.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 const errorsHead = `# Errors
@@ -17,7 +17,7 @@
 changes between releases nor is reused. A caller gets the HTTP status and the header ` + "`Knapweedpier-Outcome`" + `:
 ` + "`not-run`" + ` states that the request was not executed and may be sent again, ` + "`unknown`" + ` that it may have been
 executed. A program that ends with a kind uses its exit code. This page is generated:
-` + "`go test ./internal/docpages -run TestPages -update`" + `.
+` + "`go test ./internal/operators/docpages -run TestPages -update`" + `.
 
 | exit code | meaning |
 |---|---|
@@ -27,7 +27,7 @@
 
 Every log line is one event of this catalogue. Numbers do not change between releases and are not reused. A limited
 event is written at most once per 10 s for each error kind; the next line tells how many were suppressed. This page is
-generated: ` + "`go test ./internal/docpages -run TestPages -update`" + `.
+generated: ` + "`go test ./internal/operators/docpages -run TestPages -update`" + `.
 
 | event | level | limited | message | what to do |
 |---|---|---|---|---|
--- a/internal/docpages/docpages_test.go
+++ b/internal/operators/docpages/docpages_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/golden"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/golden"
 )
 
 var update = flag.Bool("update", false, "rewrite the pages")
@@ -22,7 +22,7 @@
 // Guards against pages that differ from the code.
 func TestPages(t *testing.T) {
 	for name, page := range map[string]string{"ERRORS.md": Errors(), "EVENTS.md": Events()} {
-		golden.Compare(t, filepath.Join("..", "..", "docs", name), page, *update)
+		golden.Compare(t, filepath.Join("..", "..", "..", "docs", name), page, *update)
 	}
 }
 
@@ -43,13 +43,13 @@
 // Guards against a constant without a row: it would answer as internal, or
 // panic when it is logged.
 func TestEveryConstantIsListed(t *testing.T) {
-	kinds := constants(t, "../errkind", "Kind")
+	kinds := constants(t, "../../base/errkind", "Kind")
 	for name, number := range kinds {
 		if k := errkind.Kind(number); k.Answer().Kind != k {
 			t.Errorf("errkind.%s (%d) has no row", name, number)
 		}
 	}
-	events := constants(t, "../event", "ID")
+	events := constants(t, "../../base/event", "ID")
 	for name, number := range events {
 		if _, ok := event.Lookup(event.ID(number)); !ok {
 			t.Errorf("event.%s (%d) is not in the catalogue", name, number)
--- a/internal/docpages/proofs_test.go
+++ b/internal/operators/docpages/proofs_test.go
@@ -31,10 +31,10 @@
 // against a promise or a failure without an entry.
 func TestProofs(t *testing.T) {
 	is := is.New(t)
-	data, err := os.ReadFile(filepath.Join("..", "..", "docs", "PROOFS.md"))
+	data, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "PROOFS.md"))
 	is.NoErr(err)
 	page := string(data)
-	tests := testFunctions(t, filepath.Join("..", ".."))
+	tests := testFunctions(t, filepath.Join("..", "..", ".."))
 	for _, m := range namedTest.FindAllStringSubmatch(page, -1) {
 		if !tests[m[1]+"."+m[2]] {
 			t.Errorf("%s.%s does not exist", m[1], m[2])
--- a/internal/status/build.go
+++ b/internal/operators/status/build.go
@@ -4,9 +4,9 @@
 	"slices"
 	"strings"
 
-	"github.com/knapweedpier/knapweedpier/internal/clockoffset"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/clockoffset"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/status/status.go
+++ b/internal/operators/status/status.go
@@ -10,9 +10,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 )
 
 // Process is what one process says of itself. PlatformReachable holds also for
--- a/internal/status/status_test.go
+++ b/internal/operators/status/status_test.go
@@ -7,10 +7,10 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/internal/statuscall/answer.go
+++ b/internal/operators/statuscall/answer.go
@@ -7,12 +7,12 @@
 	"context"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/distribution"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
-	"github.com/knapweedpier/knapweedpier/internal/status"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/control/distribution"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
+	"github.com/knapweedpier/knapweedpier/internal/operators/status"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 )
 
 // Lagging is the answer with ScopeLagging.
--- a/internal/trace/trace.go
+++ b/internal/operators/trace/trace.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 const (
--- a/internal/trace/trace_test.go
+++ b/internal/operators/trace/trace_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // The agent's clock is 50 ms behind the balancer's.
--- a/internal/backendconn/exchange.go
+++ b/internal/requestpath/backendconn/exchange.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/admission"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/admission"
 )
 
 // Error is a failed exchange.
--- a/internal/backendconn/pool_test.go
+++ b/internal/requestpath/backendconn/pool_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/admission"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/admission"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/standin/backend"
 )
--- a/internal/backendconn/warm.go
+++ b/internal/requestpath/backendconn/warm.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/admission"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/admission"
 )
 
 const (
--- a/internal/burn/burn.go
+++ b/internal/requestpath/burn/burn.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Indicator names what an objective is about.
--- a/internal/burn/tracker.go
+++ b/internal/requestpath/burn/tracker.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Spans of the buckets: fine ones for the windows up to 30 min, coarse ones
--- a/internal/connid/connid.go
+++ b/internal/requestpath/connid/connid.go
@@ -14,7 +14,7 @@
 
 	"github.com/dchest/siphash"
 
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
 // Size is the length of a connection ID in bytes, the most that QUIC allows.
--- a/internal/connid/connid_test.go
+++ b/internal/requestpath/connid/connid_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 var (
--- a/internal/daemon/daemon.go
+++ b/internal/requestpath/daemon/daemon.go
@@ -14,11 +14,11 @@
 
 	"go.uber.org/fx"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
-	"github.com/knapweedpier/knapweedpier/internal/settings"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/settings"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 )
 
 const (
--- a/internal/gate/account.go
+++ b/internal/requestpath/gate/account.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // answered notes what the caller is told, at the time of the answer's header.
--- a/internal/gate/account_test.go
+++ b/internal/requestpath/gate/account_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 	"github.com/knapweedpier/knapweedpier/standin/backend"
 )
 
--- a/internal/gate/attempt.go
+++ b/internal/requestpath/gate/attempt.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // maxAttempts bounds the places that are asked for one request. At 70% load,
--- a/internal/gate/cold.go
+++ b/internal/requestpath/gate/cold.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // ColdStart treats the backend server as freshly started, as after its failure
--- a/internal/gate/fleet_test.go
+++ b/internal/requestpath/gate/fleet_test.go
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/standin/backend"
 )
--- a/internal/gate/gate_test.go
+++ b/internal/requestpath/gate/gate_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/ticket"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/ticket"
 	"github.com/knapweedpier/knapweedpier/standin/backend"
 )
 
--- a/internal/gate/handler.go
+++ b/internal/requestpath/gate/handler.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/ticket"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/ticket"
 )
 
 // ServeHTTP handles a caller's request.
--- a/internal/gate/local.go
+++ b/internal/requestpath/gate/local.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/admission"
-	"github.com/knapweedpier/knapweedpier/internal/backendconn"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/admission"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/backendconn"
 )
 
 // local sends the request to the own backend server.
--- a/internal/gate/relay.go
+++ b/internal/requestpath/gate/relay.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"sync"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 // relay sends the request to a peer's backend server.
--- a/internal/gate/ticketed.go
+++ b/internal/requestpath/gate/ticketed.go
@@ -5,8 +5,8 @@
 	"io"
 	"net/http"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/ticket"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/ticket"
 )
 
 // serveTicketed runs a ticketed request at most once, or hands it to the
--- a/internal/gate/wait.go
+++ b/internal/requestpath/gate/wait.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // slotWait is how long a request waits in total for a slot when neither the backend
--- a/internal/placement/placement.go
+++ b/internal/requestpath/placement/placement.go
@@ -7,7 +7,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 )
 
 // MaxHops is how often an opening is passed on at most.
--- a/internal/placement/placement_test.go
+++ b/internal/requestpath/placement/placement_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 var start = time.Unix(1_800_000_000, 0)
--- a/internal/retry/retry_test.go
+++ b/internal/requestpath/retry/retry_test.go
@@ -5,7 +5,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 // Guards against retries that multiply the load of a failing service.
--- a/internal/steering/steering.go
+++ b/internal/requestpath/steering/steering.go
@@ -11,11 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/connid"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/quicheader"
-	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/rendezvous"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/connid"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/quicheader"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 )
 
 // DomainCut is how long after a failure domain was taken out its packets are
--- a/internal/ticket/ticket.go
+++ b/internal/requestpath/ticket/ticket.go
@@ -12,8 +12,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
 // Lifetime is how long a ticket can be used after it was issued.
--- a/internal/tunnel/tunnel.go
+++ b/internal/requestpath/tunnel/tunnel.go
@@ -14,8 +14,8 @@
 
 	"github.com/dchest/siphash"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
 // Type says what a datagram is.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/requestpath/tunnel/tunnel_test.go
@@ -9,9 +9,9 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 func testCodec(t interface{ Fatal(...any) }, digit string) *Codec {
--- a/internal/processtest/agent_test.go
+++ b/internal/testkit/processtest/agent_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/quic-go/quic-go"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
 
--- a/internal/processtest/keys_test.go
+++ b/internal/testkit/processtest/keys_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 )
 
 // Guards against a key rotation that cuts flows: every process changes from
--- a/internal/processtest/main_test.go
+++ b/internal/testkit/processtest/main_test.go
@@ -17,17 +17,17 @@
 
 // programs are the directories of the programs, relative to this package.
 var programs = []string{
-	"../../cmd/knapweedpier",
-	"../../cmd/knapweedpier-balancer",
-	"../../cmd/knapweedpier-agent",
-	"../../standin/cmd/standin-backend",
-	"../../standin/cmd/standin-caller",
-	"../../standin/cmd/standin-fabric",
-	"../../standin/cmd/standin-platform",
+	"../../../cmd/knapweedpier",
+	"../../../cmd/knapweedpier-balancer",
+	"../../../cmd/knapweedpier-agent",
+	"../../../standin/cmd/standin-backend",
+	"../../../standin/cmd/standin-caller",
+	"../../../standin/cmd/standin-fabric",
+	"../../../standin/cmd/standin-platform",
 }
 
 // sources are the directories that the programs are built from.
-var sources = []string{"../../cmd", "../../internal", "../../pkg", "../../standin"}
+var sources = []string{"../../../cmd", "../../../internal", "../../../pkg", "../../../standin"}
 
 // binaries is the directory with the built programs.
 var binaries string
--- a/internal/processtest/outage_test.go
+++ b/internal/testkit/processtest/outage_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 const (
--- a/internal/processtest/process_test.go
+++ b/internal/testkit/processtest/process_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 const (
--- a/internal/processtest/site_test.go
+++ b/internal/testkit/processtest/site_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/testcert"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/testcert"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 	"github.com/knapweedpier/knapweedpier/standin/backend"
@@ -27,8 +27,8 @@
 
 // Sheets of the two deployments.
 const (
-	gelDesk          = "../../examples/gel-desk.csv"
-	invoiceNumbering = "../../examples/invoice-numbering.csv"
+	gelDesk          = "../../../examples/gel-desk.csv"
+	invoiceNumbering = "../../../examples/invoice-numbering.csv"
 )
 
 // Last numbers of the hosts' addresses.
--- a/internal/processtest/stop_test.go
+++ b/internal/testkit/processtest/stop_test.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"testing"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
 
--- a/internal/session/observe_test.go
+++ b/internal/testkit/session/observe_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
--- a/internal/session/session_test.go
+++ b/internal/testkit/session/session_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/fleet"
-	"github.com/knapweedpier/knapweedpier/internal/golden"
-	"github.com/knapweedpier/knapweedpier/internal/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/fleet"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/golden"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 )
 
--- a/internal/session/steps_test.go
+++ b/internal/testkit/session/steps_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 	"github.com/knapweedpier/knapweedpier/standin/backend"
--- a/pkg/agent/capacity_bench_test.go
+++ b/pkg/agent/capacity_bench_test.go
@@ -17,12 +17,12 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/testcert"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/testcert"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 	"github.com/knapweedpier/knapweedpier/pkg/balancer"
 )
 
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -6,11 +6,11 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/rendezvous"
-	"github.com/knapweedpier/knapweedpier/internal/steering"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/rendezvous"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/steering"
 )
 
 const (
--- a/pkg/agent/endpoint.go
+++ b/pkg/agent/endpoint.go
@@ -9,15 +9,15 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/connid"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/placement"
-	"github.com/knapweedpier/knapweedpier/internal/quicheader"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/connid"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/placement"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/quicheader"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 )
 
 // Self is the state that an endpoint reports and decides by.
--- a/pkg/agent/flow.go
+++ b/pkg/agent/flow.go
@@ -8,7 +8,7 @@
 
 	"github.com/quic-go/quic-go"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // flow is what is counted of one flow.
--- a/pkg/agent/flow_test.go
+++ b/pkg/agent/flow_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/gate"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/gate"
 )
 
 // Guards against a flow that counts as broken because its caller closed it or
--- a/pkg/agent/flowserver.go
+++ b/pkg/agent/flowserver.go
@@ -14,9 +14,9 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
-	"github.com/knapweedpier/knapweedpier/internal/connid"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/connid"
 )
 
 const (
--- a/pkg/agent/packetconn.go
+++ b/pkg/agent/packetconn.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 )
 
 // inboxSize is the number of packets that may wait for the flow server, a few
--- a/pkg/agent/peers.go
+++ b/pkg/agent/peers.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"net/netip"
 
-	"github.com/knapweedpier/knapweedpier/internal/gate"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/gate"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 )
 
 // self is the load that the tunnel carries to balancers and other agents.
--- a/pkg/agent/round_bench_test.go
+++ b/pkg/agent/round_bench_test.go
@@ -7,11 +7,11 @@
 	"strings"
 	"testing"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 )
 
 // silentSocket sends nothing and receives nothing.
--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
-	"github.com/knapweedpier/knapweedpier/internal/statuscall"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
+	"github.com/knapweedpier/knapweedpier/internal/operators/statuscall"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 )
 
 // answerStatus answers status.get about this agent. Its error has kind
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -8,17 +8,17 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/distribution"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/isolation"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
-	"github.com/knapweedpier/knapweedpier/internal/steering"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/control/distribution"
+	"github.com/knapweedpier/knapweedpier/internal/control/isolation"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/steering"
 )
 
 const (
--- a/pkg/balancer/capacity_bench_test.go
+++ b/pkg/balancer/capacity_bench_test.go
@@ -10,13 +10,13 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/steering"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/steering"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/pkg/balancer/plan.go
+++ b/pkg/balancer/plan.go
@@ -5,9 +5,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/steering"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/steering"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/pkg/balancer/plan_test.go
+++ b/pkg/balancer/plan_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/steering"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/steering"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/pkg/balancer/status.go
+++ b/pkg/balancer/status.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/knapweedpier/knapweedpier/internal/peer"
-	"github.com/knapweedpier/knapweedpier/internal/statuscall"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
+	"github.com/knapweedpier/knapweedpier/internal/operators/statuscall"
 )
 
 // answerStatus answers status.get for the fleet. Its error has kind NotFound.
--- a/pkg/balancer/tunnelsocket.go
+++ b/pkg/balancer/tunnelsocket.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"sync/atomic"
 
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 )
 
 // tunnelSocket sends to agents. A second socket with another source port takes
--- a/pkg/balancer/tunnelwatch.go
+++ b/pkg/balancer/tunnelwatch.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 const (
--- a/pkg/balancer/tunnelwatch_test.go
+++ b/pkg/balancer/tunnelwatch_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/tunnel"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
 )
 
 // Guards against a balancer that goes on sending into a UDP flow that a device
--- a/pkg/cli/env.go
+++ b/pkg/cli/env.go
@@ -6,10 +6,10 @@
 	"io"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/change"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/operators/change"
 )
 
 // InForce reports which processes do not yet have a generation in force.
--- a/pkg/cli/fleet.go
+++ b/pkg/cli/fleet.go
@@ -5,13 +5,13 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/keyring"
-	"github.com/knapweedpier/knapweedpier/internal/peer"
-	"github.com/knapweedpier/knapweedpier/internal/peertls"
-	"github.com/knapweedpier/knapweedpier/internal/status"
-	"github.com/knapweedpier/knapweedpier/internal/statuscall"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/control/peer"
+	"github.com/knapweedpier/knapweedpier/internal/control/peertls"
+	"github.com/knapweedpier/knapweedpier/internal/operators/status"
+	"github.com/knapweedpier/knapweedpier/internal/operators/statuscall"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 )
 
 // balancers asks balancers, in the order of the settings, until one answers.
--- a/pkg/cli/quickstart.go
+++ b/pkg/cli/quickstart.go
@@ -6,9 +6,9 @@
 	"os"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/fleet"
-	"github.com/knapweedpier/knapweedpier/internal/quickstart"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/fleet"
+	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
 )
 
 // QuickstartCmd runs all roles in one process under load.
--- a/pkg/cli/report.go
+++ b/pkg/cli/report.go
@@ -9,9 +9,9 @@
 	"os"
 	"slices"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/burnpage"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/operators/burnpage"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
 )
 
 // reportMode is the mode of written reports, which hold no secret.
--- a/pkg/cli/run.go
+++ b/pkg/cli/run.go
@@ -9,7 +9,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 const description = "Layer-4 load balancer: commands for operators."
--- a/pkg/cli/session_test.go
+++ b/pkg/cli/session_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 	standin "github.com/knapweedpier/knapweedpier/standin/platform"
 )
 
--- a/pkg/cli/sheet.go
+++ b/pkg/cli/sheet.go
@@ -3,7 +3,7 @@
 import (
 	"os"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/pkg/sheet"
 )
 
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/status"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/operators/status"
 )
 
 // watchInterval is how often --watch asks again.
--- a/pkg/cli/status_test.go
+++ b/pkg/cli/status_test.go
@@ -14,12 +14,12 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/burn"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/golden"
-	"github.com/knapweedpier/knapweedpier/internal/membership"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/status"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/control/membership"
+	"github.com/knapweedpier/knapweedpier/internal/operators/status"
+	"github.com/knapweedpier/knapweedpier/internal/requestpath/burn"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/golden"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/pkg/cli/statusscreen.go
+++ b/pkg/cli/statusscreen.go
@@ -7,8 +7,8 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/clockoffset"
-	"github.com/knapweedpier/knapweedpier/internal/status"
+	"github.com/knapweedpier/knapweedpier/internal/base/clockoffset"
+	"github.com/knapweedpier/knapweedpier/internal/operators/status"
 )
 
 // maxNames bounds the processes named in one line of the screen.
--- a/pkg/cli/trace.go
+++ b/pkg/cli/trace.go
@@ -3,8 +3,8 @@
 import (
 	"os"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/trace"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/operators/trace"
 )
 
 // TraceCmd prints what the logs tell of one request. It needs no platform.
--- a/pkg/cli/wait.go
+++ b/pkg/cli/wait.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/change"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/operators/change"
 )
 
 const inForceInterval = 250 * time.Millisecond
--- a/pkg/cli/wire.go
+++ b/pkg/cli/wire.go
@@ -5,10 +5,10 @@
 
 	"go.uber.org/fx"
 
-	"github.com/knapweedpier/knapweedpier/internal/change"
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/operators/change"
 )
 
 // inApp builds the parts of an Env, runs do, and closes the parts again.
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -3,7 +3,7 @@
 import (
 	"strconv"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Upper bounds that catch a wrong unit or a typing error in a sheet.
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -11,7 +11,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // ObjectKey is the platform key that holds the configuration.
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
--- a/pkg/config/prune_test.go
+++ b/pkg/config/prune_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/proptest"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 // drawn returns a configuration of a few subjects with changes around start,
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -1,5 +1,5 @@
 // Package flowagent runs the agent beside a backend server of packet flows:
-// the only way to that server. Decisions are made in internal/flowgate.
+// the only way to that server. Decisions are made in internal/flowpath/flowgate.
 package flowagent
 
 import (
@@ -8,15 +8,15 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/flowgate"
-	"github.com/knapweedpier/knapweedpier/internal/flownode"
-	"github.com/knapweedpier/knapweedpier/internal/flowsteer"
-	"github.com/knapweedpier/knapweedpier/internal/follow"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flownode"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowsteer"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -4,12 +4,12 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/flowgate"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -4,10 +4,10 @@
 	"net"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/flowgate"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -1,6 +1,6 @@
 // Package flowbalancer runs a balancer of packet flows: it sends callers'
 // packets to the agents that hold their flows. Decisions are made in
-// internal/flowsteer.
+// internal/flowpath/flowsteer.
 package flowbalancer
 
 import (
@@ -10,16 +10,16 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	"github.com/knapweedpier/knapweedpier/internal/event"
-	"github.com/knapweedpier/knapweedpier/internal/flow"
-	"github.com/knapweedpier/knapweedpier/internal/flownode"
-	"github.com/knapweedpier/knapweedpier/internal/flowsteer"
-	"github.com/knapweedpier/knapweedpier/internal/follow"
-	"github.com/knapweedpier/knapweedpier/internal/hop"
-	"github.com/knapweedpier/knapweedpier/internal/metrics"
-	"github.com/knapweedpier/knapweedpier/internal/udp"
-	"github.com/knapweedpier/knapweedpier/internal/view"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flownode"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowsteer"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
--- a/pkg/flowbalancer/balancer_test.go
+++ b/pkg/flowbalancer/balancer_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
--- a/pkg/sheet/fault.go
+++ b/pkg/sheet/fault.go
@@ -6,7 +6,7 @@
 	"sort"
 	"strings"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Fault is one fault of a sheet.
--- a/pkg/sheet/settle.go
+++ b/pkg/sheet/settle.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/pkg/sheet/sheet_test.go
+++ b/pkg/sheet/sheet_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
 )
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Options describe one stand-in backend server. Zero values are replaced by
--- a/standin/backend/handlers.go
+++ b/standin/backend/handlers.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Headers of the backend server interface.
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -11,7 +11,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 func outcomes(l Ledger) map[Outcome]int {
--- a/standin/caller/ledger.go
+++ b/standin/caller/ledger.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Outcome is what a caller knows about one request or attempt.
--- a/standin/caller/options.go
+++ b/standin/caller/options.go
@@ -9,7 +9,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Bounds and defaults of Options.
--- a/standin/cmd/standin-caller/main.go
+++ b/standin/cmd/standin-caller/main.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/caller"
 	"github.com/knapweedpier/knapweedpier/standin/program"
 )
--- a/standin/cmd/standin-fabric/main.go
+++ b/standin/cmd/standin-fabric/main.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/fabric"
 	"github.com/knapweedpier/knapweedpier/standin/program"
 )
--- a/standin/cmd/standin-platform/main.go
+++ b/standin/cmd/standin-platform/main.go
@@ -8,7 +8,7 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/standin/platform"
 	"github.com/knapweedpier/knapweedpier/standin/program"
 )
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Defaults of Options.
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // echo is a balancer that answers each packet with its ID.
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	api "github.com/knapweedpier/knapweedpier/internal/objectstore"
+	api "github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 )
 
 // maxWatchWait bounds how long a watch may hold its connection.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Rates that the platform takes when Options name none.
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
-	api "github.com/knapweedpier/knapweedpier/internal/objectstore"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	api "github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 	"github.com/knapweedpier/knapweedpier/standin/platform"
 )
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	api "github.com/knapweedpier/knapweedpier/internal/objectstore"
+	api "github.com/knapweedpier/knapweedpier/internal/control/objectstore"
 )
 
 // store holds the objects. The version of an object is the revision of its
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -7,7 +7,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/knapweedpier/knapweedpier/internal/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
 
 // Main reads flags into an S, runs the program and exits: 2 for bad flags, or
