Keep the rpc library's own lines out of the logs

Cause: a connection that ended while a peer's question was held left a line without structure on standard error, which no reader of the logs expects.

Change: the library's logger is dropped, as in internal/control/peer; the process that asked logs the failure itself (event 1105).

Ruled out: an event of its own for the answering side; it knows nothing that the other doesn't log.

No behaviour changes.

--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/netip"
 	"time"
@@ -21,6 +23,10 @@
 	maxPeerWait = 5 * time.Second
 )
 
+// silent drops the library's own lines, which aren't structured: the process
+// that asks logs a connection that fails.
+var silent = log.New(io.Discard, "", 0)
+
 // Question asks a peer for what is newer than the known revisions.
 type Question struct {
 	Known  map[view.Section]view.Revision
@@ -47,7 +53,7 @@
 			func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 				return handle(ctx, board, r)
 			},
-		)))
+		)), jsonrpc2.SetLogger(silent))
 	}
 }
 
@@ -149,7 +155,7 @@
 	c := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}),
 		jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "peers only answer"}
-		}))
+		}), jsonrpc2.SetLogger(silent))
 	l.open[peer] = c
 	return c, nil
 }
