Answer "is it down?" for packet flows

Cause: status knew only the product's own way in; on the users' platform an operator had to read metrics of each host.

Change: knapweedpier flows reads the store's objects once, asks each member how current its view is, and shows for each service the servers that take new flows.

Ruled out: the store's objects alone; a member whose host is gone stays in the store.

The programs on the path are unchanged.

--- /dev/null
+++ b/pkg/cli/flows.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/operators/flowstatus"
+	"github.com/knapweedpier/knapweedpier/platform"
+)
+
+// flowsTimeout bounds the calls of one screen, the store's and the processes'.
+const flowsTimeout = 3 * time.Second
+
+// FlowsCmd prints one screen about packet flows on the users' platform. It
+// returns a ServiceDown error if a service has no backend server that takes new
+// flows.
+type FlowsCmd struct {
+	Store netip.AddrPort `arg:"" help:"Address of the platform's store, IP:PORT."`
+	JSON  bool           `name:"json" help:"Print one JSON object in place of the screen."`
+}
+
+// Run implements the command.
+func (c *FlowsCmd) Run(ctx context.Context, env *Env) error {
+	ctx, cancel := context.WithTimeout(ctx, flowsTimeout)
+	defer cancel()
+	store := platform.NewStore(c.Store)
+	defer store.Close()
+	v, err := follow.Read(ctx, store)
+	if err != nil {
+		return err
+	}
+	status := flowstatus.Build(v, askProcesses(ctx, v))
+	if c.JSON {
+		if err := json.NewEncoder(env.Out).Encode(status); err != nil {
+			return errkind.Wrap(err, errkind.ReportFailed, "write the status")
+		}
+	} else if err := status.Write(env.Out); err != nil {
+		return err
+	}
+	if down := status.Down(); len(down) > 0 {
+		return errkind.Errorf(errkind.ServiceDown, "no backend server takes new flows of %s", strings.Join(down, ", "))
+	}
+	return nil
+}
+
+// askProcesses asks all members how current their views are. One that doesn't
+// answer is shown as silent.
+func askProcesses(ctx context.Context, v view.View) map[string]flowstatus.Process {
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	processes := map[string]flowstatus.Process{}
+	for name, m := range v.Members.ByName {
+		running.Go(func() {
+			age, source, err := follow.Probe(ctx, m.Peer, v)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			processes[name] = flowstatus.Process{Reached: true, ViewAge: age, Source: source}
+		})
+	}
+	running.Wait()
+	return processes
+}
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -13,6 +13,7 @@
 	Backend BackendCmd `cmd:"" help:"Change one backend server."`
 
 	Status StatusCmd `cmd:"" help:"Show the state of the fleet or of one service."`
+	Flows  FlowsCmd  `cmd:"" help:"Show the state of packet flows on the users' platform."`
 	Report ReportCmd `cmd:"" help:"Report on service levels."`
 	Trace  TraceCmd  `cmd:"" help:"Tell the story of one request from processes' logs."`
 
