Reset no flow while many agents are silent

An agent whose answers were lost for 2 s was given up as dead, so lookups left it out and found the flow nowhere.

Change: while more than a quarter of the agents are silent, flows are neither reset nor taken from the agent that is remembered for them.

Test: TestBalancerInTroubleResetsNoFlows fails without the rule.

Ruled out: a newly announced agent (announced at 26.2 s, the flow was opened at 29.0 s); a restart of the balancer; a restart of the agent.

--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -32,6 +32,10 @@
 	// neverHeard is the same for an agent that has not answered since this
 	// balancer started: it may be gone for long.
 	neverHeard = 700 * time.Millisecond
+	// silentShare is the share of agents that may be silent while the balancer
+	// trusts what it hears. A crash that takes more hosts with it is rarer than
+	// a full link of the balancer's own.
+	silentShare = 0.25
 	// refusalMemory is how long an agent that takes no new flows is passed
 	// over on its own word.
 	refusalMemory = time.Second
@@ -272,10 +276,26 @@
 	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect && !as.dead(now, a) })
 }
 
+// manySilent reports whether more than silentShare of the agents don't answer.
+func (as *agents) manySilent() bool {
+	return float64(as.silent()) > silentShare*float64(len(as.all))
+}
+
+// silent returns the number of agents that don't answer.
+func (as *agents) silent() int {
+	n := 0
+	for _, a := range as.all {
+		if a.suspect {
+			n++
+		}
+	}
+	return n
+}
+
 // lost reports whether the agent at an address is dead or announced no more.
 func (as *agents) lost(now time.Time, address netip.AddrPort) bool {
 	a := as.byAddress[address]
-	return a == nil || as.dead(now, a)
+	return a == nil || (as.dead(now, a) && !as.manySilent())
 }
 
 // allIn reports whether every agent that isn't dead is in a list.
@@ -294,11 +314,5 @@
 			return false
 		}
 	}
-	silent := 0
-	for _, a := range as.all {
-		if a.suspect {
-			silent++
-		}
-	}
-	return as.reached && len(as.balancers) > 0 && 2*silent > len(as.all)
+	return as.reached && len(as.balancers) > 0 && 2*as.silent() > len(as.all)
 }
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -143,9 +143,10 @@
 }
 
 // certain reports whether the view names all agents and each of them answers
-// or is given up.
+// or is given up. If many are silent the balancer itself is in trouble, for
+// example because its link is full, and gives none of them up.
 func (s *Steerer) certain(now time.Time) bool {
-	return now.Sub(s.confirmed) <= freshView && !s.agents.anyDoubtful(now)
+	return now.Sub(s.confirmed) <= freshView && !s.agents.anyDoubtful(now) && !s.agents.manySilent()
 }
 
 // repeatLookups goes on with lookups that found a flow nowhere while that was
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -190,3 +190,25 @@
 	is.Equal(len(s.Declined(start, p, &rest[1].Message)), 0)
 	is.Equal(s.FromCaller(start, p, nil).To, holder)
 }
+
+// Guards against resets of open flows by a balancer whose link is full: answers
+// of many agents are lost, and it gives them up one after the other
+// (gelatines-tr-grown, scale-1 with seed 131941182070).
+func TestBalancerInTroubleResetsNoFlows(t *testing.T) {
+	is := is.New(t)
+	const agents, silent = 12, 4
+	s := newSteerer(testView(agents))
+	for at := start.Add(-4 * time.Second); at.Before(start); at = at.Add(100 * time.Millisecond) {
+		s.Tick(at)
+		for i := silent; i < agents; i++ {
+			s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
+		}
+	}
+	for port := range 20 {
+		p := callerPacket(port+1, flow.Ack)
+		is.Equal(deny(s, start, p, s.FromCaller(start, p, nil), ignore).Verdict, Keep)
+	}
+	p := callerPacket(100, flow.Ack)
+	s.Placed(start, placed(p, agentAddress(1), hop.Load{}))
+	is.Equal(s.FromCaller(start, p, nil).To, agentAddress(1))
+}
