Let agents pass the view on before balancers

Change: agents come first among those that a failure domain asks. Their links carry one server's packets only.

Test: TestAgentsAreAskedBeforeBalancers.

Ruled out: an order by the links' width; settings don't tell a process its own.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -369,10 +369,11 @@
 	return compareMembers(m, view.Member{Name: f.o.Name, Role: f.o.Role}) < 0
 }
 
-// compareMembers puts balancers first: their hosts are larger.
+// compareMembers puts agents first: balancers' links carry callers' packets, and
+// some are too narrow to pass large configurations on to others.
 func compareMembers(a, b view.Member) int {
 	if a.Role != b.Role {
-		if a.Role == view.BalancerRole {
+		if a.Role == view.AgentRole {
 			return -1
 		}
 		return 1
--- a/internal/control/follow/spread_test.go
+++ b/internal/control/follow/spread_test.go
@@ -33,3 +33,14 @@
 		}
 	}
 }
+
+// Guards against balancers with narrow links that pass each large configuration
+// on to the rest of their failure domain and lose callers' packets meanwhile.
+func TestAgentsAreAskedBeforeBalancers(t *testing.T) {
+	is := is.New(t)
+	balancer := view.Member{Name: "balancer-1", Role: view.BalancerRole}
+	agent := view.Member{Name: "agent-1", Role: view.AgentRole}
+	is.True(compareMembers(agent, balancer) < 0)
+	is.True(compareMembers(balancer, agent) > 0)
+	is.True(compareMembers(agent, view.Member{Name: "agent-2", Role: view.AgentRole}) < 0)
+}
