Let one piece of code serve where two stood

- Four packages encoded an IPv4 address with its port: tunnel, connid, hop and flow, the last two written anew beside the others.
They use base/endpoint.
The bytes are the same; an address that is not IPv4, which no socket of ours has, is written as zeros everywhere (connid and flow panicked, hop kept the port).
- Two waits that a context cuts short are base/delay.
- follow built a question's revisions twice.
- The agent formatted the addresses of a flow twice for each packet, also when nothing was logged, and chose by the verdict once for counters and once for lines.
It does both in one place, and formats for lines only.
- A tick of the balancer judged all agents once for each waiting lookup; it does so once.
- flowgate kept two pairs of times for what the backend server has not answered; both are one type.
Delivery.Waited was read by nobody, and lookup.missed was a time of which only zero mattered.

Ruled out: a common start of both programs in flownode. The agent must set its hook before reports are served, and the rest is three calls.

--- a/internal/control/distribution/announcer.go
+++ b/internal/control/distribution/announcer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
@@ -23,7 +24,7 @@
 func (n *Node) announceRegularly(ctx context.Context) {
 	for {
 		n.announceUntilDone(ctx)
-		if !sleep(ctx, announceInterval-announceJitter+rand.N(2*announceJitter)) {
+		if !delay.Sleep(ctx, announceInterval-announceJitter+rand.N(2*announceJitter)) {
 			return
 		}
 		n.renew()
@@ -44,7 +45,7 @@
 			return
 		}
 		n.log.Failure(event.AnnouncementFailed, err, nil)
-		sleep(ctx, retry/2+rand.N(retry))
+		delay.Sleep(ctx, retry/2+rand.N(retry))
 	}
 }
 
--- a/internal/control/distribution/fleet_bench_test.go
+++ b/internal/control/distribution/fleet_bench_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 	"github.com/knapweedpier/knapweedpier/pkg/config"
@@ -236,7 +237,7 @@
 // inject changes rate records a second until ctx ends.
 func (f *benchFleet) inject(ctx context.Context, rate float64) {
 	debt, next := 0.0, 0
-	for sleep(ctx, injectInterval) {
+	for delay.Sleep(ctx, injectInterval) {
 		debt += rate * injectInterval.Seconds()
 		count := int(debt)
 		f.change(next, count, func(r *membership.Record) { r.Flows++ })
@@ -298,7 +299,7 @@
 	largest := make(chan float64)
 	go func() {
 		most := 0.0
-		for sleep(ctx, 20*time.Millisecond) {
+		for delay.Sleep(ctx, 20*time.Millisecond) {
 			var m runtime.MemStats
 			runtime.ReadMemStats(&m)
 			most = max(most, float64(m.HeapInuse+m.StackInuse))
--- a/internal/control/distribution/members.go
+++ b/internal/control/distribution/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 )
@@ -158,7 +159,7 @@
 		previous := n.Board.Members.Get()
 		n.Board.Members.Set(next)
 		n.reportMembers(previous.Members, next.Members)
-		if !sleep(ctx, time.Duration(len(next.Members))*publishPerMember) {
+		if !delay.Sleep(ctx, time.Duration(len(next.Members))*publishPerMember) {
 			return
 		}
 	}
--- a/internal/control/distribution/node.go
+++ b/internal/control/distribution/node.go
@@ -247,15 +247,3 @@
 		s.ch = nil
 	}
 }
-
-// sleep waits for d or the end of ctx, and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/control/distribution/puller.go
+++ b/internal/control/distribution/puller.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/membership"
@@ -57,7 +58,7 @@
 		if err != nil {
 			pause = retryPull
 		}
-		if !sleep(ctx, pause) {
+		if !delay.Sleep(ctx, pause) {
 			return
 		}
 	}
@@ -88,7 +89,7 @@
 			if n.push(ctx, p, false) != nil {
 				pause = retryPull
 			}
-			if !sleep(ctx, pause) {
+			if !delay.Sleep(ctx, pause) {
 				return
 			}
 			continue
--- a/internal/control/distribution/watcher.go
+++ b/internal/control/distribution/watcher.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/membership"
@@ -49,12 +50,12 @@
 	for ctx.Err() == nil {
 		if !n.shouldWatch() {
 			w.config = 0 // what happens meanwhile is learned from peers
-			sleep(ctx, watchCheck)
+			delay.Sleep(ctx, watchCheck)
 			continue
 		}
 		if err := w.round(ctx); err != nil {
 			w.failed(ctx, err)
-			sleep(ctx, retryPlatform/2+rand.N(retryPlatform))
+			delay.Sleep(ctx, retryPlatform/2+rand.N(retryPlatform))
 		}
 	}
 }
@@ -68,7 +69,7 @@
 		n.mu.Lock()
 		answered := n.usable(n.now())
 		n.mu.Unlock()
-		if answered || !sleep(ctx, watchCheck/5) {
+		if answered || !delay.Sleep(ctx, watchCheck/5) {
 			return
 		}
 	}
--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
@@ -86,7 +87,7 @@
 			if ctx.Err() == nil {
 				a.logger.Failure(event.AnnouncementFailed, err, nil)
 			}
-			sleep(ctx, retry)
+			delay.Sleep(ctx, retry)
 			retry = min(2*retry, maxRetry)
 			continue
 		}
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/base/rendezvous"
@@ -133,7 +134,7 @@
 // ping confirms the sections whose watches wait, while the store answers.
 func (f *Follower) ping(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, pingInterval)
+		delay.Sleep(ctx, pingInterval)
 		if f.following.Load() || ctx.Err() != nil {
 			continue
 		}
@@ -159,12 +160,12 @@
 		if f.following.Load() {
 			// The peers' changes are newer than the cursor.
 			cursor = 0
-			sleep(ctx, idleCheck)
+			delay.Sleep(ctx, idleCheck)
 			continue
 		}
 		if f.lost.Load() && s != view.ConfigurationSection {
 			// One section's calls find out whether the store is back.
-			sleep(ctx, minRetry)
+			delay.Sleep(ctx, minRetry)
 			continue
 		}
 		if cursor == 0 {
@@ -182,7 +183,7 @@
 			f.note(err)
 		}
 		if err != nil {
-			sleep(ctx, retry)
+			delay.Sleep(ctx, retry)
 			retry = min(2*retry, maxRetry)
 			continue
 		}
@@ -202,7 +203,7 @@
 	f.o.Board.Confirm(s, time.Now())
 	if len(changes) > 0 {
 		f.take(s, changes, revision)
-		sleep(ctx, rearm)
+		delay.Sleep(ctx, rearm)
 	}
 	return revision, nil
 }
@@ -394,17 +395,15 @@
 		if !fresh && f.o.Board.Source() != f.o.Name {
 			f.setSource("")
 		}
-		f.following.Store(fresh && !f.watchesForOthers())
+		// A process that was turned away tries the store although a peer
+		// answers: others may rely on it.
+		f.following.Store(fresh && !f.lost.Load())
 		if !fresh {
-			sleep(ctx, idleCheck)
+			delay.Sleep(ctx, idleCheck)
 		}
 	}
 }
 
-// watchesForOthers reports whether the process should try the store although a
-// peer answers: it was turned away, and others may rely on it.
-func (f *Follower) watchesForOthers() bool { return f.lost.Load() }
-
 // awaitSeeds lets a process of a system that starts learn from the first seed
 // that answers, which spares the store a listing by each process.
 func (f *Follower) awaitSeeds(ctx context.Context, links *links) {
@@ -417,7 +416,7 @@
 				return
 			}
 		}
-		sleep(ctx, seedRetry)
+		delay.Sleep(ctx, seedRetry)
 	}
 }
 
@@ -425,11 +424,11 @@
 // balancer can't forward anything until then, and after a power cut some peers
 // are down and don't refuse connections.
 func (f *Follower) fetchFirstView(ctx context.Context) {
-	sleep(ctx, firstAnswer)
+	delay.Sleep(ctx, firstAnswer)
 	for ctx.Err() == nil && !f.o.Board.View().Complete() {
 		peers := f.upstream()
 		f.askTogether(ctx, peers[:min(len(peers), askedAtOnce)])
-		sleep(ctx, minRetry)
+		delay.Sleep(ctx, minRetry)
 	}
 }
 
@@ -453,13 +452,8 @@
 // ask sends one question to a peer and reports whether its view is fresh and
 // comes from a process that the store serves.
 func (f *Follower) ask(ctx context.Context, links *links, peer netip.AddrPort) bool {
-	known := map[view.Section]view.Revision{}
-	v := f.o.Board.View()
-	for _, s := range view.Sections() {
-		known[s] = v.Revision(s)
-	}
 	asked := time.Now()
-	answer, err := links.ask(ctx, peer, Question{Known: known, WaitMS: peerWait.Milliseconds()})
+	answer, err := links.ask(ctx, peer, newQuestion(f.o.Board.View(), peerWait))
 	if err != nil {
 		if ctx.Err() == nil {
 			f.o.Logger.Failure(event.PeerLost, err, event.Fields{"peer": peer.String()})
@@ -484,12 +478,3 @@
 	}
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -33,6 +33,15 @@
 	WaitMS int64 // how long to hold the question without changes
 }
 
+// newQuestion asks for what is newer than v.
+func newQuestion(v view.View, wait time.Duration) Question {
+	known := map[view.Section]view.Revision{}
+	for _, s := range view.Sections() {
+		known[s] = v.Revision(s)
+	}
+	return Question{Known: known, WaitMS: wait.Milliseconds()}
+}
+
 // Answer holds the changes, and how far the peer's view is to be relied on.
 type Answer struct {
 	Deltas []view.Delta
--- a/internal/control/follow/read.go
+++ b/internal/control/follow/read.go
@@ -25,11 +25,7 @@
 func Probe(ctx context.Context, peer netip.AddrPort, v view.View) (age time.Duration, source string, err error) {
 	links := newLinks()
 	defer links.close()
-	known := map[view.Section]view.Revision{}
-	for _, s := range view.Sections() {
-		known[s] = v.Revision(s)
-	}
-	answer, err := links.ask(ctx, peer, Question{Known: known})
+	answer, err := links.ask(ctx, peer, newQuestion(v, 0))
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/flowpath/flow/flow.go
+++ b/internal/flowpath/flow/flow.go
@@ -3,10 +3,10 @@
 package flow
 
 import (
-	"encoding/binary"
 	"net/netip"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/endpoint"
 	"github.com/knapweedpier/knapweedpier/internal/base/rendezvous"
 )
 
@@ -18,12 +18,9 @@
 
 // Hash returns the hash by which agents are ranked for the flow.
 func (k Key) Hash() uint64 {
-	var b [12]byte
-	caller, service := k.Caller.Addr().As4(), k.Service.Addr().As4()
-	copy(b[0:], caller[:])
-	binary.BigEndian.PutUint16(b[4:], k.Caller.Port())
-	copy(b[6:], service[:])
-	binary.BigEndian.PutUint16(b[10:], k.Service.Port())
+	var b [2 * endpoint.Size]byte
+	endpoint.Put(b[:], k.Caller)
+	endpoint.Put(b[endpoint.Size:], k.Service)
 	return rendezvous.HashBytes(b[:])
 }
 
--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -61,11 +61,24 @@
 	maxFlows      int
 	idleTimeout   time.Duration
 
-	heardAt  time.Time // last packet of the backend server's own
-	aliveAt  time.Time // the same, or a packet that it returned
-	offer    time.Time // first packet offered to it since then
-	asked    time.Time // first opening since then
-	lastTook time.Time // last opening
+	openings unanswered // openings, answered by packets of the backend server's own
+	offers   unanswered // packets of unknown flows, answered by returned ones too
+	lastTook time.Time  // last opening
+}
+
+// unanswered follows what the backend server was sent since its last answer.
+type unanswered struct {
+	sent     time.Time // the first since the last answer, zero if there was none
+	answered time.Time
+}
+
+// waits reports whether something was sent since the last answer.
+func (u *unanswered) waits() bool { return !u.sent.IsZero() && u.answered.Before(u.sent) }
+
+func (u *unanswered) send(now time.Time) {
+	if !u.waits() {
+		u.sent = now
+	}
 }
 
 func newBackend(l Limits, now time.Time) backend {
@@ -113,23 +126,18 @@
 // silent reports whether the backend server answers no openings. It then gets
 // one from time to time.
 func (b *backend) silent(now time.Time) bool {
-	if b.asked.IsZero() || !b.heardAt.Before(b.asked) {
-		return false
-	}
-	return now.Sub(b.asked) > silentAfter && now.Sub(b.lastTook) < trialInterval
+	return b.openings.waits() && now.Sub(b.openings.sent) > silentAfter && now.Sub(b.lastTook) < trialInterval
 }
 
 // offered notes that a packet was offered to the backend server.
 func (b *backend) offered(now time.Time) {
-	if b.offer.IsZero() || !b.aliveAt.Before(b.offer) {
-		b.offer = now
-	}
+	b.offers.send(now)
 }
 
 // mute reports whether the backend server has sent nothing since packets were
 // offered to it.
 func (b *backend) mute(now time.Time) bool {
-	return !b.offer.IsZero() && b.aliveAt.Before(b.offer) && now.Sub(b.offer) >= muteAfter
+	return b.offers.waits() && now.Sub(b.offers.sent) >= muteAfter
 }
 
 // refill returns the number of openings that a cold backend server may get.
@@ -142,9 +150,7 @@
 
 // took counts an opening that is delivered.
 func (b *backend) took(now time.Time) {
-	if b.asked.IsZero() || !b.heardAt.Before(b.asked) {
-		b.asked = now
-	}
+	b.openings.send(now)
 	b.lastTook = now
 	if b.cold(now) {
 		b.tokens = b.refill(now) - 1
@@ -174,7 +180,7 @@
 		return nil, nil
 	}
 	b.learnUntil = time.Time{}
-	b.asked = time.Time{}
+	b.openings.sent = time.Time{}
 	g.health.restarted(now)
 	return g.loseBefore(lastOfOldRun, now), nil
 }
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -276,7 +276,7 @@
 		return g.bounced(now, p)
 	}
 	key := p.BackendKey()
-	g.backend.heardAt, g.backend.aliveAt = now, now
+	g.backend.openings.answered, g.backend.offers.answered = now, now
 	f := g.flows.get(key)
 	if f == nil || f.state == lost {
 		if p.Has(flow.Reset) {
@@ -317,7 +317,7 @@
 // bounced decides about a packet that the backend server returned.
 func (g *Gate) bounced(now time.Time, p flow.Packet) Action {
 	key := p.CallerKey()
-	g.backend.aliveAt = now
+	g.backend.offers.answered = now
 	o, offered := g.offers[p.Mark]
 	delete(g.offers, p.Mark)
 	f := g.flows.get(key)
--- a/internal/flowpath/flowgate/health.go
+++ b/internal/flowpath/flowgate/health.go
@@ -23,6 +23,9 @@
 	// overdueAfter is how long the start of an answer may take after the
 	// request was delivered. The server has a slot free by then.
 	overdueAfter = time.Second
+	// firstServerError is the first status of an answer that says that the
+	// server failed.
+	firstServerError = 500
 )
 
 // health judges a backend server by the outcomes of its requests: what it says
@@ -82,14 +85,10 @@
 	g.health.note(now, !reset && status < firstServerError)
 }
 
-// firstServerError is the first status of an answer that says that the server
-// failed.
-const firstServerError = 500
-
 // noteGivenUp judges a flow that its caller ends while its request has no
 // answer yet.
 func (g *Gate) noteGivenUp(now time.Time, f *entry) {
-	if f.waiting && !f.overdue && now.Sub(f.began) >= overdueAfter {
+	if f.isOverdue(now) {
 		g.health.note(now, false)
 	}
 }
@@ -97,9 +96,15 @@
 // noteOverdue counts requests whose answers don't start.
 func (g *Gate) noteOverdue(now time.Time) {
 	for _, f := range g.flows.entries {
-		if f.waiting && !f.overdue && now.Sub(f.began) >= overdueAfter {
+		if f.isOverdue(now) {
 			f.overdue = true
 			g.health.note(now, false)
 		}
 	}
 }
+
+// isOverdue reports whether a request's answer takes too long and was not
+// counted yet.
+func (f *entry) isOverdue(now time.Time) bool {
+	return f.waiting && !f.overdue && now.Sub(f.began) >= overdueAfter
+}
--- a/internal/flowpath/flowgate/queue.go
+++ b/internal/flowpath/flowgate/queue.go
@@ -1,6 +1,7 @@
 package flowgate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
@@ -120,9 +121,8 @@
 
 // Delivery is a packet that leaves the queue for the backend server.
 type Delivery struct {
-	Key    flow.Key
-	Raw    []byte
-	Waited time.Duration
+	Key flow.Key
+	Raw []byte
 }
 
 // hold reports whether a caller's packet waits for a slot, and keeps it if so.
@@ -132,7 +132,7 @@
 			return false
 		}
 		if g.flows.isNew(f, p) || p.Has(flow.Close) {
-			f.held.packets = append(f.held.packets, append([]byte(nil), raw...))
+			f.held.packets = append(f.held.packets, slices.Clone(raw))
 			g.flows.follow(now, f, p)
 		}
 		return true
@@ -140,7 +140,7 @@
 	if p.Length == 0 || f.waiting || !g.flows.isNew(f, p) || !g.full() {
 		return false
 	}
-	w := &waiting{key: key, entry: f, since: now, packets: [][]byte{append([]byte(nil), raw...)}}
+	w := &waiting{key: key, entry: f, since: now, packets: [][]byte{slices.Clone(raw)}}
 	objective, timeout := defaultObjective, defaultTimeout
 	if r, ok := g.routes[key.Service]; ok {
 		objective, timeout, w.priority = r.Objective, r.Timeout, r.Priority
@@ -178,7 +178,7 @@
 		w.entry.held = nil
 		g.flows.begin(now, w.entry)
 		for _, raw := range w.packets {
-			out = append(out, Delivery{Key: w.key, Raw: raw, Waited: now.Sub(w.since)})
+			out = append(out, Delivery{Key: w.key, Raw: raw})
 		}
 	}
 	return out
--- a/internal/flowpath/flowgate/queue_test.go
+++ b/internal/flowpath/flowgate/queue_test.go
@@ -72,25 +72,41 @@
 	return n
 }
 
-// The load pattern: a backlog that all arrives at once when hosts are back,
-// followed by the usual rate below what the slots bear. Guards against a
-// backlog that makes every later request late.
-func TestBacklogAfterAnOutage(t *testing.T) {
-	is := is.New(t)
+// backlog is the number of requests that are in the slots, on the way and in a
+// full queue.
+const backlog = waitPerSlot*serverSlots + serverSlots + 1
+
+// newBacklog returns a load whose first requests, from port 1 on, all arrived at
+// once.
+func newBacklog(t *testing.T) *load {
 	l := newLoad(t, 50*time.Millisecond)
-	const backlog = waitPerSlot*serverSlots + serverSlots + 1
 	for port := 1; port <= backlog; port++ {
 		l.arrive(port, feeds)
 	}
-	// 25 requests a second of 40 that two slots bear.
-	next := 101
-	for ms := range 2000 {
-		if ms%40 == 0 {
+	return l
+}
+
+// trickle lets span milliseconds pass in which a request arrives every so many,
+// from port next on. It returns the port after the last one.
+func (l *load) trickle(next, span, every int) int {
+	for ms := range span {
+		if ms%every == 0 {
 			l.arrive(next, feeds)
 			next++
 		}
 		l.step()
 	}
+	return next
+}
+
+// The load pattern: a backlog that all arrives at once when hosts are back,
+// followed by the usual rate below what the slots bear. Guards against a
+// backlog that makes every later request late.
+func TestBacklogAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	l := newBacklog(t)
+	// 25 requests a second of 40 that two slots bear.
+	next := l.trickle(101, 2000, 40)
 	for range 500 {
 		l.step()
 	}
@@ -181,19 +197,8 @@
 // Guards against a backlog that is held until its callers give up.
 func TestBacklogUnderFullLoad(t *testing.T) {
 	is := is.New(t)
-	l := newLoad(t, 50*time.Millisecond)
-	const backlog = waitPerSlot*serverSlots + serverSlots + 1
-	for port := 1; port <= backlog; port++ {
-		l.arrive(port, feeds)
-	}
-	next := 101
-	for ms := range 1500 {
-		if ms%25 == 0 {
-			l.arrive(next, feeds)
-			next++
-		}
-		l.step()
-	}
+	l := newBacklog(t)
+	l.trickle(101, 1500, 25)
 	is.Equal(l.inTime(1, backlog, 1500*time.Millisecond), backlog)
 }
 
@@ -203,14 +208,7 @@
 	is := is.New(t)
 	const work, span = 120 * time.Millisecond, 900
 	l := newLoad(t, work)
-	next := 1
-	for ms := range span {
-		if ms%30 == 0 {
-			l.arrive(next, feeds)
-			next++
-		}
-		l.step()
-	}
+	next := l.trickle(1, span, 30)
 	borne := serverSlots * span * time.Millisecond / work
 	is.True(l.inTime(1, next-1, 250*time.Millisecond) >= int(borne)*8/10)
 }
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -43,7 +43,7 @@
 	waiting      bool      // a delivered request has no start of an answer yet
 	asked        time.Time // when the request was seen
 	began        time.Time // when it was delivered
-	overdue      bool      // its answer takes too long
+	overdue      bool      // that its answer takes too long was counted
 	held         *waiting  // a request that waits for a slot
 	callerClosed bool
 	serverClosed bool
--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -274,6 +274,11 @@
 	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect && !as.dead(now, a) })
 }
 
+// trusted reports whether each agent answers or is given up. If many are silent
+// the balancer itself is in trouble, for example because its link is full, and
+// gives none of them up.
+func (as *agents) trusted(now time.Time) bool { return !as.anyDoubtful(now) && !as.manySilent() }
+
 // manySilent reports whether more than silentShare of the agents don't answer.
 func (as *agents) manySilent() bool {
 	return float64(as.silent()) > silentShare*float64(len(as.all))
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -32,7 +32,8 @@
 	// freshView is how old the view may be at a lookup's begin to be trusted to
 	// name all agents with flows. New agents take none for longer than that.
 	freshView = 2 * time.Second
-	// maxLookups bounds the flows that are looked up at a time, about 5 MB.
+	// maxLookups bounds the flows that are looked up at a time. Each keeps up to
+	// maxMore packets beside its own.
 	maxLookups = 4096
 )
 
@@ -48,7 +49,7 @@
 	began  time.Time
 	sent   time.Time // when agents were asked last
 	asked  int       // how often the search began
-	missed time.Time // when all agents had denied the flow first, zero if not yet
+	missed bool      // all agents have denied the flow once
 	again  time.Time // when to go on, zero while answers are awaited
 }
 
@@ -57,17 +58,17 @@
 func (s *Steerer) lookUp(now time.Time, key flow.Key, p flow.Packet, raw []byte) Action {
 	if l := s.lookups[key]; l != nil {
 		if len(l.more) >= maxMore {
-			return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
+			return noHolder(Drop, p)
 		}
 		l.more = append(l.more, slices.Clone(raw))
 		return Action{Verdict: Keep, Packet: p}
 	}
 	if len(s.lookups) >= maxLookups {
-		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
+		return noHolder(Drop, p)
 	}
 	l := &lookup{packet: p, raw: slices.Clone(raw), began: now, order: s.agents.rankAll(now, key.Hash(), s.targets(p.To))}
 	if len(l.order) == 0 {
-		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}
+		return noHolder(Drop, p)
 	}
 	s.lookups[key] = l
 	return s.ask(now, l, 1)[0]
@@ -93,11 +94,11 @@
 // all that were asked have denied it.
 func (s *Steerer) denied(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) []Action {
 	l := s.lookups[key]
-	if _, found := s.flows.get(key, now); l == nil && found {
-		return nil // an agent of another list holds the flow and has the packet
-	}
 	if l == nil {
-		return []Action{{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: p}}
+		if _, found := s.flows.get(key, now); found {
+			return nil // an agent of another list holds the flow and has the packet
+		}
+		return []Action{noHolder(Drop, p)}
 	}
 	for _, agent := range m.Candidates {
 		if !slices.Contains(l.denied, agent) {
@@ -121,31 +122,28 @@
 // its deadline. It is reset only while the view names all agents and each of
 // them answers; until then the packet is kept.
 func (s *Steerer) missed(now time.Time, key flow.Key, l *lookup) Action {
-	a := Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: l.packet}
-	if l.missed.IsZero() {
-		l.missed = now
-	}
+	l.missed = true
 	switch {
 	case l.packet.Has(flow.Reset):
 		delete(s.lookups, key)
-	case s.certain(now, l) && s.agents.allIn(now, l.denied):
-		a.Verdict = Reset
+		return noHolder(Drop, l.packet)
+	case s.namesHolder(l) && s.agents.trusted(now) && s.agents.allIn(now, l.denied):
 		delete(s.lookups, key)
-	default:
-		a.Verdict = Keep
-		l.again = now.Add(missInterval)
+		return noHolder(Reset, l.packet)
 	}
-	return a
+	l.again = now.Add(missInterval)
+	return noHolder(Keep, l.packet)
 }
 
-// certain reports whether the view names all agents that may hold a lookup's
-// flow, and each of them answers or is given up. If many are silent the balancer
-// itself is in trouble, for example because its link is full, and gives none of
-// them up.
-func (s *Steerer) certain(now time.Time, l *lookup) bool {
-	return l.began.Sub(s.confirmed) <= freshView && !s.agents.anyDoubtful(now) && !s.agents.manySilent()
+// noHolder is the answer to a packet whose flow's agent isn't known.
+func noHolder(v Verdict, p flow.Packet) Action {
+	return Action{Verdict: v, Kind: errkind.PacketNoHolder, Packet: p}
 }
 
+// namesHolder reports whether the view names all agents that may hold a
+// lookup's flow.
+func (s *Steerer) namesHolder(l *lookup) bool { return l.began.Sub(s.confirmed) <= freshView }
+
 // repeatLookups goes on with lookups that found a flow nowhere while that was
 // not certain, and with those that nobody answered about.
 func (s *Steerer) repeatLookups(now time.Time) []Action {
@@ -153,12 +151,13 @@
 		return nil
 	}
 	var due []Action
+	trusted := s.agents.trusted(now)
 	for key, l := range s.lookups {
 		switch {
 		case now.Sub(l.began) > lookupTimeout:
 			delete(s.lookups, key)
-			due = append(due, Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Packet: l.packet})
-		case !l.due(now) || (!l.missed.IsZero() && !s.certain(now, l)) || l.asked >= maxAsked:
+			due = append(due, noHolder(Drop, l.packet))
+		case !l.due(now) || (l.missed && !(trusted && s.namesHolder(l))) || l.asked >= maxAsked:
 		default:
 			due = append(due, s.repeat(now, key, l)...)
 		}
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"net/netip"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/endpoint"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
@@ -31,15 +32,14 @@
 	askFlag     = 1
 	finalFlag   = 2
 	fixedLen    = 20
-	addressLen  = 6
 	loadLen     = 8
-	keyLen      = 2 * addressLen
-	placedLen   = fixedLen + keyLen + addressLen + loadLen
-	helloAckLen = fixedLen + addressLen + loadLen
+	keyLen      = 2 * endpoint.Size
+	placedLen   = fixedLen + keyLen + endpoint.Size + loadLen
+	helloAckLen = fixedLen + endpoint.Size + loadLen
 )
 
 // MaxHeader is the largest number of bytes before a forwarded packet.
-const MaxHeader = fixedLen + MaxCandidates*addressLen
+const MaxHeader = fixedLen + MaxCandidates*endpoint.Size
 
 // Load is what an agent bears at a moment.
 type Load struct {
@@ -79,20 +79,20 @@
 	b = append(b, magic, byte(m.Type), flags, m.Position, byte(len(m.Candidates)), m.Best)
 	b = append(b, 0, 0)
 	b = binary.BigEndian.AppendUint32(b, m.Service)
-	b = appendAddress(b, m.Balancer)
+	b = endpoint.Append(b, m.Balancer)
 	b = binary.BigEndian.AppendUint16(b, m.BestLoad)
 	switch m.Type {
 	case Placed:
-		b = appendAddress(b, m.Key.Caller)
-		b = appendAddress(b, m.Key.Service)
-		b = appendAddress(b, m.Agent)
+		b = endpoint.Append(b, m.Key.Caller)
+		b = endpoint.Append(b, m.Key.Service)
+		b = endpoint.Append(b, m.Agent)
 		return appendLoad(b, m.Load)
 	case HelloAck:
-		b = appendAddress(b, m.Agent)
+		b = endpoint.Append(b, m.Agent)
 		return appendLoad(b, m.Load)
 	}
 	for _, c := range m.Candidates {
-		b = appendAddress(b, c)
+		b = endpoint.Append(b, c)
 	}
 	return append(b, m.Packet...)
 }
@@ -111,7 +111,7 @@
 		Position:   b[3],
 		Best:       b[5],
 		Service:    binary.BigEndian.Uint32(b[8:]),
-		Balancer:   address(b[12:]),
+		Balancer:   endpoint.Get(b[12:]),
 		BestLoad:   binary.BigEndian.Uint16(b[18:]),
 		Candidates: m.Candidates[:0],
 	}
@@ -133,9 +133,9 @@
 		return errkind.New(errkind.TunnelMalformed, "short placement")
 	}
 	rest := b[fixedLen:]
-	m.Key = flow.Key{Caller: address(rest), Service: address(rest[addressLen:])}
-	m.Agent = address(rest[keyLen:])
-	m.Load = load(rest[keyLen+addressLen:])
+	m.Key = flow.Key{Caller: endpoint.Get(rest), Service: endpoint.Get(rest[endpoint.Size:])}
+	m.Agent = endpoint.Get(rest[keyLen:])
+	m.Load = load(rest[keyLen+endpoint.Size:])
 	return nil
 }
 
@@ -143,36 +143,23 @@
 	if len(b) < helloAckLen {
 		return errkind.New(errkind.TunnelMalformed, "short hello answer")
 	}
-	m.Agent = address(b[fixedLen:])
-	m.Load = load(b[fixedLen+addressLen:])
+	m.Agent = endpoint.Get(b[fixedLen:])
+	m.Load = load(b[fixedLen+endpoint.Size:])
 	return nil
 }
 
 func (m *Message) decodePacket(b []byte, count int) error {
-	end := fixedLen + count*addressLen
+	end := fixedLen + count*endpoint.Size
 	if count > MaxCandidates || len(b) < end || int(m.Position) >= max(count, 1) || int(m.Best) > count {
 		return errkind.New(errkind.TunnelMalformed, "candidate list and length disagree")
 	}
 	for i := range count {
-		m.Candidates = append(m.Candidates, address(b[fixedLen+i*addressLen:]))
+		m.Candidates = append(m.Candidates, endpoint.Get(b[fixedLen+i*endpoint.Size:]))
 	}
 	m.Packet = b[end:]
 	return nil
 }
 
-func appendAddress(b []byte, a netip.AddrPort) []byte {
-	ip := [4]byte{}
-	if a.Addr().Is4() {
-		ip = a.Addr().As4()
-	}
-	b = append(b, ip[:]...)
-	return binary.BigEndian.AppendUint16(b, a.Port())
-}
-
-func address(b []byte) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
-}
-
 func appendLoad(b []byte, l Load) []byte {
 	b = binary.BigEndian.AppendUint16(b, l.Flows)
 	b = binary.BigEndian.AppendUint16(b, l.InProgress)
--- a/internal/requestpath/connid/connid.go
+++ b/internal/requestpath/connid/connid.go
@@ -14,6 +14,7 @@
 
 	"github.com/dchest/siphash"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/endpoint"
 	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
 
@@ -21,11 +22,10 @@
 const Size = 20
 
 const (
-	version     = 1
-	keyIDMask   = 0x0f
-	tagOffset   = 15
-	tagSize     = Size - tagOffset
-	addressSize = 6 // IPv4 address and port
+	version   = 1
+	keyIDMask = 0x0f
+	tagOffset = 15
+	tagSize   = Size - tagOffset
 	// incarnationMask keeps the 24 bits that fit into an ID.
 	incarnationMask = 1<<24 - 1
 )
@@ -62,7 +62,7 @@
 func (c *Codec) Encode(f Fields, service netip.AddrPort) [Size]byte {
 	var id [Size]byte
 	id[0] = version<<4 | c.macs.SigningID()
-	putAddress(id[1:7], f.Agent)
+	endpoint.Put(id[1:7], f.Agent)
 	id[7] = f.Domain
 	id[8] = byte(f.Incarnation >> 16)
 	id[9] = byte(f.Incarnation >> 8)
@@ -84,7 +84,7 @@
 		return Fields{}, false
 	}
 	return Fields{
-		Agent:       address(id[1:7]),
+		Agent:       endpoint.Get(id[1:7]),
 		Domain:      id[7],
 		Incarnation: uint32(id[8])<<16 | uint32(id[9])<<8 | uint32(id[10]),
 		Nonce:       binary.BigEndian.Uint32(id[11:15]),
@@ -94,21 +94,11 @@
 // tag covers the fields and the service's address, under the key that the
 // fields name.
 func (c *Codec) tag(fields []byte, service netip.AddrPort) ([tagSize]byte, bool) {
-	var input [tagOffset + addressSize]byte
+	var input [tagOffset + endpoint.Size]byte
 	copy(input[:], fields)
-	putAddress(input[tagOffset:], service)
+	endpoint.Put(input[tagOffset:], service)
 	var sum [8]byte
 	mac, ok := c.macs.Sum(fields[0]&keyIDMask, input[:])
 	binary.BigEndian.PutUint64(sum[:], mac)
 	return [tagSize]byte(sum[:tagSize]), ok
 }
-
-func putAddress(b []byte, a netip.AddrPort) {
-	ip := a.Addr().As4()
-	copy(b, ip[:])
-	binary.BigEndian.PutUint16(b[4:], a.Port())
-}
-
-func address(b []byte) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
-}
--- a/internal/requestpath/tunnel/tunnel.go
+++ b/internal/requestpath/tunnel/tunnel.go
@@ -14,6 +14,7 @@
 
 	"github.com/dchest/siphash"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/endpoint"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 )
@@ -62,19 +63,18 @@
 }
 
 const (
-	version     = 1
-	addressSize = 6
-	fixedSize   = 29
-	tagSize     = 8
+	version   = 1
+	fixedSize = 29
+	tagSize   = 8
 
 	// MaxSize is the largest header in bytes.
-	MaxSize = fixedSize + MaxCandidates*addressSize + tagSize
+	MaxSize = fixedSize + MaxCandidates*endpoint.Size + tagSize
 )
 
 // ServiceID reduces a service's address to 32 bits.
 func ServiceID(service netip.AddrPort) uint32 {
-	var b [addressSize]byte
-	putAddress(b[:], service)
+	var b [endpoint.Size]byte
+	endpoint.Put(b[:], service)
 	return uint32(siphash.Hash(0, 0, b[:]))
 }
 
@@ -90,7 +90,7 @@
 }
 
 func (h *Header) size() int {
-	return fixedSize + int(h.Count)*addressSize + tagSize
+	return fixedSize + int(h.Count)*endpoint.Size + tagSize
 }
 
 // Prepend writes h before buf[payloadStart:] and returns where the datagram
@@ -102,7 +102,7 @@
 	b[1] = c.macs.SigningID()
 	b[2] = byte(h.Type)
 	b[3] = h.Hop<<4 | h.Count
-	putAddress(b[4:10], h.Caller)
+	endpoint.Put(b[4:10], h.Caller)
 	binary.BigEndian.PutUint32(b[10:14], h.Service)
 	binary.BigEndian.PutUint64(b[14:22], h.Generation)
 	binary.BigEndian.PutUint16(b[22:24], h.Load.InProgress)
@@ -110,7 +110,7 @@
 	binary.BigEndian.PutUint16(b[26:28], h.Load.Flows)
 	b[28] = byte(h.Load.Flags)
 	for i := range int(h.Count) {
-		putAddress(b[fixedSize+i*addressSize:], h.Candidates[i])
+		endpoint.Put(b[fixedSize+i*endpoint.Size:], h.Candidates[i])
 	}
 	signed := len(b) - tagSize
 	tag, _ := c.tag(b[:signed], len(buf)-payloadStart)
@@ -134,7 +134,7 @@
 	if !c.verify(datagram[:signed], len(payload), datagram[signed:h.size()]) {
 		return nil, errkind.TunnelTag
 	}
-	h.Caller = address(datagram[4:10])
+	h.Caller = endpoint.Get(datagram[4:10])
 	h.Service = binary.BigEndian.Uint32(datagram[10:14])
 	h.Generation = binary.BigEndian.Uint64(datagram[14:22])
 	h.Load = Load{
@@ -144,7 +144,7 @@
 		Flags:      Flag(datagram[28]),
 	}
 	for i := range int(h.Count) {
-		h.Candidates[i] = address(datagram[fixedSize+i*addressSize:])
+		h.Candidates[i] = endpoint.Get(datagram[fixedSize+i*endpoint.Size:])
 	}
 	return payload, 0
 }
@@ -152,7 +152,7 @@
 // tag covers the header and the length of the payload, under the key that the
 // header names.
 func (c *Codec) tag(header []byte, payloadSize int) (uint64, bool) {
-	var input [fixedSize + MaxCandidates*addressSize + 2]byte
+	var input [fixedSize + MaxCandidates*endpoint.Size + 2]byte
 	n := copy(input[:], header)
 	binary.BigEndian.PutUint16(input[n:], uint16(payloadSize))
 	return c.macs.Sum(header[1], input[:n+2])
@@ -164,17 +164,3 @@
 	binary.BigEndian.PutUint64(want[:], mac)
 	return ok && subtle.ConstantTimeCompare(want[:], tag) == 1
 }
-
-func putAddress(b []byte, a netip.AddrPort) {
-	if !a.Addr().Is4() {
-		clear(b[:addressSize])
-		return
-	}
-	ip := a.Addr().As4()
-	copy(b, ip[:])
-	binary.BigEndian.PutUint16(b[4:], a.Port())
-}
-
-func address(b []byte) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
-}
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -78,9 +78,8 @@
 	if action.Tell.IsValid() {
 		a.tell(action.Tell, a.gate.Placed(now, action.Key))
 	}
-	a.count(action, p)
-	a.log(action, p)
-	a.logRequest(action.Key, action.Seen, p.Status, raw)
+	a.record(action, p)
+	a.recordSeen(action.Key, action.Seen, p.Status, raw)
 }
 
 // release delivers the requests that leave the queue.
@@ -112,50 +111,57 @@
 	}
 }
 
-// count updates the counters that an action changes.
-func (a *Agent) count(action flowgate.Action, p flow.Packet) {
+// measure updates the gauges, before they are read.
+func (a *Agent) measure() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.metrics.Flows.Update(int64(a.gate.OpenFlows()))
+	a.metrics.InProgress.Update(int64(a.gate.InProgress()))
+	a.metrics.Waiting.Update(int64(a.gate.Waiting()))
+	a.metrics.ReportAge.Update(a.gate.ReportAge(time.Now()).Milliseconds())
+	a.metrics.ViewAge.Update(a.node.Board.AgeMS())
+}
+
+// record counts a decision, and logs those that place, move or end a flow.
+func (a *Agent) record(action flowgate.Action, p flow.Packet) {
 	if p.Has(flow.Bounced) {
 		a.metrics.Bounced.Inc(1)
 	}
 	switch {
 	case action.Verdict == flowgate.Deliver && p.Opening():
 		a.metrics.Openings.Inc(1)
+		a.logger.Emit(event.FlowPlaced, flowFields(action.Key))
 	case action.Verdict == flowgate.PassOn:
 		a.metrics.PassedOn.Inc(action.Kind)
+		fields := flowFields(action.Key)
+		fields["reason"], fields["next"], fields["opening"] = action.Kind.String(), action.To.String(), p.Opening()
+		a.logger.Emit(event.FlowPassedOn, fields)
 	case action.Verdict == flowgate.Reset:
 		a.metrics.Resets.Inc(1)
+		fields := flowFields(action.Key)
+		fields["reason"] = action.Kind.String()
+		a.logger.Emit(event.FlowReset, fields)
 	case action.Verdict == flowgate.Drop:
 		a.metrics.Drops.Inc(action.Kind)
-	}
-	if action.Seen.Opened {
-		a.metrics.OpenTime.Update(action.Seen.OpenTook.Microseconds())
-	}
-	if action.Seen.Answered {
-		a.metrics.AnswerTime.Update(action.Seen.Took.Microseconds())
+		a.logger.Failure(event.FlowDropped, errkind.New(action.Kind, "packet dropped"), flowFields(action.Key))
 	}
 }
 
-// measure updates the gauges, before they are read.
-func (a *Agent) measure() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.metrics.Flows.Update(int64(a.gate.OpenFlows()))
-	a.metrics.InProgress.Update(int64(a.gate.InProgress()))
-	a.metrics.Waiting.Update(int64(a.gate.Waiting()))
-	a.metrics.ReportAge.Update(a.gate.ReportAge(time.Now()).Milliseconds())
-	a.metrics.ViewAge.Update(a.node.Board.AgeMS())
-}
-
-// logRequest writes when a request is seen, with its id, and when its answer
-// starts.
-func (a *Agent) logRequest(key flow.Key, seen flowgate.Seen, status int, raw []byte) {
-	fields := event.Fields{"flow": key.Caller.String(), "to": key.Service.String()}
+// recordSeen measures answers, and logs when a request is seen, with its id, and
+// when its answer starts.
+func (a *Agent) recordSeen(key flow.Key, seen flowgate.Seen, status int, raw []byte) {
+	if seen.Opened {
+		a.metrics.OpenTime.Update(seen.OpenTook.Microseconds())
+	}
 	switch {
 	case seen.Request:
+		fields := flowFields(key)
 		fields["request"] = platform.RequestID(raw)
 		fields["in_progress"], fields["waiting"] = a.gate.InProgress(), a.gate.Waiting()
 		a.logger.Emit(event.RequestSeen, fields)
 	case seen.Answered:
+		a.metrics.AnswerTime.Update(seen.Took.Microseconds())
+		fields := flowFields(key)
 		fields["ms"] = seen.Took.Milliseconds()
 		// The first packet seen of a long answer needn't be the one with its
 		// status.
@@ -166,21 +172,8 @@
 	}
 }
 
-// log writes the decisions that place, move or end a flow.
-func (a *Agent) log(action flowgate.Action, p flow.Packet) {
-	fields := event.Fields{"flow": action.Key.Caller.String(), "to": action.Key.Service.String()}
-	switch {
-	case action.Verdict == flowgate.Deliver && p.Opening():
-		a.logger.Emit(event.FlowPlaced, fields)
-	case action.Verdict == flowgate.PassOn:
-		fields["reason"], fields["next"], fields["opening"] = action.Kind.String(), action.To.String(), p.Opening()
-		a.logger.Emit(event.FlowPassedOn, fields)
-	case action.Verdict == flowgate.Reset:
-		fields["reason"] = action.Kind.String()
-		a.logger.Emit(event.FlowReset, fields)
-	case action.Verdict == flowgate.Drop:
-		a.logger.Failure(event.FlowDropped, errkind.New(action.Kind, "packet dropped"), fields)
-	}
+func flowFields(key flow.Key) event.Fields {
+	return event.Fields{"flow": key.Caller.String(), "to": key.Service.String()}
 }
 
 // noteRefusal tells the balancers and the log when the agent begins or ceases
