Log what a reset was decided by

A balancer's reset of a flow without a holder now logs the revision of its members, the age of its view, how many agents denied the flow and how many count as dead. An agent's reset logs the age of the entry, whether the backend server answered the opening and whether the entry was made by a packet of the backend server. The line of a stored announcement says whether it created the member. Decisions are unchanged.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -159,13 +159,14 @@
 	if err != nil {
 		return err
 	}
-	if !withdrawn && m.Revision == 0 && a.OnCreate != nil {
+	created := !withdrawn && m.Revision == 0
+	if created && a.OnCreate != nil {
 		a.OnCreate(time.Now())
 	}
 	a.knownRevision = max(a.knownRevision, revision)
 	if withdrawn == a.withdrawn && (withdrawn || equalIgnoringRevision(m, a.desired)) {
 		a.markSynced()
-		a.logger.Emit(event.Announced, event.Fields{"member": m.Name, "state": m.State, "gone": withdrawn, "revision": revision})
+		a.logger.Emit(event.Announced, event.Fields{"member": m.Name, "state": m.State, "gone": withdrawn, "created": created, "revision": revision})
 	}
 	return nil
 }
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -57,6 +57,15 @@
 	NotifyBalancer netip.AddrPort // balancer to notify that this agent holds or lost the flow, if valid
 	Key            flow.Key
 	Progress       FlowProgress
+	Lost           LostEntry // Reset: the entry of the flow
+}
+
+// LostEntry is what the agent knew of a flow that its backend server turned out
+// not to hold, for logs.
+type LostEntry struct {
+	Age             time.Duration // since the entry was made
+	OpeningAnswered bool          // the backend server answered the opening
+	Adopted         bool          // the entry was made by a packet of the backend server, not by an opening
 }
 
 // FlowProgress holds what a packet shows about its flow, for logs and metrics.
@@ -142,7 +151,7 @@
 		a.NotifyBalancer = m.Balancer
 	}
 	if f.state == stateLost {
-		a.Verdict, a.Packet, a.Kind = Reset, p, errkind.PacketFlowLost
+		a.Verdict, a.Packet, a.Kind, a.Lost = Reset, p, errkind.PacketFlowLost, f.lostEntry(now)
 		return a
 	}
 	a.Progress.RequestStarted = f.queued == nil && !f.awaitsAnswer && (f.state == stateOpen || f.state == stateOpening) && g.flows.isNewRequestData(f, p)
@@ -309,6 +318,7 @@
 // held when this process started. It notifies the balancer that is looking for the
 // flow.
 func (g *Gate) adoptFlow(now time.Time, f *entry, p flow.Packet, key flow.Key) Action {
+	f.adopted = true
 	a := Action{Verdict: ToCaller, Key: key}
 	for _, o := range g.offers {
 		if o.raw != nil && o.key == key && o.message.ReportHolder {
@@ -344,7 +354,7 @@
 		if p.Has(flow.Reset) {
 			return Action{Verdict: Drop, Kind: errkind.PacketFlowLost, Key: key}
 		}
-		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key}
+		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key, Lost: f.lostEntry(now)}
 	}
 	if !isOffered {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -38,6 +38,7 @@
 	firstOpeningAt         time.Time      // when the caller sent its first opening, zero if unknown
 	openingAnswered        bool           // the backend server answered the opening
 	backendSeq             uint32         // sequence number of that answer
+	adopted                bool           // the entry was made by a packet of the backend server
 	callerEndSeq           uint32         // sequence number after the last data of the caller
 	callerAck              uint32         // the caller's last acknowledgement number
 	callerSentData         bool           // callerEndSeq is valid
@@ -52,6 +53,11 @@
 	backendClosed          bool
 }
 
+// lostEntry returns what is logged of a lost flow.
+func (f *entry) lostEntry(now time.Time) LostEntry {
+	return LostEntry{Age: now.Sub(f.openedAt), OpeningAnswered: f.openingAnswered, Adopted: f.adopted}
+}
+
 // table holds the flows of one agent and counts them by state.
 type table struct {
 	entries      map[flow.Key]*entry
--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -303,6 +303,17 @@
 	return n
 }
 
+// deadCount returns the number of dead agents.
+func (as *agentSet) deadCount(now time.Time) int {
+	n := 0
+	for _, a := range as.all {
+		if as.isDead(now, a) {
+			n++
+		}
+	}
+	return n
+}
+
 // isLost reports whether the agent at an address is dead or is no longer in the
 // view. While many agents are suspect, a dead one is not counted
 // as lost.
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -132,10 +132,22 @@
 		return noHolderAction(Drop, l.packet)
 	case s.viewFresh(l) && s.agents.allDecided(now) && s.agents.allListed(now, l.deniedBy):
 		delete(s.lookups, key)
-		return noHolderAction(Reset, l.packet)
+		return s.unresolved(Reset, now, l)
 	}
 	l.retryAt = now.Add(lookupRetryDelay)
-	return noHolderAction(Keep, l.packet)
+	return s.unresolved(Keep, now, l)
+}
+
+// unresolved returns the action for the packet of a lookup that found no holder.
+func (s *Steerer) unresolved(v Verdict, now time.Time, l *lookup) Action {
+	a := noHolderAction(v, l.packet)
+	a.Lookup = LookupResult{
+		Members:    s.view.Members.Revision,
+		ViewAge:    l.startedAt.Sub(s.confirmedAt),
+		Denied:     len(l.deniedBy),
+		DeadAgents: s.agents.deadCount(now),
+	}
+	return a
 }
 
 // noHolderAction returns the action for a packet whose flow has no known holder.
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -47,6 +47,15 @@
 	Packet  flow.Packet  // Reset: the packet that is answered
 	Kind    errkind.Kind // Reset, Drop, Keep: why; 0 for Keep while agents are being asked
 	Service string       // the service that the packet was meant for, if known
+	Lookup  LookupResult // Reset, Keep of kind PacketNoHolder: what the lookup found
+}
+
+// LookupResult is what a balancer knew when no agent held a flow, for logs.
+type LookupResult struct {
+	Members    view.Revision // revision of the members in the view
+	ViewAge    time.Duration // age of the view at the start of the lookup
+	Denied     int           // number of agents that denied the flow
+	DeadAgents int           // number of agents that were not asked because they count as dead
 }
 
 // Steerer makes the decisions of one balancer. It is not safe for concurrent use.
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -141,7 +141,8 @@
 	case action.Verdict == flowgate.Reset:
 		a.metrics.Resets.Inc(1)
 		fields := flowFields(action.Key)
-		fields["reason"] = action.Kind.String()
+		fields["reason"], fields["age_ms"] = action.Kind.String(), action.Lost.Age.Milliseconds()
+		fields["opening_answered"], fields["adopted"] = action.Lost.OpeningAnswered, action.Lost.Adopted
 		a.logger.Emit(event.FlowReset, fields)
 	case action.Verdict == flowgate.Drop:
 		a.metrics.Drops.Inc(action.Kind)
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -325,7 +325,12 @@
 }
 
 func actionFields(key flow.Key, action flowsteer.Action) event.Fields {
-	return event.Fields{"flow": key.Caller.String(), "to": key.Service.String(), "reason": action.Kind.String(), "opening": action.Packet.Opening()}
+	fields := event.Fields{"flow": key.Caller.String(), "to": key.Service.String(), "reason": action.Kind.String(), "opening": action.Packet.Opening()}
+	if l := action.Lookup; l.Denied > 0 {
+		fields["members"], fields["view_age_ms"] = l.Members, l.ViewAge.Milliseconds()
+		fields["denied"], fields["dead"] = l.Denied, l.DeadAgents
+	}
+	return fields
 }
 
 // writeBuffer sends b.buffer. A datagram that can't be sent counts as lost on the
