Add a failing test: a silent watch must confirm nothing

While the store answers other calls, a watch may get no answer at all (the store forgot it, or its connection went silent). Pings then confirm the section of that watch, for up to 8 s in the case of the members, so that a balancer takes a view for current that lacks new agents and resets their open flows.

--- a/internal/control/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -316,6 +316,35 @@
 	is.True(time.Since(began) < 2*time.Second)
 }
 
+// Guards against a view that counts as current although the watch that should
+// keep it current has gone silent while the store answers other calls. A balancer
+// with such a view resets open flows of agents that it doesn't know (issue 17).
+func TestSilentWatchConfirmsNothing(t *testing.T) {
+	server := platformtest.New()
+	defer server.Close()
+	server.SetConfiguration(1)
+	p := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	eventually(t, "complete view", func() bool { return p.board.View().Complete() })
+	server.StallWatches(true)
+	// The watches that began before the stall end with this member's creation.
+	server.PutMember("first", memberSpec("first"))
+	time.Sleep(500 * time.Millisecond)
+	created := time.Now()
+	server.PutMember("second", memberSpec("second"))
+	for end := created.Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		confirmedAt := p.board.ConfirmedAt()
+		_, known := p.board.View().Members.ByName["second"]
+		if !known && confirmedAt.After(created) {
+			t.Fatalf("%v after its creation a member is unknown, but the view counts as current %v after it", time.Since(created), confirmedAt.Sub(created))
+		}
+	}
+}
+
+// memberSpec returns the object of an agent's member.
+func memberSpec(name string) string {
+	return fmt.Sprintf(`{"Name":%q,"Role":"agent","Address":"10.1.0.12:8172","Peer":"10.1.0.12:7720"}`, name)
+}
+
 // newAnnouncer runs an announcer that uses server as its store.
 func newAnnouncer(t *testing.T, server *platformtest.Store) (*follow.Announcer, *view.Board) {
 	t.Helper()
