Confirm a view only by the data that it consists of

A reset needs a view that was current at most 2 s before the packet, and new agents take no flows for 2.5 s; both rest on the time at which the view counts as current.

Cause: that time was taken from something else than the data in four places. - A ping, a read that may return old data, confirmed every section with a pending watch. A watch that the store forgot or whose connection went silent stayed pending for up to 8 s. - A watch confirmed at the arrival of its response, however long that was on its way, and before its changes were applied. - A peer read the age of its view after the deltas of its response. - The balancer's timer took the new confirmation, while another goroutine took the view that came with it.

Change: a watch confirms its section after its changes are applied, with the earliest time at which the store can have sent the response. The pings are gone; the members' watch waits 1.2 s instead of 8 s, that of the evacuations 2.5 s instead of 4 s. A peer's deltas and ages are read in one call of the board and carry the time for which the request was held. The steerer takes view and confirmation in one call. While the store is unavailable, the members' calls look for its return instead of the configuration's and the pings.

Tests: lookup and steer tests pass view and confirmation together; the members' revision changes where the members do, as it does in the store. TestUnavailableStoreGetsFewCalls allows 5 calls instead of 7, as there are no pings. Members with an old peer's response: it sends one age for all sections.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -29,20 +29,19 @@
 	// watch, and are shorter than the time within which a change must be in
 	// force.
 	configurationWatchTimeout = 2500 * time.Millisecond
-	evacuationsWatchTimeout   = 4 * time.Second
-	membersWatchTimeout       = 8 * time.Second
+	evacuationsWatchTimeout   = 2500 * time.Millisecond
+	// A balancer resets no lost flow while its members are older than 2 s, so they
+	// are confirmed more often.
+	membersWatchTimeout = 1200 * time.Millisecond
 	// watchPause is the pause between a watch that returned changes and the next
 	// watch, so that changes in quick succession cost one call.
 	watchPause = 300 * time.Millisecond
-	// pingInterval is the period at which a process that watches the store checks
-	// that the store still responds.
-	pingInterval = 1200 * time.Millisecond
 	// pollTimeout is how long a peer holds a request while it has no changes.
 	pollTimeout = 700 * time.Millisecond
 	// pollGrace is added to the time for which a peer may hold a request, before
 	// the peer counts as unresponsive.
 	pollGrace = 400 * time.Millisecond
-	// maxPeerViewAge is the age of a peer's view up to which the peer is followed.
+	// maxPeerViewAge is the age of a peer's members up to which the peer is followed.
 	maxPeerViewAge = 3500 * time.Millisecond
 	// followersPerUpstream is the number of processes of a failure domain for each
 	// process that they poll first, so that the load on one process doesn't grow
@@ -88,8 +87,6 @@
 	// means that the object must not exist. It returns the object's revision,
 	// also after a conflict.
 	WriteMember(ctx context.Context, m view.Member) (view.Revision, error)
-	// Ping checks that the store responds, with its cheapest call.
-	Ping(ctx context.Context) error
 	// DeleteMember removes a member if its object still has revision known.
 	DeleteMember(ctx context.Context, name string, known view.Revision) error
 }
@@ -114,10 +111,9 @@
 
 // Follower keeps a board current from the store or from peers.
 type Follower struct {
-	watchPending [3]atomic.Bool // a watch is pending; indexed like view.Sections
-	opts         Options
-	followsPeer  atomic.Bool // a peer's responses are fresh, so no watches are needed
-	storeLost    atomic.Bool // the last call of the store failed
+	opts        Options
+	followsPeer atomic.Bool // a peer's responses are fresh, so no watches are needed
+	storeLost   atomic.Bool // the last call of the store failed
 }
 
 // New returns a follower, which does nothing before Run.
@@ -131,40 +127,17 @@
 		f.pollSeeds(ctx, conns)
 	}
 	var wg sync.WaitGroup
-	for i, s := range view.Sections() {
-		wg.Go(func() { f.followStore(ctx, s, &f.watchPending[i]) })
+	for _, s := range view.Sections() {
+		wg.Go(func() { f.followStore(ctx, s) })
 	}
-	wg.Go(func() { f.pingStore(ctx) })
 	wg.Go(func() { f.followPeers(ctx, conns) })
 	wg.Go(func() { f.fetchInitialView(ctx) })
 	wg.Wait()
 }
 
-// pingStore pings the store at intervals. A successful ping confirms the sections
-// that have a pending watch.
-func (f *Follower) pingStore(ctx context.Context) {
-	for ctx.Err() == nil {
-		delay.Sleep(ctx, pingInterval)
-		if f.followsPeer.Load() || ctx.Err() != nil {
-			continue
-		}
-		requestedAt := time.Now()
-		err := f.opts.Store.Ping(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		f.recordStoreResult(err)
-		for i, s := range view.Sections() {
-			if err == nil && f.watchPending[i].Load() {
-				f.opts.Board.Confirm(s, requestedAt)
-			}
-		}
-	}
-}
-
 // followStore keeps one section current from the store while the process follows
 // no peer.
-func (f *Follower) followStore(ctx context.Context, s view.Section, pending *atomic.Bool) {
+func (f *Follower) followStore(ctx context.Context, s view.Section) {
 	var cursor view.Revision
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
@@ -174,18 +147,16 @@
 			delay.Sleep(ctx, idlePollInterval)
 			continue
 		}
-		if f.storeLost.Load() && s != view.ConfigurationSection {
-			// While the store is unavailable, only the configuration's calls and
-			// the pings continue, to detect that it serves this process again.
+		if f.storeLost.Load() && s != view.MembersSection {
+			// While the store is unavailable, only the members' calls continue, to
+			// detect that it serves this process again.
 			delay.Sleep(ctx, minRetryDelay)
 			continue
 		}
 		if cursor == 0 {
 			cursor = f.opts.Board.View().Revision(s)
 		}
-		pending.Store(cursor > 0)
 		next, err := f.listOrWatch(ctx, s, cursor)
-		pending.Store(false)
 		if ctx.Err() != nil {
 			return
 		}
@@ -209,19 +180,39 @@
 	if cursor == 0 {
 		return f.listSection(ctx, s)
 	}
-	changes, revision, err := f.opts.Store.Watch(ctx, s, cursor, watchTimeout(s))
+	wait := f.watchTimeout(s)
+	requestedAt := time.Now()
+	changes, revision, err := f.opts.Store.Watch(ctx, s, cursor, wait)
 	if err != nil {
 		return cursor, err
 	}
-	f.opts.Board.Confirm(s, time.Now())
-	if len(changes) > 0 {
-		f.applyChanges(s, changes, revision)
-		delay.Sleep(ctx, watchPause)
+	if len(changes) == 0 {
+		f.opts.Board.Confirm(s, unchangedUntil(requestedAt, time.Now(), wait))
+		return revision, nil
 	}
+	f.applyChanges(s, changes, revision)
+	// The response may have been on its way for long, so that later changes are
+	// possible from the request on.
+	f.opts.Board.Confirm(s, requestedAt)
+	delay.Sleep(ctx, watchPause)
 	return revision, nil
 }
 
-func watchTimeout(s view.Section) time.Duration {
+// unchangedUntil returns the time up to which a watch without changes vouches for the
+// view: the store sends its response no sooner than after the wait.
+func unchangedUntil(requestedAt, receivedAt time.Time, wait time.Duration) time.Time {
+	if until := requestedAt.Add(wait); !until.After(receivedAt) {
+		return until
+	}
+	return requestedAt
+}
+
+// watchTimeout returns how long the store may hold a watch of a section. While the
+// store is unavailable, it is to respond at once.
+func (f *Follower) watchTimeout(s view.Section) time.Duration {
+	if f.storeLost.Load() {
+		return 0
+	}
 	switch s {
 	case view.ConfigurationSection:
 		return configurationWatchTimeout
@@ -485,7 +476,8 @@
 	for _, d := range response.Deltas {
 		f.applyDelta(d)
 	}
-	if response.AgeMS < 0 || response.AgeMS > maxPeerViewAge.Milliseconds() {
+	membersAgeMS := response.membersAgeMS()
+	if membersAgeMS < 0 || membersAgeMS > maxPeerViewAge.Milliseconds() {
 		return false
 	}
 	if response.Source == "" || response.Source == f.opts.Name {
@@ -494,9 +486,21 @@
 		return false
 	}
 	f.setSource(response.Source)
-	confirmedAt := requestedAt.Add(-time.Duration(response.AgeMS) * time.Millisecond)
+	f.confirmFromPeer(requestedAt, response)
+	return true
+}
+
+// confirmFromPeer records the ages of a peer's view. The peer sent them no sooner than
+// HeldMS after the request.
+func (f *Follower) confirmFromPeer(requestedAt time.Time, r ChangesResponse) {
+	sentAt := requestedAt.Add(time.Duration(r.HeldMS) * time.Millisecond)
 	for _, s := range view.Sections() {
-		f.opts.Board.Confirm(s, confirmedAt)
+		age := r.AgeMS
+		if s == view.MembersSection {
+			age = r.membersAgeMS()
+		}
+		if age >= 0 {
+			f.opts.Board.Confirm(s, sentAt.Add(-time.Duration(age)*time.Millisecond))
+		}
 	}
-	return true
 }
--- a/internal/control/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -144,7 +144,7 @@
 	for _, p := range followers {
 		eventually(t, "first configuration", func() bool { return p.version() == 1 })
 	}
-	// Watches of the followers that are still pending end after at most 8 s or with
+	// Watches of the followers that are still pending end after at most 2.5 s or with
 	// the next change of their section.
 	time.Sleep(3 * time.Second)
 	server.PutMember("wake", `{"Name":"wake"}`)
@@ -222,7 +222,7 @@
 	time.Sleep(time.Second)
 	before := server.CallCount()
 	time.Sleep(2 * time.Second)
-	is.True(server.CallCount()-before <= 7) // one call per 500 ms, and the pings
+	is.True(server.CallCount()-before <= 5) // one call per 500 ms
 	server.SetFault(platformtest.NoFault)
 	eventually(t, "all changes", func() bool { return p.version() == 2 && p.board.View().Evacuations.Domains["z"] })
 }
@@ -329,13 +329,52 @@
 	// The watches that began before the stall end with this member's creation.
 	server.PutMember("first", memberSpec("first"))
 	time.Sleep(500 * time.Millisecond)
+	createWhileWatching(t, server, "second", 5*time.Second, p)
+}
+
+// Guards against a view that counts as current at the time at which a slow response of
+// the store arrives, although the response is as old as its way was long.
+func TestSlowWatchConfirmsOnlyItsOwnTime(t *testing.T) {
+	server := platformtest.New()
+	defer server.Close()
+	server.SetConfiguration(1)
+	p := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	eventually(t, "complete view", func() bool { return p.board.View().Complete() })
+	server.DelayWatchResponses(600 * time.Millisecond)
+	for i := range 12 {
+		createWhileWatching(t, server, fmt.Sprintf("member-%d", i), 450*time.Millisecond, p)
+	}
+}
+
+// Guards against a follower whose view counts as current at a time at which the view
+// of the peer that it follows wasn't.
+func TestFollowerIsNoMoreCurrentThanItsPeer(t *testing.T) {
+	server := platformtest.New()
+	defer server.Close()
+	server.SetConfiguration(1)
+	watcher := startProcess(t, "balancer-1", view.BalancerRole, "a", server, nil)
+	announce(t, server, "balancer-1", view.BalancerRole, "a", watcher)
+	follower := startProcess(t, "balancer-2", view.BalancerRole, "a", server, []process{watcher})
+	eventually(t, "watcher as the follower's source", func() bool { return follower.board.Source() == "balancer-1" })
+	server.DelayWatchResponses(300 * time.Millisecond)
+	for i := range 12 {
+		createWhileWatching(t, server, fmt.Sprintf("member-%d", i), 450*time.Millisecond, watcher, follower)
+	}
+}
+
+// createWhileWatching creates a member and fails the test if within d the view of a
+// process counts as current after the creation although it lacks the member.
+func createWhileWatching(t *testing.T, server *platformtest.Store, name string, d time.Duration, processes ...process) {
+	t.Helper()
 	created := time.Now()
-	server.PutMember("second", memberSpec("second"))
-	for end := created.Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		confirmedAt := p.board.ConfirmedAt()
-		_, known := p.board.View().Members.ByName["second"]
-		if !known && confirmedAt.After(created) {
-			t.Fatalf("%v after its creation a member is unknown, but the view counts as current %v after it", time.Since(created), confirmedAt.Sub(created))
+	server.PutMember(name, memberSpec(name))
+	stored := time.Now()
+	for end := created.Add(d); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		for _, p := range processes {
+			v, confirmedAt := p.board.Snapshot()
+			if _, known := v.Members.ByName[name]; !known && confirmedAt.After(stored) {
+				t.Fatalf("%v after its creation a member is unknown, but the view counts as current %v after it", time.Since(created), confirmedAt.Sub(created))
+			}
 		}
 	}
 }
--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -42,11 +42,23 @@
 	return ChangesRequest{Known: known, WaitMS: wait.Milliseconds()}
 }
 
-// ChangesResponse holds the changes, and the age and origin of the peer's view.
+// ChangesResponse holds the changes, and the age and origin of the view to which
+// they lead. Ages are in milliseconds at the time of the response, and -1 if the
+// view was never current.
 type ChangesResponse struct {
-	Deltas []view.Delta
-	AgeMS  int64  // age of the peer's view in milliseconds, -1 if it was never current
-	Source string // the process whose calls of the store keep the view current, "" for none
+	Deltas       []view.Delta
+	AgeMS        int64  // age of the oldest section
+	MembersAgeMS *int64 // age of the members; nil from peers of earlier versions
+	HeldMS       int64  // how long the peer held the request
+	Source       string // the process whose calls of the store keep the view current, "" for none
+}
+
+// membersAgeMS returns the age of the members.
+func (r ChangesResponse) membersAgeMS() int64 {
+	if r.MembersAgeMS == nil {
+		return r.AgeMS
+	}
+	return *r.MembersAgeMS
 }
 
 // Serve serves the view of board to the peers that connect to listener, until
@@ -83,35 +95,46 @@
 	defer cancel()
 	sourceChanged, cancelSourceChanged := board.SubscribeSource()
 	defer cancelSourceChanged()
+	receivedAt := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	expired := false
 	for initialSource := board.Source(); ; {
-		deltas := deltasSince(board, req)
+		changes := board.ChangesSince(req.Known)
 		// Followers learn of a change of the source, such as its loss, at once.
-		if len(deltas) > 0 || board.Source() != initialSource {
-			return newChangesResponse(board, deltas)
+		if len(changes.Deltas) > 0 || board.Source() != initialSource || expired {
+			return newChangesResponse(board, changes, receivedAt)
 		}
 		select {
 		case <-changed:
 		case <-sourceChanged:
 		case <-timer.C:
-			return newChangesResponse(board, nil)
+			expired = true
 		case <-ctx.Done():
-			return newChangesResponse(board, nil)
+			expired = true
 		}
 	}
 }
 
-func newChangesResponse(board *view.Board, deltas []view.Delta) ChangesResponse {
-	return ChangesResponse{Deltas: deltas, AgeMS: board.AgeMS(), Source: board.Source()}
+func newChangesResponse(board *view.Board, c view.Changes, receivedAt time.Time) ChangesResponse {
+	now := time.Now()
+	membersAge := ageMS(now, c.MembersConfirmedAt)
+	return ChangesResponse{
+		Deltas:       c.Deltas,
+		AgeMS:        ageMS(now, c.ConfirmedAt),
+		MembersAgeMS: &membersAge,
+		HeldMS:       now.Sub(receivedAt).Milliseconds(),
+		Source:       board.Source(),
+	}
 }
 
-func deltasSince(board *view.Board, req ChangesRequest) []view.Delta {
-	var deltas []view.Delta
-	for _, s := range view.Sections() {
-		deltas = append(deltas, board.DeltasSince(s, req.Known[s])...)
+// ageMS returns the milliseconds from confirmedAt to now, rounded up, and -1 for the
+// zero time.
+func ageMS(now, confirmedAt time.Time) int64 {
+	if confirmedAt.IsZero() {
+		return -1
 	}
-	return deltas
+	return (now.Sub(confirmedAt) + time.Millisecond - 1).Milliseconds()
 }
 
 // peerConns holds one open connection per peer. It is not safe for concurrent use.
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -14,6 +14,10 @@
 // Board holds the current view of a process, its recent deltas, its source and the
 // times at which its sections were known to be current. Subscribers are notified of
 // changes. It is safe for concurrent use.
+//
+// A confirmation vouches for the view that the board holds when it is recorded, so
+// that what it vouches for must be applied before. A reader that needs both takes
+// them in one call.
 type Board struct {
 	view   blackboard.Entry[View]
 	source blackboard.Entry[string]
@@ -58,12 +62,37 @@
 	return true
 }
 
-// DeltasSince returns the deltas that lead from revision known of a section to the
-// current one: none if known is current, and a full delta if the recent ones don't
-// reach back to known.
-func (b *Board) DeltasSince(s Section, known Revision) []Delta {
+// Snapshot returns the current view and the time at which its members were last known
+// to be current, the zero time if they never were.
+func (b *Board) Snapshot() (v View, membersConfirmedAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.Get(), b.confirmedAt[MembersSection]
+}
+
+// Changes holds the deltas after some revisions, and the times at which the view to
+// which they lead was known to be current.
+type Changes struct {
+	Deltas             []Delta
+	ConfirmedAt        time.Time // all sections, the zero time if one never was
+	MembersConfirmedAt time.Time // the zero time if they never were
+}
+
+// ChangesSince returns the changes after the known revisions.
+func (b *Board) ChangesSince(known map[Section]Revision) Changes {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c := Changes{ConfirmedAt: b.oldestConfirmation(), MembersConfirmedAt: b.confirmedAt[MembersSection]}
+	for _, s := range Sections() {
+		c.Deltas = append(c.Deltas, b.deltasSince(s, known[s])...)
+	}
+	return c
+}
+
+// deltasSince returns the deltas that lead from revision known of a section to the
+// current one: none if known is current, and a full delta if the recent ones don't
+// reach back to known. The caller holds the lock.
+func (b *Board) deltasSince(s Section, known Revision) []Delta {
 	v := b.view.Get()
 	if v.Revision(s) <= known {
 		return nil
@@ -77,7 +106,8 @@
 	return []Delta{v.FullDelta(s)}
 }
 
-// Confirm records that a section was known to be current at the given time.
+// Confirm records that a section of the view was known to be current at the given
+// time.
 func (b *Board) Confirm(s Section, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -115,6 +145,11 @@
 func (b *Board) ConfirmedAt() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.oldestConfirmation()
+}
+
+// oldestConfirmation is ConfirmedAt for a caller that holds the lock.
+func (b *Board) oldestConfirmation() time.Time {
 	var oldest time.Time
 	for i, s := range Sections() {
 		at := b.confirmedAt[s]
--- a/internal/control/view/view_test.go
+++ b/internal/control/view/view_test.go
@@ -97,7 +97,7 @@
 			views = append(views, source.View())
 		}
 		behind := views[rapid.IntRange(0, len(views)-1).Draw(t, "behind")]
-		for _, d := range source.DeltasSince(MembersSection, behind.Members.Revision) {
+		for _, d := range source.ChangesSince(map[Section]Revision{MembersSection: behind.Members.Revision}).Deltas {
 			behind, _ = behind.Apply(d)
 		}
 		if diff := cmp.Diff(source.View().Members, behind.Members, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }), cmpopts.EquateEmpty()); diff != "" {
@@ -118,3 +118,39 @@
 	b.Confirm(MembersSection, now.Add(-2*time.Second))
 	is.Equal(b.ConfirmedAt(), now.Add(-time.Second))
 }
+
+// Guards against a reader that pairs a confirmation with a view or with deltas that
+// lack what the confirmation vouches for.
+func TestConfirmationIsReadWithItsData(t *testing.T) {
+	is := is.New(t)
+	b := NewBoard()
+	start := time.Now()
+	const revisions = 2000
+	confirmedAt := func(r Revision) time.Time { return start.Add(time.Duration(r) * time.Second) }
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for r := Revision(1); r <= revisions; r++ {
+			b.Apply(Delta{Section: MembersSection, From: r - 1, To: r, Full: r == 1})
+			for _, s := range Sections() {
+				b.Confirm(s, confirmedAt(r))
+			}
+		}
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+		}
+		v, at := b.Snapshot()
+		is.True(!at.After(confirmedAt(v.Members.Revision)))
+		c := b.ChangesSince(map[Section]Revision{MembersSection: v.Members.Revision})
+		latest := v.Members.Revision
+		for _, d := range c.Deltas {
+			latest = d.To
+		}
+		is.True(!c.MembersConfirmedAt.After(confirmedAt(latest)))
+		is.True(!c.ConfirmedAt.After(confirmedAt(latest)))
+	}
+}
--- a/internal/flowpath/flownode/loops.go
+++ b/internal/flowpath/flownode/loops.go
@@ -5,19 +5,18 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
-	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
-// FollowView calls apply with each new view until the node stops.
-func (n *Node) FollowView(apply func(view.View)) {
+// FollowView calls apply after each change of the view until the node stops.
+func (n *Node) FollowView(apply func()) {
 	n.Go(func(ctx context.Context) {
 		changed, cancel := n.Board.Subscribe()
 		defer cancel()
 		for {
 			select {
 			case <-changed:
-				apply(n.Board.View())
+				apply()
 			case <-ctx.Done():
 				return
 			}
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -59,11 +59,11 @@
 func TestKeptPacketIsResetAsSoonAsAllAgentsAreKnown(t *testing.T) {
 	is := is.New(t)
 	s := newSteerer(testView(12))
-	s.SetViewConfirmed(start.Add(-maxViewAge - time.Second))
+	s.SetView(testView(12), start.Add(-maxViewAge-time.Second))
 	p := callerPacket(1, flow.Ack)
 	is.Equal(denyByAllAsked(s, start, p, s.FromCaller(start, p, []byte("data")), ignoreCandidates).Verdict, Keep)
 	is.Equal(countResets(s.Tick(start.Add(lookupRetryDelay))), 0)
-	s.SetViewConfirmed(start.Add(-time.Second))
+	s.SetView(testView(12), start.Add(-time.Second))
 	is.Equal(countResets(s.Tick(start.Add(2*lookupRetryDelay))), 1)
 }
 
@@ -72,11 +72,12 @@
 func TestLookupAsksAddedAgent(t *testing.T) {
 	is := is.New(t)
 	s := newSteerer(testView(3))
-	s.SetViewConfirmed(start.Add(-maxViewAge - time.Second))
+	s.SetView(testView(3), start.Add(-maxViewAge-time.Second))
 	p := callerPacket(1, flow.Ack)
 	is.Equal(denyByAllAsked(s, start, p, s.FromCaller(start, p, []byte("data")), ignoreCandidates).Verdict, Keep)
-	s.SetView(testView(4))
-	s.SetViewConfirmed(start)
+	added := testView(4)
+	added.Members.Revision++
+	s.SetView(added, start)
 	due := s.Tick(start.Add(lookupRetryDelay))
 	again := forwardActions(due)
 	is.Equal(len(again), 1)
@@ -132,7 +133,8 @@
 	m := v.Members.ByName["agent-1"]
 	m.Revision = 2
 	v.Members.ByName["agent-1"] = m
-	s.SetView(v)
+	v.Members.Revision++
+	s.SetView(v, start)
 	p := callerPacket(1, flow.Ack)
 	is.Equal(denyByAllAsked(s, start, p, s.FromCaller(start, p, nil), ignoreCandidates).Verdict, Reset)
 }
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -76,8 +76,7 @@
 
 func (p *path) newBalancer(i int) *flowsteer.Steerer {
 	s := flowsteer.New(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7720), "a")
-	s.SetView(p.view)
-	s.SetViewConfirmed(p.now)
+	s.SetView(p.view, p.now)
 	return s
 }
 
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -63,7 +63,7 @@
 	self        netip.AddrPort
 	domain      string
 	view        view.View
-	confirmedAt time.Time
+	confirmedAt time.Time // the members of view were current at this time
 	agents      agentSet
 	flows       holders
 	openings    map[flow.Key]*opening
@@ -92,15 +92,17 @@
 	}
 }
 
-// SetView replaces the view.
-func (s *Steerer) SetView(v view.View) {
-	s.view = v
-	s.agents.setView(v, s.domain)
+// SetView replaces the view. confirmedAt is the time at which the members of this view
+// were last known to be current, the zero time if they never were. Both are set in one
+// call because a later confirmation says nothing about an earlier view.
+func (s *Steerer) SetView(v view.View, confirmedAt time.Time) {
+	agentsChanged := v.Members.Revision != s.view.Members.Revision || v.Evacuations.Revision != s.view.Evacuations.Revision
+	s.view, s.confirmedAt = v, confirmedAt
+	if agentsChanged {
+		s.agents.setView(v, s.domain)
+	}
 }
 
-// SetViewConfirmed sets the time at which the view was last known to be current.
-func (s *Steerer) SetViewConfirmed(at time.Time) { s.confirmedAt = at }
-
 // FromCaller decides about a caller's packet; raw is its encoding.
 func (s *Steerer) FromCaller(now time.Time, p flow.Packet, raw []byte) Action {
 	route, ok := s.view.Configuration.Routes[p.To]
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -50,8 +50,7 @@
 // newSteerer returns a steerer of failure domain a whose view is current at start.
 func newSteerer(v view.View) *Steerer {
 	s := New(self, "a")
-	s.SetView(v)
-	s.SetViewConfirmed(start)
+	s.SetView(v, start)
 	return s
 }
 
@@ -171,7 +170,7 @@
 	t.Run("view out of date", func(t *testing.T) {
 		is := is.New(t)
 		s := newSteerer(testView(3))
-		s.SetViewConfirmed(start.Add(-maxViewAge - time.Second))
+		s.SetView(testView(3), start.Add(-maxViewAge-time.Second))
 		is.Equal(verdictAfterDenials(s, start), Keep)
 	})
 	t.Run("an agent doesn't answer", func(t *testing.T) {
@@ -187,7 +186,7 @@
 		at := start.Add(maxViewAge + time.Millisecond)
 		is.Equal(verdictAfterDenials(s, at), Keep)
 		is.Equal(countResets(s.Tick(at.Add(200*time.Millisecond))), 0)
-		s.SetViewConfirmed(at)
+		s.SetView(testView(3), at)
 		is.Equal(countResets(s.Tick(at.Add(250*time.Millisecond))), 1)
 	})
 }
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -111,7 +111,7 @@
 	if err := a.node.Serve(s.MetricsAddress, a.registry.TextHandler(a.updateGauges)); err != nil {
 		return err
 	}
-	a.node.FollowView(a.applyView)
+	a.node.FollowView(func() { a.applyView(a.node.Board.View()) })
 	a.node.ReadMessages(a.nodeSocket, a.handleMessage)
 	a.node.ReadPackets(a.backendSocket, a.handleBackendPacket)
 	a.node.Go(a.runTimers)
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -159,12 +159,12 @@
 	return b.viewComplete && !b.isolated && !b.stopping.Load()
 }
 
-// applyView passes a new view to the steerer. With the first complete one, it
+// applyView passes the current view to the steerer. With the first complete one, it
 // forwards the held packets and announces the balancer as a member.
-func (b *Balancer) applyView(v view.View) {
+func (b *Balancer) applyView() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.steerer.SetView(v)
+	v := b.updateView()
 	if b.viewComplete || !v.Complete() {
 		return
 	}
@@ -185,6 +185,14 @@
 	})
 }
 
+// updateView passes the current view and its confirmation to the steerer, and returns
+// the view. The caller holds the lock.
+func (b *Balancer) updateView() view.View {
+	v, confirmedAt := b.node.Board.Snapshot()
+	b.steerer.SetView(v, confirmedAt)
+	return v
+}
+
 // handleCallerPacket forwards a packet of a caller, or holds it until the first
 // complete view.
 func (b *Balancer) handleCallerPacket(raw []byte) error {
@@ -269,17 +277,22 @@
 	for {
 		select {
 		case <-ticker.C:
-			b.mu.Lock()
-			b.steerer.SetViewConfirmed(b.node.Board.ConfirmedAt())
-			b.executeAll(b.steerer.Tick(time.Now()))
-			b.updateIsolation()
-			b.mu.Unlock()
+			b.tick(time.Now())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// tick runs the steerer's timers on the current view.
+func (b *Balancer) tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.updateView()
+	b.executeAll(b.steerer.Tick(now))
+	b.updateIsolation()
+}
+
 // updateIsolation makes the balancer report not ready while it is isolated, and
 // logs changes.
 func (b *Balancer) updateIsolation() {
--- a/pkg/flowbalancer/balancer_test.go
+++ b/pkg/flowbalancer/balancer_test.go
@@ -1,12 +1,18 @@
 package flowbalancer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flownode"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowsteer"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
@@ -26,3 +32,34 @@
 	b.lastCallerPacket = after(5 * time.Second)
 	is.True(b.isDrained(began, after(5*time.Second)))
 }
+
+// Guards against a timer that takes a new confirmation of the view before the view
+// itself has reached the steerer: the balancer resets a flow of an agent that the
+// confirmed view names and that was never asked (issue 17).
+func TestConfirmationComesWithItsView(t *testing.T) {
+	is := is.New(t)
+	socket, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	is.NoErr(err)
+	defer func() { _ = socket.Close() }()
+	b := New(platform.Settings{PeerAddress: netip.MustParseAddrPort("127.0.0.1:7720"), Domain: "a"}, nil, event.Discard())
+	b.nodeSocket, b.node = socket, &flownode.Node{Board: view.NewBoard(), Logger: event.Discard()}
+	service := netip.MustParseAddrPort("198.18.0.1:8443")
+	route := view.Route{Address: service, Targets: []view.Target{{Service: "comptoir", Weight: 1}}}
+	known := view.Member{Name: "agent-1", Role: view.AgentRole, Domain: "a", Address: netip.MustParseAddrPort("127.0.0.1:8172"), Service: "comptoir", Slots: 4, State: view.Ready}
+	added := known
+	added.Name, added.Address = "agent-2", netip.MustParseAddrPort("127.0.0.1:8173")
+	now := time.Now()
+
+	b.node.Board.Apply(view.Delta{Section: view.ConfigurationSection, To: 1, Full: true, Configuration: &view.ConfigurationDelta{Version: 1, Routes: []view.Route{route}}})
+	b.node.Board.Apply(view.Delta{Section: view.EvacuationsSection, To: 1, Full: true})
+	b.node.Board.Apply(view.Delta{Section: view.MembersSection, To: 1, Full: true, Members: []view.Member{known}})
+	b.updateView()
+	b.node.Board.Apply(view.Delta{Section: view.MembersSection, From: 1, To: 2, Members: []view.Member{added}})
+	b.node.Board.Confirm(view.MembersSection, now)
+	b.tick(now)
+
+	p := flow.Packet{From: netip.MustParseAddrPort("100.64.0.7:40001"), To: service, Flags: flow.Ack}
+	first := b.steerer.FromCaller(now, p, []byte("data"))
+	is.Equal(first.Verdict, flowsteer.Send)
+	is.Equal(len(first.Message.Candidates), 2)
+}
