Split the follower into watching, polling and the order of peers

Functions and constants are moved as they are: watch.go has the calls of the store, poll.go those of peers, upstream.go the order in which peers are polled, follow.go the follower itself. pollGrace goes to peer.go, its only user.

--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -17,6 +17,9 @@
 
 const (
 	methodChanges = "changes"
+	// pollGrace is added to the time for which a peer may hold a request, before
+	// the peer counts as unresponsive.
+	pollGrace = 400 * time.Millisecond
 	// dialTimeout bounds how long connecting to a peer may take.
 	dialTimeout = 300 * time.Millisecond
 	// maxPollTimeout bounds how long a request is held, whatever it asks for.
--- /dev/null
+++ b/internal/control/follow/watch.go
@@ -0,0 +1,194 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+)
+
+const (
+	// The watch timeouts are how long the store holds a watch without changes.
+	// They bound how long it goes unnoticed that the store no longer serves a
+	// watch, and are shorter than the time within which a change must be in
+	// force.
+	configurationWatchTimeout = 2500 * time.Millisecond
+	evacuationsWatchTimeout   = 2500 * time.Millisecond
+	// A balancer resets no lost flow while its members are older than 2 s, so they
+	// are confirmed more often.
+	membersWatchTimeout = 1200 * time.Millisecond
+	// watchPause is the pause between a watch that returned changes and the next
+	// watch, so that changes in quick succession cost one call.
+	watchPause = 300 * time.Millisecond
+	// minRetryDelay and maxRetryDelay bound the pause after a failed call of the
+	// store. It doubles with each failure.
+	minRetryDelay = 50 * time.Millisecond
+	maxRetryDelay = 500 * time.Millisecond
+)
+
+// followStore keeps one section current from the store while the process follows
+// no peer.
+func (f *Follower) followStore(ctx context.Context, s view.Section) {
+	var cursor view.Revision
+	retryDelay := minRetryDelay
+	for ctx.Err() == nil {
+		if f.followsPeer.Load() {
+			// Changes from peers make the cursor out of date.
+			cursor = 0
+			delay.Sleep(ctx, idlePollInterval)
+			continue
+		}
+		if f.storeLost.Load() && s != view.MembersSection {
+			// While the store is unavailable, only the members' calls continue, to
+			// detect that it serves this process again.
+			delay.Sleep(ctx, minRetryDelay)
+			continue
+		}
+		if cursor == 0 {
+			cursor = f.opts.Board.View().Revision(s)
+		}
+		next, err := f.listOrWatch(ctx, s, cursor)
+		if ctx.Err() != nil {
+			return
+		}
+		f.recordStoreResult(err)
+		if errkind.Is(err, errkind.HistoryGone) {
+			next, err = f.listSection(ctx, s)
+			f.recordStoreResult(err)
+		}
+		if err != nil {
+			delay.Sleep(ctx, retryDelay)
+			retryDelay = min(2*retryDelay, maxRetryDelay)
+			continue
+		}
+		cursor, retryDelay = next, minRetryDelay
+	}
+}
+
+// listOrWatch lists a section without a cursor, and watches it from the cursor
+// otherwise. It returns the next cursor.
+func (f *Follower) listOrWatch(ctx context.Context, s view.Section, cursor view.Revision) (view.Revision, error) {
+	if cursor == 0 {
+		return f.listSection(ctx, s)
+	}
+	wait := f.watchTimeout(s)
+	requestedAt := time.Now()
+	changes, revision, err := f.opts.Store.Watch(ctx, s, cursor, wait)
+	if err != nil {
+		return cursor, err
+	}
+	if len(changes) == 0 {
+		f.opts.Board.Confirm(s, unchangedUntil(requestedAt, time.Now(), wait))
+		return revision, nil
+	}
+	f.applyChanges(s, changes, revision)
+	// The response may have been on its way for long, so that later changes are
+	// possible from the request on.
+	f.opts.Board.Confirm(s, requestedAt)
+	delay.Sleep(ctx, watchPause)
+	return revision, nil
+}
+
+// unchangedUntil returns the time up to which a watch without changes vouches for the
+// view: the store sends its response no sooner than after the wait.
+func unchangedUntil(requestedAt, receivedAt time.Time, wait time.Duration) time.Time {
+	if until := requestedAt.Add(wait); !until.After(receivedAt) {
+		return until
+	}
+	return requestedAt
+}
+
+// watchTimeout returns how long the store may hold a watch of a section. While the
+// store is unavailable, it is to respond at once.
+func (f *Follower) watchTimeout(s view.Section) time.Duration {
+	if f.storeLost.Load() {
+		return 0
+	}
+	switch s {
+	case view.ConfigurationSection:
+		return configurationWatchTimeout
+	case view.EvacuationsSection:
+		return evacuationsWatchTimeout
+	}
+	return membersWatchTimeout
+}
+
+func (f *Follower) listSection(ctx context.Context, s view.Section) (view.Revision, error) {
+	requestedAt := time.Now()
+	changes, revision, err := f.opts.Store.List(ctx, s)
+	if err != nil {
+		return 0, err
+	}
+	d := view.Delta{Section: s, To: revision, Full: true}
+	f.addChanges(&d, view.View{}, changes)
+	if s == view.ConfigurationSection && d.Configuration == nil {
+		// No configuration has been written yet.
+		return 0, errkind.New(errkind.NotFound, "no configuration in the store")
+	}
+	f.applyDelta(d)
+	f.opts.Board.Confirm(s, requestedAt)
+	return revision, nil
+}
+
+// applyChanges applies the changes of a watch to the board.
+func (f *Follower) applyChanges(s view.Section, changes []Change, revision view.Revision) {
+	v := f.opts.Board.View()
+	d := view.Delta{Section: s, From: v.Revision(s), To: revision}
+	f.addChanges(&d, v, changes)
+	f.applyDelta(d)
+}
+
+// addChanges adds changes to d, as differences from v. It logs and skips objects
+// that can't be used.
+func (f *Follower) addChanges(d *view.Delta, v view.View, changes []Change) {
+	domains := map[string]bool{}
+	for domain := range v.Evacuations.Domains {
+		domains[domain] = true
+	}
+	for _, c := range changes {
+		if c.Err != nil {
+			f.opts.Logger.EmitError(event.StoredObjectRefused, c.Err, event.Fields{"object": c.Name, "section": d.Section})
+			continue
+		}
+		switch {
+		case d.Section == view.EvacuationsSection && c.Deleted:
+			delete(domains, c.Name)
+		case d.Section == view.EvacuationsSection:
+			domains[c.Name] = true
+		case c.Deleted:
+			d.Gone = append(d.Gone, c.Name)
+		case c.Member != nil:
+			d.Gone = slices.DeleteFunc(d.Gone, func(name string) bool { return name == c.Name })
+			d.Members = append(d.Members, *c.Member)
+		case c.Configuration != nil:
+			d.Configuration = c.Configuration.DeltaFrom(v.Configuration)
+		}
+	}
+	if d.Section == view.EvacuationsSection {
+		for domain := range domains {
+			d.Domains = append(d.Domains, domain)
+		}
+		slices.Sort(d.Domains)
+	}
+}
+
+func (f *Follower) applyDelta(d view.Delta) {
+	if !f.opts.Board.Apply(d) {
+		return
+	}
+	fields := event.Fields{"section": d.Section, "revision": d.To, "full": d.Full}
+	switch {
+	case d.Configuration != nil:
+		fields["version"], fields["routes"] = d.Configuration.Version, len(d.Configuration.Routes)
+		fields["dropped"] = len(d.Configuration.Dropped)
+	case d.Section == view.EvacuationsSection:
+		fields["domains"] = d.Domains
+	default:
+		fields["members"], fields["gone"] = len(d.Members), len(d.Gone)
+	}
+	f.opts.Logger.Emit(event.ViewChanged, fields)
+}
