Add failing tests: an opening alone makes no flow an agent's own

Two backend servers may answer copies of one opening; the caller continues with one of them. The agent of the other one takes the flow for open

- when its backend server repeats the answer after the caller's next packet (TestRetransmittedAnswerDoesNotOpenFlow),
- at any packet of the caller while the opening is unanswered (TestPacketBeforeAnswerDoesNotOpenFlow),
- at an answer without an entry, after a restart of the agent or 3 s (TestAnswerWithoutEntryDoesNotOpenFlow),
- if the two answers' numbers are within 1 MiB (TestFirstAcknowledgementDecidesWhoseFlowItIs).

It then resets the flow at its first bounced packet, or reports it lost at the next run of its backend server. An entry that its backend server reset before the flow was open swallows the packets (TestResetBeforeFlowIsOpenLeavesNoEntry). In the other direction, a learning agent denies an open flow after its backend server has answered a late copy of the opening (TestAnswerToLateCopyDoesNotDenyOpenFlow), and delivers a packet that it can't pass on if it bounces (TestRestartedAgentKeepsFlowThatIsBeingOpened).

The model of path_test.go now has openings that stay half-open until the caller acknowledges the answer, a sequence number for each backend server, repeated answers, lost notifications and answers, and backend servers that crash and start again. TestOpenFlowsSurviveRestartsAndLeaves runs on it with its events and checks unchanged, and passes.

It doesn't judge resets of openings: a balancer resets an opening that the last candidate refuses, although an earlier one may have accepted it without being heard. That is another fault, in flowsteer.

TestRequestInFirstPacketIsQueued passes before and after it.

--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -162,6 +162,171 @@
 	is.Equal(g.OpenFlows(), 0)
 }
 
+// otherAck is a number in the answer of another backend server.
+const otherAck = 3_000_000_000
+
+// ackPacket returns a packet of a caller that acknowledges ack.
+func ackPacket(port int, ack uint32, length int) flow.Packet {
+	p := dataPacket(port, orders, 101, length)
+	p.Ack = ack
+	return p
+}
+
+// Guards against a reset of a flow that is open at another agent after this
+// agent's backend server has retransmitted its answer to the opening.
+func TestRetransmittedAnswerDoesNotOpenFlow(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	answer := backendPacket(1, orders, flow.Open|flow.Ack, 0)
+	g.FromPeer(start, forward(self, other), openingPacket(1))
+	g.FromBackend(start, answer)
+	now := start
+	for range 3 {
+		is.Equal(g.FromPeer(now, forward(self, other), ackPacket(1, otherAck, 10)).Verdict, PassOn)
+		now = now.Add(200 * time.Millisecond)
+		is.Equal(g.FromBackend(now, answer).Verdict, ToCaller)
+	}
+}
+
+// Guards against a reset of a flow that is open at another agent while this
+// agent's backend server has left the opening unanswered, by itself or in a new
+// run.
+func TestPacketBeforeAnswerDoesNotOpenFlow(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	now := start.Add(100 * time.Millisecond)
+	g.FromPeer(now, forward(self, other), openingPacket(1))
+	a := g.FromPeer(now, forward(self, other), ackPacket(1, otherAck, 10))
+	is.Equal(a.Verdict, PassOn)
+	is.Equal(a.To, other)
+	_, err := g.Report(now.Add(100*time.Millisecond), report(2))
+	is.NoErr(err)
+	newRun := report(1)
+	newRun.Started = now.Add(200 * time.Millisecond)
+	lost, err := g.Report(now.Add(300*time.Millisecond), newRun)
+	is.NoErr(err)
+	is.Equal(len(lost), 0)
+}
+
+// Guards against a reset of a flow that is open at another agent after an answer to
+// the opening that this process didn't deliver, or has forgotten.
+func TestAnswerWithoutEntryDoesNotOpenFlow(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(g *Gate)
+	}{
+		{"agent restarted", func(*Gate) {}},
+		{"opening expired", func(g *Gate) {
+			g.FromPeer(start, forward(self, other), openingPacket(1))
+			g.Tick(start.Add(openingTimeout + time.Second))
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := readyGate(t, false)
+			c.prepare(g)
+			now := start.Add(openingTimeout + 2*time.Second)
+			is.Equal(g.FromBackend(now, backendPacket(1, orders, flow.Open|flow.Ack, 0)).Verdict, ToCaller)
+			is.Equal(g.FromPeer(now, forward(self, other), ackPacket(1, otherAck, 10)).Verdict, PassOn)
+		})
+	}
+}
+
+// Guards against a flow that is taken for this backend server's because the number
+// of another one's answer is near that of its own, and against one that is denied
+// although its caller acknowledged this backend server's answer. The protocol
+// doesn't state whether an opening counts as one.
+func TestFirstAcknowledgementDecidesWhoseFlowItIs(t *testing.T) {
+	answer := backendPacket(1, orders, flow.Open|flow.Ack, 0)
+	cases := []struct {
+		ack     uint32
+		verdict Verdict
+	}{
+		{answer.Seq - 1, PassOn},
+		{answer.Seq, Deliver},
+		{answer.Seq + 1, Deliver},
+		{answer.Seq + 2, PassOn},
+		{answer.Seq + 1<<20, PassOn},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		g := readyGate(t, false)
+		g.FromPeer(start, forward(self, other), openingPacket(1))
+		g.FromBackend(start, answer)
+		is.Equal(g.FromPeer(start, forward(self, other), ackPacket(1, c.ack, 10)).Verdict, c.verdict)
+	}
+}
+
+// Guards against packets of a flow at another agent that are delivered here, and
+// dropped when they bounce, because this agent's backend server reset the flow
+// before it was open.
+func TestResetBeforeFlowIsOpenLeavesNoEntry(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	g.FromPeer(start, forward(self, other), openingPacket(1))
+	g.FromBackend(start, backendPacket(1, orders, flow.Open|flow.Ack, 0))
+	is.Equal(g.FromBackend(start, backendPacket(1, orders, flow.Reset, 0)).Verdict, ToCaller)
+	is.Equal(g.OpenFlows(), 0)
+	is.Equal(g.FromPeer(start, forward(self, other), ackPacket(1, otherAck, 10)).Verdict, PassOn)
+}
+
+// Guards against an agent that denies a flow whose caller continues with its
+// backend server, because the agent restarted between the opening and the first
+// packet after it.
+func TestRestartedAgentKeepsFlowThatIsBeingOpened(t *testing.T) {
+	answer := backendPacket(1, orders, flow.Open|flow.Ack, 0)
+	cases := []struct {
+		name    string
+		prepare func(g *Gate)
+		offered bool
+	}{
+		{"nothing seen", func(*Gate) {}, true},
+		{"answer retransmitted", func(g *Gate) { g.FromBackend(start, answer) }, false},
+		{"copy of the opening not answered", func(g *Gate) { g.FromPeer(start, forward(self, other), openingPacket(1)) }, true},
+		{"copy of the opening answered", func(g *Gate) {
+			g.FromPeer(start, forward(self, other), openingPacket(1))
+			g.FromBackend(start, answer)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := readyGate(t, true)
+			c.prepare(g)
+			m := forward(self, other)
+			m.ReportHolder = true
+			a := g.FromPeer(start, m, ackPacket(1, answer.Seq+1, 10))
+			is.Equal(a.Verdict, Deliver)
+			is.Equal(a.Mark != 0, c.offered)
+			b := g.FromBackend(start, backendPacket(1, orders, flow.Ack, 0))
+			// The balancer that looks for the flow is told once.
+			is.Equal(a.NotifyBalancer == balancer, !c.offered)
+			is.Equal(b.NotifyBalancer == balancer, c.offered)
+			is.Equal(g.FromPeer(start, m, ackPacket(1, answer.Seq+1, 10)).Mark, uint32(0))
+		})
+	}
+}
+
+// Guards against an agent that, after a restart, denies an open flow because the
+// backend server answered a late copy of its opening again: the caller
+// acknowledges data that was sent before the restart.
+func TestAnswerToLateCopyDoesNotDenyOpenFlow(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	g.FromPeer(start, forward(self, other), openingPacket(1))
+	g.FromBackend(start, backendPacket(1, orders, flow.Open|flow.Ack, 0))
+	m := forward(self, other)
+	m.ReportHolder = true
+	a := g.FromPeer(start, m, ackPacket(1, 5001+2_000_000, 10))
+	is.Equal(a.Verdict, Deliver)
+	is.True(a.Mark != 0)
+	// A further copy of the answer is no sign that the flow is held.
+	is.True(!g.FromBackend(start, backendPacket(1, orders, flow.Open|flow.Ack, 0)).NotifyBalancer.IsValid())
+	is.Equal(g.FromBackend(start, backendPacket(1, orders, flow.Ack, 20)).NotifyBalancer, balancer)
+	is.Equal(g.FromPeer(start, m, ackPacket(1, 5001+2_000_020, 10)).Mark, uint32(0))
+}
+
 // Guards against an agent that, after a restart, denies flows that its backend
 // server still holds.
 func TestLearningAgentOffersUnknownPackets(t *testing.T) {
--- a/internal/flowpath/flowgate/queue_test.go
+++ b/internal/flowpath/flowgate/queue_test.go
@@ -181,6 +181,25 @@
 	is.Equal(s.gate.InProgress(), 3)
 }
 
+// Guards against a request that skips the queue because it arrives in the packet
+// that opens its flow, and against a queued one that is lost.
+func TestRequestInFirstPacketIsQueued(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, time.Hour)
+	for port := 1; port <= 3; port++ {
+		s.arrive(port, feeds)
+	}
+	s.gate.FromPeer(s.now, forward(self), openingPacket(9))
+	s.gate.FromBackend(s.now, backendPacket(9, orders, flow.Open|flow.Ack, 0))
+	first := dataPacket(9, orders, 101, 10)
+	is.Equal(s.gate.FromPeer(s.now, forward(self), first).Verdict, Hold)
+	s.gate.FromBackend(s.now, backendPacket(9, orders, flow.Open|flow.Ack, 0)) // a copy
+	is.Equal(s.gate.FromPeer(s.now, forward(self), first).Verdict, Hold)
+	is.Equal(s.gate.QueuedRequests(), 1)
+	s.gate.FromBackend(s.now, backendPacket(1, feeds, flow.Ack, 100))
+	is.Equal(len(s.gate.Release(s.now)), 1)
+}
+
 // Guards against queue entries and slots that stay taken after the caller has reset
 // its flow.
 func TestResetFreesQueueEntryAndSlot(t *testing.T) {
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -1,8 +1,12 @@
 package flowsteer_test
 
 import (
+	"cmp"
+	"encoding/binary"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +27,15 @@
 
 const service = "comptoir"
 
+const (
+	pathStep = 100 * time.Millisecond
+	// pathDataLength is the length of the data in each packet, in bytes.
+	pathDataLength = 10
+	// maxAnswerInterval is the longest time after which a backend server repeats an
+	// answer to an opening that the caller has not acknowledged.
+	maxAnswerInterval = 1600 * time.Millisecond
+)
+
 // path connects balancers, agents and backend servers without a network: each
 // message is handled at once.
 type path struct {
@@ -32,24 +45,38 @@
 	balancers []*flowsteer.Steerer
 	agents    map[netip.AddrPort]*pathAgent
 	list      []*pathAgent
-	open      map[flow.Key]*pathAgent // the agent whose backend server holds the flow
-	resets    map[flow.Key]bool
-	delivered map[flow.Key]*pathAgent // the agent whose backend server got the last packet
+	packets   []flow.Packet // messages carry the index of their packet
+	accepted  map[flow.Key]answer
+	delivered map[flow.Key]*pathAgent // the agent whose backend server accepted the last packet
+	lossy     bool                    // some messages of agents and answers to openings are lost
+}
+
+// answer is the answer to an opening with which the caller continues: the first
+// that it received.
+type answer struct {
+	from *pathAgent
+	seq  uint32
 }
 
 // pathAgent is an agent with its backend server.
 type pathAgent struct {
 	address  netip.AddrPort
 	gate     *flowgate.Gate
-	holds    map[flow.Key]bool
+	openings map[flow.Key]time.Time // flows that are not open yet, with the last answer to their opening, zero if there was none
+	holds    map[flow.Key]bool      // open flows
+	firstSeq uint32                 // sequence number in answers to openings
+	started  time.Time
 	sequence uint64
 	state    view.State
+	down     bool // the backend server has crashed
 }
 
-func newPath(t *rapid.T, balancers, agents int) *path {
+// newPath returns a path whose backend servers' sequence numbers differ by a
+// multiple of seqDistance.
+func newPath(t *rapid.T, balancers, agents int, seqDistance uint32) *path {
 	p := &path{
-		t: t, now: pathStart, agents: map[netip.AddrPort]*pathAgent{}, open: map[flow.Key]*pathAgent{},
-		resets: map[flow.Key]bool{}, delivered: map[flow.Key]*pathAgent{},
+		t: t, now: pathStart, agents: map[netip.AddrPort]*pathAgent{},
+		accepted: map[flow.Key]answer{}, delivered: map[flow.Key]*pathAgent{},
 	}
 	p.view = view.View{
 		Configuration: view.Configuration{Revision: 1, Routes: map[netip.AddrPort]view.Route{
@@ -59,7 +86,11 @@
 		Members:     view.Members{Revision: 1, ByName: map[string]view.Member{}},
 	}
 	for i := range agents {
-		a := &pathAgent{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172), holds: map[flow.Key]bool{}, state: view.Ready}
+		a := &pathAgent{
+			address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172),
+			openings: map[flow.Key]time.Time{}, holds: map[flow.Key]bool{},
+			firstSeq: 5000 + uint32(i)*seqDistance, started: pathStart, state: view.Ready,
+		}
 		p.agents[a.address] = a
 		p.list = append(p.list, a)
 		p.startAgent(a, false)
@@ -74,8 +105,17 @@
 	return p
 }
 
+func balancerAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7720)
+}
+
+// balancerAt returns the balancer at an address.
+func (p *path) balancerAt(address netip.AddrPort) *flowsteer.Steerer {
+	return p.balancers[address.Addr().As4()[3]]
+}
+
 func (p *path) newBalancer(i int) *flowsteer.Steerer {
-	s := flowsteer.New(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7720), "a")
+	s := flowsteer.New(balancerAddress(i), "a")
 	s.SetView(p.view)
 	s.SetViewConfirmed(p.now)
 	return s
@@ -90,98 +130,223 @@
 	p.report(a)
 }
 
+// report lets the backend server of an agent report, unless it is down.
 func (p *path) report(a *pathAgent) {
+	if a.down {
+		return
+	}
 	a.sequence++
-	_, err := a.gate.Report(p.now, flowgate.Report{Instance: "i", Started: pathStart, Sequence: a.sequence, State: a.state, Slots: 9})
+	lost, err := a.gate.Report(p.now, flowgate.Report{Instance: "i", Started: a.started, Sequence: a.sequence, State: a.state, Slots: 9})
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	for _, f := range lost {
+		p.reset(f.Key)
+	}
+}
+
+// crash ends the backend server of an agent, which loses its flows.
+func (p *path) crash(a *pathAgent) {
+	a.down = true
+	clear(a.openings)
+	clear(a.holds)
+}
+
+// startBackend starts a new run of a backend server that is down.
+func (p *path) startBackend(a *pathAgent) {
+	a.down, a.started, a.sequence = false, p.now, 0
+	a.firstSeq += 100_000
+}
+
+// passStep advances the time by a step and carries out what is due then.
+func (p *path) passStep() {
+	p.now = p.now.Add(pathStep)
+	for _, a := range p.list {
+		p.answerOpenings(a, func(last time.Time) bool { return !last.IsZero() && p.now.Sub(last) >= maxAnswerInterval })
+		a.gate.Tick(p.now)
+		due := a.gate.PassOnUnanswered(p.now)
+		slices.SortFunc(due, func(a, b flowgate.Action) int { return slices.Compare(a.Message.Packet, b.Message.Packet) })
+		for _, action := range due {
+			p.fromAgent(a, action.Message.Packet, action)
+		}
+	}
+	for _, s := range p.balancers {
+		s.SetViewConfirmed(p.now)
+		due := s.Tick(p.now)
+		slices.SortFunc(due, func(a, b flowsteer.Action) int {
+			return cmp.Or(slices.Compare(a.Message.Packet, b.Message.Packet), a.To.Compare(b.To))
+		})
+		for _, action := range due {
+			p.fromBalancer(s, action)
+		}
+	}
 }
 
 // send passes a caller's packet to a balancer and carries out the decisions that
 // follow.
 func (p *path) send(balancer int, packet flow.Packet) {
-	p.fromBalancer(balancer, packet, p.balancers[balancer].FromCaller(p.now, packet, []byte("x")))
+	raw := binary.BigEndian.AppendUint32(nil, uint32(len(p.packets)))
+	p.packets = append(p.packets, packet)
+	s := p.balancers[balancer]
+	p.fromBalancer(s, s.FromCaller(p.now, packet, raw))
 }
 
-func (p *path) fromBalancer(balancer int, packet flow.Packet, a flowsteer.Action) {
-	switch a.Verdict {
-	case flowsteer.Reset:
-		p.reset(packet.CallerKey())
-	case flowsteer.Send:
-		p.toAgent(balancer, packet, a.To, a.Message)
+func (p *path) decode(raw []byte) flow.Packet { return p.packets[binary.BigEndian.Uint32(raw)] }
+
+func (p *path) fromBalancer(s *flowsteer.Steerer, action flowsteer.Action) {
+	switch {
+	case action.Verdict == flowsteer.Reset && action.Packet.Opening() && p.lossy:
+		// A balancer resets an opening that the last candidate refuses, although
+		// an earlier one may hold the flow if its notification was lost.
+	case action.Verdict == flowsteer.Reset:
+		p.reset(action.Packet.CallerKey())
+	case action.Verdict != flowsteer.Send:
+	case action.Message.Type == hop.Hello:
+		a := p.agents[action.To]
+		s.HelloAck(p.now, &hop.Message{Type: hop.HelloAck, Agent: a.address, Load: a.gate.Load(p.now)})
+	default:
+		p.toAgent(action.To, action.Message)
 	}
 }
 
-func (p *path) toAgent(balancer int, packet flow.Packet, to netip.AddrPort, m hop.Message) {
+func (p *path) toAgent(to netip.AddrPort, m hop.Message) {
 	a := p.agents[to]
-	p.fromAgent(balancer, a, packet, a.gate.FromPeer(p.now, &m, packet))
+	p.fromAgent(a, m.Packet, a.gate.FromPeer(p.now, &m, p.decode(m.Packet)))
 }
 
-func (p *path) fromAgent(balancer int, a *pathAgent, packet flow.Packet, action flowgate.Action) {
-	key := packet.CallerKey()
+// fromAgent carries out an agent's decision about a caller's packet.
+func (p *path) fromAgent(a *pathAgent, raw []byte, action flowgate.Action) {
+	packet := p.decode(raw)
 	switch action.Verdict {
 	case flowgate.Deliver:
-		if action.NotifyBalancer.IsValid() {
-			p.placed(balancer, a, packet)
-		}
-		p.toBackend(balancer, a, packet, action.Mark)
+		p.notify(a, action)
+		p.toBackend(a, raw, action.Mark)
 	case flowgate.PassOn:
-		action.Message.Packet = []byte("x")
-		if action.Message.Type == hop.Declined {
-			for _, due := range p.balancers[balancer].Declined(p.now, packet, &action.Message) {
-				p.fromBalancer(balancer, packet, due)
-			}
+		action.Message.Packet = raw
+		if action.Message.Type != hop.Declined {
+			p.toAgent(action.To, action.Message)
 			return
 		}
-		p.toAgent(balancer, packet, action.To, action.Message)
+		s := p.balancerAt(action.To)
+		for _, due := range s.Declined(p.now, packet, &action.Message) {
+			p.fromBalancer(s, due)
+		}
 	case flowgate.Reset:
-		p.reset(key)
+		p.reset(packet.CallerKey())
 	}
 }
 
-// placed notifies a balancer that an agent holds a packet's flow.
-func (p *path) placed(balancer int, a *pathAgent, packet flow.Packet) {
-	m := a.gate.Placed(p.now, packet.CallerKey())
-	for _, due := range p.balancers[balancer].Placed(p.now, &m) {
-		p.fromBalancer(balancer, packet, due)
+// notify notifies the balancer of an action, if any, that an agent holds a flow.
+func (p *path) notify(a *pathAgent, action flowgate.Action) {
+	if !action.NotifyBalancer.IsValid() || p.loses("notification") {
+		return
+	}
+	m := a.gate.Placed(p.now, action.Key)
+	s := p.balancerAt(action.NotifyBalancer)
+	for _, due := range s.Placed(p.now, &m) {
+		p.fromBalancer(s, due)
 	}
 }
 
+// loses draws whether a message is lost or, if its sender repeats it, delayed.
+func (p *path) loses(what string) bool {
+	return p.lossy && rapid.IntRange(0, 3).Draw(p.t, "lost "+what) == 0
+}
+
 // toBackend makes the backend server answer an opening, accept a packet of a flow
-// that it holds, or return one of another flow.
-func (p *path) toBackend(balancer int, a *pathAgent, packet flow.Packet, mark uint32) {
+// that it holds, or return one of another flow. The first packet that acknowledges
+// its answer opens a flow.
+func (p *path) toBackend(a *pathAgent, raw []byte, mark uint32) {
+	packet := p.decode(raw)
 	key := packet.CallerKey()
-	if packet.Opening() {
+	switch {
+	case a.down:
+	case packet.Opening():
 		if a.state == view.Leaving {
 			p.t.Fatalf("an opening reached a leaving backend server")
 		}
+		if !a.holds[key] && !a.answered(key) {
+			a.openings[key] = time.Time{}
+		}
+		if !p.loses("answer of a slow backend server") {
+			p.answerOpening(a, key)
+		}
+	case a.holds[key], a.answered(key) && packet.Ack == a.firstSeq+1:
+		delete(a.openings, key)
 		a.holds[key] = true
-		p.open[key] = a
-		a.gate.FromBackend(p.now, flow.Packet{From: packet.To, To: packet.From, Flags: flow.Open | flow.Ack, Seq: 5000})
-		return
-	}
-	if a.holds[key] {
 		p.delivered[key] = a
-		answer := a.gate.FromBackend(p.now, flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: 5001, Length: 10})
-		if answer.NotifyBalancer.IsValid() {
-			p.placed(balancer, a, packet)
+		p.notify(a, a.gate.FromBackend(p.now, flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: a.firstSeq + 1, Length: pathDataLength}))
+	default:
+		packet.Flags |= flow.Bounced
+		packet.Mark = mark
+		p.fromAgent(a, raw, a.gate.FromBackend(p.now, packet))
+	}
+}
+
+// answerOpening makes a backend server answer an opening, for the first time or
+// once more.
+func (p *path) answerOpening(a *pathAgent, key flow.Key) {
+	if !a.holds[key] {
+		a.openings[key] = p.now
+	}
+	p.notify(a, a.gate.FromBackend(p.now, flow.Packet{From: key.Service, To: key.Caller, Flags: flow.Open | flow.Ack, Seq: a.firstSeq}))
+	if _, ok := p.accepted[key]; !ok && !p.loses("answer") {
+		p.accepted[key] = answer{from: a, seq: a.firstSeq}
+	}
+}
+
+// answerOpenings makes a backend server answer, for the first time or once more,
+// those openings whose last answer is due to be followed by another one.
+func (p *path) answerOpenings(a *pathAgent, due func(last time.Time) bool) {
+	for _, key := range slices.SortedFunc(maps.Keys(a.openings), func(x, y flow.Key) int { return x.Caller.Compare(y.Caller) }) {
+		if due(a.openings[key]) {
+			p.answerOpening(a, key)
 		}
-		return
 	}
-	packet.Flags |= flow.Bounced
-	packet.Mark = mark
-	action := a.gate.FromBackend(p.now, packet)
-	packet.Flags &^= flow.Bounced
-	packet.Mark = 0
-	p.fromAgent(balancer, a, packet, action)
+}
+
+// answered reports whether the backend server has answered the opening of a flow
+// that is not open yet.
+func (a *pathAgent) answered(key flow.Key) bool { return !a.openings[key].IsZero() }
+
+// holder returns the agent whose backend server holds a flow or answered the
+// opening with the answer that the caller acknowledges, nil if it has crashed since
+// or if there is none.
+func (p *path) holder(key flow.Key) *pathAgent {
+	a, ok := p.accepted[key]
+	if !ok || a.seq != a.from.firstSeq || !(a.from.holds[key] || a.from.answered(key)) {
+		return nil
+	}
+	return a.from
 }
 
 func (p *path) reset(key flow.Key) {
-	if p.open[key] != nil {
+	if p.holder(key) != nil {
 		p.t.Fatalf("flow %v was reset although its backend server holds it", key)
 	}
-	p.resets[key] = true
+}
+
+// held returns the flows of list whose backend servers hold them.
+func (p *path) held(list []flow.Key) []flow.Key {
+	return slices.DeleteFunc(slices.Clone(list), func(key flow.Key) bool { return p.holder(key) == nil })
+}
+
+// reaches sends a packet of a flow and reports whether it reaches the backend
+// server that holds the flow.
+func (p *path) reaches(balancer int, key flow.Key, seq uint32) bool {
+	delete(p.delivered, key)
+	ack := p.accepted[key].seq + 1
+	if p.holder(key).holds[key] && rapid.Bool().Draw(p.t, "acknowledges data") {
+		ack += pathDataLength
+	}
+	p.send(balancer, flow.Packet{From: key.Caller, To: key.Service, Flags: flow.Ack, Seq: seq, Ack: ack, Length: pathDataLength})
+	return p.delivered[key] == p.holder(key)
+}
+
+// opening returns the opening of the flow of the given number.
+func opening(number int) flow.Packet {
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, 1}), uint16(number+1))
+	return flow.Packet{From: caller, To: pathRoute, Flags: flow.Open}
 }
 
 // Guards against flows that break while balancers and agents restart and backend
@@ -189,10 +354,10 @@
 // server that holds it, and no opening may reach one that is leaving.
 func TestOpenFlowsSurviveRestartsAndLeaves(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
-		p := newPath(t, 3, rapid.IntRange(2, 12).Draw(t, "agents"))
+		p := newPath(t, 3, rapid.IntRange(2, 12).Draw(t, "agents"), 1<<28)
 		var keys []flow.Key
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			p.now = p.now.Add(100 * time.Millisecond)
+			p.now = p.now.Add(pathStep)
 			balancer := rapid.IntRange(0, 2).Draw(t, "balancer")
 			a := p.list[rapid.IntRange(0, len(p.list)-1).Draw(t, "agent")]
 			switch rapid.IntRange(0, 7).Draw(t, "event") {
@@ -204,10 +369,9 @@
 				a.state = view.Leaving
 				p.report(a)
 			case 3, 4:
-				caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, 1}), uint16(step+1))
-				packet := flow.Packet{From: caller, To: pathRoute, Flags: flow.Open}
+				packet := opening(step)
 				p.send(balancer, packet)
-				if key := packet.CallerKey(); p.open[key] != nil {
+				if key := packet.CallerKey(); p.holder(key) != nil {
 					keys = append(keys, key)
 				}
 			default:
@@ -215,9 +379,75 @@
 					continue
 				}
 				key := keys[rapid.IntRange(0, len(keys)-1).Draw(t, "flow")]
-				delete(p.delivered, key)
-				p.send(balancer, flow.Packet{From: key.Caller, To: key.Service, Flags: flow.Ack, Seq: uint32(100 * step), Ack: 5001, Length: 10})
-				if p.delivered[key] != p.open[key] {
+				if !p.reaches(balancer, key, uint32(100*step)) {
+					t.Fatalf("a packet of flow %v didn't reach its backend server", key)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a flow that is reset, or whose packets don't reach its backend
+// server, because another backend server got a copy of its opening. Answers and
+// notifications are lost, answers are repeated, and other backend servers crash and
+// start again meanwhile.
+func TestFlowSurvivesAnswersOfOtherBackendServers(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		// No two numbers differ by the length of a packet's data.
+		distance := rapid.SampledFrom([]uint32{2 * pathDataLength, 1000, 1 << 28}).Draw(t, "distance of sequence numbers")
+		p := newPath(t, 3, rapid.IntRange(2, 6).Draw(t, "agents"), distance)
+		p.lossy = true
+		var keys []flow.Key
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			p.passStep()
+			balancer := rapid.IntRange(0, 2).Draw(t, "balancer")
+			a := p.list[rapid.IntRange(0, len(p.list)-1).Draw(t, "agent")]
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			case 0:
+				p.balancers[balancer] = p.newBalancer(balancer)
+			case 1:
+				p.startAgent(a, true)
+			case 2:
+				if a.down {
+					p.startBackend(a)
+				} else {
+					p.crash(a)
+				}
+			case 3:
+				p.report(a)
+			case 4:
+				for range 45 { // agents forget openings that their backend servers left unanswered
+					p.passStep()
+				}
+			case 5, 6:
+				packet := opening(step)
+				keys = append(keys, packet.CallerKey())
+				p.send(balancer, packet)
+			case 7:
+				if len(keys) > 0 {
+					key := rapid.SampledFrom(keys).Draw(t, "flow")
+					p.send(balancer, flow.Packet{From: key.Caller, To: key.Service, Flags: flow.Open, Ack: 1})
+				}
+			case 8:
+				p.answerOpenings(a, func(time.Time) bool { return true })
+			default:
+				held := p.held(keys)
+				if len(held) == 0 {
+					continue
+				}
+				key := rapid.SampledFrom(held).Draw(t, "flow")
+				reached := p.reaches(balancer, key, uint32(100*step))
+				// The caller retransmits meanwhile. A packet may wait for 0.5 s at
+				// each agent whose backend server is down, at up to 5 agents.
+				for range 20 {
+					if reached {
+						break
+					}
+					p.passStep()
+					p.passStep()
+					reached = p.reaches(balancer, key, uint32(100*step))
+				}
+				if !reached {
 					t.Fatalf("a packet of flow %v didn't reach its backend server", key)
 				}
 			}
