Add two failing tests: resets of flows that a backend server holds

TestAcceptedOpeningIsNotReset: a balancer that hears no notification within 80 ms asks the next candidate. If the last one refuses, it resets the opening (declinedOpening), although an earlier one may have accepted it and its notification was lost or late. By then the flow may be open.

TestSilentBackendServerKeepsFlow: after a restart an agent offers packets of unknown flows to its backend server. One without data needs no answer. If the backend server sends nothing for 450 ms, the agent passes the packet on, which the balancer counts as a denial, and it resets the flow.

The model takes any rapid.TB now, so that tests without drawn values can use it.

--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -39,7 +39,7 @@
 // path connects balancers, agents and backend servers without a network: each
 // message is handled at once.
 type path struct {
-	t         *rapid.T
+	t         rapid.TB
 	now       time.Time
 	view      view.View
 	balancers []*flowsteer.Steerer
@@ -48,7 +48,9 @@
 	packets   []flow.Packet // messages carry the index of their packet
 	accepted  map[flow.Key]answer
 	delivered map[flow.Key]*pathAgent // the agent whose backend server accepted the last packet
-	lossy     bool                    // some messages of agents and answers to openings are lost
+	lost      func(what string) bool  // reports whether a message is lost, nil if none are
+	// ignoreOpeningResets is set if resets that answer openings aren't judged.
+	ignoreOpeningResets bool
 }
 
 // answer is the answer to an opening with which the caller continues: the first
@@ -73,7 +75,7 @@
 
 // newPath returns a path whose backend servers' sequence numbers differ by a
 // multiple of seqDistance.
-func newPath(t *rapid.T, balancers, agents int, seqDistance uint32) *path {
+func newPath(t rapid.TB, balancers, agents int, seqDistance uint32) *path {
 	p := &path{
 		t: t, now: pathStart, agents: map[netip.AddrPort]*pathAgent{},
 		accepted: map[flow.Key]answer{}, delivered: map[flow.Key]*pathAgent{},
@@ -195,9 +197,7 @@
 
 func (p *path) fromBalancer(s *flowsteer.Steerer, action flowsteer.Action) {
 	switch {
-	case action.Verdict == flowsteer.Reset && action.Packet.Opening() && p.lossy:
-		// A balancer resets an opening that the last candidate refuses, although
-		// an earlier one may hold the flow if its notification was lost.
+	case action.Verdict == flowsteer.Reset && action.Packet.Opening() && p.ignoreOpeningResets:
 	case action.Verdict == flowsteer.Reset:
 		p.reset(action.Packet.CallerKey())
 	case action.Verdict != flowsteer.Send:
@@ -248,10 +248,8 @@
 	}
 }
 
-// loses draws whether a message is lost or, if its sender repeats it, delayed.
-func (p *path) loses(what string) bool {
-	return p.lossy && rapid.IntRange(0, 3).Draw(p.t, "lost "+what) == 0
-}
+// loses reports whether a message is lost or, if its sender repeats it, delayed.
+func (p *path) loses(what string) bool { return p.lost != nil && p.lost(what) }
 
 // toBackend makes the backend server answer an opening, accept a packet of a flow
 // that it holds, or return one of another flow. The first packet that acknowledges
@@ -275,7 +273,9 @@
 		delete(a.openings, key)
 		a.holds[key] = true
 		p.delivered[key] = a
-		p.notify(a, a.gate.FromBackend(p.now, flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: a.firstSeq + 1, Length: pathDataLength}))
+		if packet.Length > 0 {
+			p.notify(a, a.gate.FromBackend(p.now, flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: a.firstSeq + 1, Length: pathDataLength}))
+		}
 	default:
 		packet.Flags |= flow.Bounced
 		packet.Mark = mark
@@ -331,12 +331,12 @@
 	return slices.DeleteFunc(slices.Clone(list), func(key flow.Key) bool { return p.holder(key) == nil })
 }
 
-// reaches sends a packet of a flow and reports whether it reaches the backend
-// server that holds the flow.
-func (p *path) reaches(balancer int, key flow.Key, seq uint32) bool {
+// reaches sends a packet of a flow, which may acknowledge data if the flow is open,
+// and reports whether it reaches the backend server that holds the flow.
+func (p *path) reaches(t *rapid.T, balancer int, key flow.Key, seq uint32) bool {
 	delete(p.delivered, key)
 	ack := p.accepted[key].seq + 1
-	if p.holder(key).holds[key] && rapid.Bool().Draw(p.t, "acknowledges data") {
+	if p.holder(key).holds[key] && rapid.Bool().Draw(t, "acknowledges data") {
 		ack += pathDataLength
 	}
 	p.send(balancer, flow.Packet{From: key.Caller, To: key.Service, Flags: flow.Ack, Seq: seq, Ack: ack, Length: pathDataLength})
@@ -379,7 +379,7 @@
 					continue
 				}
 				key := keys[rapid.IntRange(0, len(keys)-1).Draw(t, "flow")]
-				if !p.reaches(balancer, key, uint32(100*step)) {
+				if !p.reaches(t, balancer, key, uint32(100*step)) {
 					t.Fatalf("a packet of flow %v didn't reach its backend server", key)
 				}
 			}
@@ -396,7 +396,8 @@
 		// No two numbers differ by the length of a packet's data.
 		distance := rapid.SampledFrom([]uint32{2 * pathDataLength, 1000, 1 << 28}).Draw(t, "distance of sequence numbers")
 		p := newPath(t, 3, rapid.IntRange(2, 6).Draw(t, "agents"), distance)
-		p.lossy = true
+		p.lost = func(what string) bool { return rapid.IntRange(0, 3).Draw(t, "lost "+what) == 0 }
+		p.ignoreOpeningResets = true // see TestAcceptedOpeningIsNotReset
 		var keys []flow.Key
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			p.passStep()
@@ -436,7 +437,7 @@
 					continue
 				}
 				key := rapid.SampledFrom(held).Draw(t, "flow")
-				reached := p.reaches(balancer, key, uint32(100*step))
+				reached := p.reaches(t, balancer, key, uint32(100*step))
 				// The caller retransmits meanwhile. A packet may wait for 0.5 s at
 				// each agent whose backend server is down, at up to 5 agents.
 				for range 20 {
@@ -445,7 +446,7 @@
 					}
 					p.passStep()
 					p.passStep()
-					reached = p.reaches(balancer, key, uint32(100*step))
+					reached = p.reaches(t, balancer, key, uint32(100*step))
 				}
 				if !reached {
 					t.Fatalf("a packet of flow %v didn't reach its backend server", key)
@@ -454,3 +455,37 @@
 		}
 	})
 }
+
+// Guards against the reset of a flow that the first candidate accepted, because its
+// notification was lost and the other candidates refuse the opening.
+func TestAcceptedOpeningIsNotReset(t *testing.T) {
+	p := newPath(t, 1, 2, 1000)
+	p.lost = func(what string) bool { return what == "notification" }
+	packet := opening(1)
+	p.send(0, packet)
+	holder := p.holder(packet.CallerKey())
+	for _, a := range p.list {
+		if a != holder {
+			a.state = view.Leaving
+			p.report(a)
+		}
+	}
+	p.send(0, flow.Packet{From: packet.From, To: packet.To, Flags: flow.Ack, Seq: 1, Ack: holder.firstSeq + 1, Length: pathDataLength})
+	p.passStep()
+}
+
+// Guards against the reset of an open flow after a restart of its agent, because
+// its backend server accepts a packet without data and has nothing to send for a
+// while.
+func TestSilentBackendServerKeepsFlow(t *testing.T) {
+	p := newPath(t, 2, 2, 1000)
+	packet := opening(1)
+	p.send(0, packet)
+	holder := p.holder(packet.CallerKey())
+	p.send(0, flow.Packet{From: packet.From, To: packet.To, Flags: flow.Ack, Seq: 1, Ack: holder.firstSeq + 1, Length: pathDataLength})
+	p.startAgent(holder, true)
+	p.send(1, flow.Packet{From: packet.From, To: packet.To, Flags: flow.Ack, Seq: 1 + pathDataLength, Ack: holder.firstSeq + 1 + pathDataLength})
+	for range 10 {
+		p.passStep()
+	}
+}
