Keep the copy of an opening at the agent that has its flow

A copy of an opening that came through another balancer was passed on when its agent had begun to refuse new flows since the first one (leaving, evacuated, out of cold tokens). If the other candidates refused it too, that balancer reset a flow that the caller may already have open.

The agent now drops such a copy and notifies the balancer that it has the flow: the backend server repeats its answer by itself.

TestCopyOfOpeningIsNotDeclinedByItsAgent gets PassOn without the change.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -247,11 +247,18 @@
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, nil), Key: key, NotifyBalancer: m.Balancer}
 }
 
-// repeatedOpening decides about a copy of an opening that was delivered before.
+// repeatedOpening decides about a copy of an opening that was delivered before. A
+// copy that the backend server must not get is dropped while the backend server may
+// answer the earlier one: if it were passed on and declined, the balancer would reset
+// a flow that is open.
 func (g *Gate) repeatedOpening(now time.Time, f *entry, m *hop.Message, key flow.Key) Action {
 	unresponsive := !f.openingAnswered && now.Sub(f.openedAt) >= openingResponseTimeout
-	if (unresponsive && len(m.Candidates) > 1) || g.refusal(now, m.Service) != 0 {
+	refusal := g.refusal(now, m.Service)
+	switch {
+	case unresponsive && (len(m.Candidates) > 1 || refusal != 0):
 		return g.passOn(m, key, errkind.BackendDown)
+	case refusal != 0:
+		return Action{Verdict: Drop, Kind: refusal, Key: key, NotifyBalancer: m.Balancer}
 	}
 	g.backend.noteOpening(now)
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, nil), Key: key, NotifyBalancer: m.Balancer}
--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -398,6 +398,26 @@
 	is.Equal(g.FromPeer(start.Add(200*time.Millisecond), forward(self, other), openingPacket(1)).Verdict, PassOn)
 }
 
+// Guards against the reset of a flow that is open or about to be: another balancer
+// sends a copy of the opening after the agent began to refuse new flows, and resets
+// the flow if all candidates pass the copy on.
+func TestCopyOfOpeningIsNotDeclinedByItsAgent(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		is := is.New(t)
+		g := readyGate(t, false)
+		g.FromPeer(start, forward(self), openingPacket(1))
+		if answered {
+			g.FromBackend(start, backendPacket(1, orders, flow.Open|flow.Ack, 0))
+		}
+		g.RefuseNewFlows()
+		a := g.FromPeer(start.Add(50*time.Millisecond), forward(self), openingPacket(1))
+		is.Equal(a.Verdict, Drop)
+		is.Equal(a.NotifyBalancer, balancer)
+		late := g.FromPeer(start.Add(openingResponseTimeout), forward(self), openingPacket(1))
+		is.Equal(late.Verdict == PassOn, !answered)
+	}
+}
+
 // Guards against a packet with the flags of a backend server's answer that is
 // delivered to a backend server.
 func TestForgedAnswerIsDropped(t *testing.T) {
