Reset no opening that an unanswered candidate may have accepted

A balancer that hears nothing from the first candidate for 80 ms asks the next ones.

The balancer counts the lists of candidates that are not declined yet, over all copies of the opening, and resets the flow only when there are none. Openings are kept for 1.5 s for that, which is longer than callers wait.

--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -49,8 +49,7 @@
 	accepted  map[flow.Key]answer
 	delivered map[flow.Key]*pathAgent // the agent whose backend server accepted the last packet
 	lost      func(what string) bool  // reports whether a message is lost, nil if none are
-	// ignoreOpeningResets is set if resets that answer openings aren't judged.
-	ignoreOpeningResets bool
+	gaveUp    map[flow.Key]bool       // a reset reached the caller before an answer
 }
 
 // answer is the answer to an opening with which the caller continues: the first
@@ -78,7 +77,7 @@
 func newPath(t rapid.TB, balancers, agents int, seqDistance uint32) *path {
 	p := &path{
 		t: t, now: pathStart, agents: map[netip.AddrPort]*pathAgent{},
-		accepted: map[flow.Key]answer{}, delivered: map[flow.Key]*pathAgent{},
+		accepted: map[flow.Key]answer{}, delivered: map[flow.Key]*pathAgent{}, gaveUp: map[flow.Key]bool{},
 	}
 	p.view = view.View{
 		Configuration: view.Configuration{Revision: 1, Routes: map[netip.AddrPort]view.Route{
@@ -196,7 +195,6 @@
 
 func (p *path) fromBalancer(s *flowsteer.Steerer, action flowsteer.Action) {
 	switch {
-	case action.Verdict == flowsteer.Reset && action.Packet.Opening() && p.ignoreOpeningResets:
 	case action.Verdict == flowsteer.Reset:
 		p.reset(action.Packet.CallerKey())
 	case action.Verdict != flowsteer.Send:
@@ -289,7 +287,7 @@
 		a.openings[key] = p.now
 	}
 	p.notify(a, a.gate.FromBackend(p.now, flow.Packet{From: key.Service, To: key.Caller, Flags: flow.Open | flow.Ack, Seq: a.firstSeq}))
-	if _, ok := p.accepted[key]; !ok && !p.loses("answer") {
+	if _, ok := p.accepted[key]; !ok && !p.gaveUp[key] && !p.loses("answer") {
 		p.accepted[key] = answer{from: a, seq: a.firstSeq}
 	}
 }
@@ -323,6 +321,9 @@
 	if p.holder(key) != nil {
 		p.t.Fatalf("flow %v was reset although its backend server holds it", key)
 	}
+	if _, ok := p.accepted[key]; !ok {
+		p.gaveUp[key] = true
+	}
 }
 
 // held returns the flows of list whose backend servers hold them.
@@ -330,6 +331,15 @@
 	return slices.DeleteFunc(slices.Clone(list), func(key flow.Key) bool { return p.holder(key) == nil })
 }
 
+// unanswered returns the flows of list whose callers wait for an answer to their
+// opening.
+func (p *path) unanswered(list []flow.Key) []flow.Key {
+	return slices.DeleteFunc(slices.Clone(list), func(key flow.Key) bool {
+		_, answered := p.accepted[key]
+		return answered || p.gaveUp[key]
+	})
+}
+
 // reaches sends a packet of a flow, which may acknowledge data if the flow is open,
 // and reports whether it reaches the backend server that holds the flow.
 func (p *path) reaches(t *rapid.T, balancer int, key flow.Key, seq uint32) bool {
@@ -396,7 +406,6 @@
 		distance := rapid.SampledFrom([]uint32{2 * pathDataLength, 1000, 1 << 28}).Draw(t, "distance of sequence numbers")
 		p := newPath(t, 3, rapid.IntRange(2, 6).Draw(t, "agents"), distance)
 		p.lost = func(what string) bool { return rapid.IntRange(0, 3).Draw(t, "lost "+what) == 0 }
-		p.ignoreOpeningResets = true // see TestAcceptedOpeningIsNotReset
 		var keys []flow.Key
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			p.passStep()
@@ -424,8 +433,9 @@
 				keys = append(keys, packet.CallerKey())
 				p.send(balancer, packet)
 			case 7:
-				if len(keys) > 0 {
-					key := rapid.SampledFrom(keys).Draw(t, "flow")
+				// Callers send copies until they have an answer.
+				if unanswered := p.unanswered(keys); len(unanswered) > 0 {
+					key := rapid.SampledFrom(unanswered).Draw(t, "flow")
 					p.send(balancer, flow.Packet{From: key.Caller, To: key.Service, Flags: flow.Open, Ack: 1})
 				}
 			case 8:
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -26,6 +26,9 @@
 	// maxOpenings is the maximum number of new flows that wait for an agent's
 	// answer.
 	maxOpenings = 4096
+	// openingRetention is how long an opening is kept after its last candidates were
+	// asked. Its caller gives up sooner.
+	openingRetention = 1500 * time.Millisecond
 )
 
 // Verdict is what happens to a packet.
@@ -72,11 +75,12 @@
 
 // opening is a new flow whose agent has not answered yet.
 type opening struct {
-	packet    []byte
-	service   string
-	remaining []netip.AddrPort // candidates that were not tried yet
-	lastAsked netip.AddrPort
-	askedAt   time.Time
+	packet     []byte
+	service    string
+	remaining  []netip.AddrPort // candidates that were not tried yet
+	unanswered int              // lists of candidates that were sent and not declined
+	lastAsked  netip.AddrPort
+	askedAt    time.Time
 }
 
 // New returns a steerer for a balancer of a failure domain, whose address for
@@ -147,8 +151,9 @@
 // goes to the agent that holds the flow, or to the next candidate if none has
 // answered.
 func (s *Steerer) openFlow(now time.Time, key flow.Key, p flow.Packet, raw []byte, route view.Route) Action {
-	if o, ok := s.openings[key]; ok && len(o.remaining) > 0 {
-		return s.askNext(now, o)
+	earlier := s.openings[key]
+	if earlier != nil && len(earlier.remaining) > 0 {
+		return s.askNext(now, earlier)
 	}
 	service := s.chooseService(key, route)
 	candidates := s.agents.rankForOpening(key.Hash(), service)
@@ -160,6 +165,9 @@
 		return Action{Verdict: Reset, Kind: errkind.PacketNoAgent, Packet: p, Service: service}
 	}
 	o := &opening{packet: slices.Clone(raw), service: service, remaining: candidates}
+	if earlier != nil {
+		o.unanswered = earlier.unanswered
+	}
 	if len(s.openings) < maxOpenings {
 		s.openings[key] = o
 	}
@@ -171,6 +179,7 @@
 	list := o.remaining[:min(len(o.remaining), hop.MaxCandidates)]
 	o.lastAsked, o.askedAt = list[0], now
 	o.remaining = o.remaining[1:]
+	o.unanswered++
 	s.agents.countPlaced(o.lastAsked)
 	a := s.forward(list, ServiceID(o.service), true, o.packet)
 	a.Service = o.service
@@ -236,17 +245,23 @@
 	return s.recordDenial(now, key, p, m)
 }
 
-// declinedOpening tries further candidates, or resets the flow at once if there
-// are none.
+// declinedOpening tries further candidates, or resets the flow at once if there are
+// none. It waits while the answer to another list of candidates is missing: one of
+// them may have accepted the flow, which is then open.
 func (s *Steerer) declinedOpening(now time.Time, key flow.Key, p flow.Packet) Action {
 	o, ok := s.openings[key]
 	if !ok {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoAgent, Packet: p}
 	}
+	o.unanswered--
 	if len(o.remaining) >= hop.MaxCandidates {
 		o.remaining = o.remaining[hop.MaxCandidates-1:]
 		return s.askNext(now, o)
 	}
+	o.remaining = nil // the declined list ended with the last of them
+	if o.unanswered > 0 {
+		return Action{Verdict: Drop, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
+	}
 	delete(s.openings, key)
 	return Action{Verdict: Reset, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
 }
@@ -262,7 +277,9 @@
 		s.agents.requestHello(now, o.lastAsked)
 		if len(o.remaining) == 0 {
 			// The next copy from the caller starts over.
-			delete(s.openings, key)
+			if now.Sub(o.askedAt) >= openingRetention {
+				delete(s.openings, key)
+			}
 			continue
 		}
 		due = append(due, s.askNext(now, o))
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -111,6 +111,20 @@
 	is.Equal(a.Kind, errkind.PacketNoAgent)
 }
 
+// Guards against a reset while one of two lists of candidates is unanswered, as its
+// first agent may have accepted the flow, and against a caller that waits although
+// both were declined.
+func TestOpeningIsResetWhenAllListsAreDeclined(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(3))
+	p := callerPacket(1, flow.Open)
+	first := s.FromCaller(start, p, []byte("syn"))
+	second := forwardActions(s.Tick(start.Add(placementTimeout)))
+	is.Equal(len(second), 1)
+	is.Equal(s.Declined(start, p, &second[0].Message)[0].Verdict, Drop)
+	is.Equal(s.Declined(start, p, &first.Message)[0].Verdict, Reset)
+}
+
 // Guards against packets without a route that reach a service, and against resets
 // before the configuration is known.
 func TestUnknownRoutes(t *testing.T) {
