--- a/internal/control/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -425,6 +425,78 @@
 	is.Equal(created.Load(), int64(1))
 }
 
+// Guards against an agent that stops forever: a report of its backend server, for
+// which it holds its own lock, sets the member while the announcer tells it about
+// the creation.
+func TestSetDuringTheNoticeOfACreation(t *testing.T) {
+	server := platformtest.New()
+	defer server.Close()
+	a, _ := newAnnouncer(t, server)
+	noticed := make(chan bool, 1)
+	a.OnCreate = func(time.Time) {
+		set := make(chan struct{})
+		go func() {
+			defer close(set)
+			a.Set(agentMember)
+		}()
+		select {
+		case <-set:
+			noticed <- true
+		case <-time.After(time.Second):
+			noticed <- false
+		}
+	}
+	a.Set(agentMember)
+	if !<-noticed {
+		t.Fatal("Set waits for the notice of the creation to end")
+	}
+}
+
+// Guards against an announcer that calls the store without pause, or takes its
+// member for stored, while the view still holds the member that was deleted.
+func TestDeletedMemberInAnOldView(t *testing.T) {
+	changed := agentMember
+	changed.Slots = 9
+	for name, next := range map[string]view.Member{"same member": agentMember, "changed member": changed} {
+		t.Run(name, func(t *testing.T) {
+			server := platformtest.New()
+			defer server.Close()
+			a, board := newAnnouncer(t, server)
+			waitSynced(t, a.Set(agentMember))
+			applyListing(t, server, board)
+			waitSynced(t, a.Withdraw("agent-1"))
+			before := server.CallCount()
+			done := a.Set(next)
+			time.Sleep(300 * time.Millisecond)
+			if calls := server.CallCount() - before; calls > 3 {
+				t.Errorf("%d calls of the store within 300 ms", calls)
+			}
+			waitSynced(t, done)
+			if server.Member("agent-1") == "" {
+				t.Error("the store lacks the member that counts as announced")
+			}
+		})
+	}
+}
+
+// applyListing applies the members in the store to a board, as a follower does.
+func applyListing(t *testing.T, server *platformtest.Store, board *view.Board) {
+	t.Helper()
+	store := platform.NewStore(server.Address())
+	defer store.Close()
+	changes, revision, err := store.List(context.Background(), view.MembersSection)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := view.Delta{Section: view.MembersSection, To: revision, Full: true}
+	for _, c := range changes {
+		if c.Err == nil {
+			d.Members = append(d.Members, *c.Member)
+		}
+	}
+	board.Apply(d)
+}
+
 // Guards against a member that stays wrong after another process has written it.
 func TestForeignWriteIsCorrected(t *testing.T) {
 	server := platformtest.New()
