Let a new agent wait until it knows that balancers can know it

Cause: the agent took flows as soon as its backend server had reported, and stopped only when the answer to the creation of its member arrived. If the answer was slow, it took flows until then; if it was lost, the repeated write ended in a conflict, or the view held the member, and the agent never waited. A process killed after the creation left a successor that did not wait. Balancers without the member in a view that counts as current reset such flows.

Now the gate takes no flows until it is told that the store holds the member (Announcer.Stored in place of OnCreate). The announcer creates a member only if its view is known to lack it. If the view holds the member before this process wrote anything, the agent takes flows at once, so restarts aren't delayed. If this process sent a creation, whatever became of it, the agent waits NewAgentDelay from the moment at which it learns that the member exists, from an answer, a conflict or the view. The store held the member by then, so a view that is confirmed later contains it, and a view that was current 2 s before a packet of one of the agent's flows was confirmed later. After Withdraw the gate closes until the member is known to be stored again.

A member of a leaving server or of an earlier owner of the address needs no wait: flowsteer asks all agents of the view for a flow (rankForLookup over agentSet.all), whatever their service, state or failure domain, by address.

OnStored is called without the announcer's lock. OnCreate was called with it, while agents call Set with the lock that they take in the callback: a report at the moment of the answer would have stopped the agent forever.

Tests: the boards of the announcers in follow_test.go hold a listing of the store now, because without one the announcer doesn't write. TestOnlyNewMembersCountAsCreated is TestOnlyNewMembersCountAsNew: it still wants exactly one notice, none of a creation for restarted processes, and in addition the time, the state before Set, and a successor with an old view. In TestSuccessorWithdraws that listing replaces the one made by hand.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -18,11 +18,13 @@
 // Announcer keeps the member of this process in the store equal to the last one
 // passed to Set, or absent after Withdraw. Each write is conditional on the
 // object's revision, so a delayed write changes nothing once a later one has
-// been applied.
+// been applied. It creates the member only when the view is known to lack it. A
+// write without an answer may have taken effect or may still do so.
 type Announcer struct {
-	// OnCreate is called after a write has created the member's object in the
-	// store. It may be nil and must be set before the first call of Set.
-	OnCreate func(at time.Time)
+	// OnStored is called after a write, or a view during a write, has changed the
+	// result of Stored. It may be nil and must be set before the first call of
+	// Set or Stored. It may call all methods.
+	OnStored func()
 
 	store  Store
 	board  *view.Board
@@ -36,6 +38,11 @@
 	synced        bool // the store is known to hold the desired state
 	knownRevision view.Revision
 	waiters       []chan struct{}
+
+	stored        bool      // the member is known to be in the store
+	storedSince   time.Time // when this process learned so, zero if it didn't create the member
+	maybeNew      bool      // this process may have created or removed the member
+	storedChanged bool      // OnStored is to be called
 }
 
 // NewAnnouncer returns an announcer that writes nothing before the first call of
@@ -58,10 +65,55 @@
 	return a.setDesired(view.Member{Name: name}, true)
 }
 
+// Stored reports since when the store is known to hold the member called name:
+// since the zero time if it did before this process wrote anything, and otherwise
+// since this process learned of it, from an answer or from the view. ok is false
+// while that isn't known, and from Withdraw to the next Set.
+func (a *Announcer) Stored(name string) (since time.Time, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.observeView(name)
+	return a.storedSince, a.stored
+}
+
+// noteStored records that the store holds the member. The caller holds the lock.
+func (a *Announcer) noteStored() {
+	if a.stored || a.withdrawn {
+		return
+	}
+	a.stored, a.storedChanged = true, true
+	if a.maybeNew {
+		a.storedSince = time.Now()
+	}
+}
+
+// noteMaybeNew records that the store may lack the member, so that it counts as
+// new when it is known to be there. The caller holds the lock.
+func (a *Announcer) noteMaybeNew() {
+	a.storedChanged = a.storedChanged || a.stored
+	a.maybeNew, a.stored, a.storedSince = true, false, time.Time{}
+}
+
+// notifyStored calls OnStored if the result of Stored has changed. The caller
+// doesn't hold the lock: agents call Set while they hold their own lock, which
+// they also need in OnStored.
+func (a *Announcer) notifyStored() {
+	a.mu.Lock()
+	changed := a.storedChanged
+	a.storedChanged = false
+	a.mu.Unlock()
+	if changed && a.OnStored != nil {
+		a.OnStored()
+	}
+}
+
 func (a *Announcer) setDesired(m view.Member, withdrawn bool) <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	done := make(chan struct{})
+	if withdrawn {
+		a.noteMaybeNew()
+	}
 	if a.hasDesired && a.synced && a.desired == m && a.withdrawn == withdrawn {
 		close(done)
 		return done
@@ -77,11 +129,16 @@
 
 // Run writes the desired state to the store until ctx ends.
 func (a *Announcer) Run(ctx context.Context) {
+	changed, cancel := a.board.Subscribe()
+	defer cancel()
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
-		if !a.needsWrite() {
+		needsWrite := a.needsWrite()
+		a.notifyStored()
+		if !needsWrite {
 			select {
 			case <-a.wakeup:
+			case <-changed:
 			case <-time.After(reconcileInterval):
 			case <-ctx.Done():
 			}
@@ -99,23 +156,35 @@
 	}
 }
 
-// needsWrite reports whether the store may differ from the desired state. It also
-// takes over newer revisions of the member from the view.
+// needsWrite reports whether the store may differ from the desired state and it is
+// known whether it holds the member.
 func (a *Announcer) needsWrite() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.hasDesired {
 		return false
 	}
-	m, ok := a.board.View().Members.ByName[a.desired.Name]
-	if ok && m.Revision > a.knownRevision {
-		a.knownRevision = m.Revision
-		a.synced = false
-	}
+	a.observeView(a.desired.Name)
+	members := a.board.View().Members
+	m, ok := members.ByName[a.desired.Name]
 	if !a.synced && ok && m.Revision == a.knownRevision && !a.withdrawn && equalIgnoringRevision(m, a.desired) {
 		a.markSynced()
 	}
-	return !a.synced
+	return !a.synced && (a.knownRevision > 0 || members.Revision > 0)
+}
+
+// observeView takes over newer revisions of the member from the view. The caller
+// holds the lock.
+func (a *Announcer) observeView(name string) {
+	m, ok := a.board.View().Members.ByName[name]
+	if !ok {
+		return
+	}
+	if m.Revision > a.knownRevision {
+		a.knownRevision = m.Revision
+		a.synced = false
+	}
+	a.noteStored()
 }
 
 func equalIgnoringRevision(a, b view.Member) bool {
@@ -139,6 +208,11 @@
 	a.mu.Lock()
 	m, withdrawn := a.desired, a.withdrawn
 	m.Revision = a.knownRevision
+	created := !withdrawn && m.Revision == 0
+	if created {
+		// Whatever becomes of the call, it may create the member.
+		a.noteMaybeNew()
+	}
 	a.mu.Unlock()
 	revision, err := m.Revision, error(nil)
 	if !withdrawn {
@@ -150,18 +224,19 @@
 	defer a.mu.Unlock()
 	if errkind.Is(err, errkind.VersionConflict) && revision > 0 {
 		a.knownRevision = revision
+		a.noteStored()
 		return nil
 	}
 	if errkind.Is(err, errkind.NotFound) {
 		a.knownRevision = 0
+		a.noteMaybeNew()
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	created := !withdrawn && m.Revision == 0
-	if created && a.OnCreate != nil {
-		a.OnCreate(time.Now())
+	if !withdrawn {
+		a.noteStored()
 	}
 	a.knownRevision = max(a.knownRevision, revision)
 	if withdrawn == a.withdrawn && (withdrawn || equalIgnoringRevision(m, a.desired)) {
--- a/internal/control/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -345,11 +345,19 @@
 	return fmt.Sprintf(`{"Name":%q,"Role":"agent","Address":"10.1.0.12:8172","Peer":"10.1.0.12:7720"}`, name)
 }
 
-// newAnnouncer runs an announcer that uses server as its store.
+// newAnnouncer runs an announcer that uses server as its store. Its board holds the
+// members that are in the store now.
 func newAnnouncer(t *testing.T, server *platformtest.Store) (*follow.Announcer, *view.Board) {
 	t.Helper()
-	store := platform.NewStore(server.Address())
 	board := view.NewBoard()
+	applyListing(t, server, board)
+	return runAnnouncer(t, server, board), board
+}
+
+// runAnnouncer runs an announcer that uses server as its store.
+func runAnnouncer(t *testing.T, server *platformtest.Store, board *view.Board) *follow.Announcer {
+	t.Helper()
+	store := platform.NewStore(server.Address())
 	a := follow.NewAnnouncer(store, board, event.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -362,7 +370,7 @@
 		<-done
 		store.Close()
 	})
-	return a, board
+	return a
 }
 
 var agentMember = view.Member{
@@ -403,26 +411,62 @@
 	is.Equal(len(server.Members()), 0)
 }
 
-// Guards against a new agent for which OnCreate is not called, and against a
-// restarted one for which it is called, so that it accepts no flows after a power
-// cut.
-func TestOnlyNewMembersCountAsCreated(t *testing.T) {
-	is := is.New(t)
+// Guards against a new agent that doesn't count as new, and against a restarted one
+// that does, so that it accepts no flows after a power cut.
+func TestOnlyNewMembersCountAsNew(t *testing.T) {
 	server := platformtest.New()
 	defer server.Close()
-	var created atomic.Int64
-	announce := func(m view.Member) {
-		a, _ := newAnnouncer(t, server)
-		a.OnCreate = func(time.Time) { created.Add(1) }
+	oldBoard := view.NewBoard()
+	applyListing(t, server, oldBoard)
+	// expect checks since when the member counts as stored, before and after Set.
+	expect := func(a *follow.Announcer, m view.Member, storedBefore, isNew bool) {
+		t.Helper()
+		var changes atomic.Int64
+		a.OnStored = func() { changes.Add(1) }
+		if since, ok := a.Stored("agent-1"); ok != storedBefore || !since.IsZero() {
+			t.Errorf("before Set: stored %v since %v", ok, since)
+		}
+		began := time.Now()
 		waitSynced(t, a.Set(m))
+		eventually(t, "OnStored", func() bool { return changes.Load() == 1 })
+		if since, ok := a.Stored("agent-1"); !ok || since.After(began) != isNew || since.IsZero() == isNew {
+			t.Errorf("after Set: stored %v since %v", ok, since)
+		}
 	}
-	announce(agentMember)
-	is.Equal(created.Load(), int64(1))
-	announce(agentMember) // the restarted process
+	a, _ := newAnnouncer(t, server)
+	expect(a, agentMember, false, true)
+	restarted, _ := newAnnouncer(t, server)
+	expect(restarted, agentMember, true, false)
 	leaving := agentMember
 	leaving.State = view.Leaving
-	announce(leaving)
-	is.Equal(created.Load(), int64(1))
+	restarted, _ = newAnnouncer(t, server)
+	expect(restarted, leaving, true, false)
+	// The previous process was killed before the member came into the view.
+	expect(runAnnouncer(t, server, oldBoard), agentMember, false, true)
+}
+
+// Guards against an agent that creates its member, and so counts as new, before it
+// knows whether the store holds it, and against a leave that is confirmed then.
+func TestNothingIsWrittenBeforeTheMembersAreKnown(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	board := view.NewBoard()
+	a := runAnnouncer(t, server, board)
+	calls := server.CallCount()
+	synced := a.Withdraw("agent-1")
+	time.Sleep(100 * time.Millisecond)
+	select {
+	case <-synced:
+		t.Error("the member counts as removed")
+	default:
+	}
+	synced = a.Set(agentMember)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(server.CallCount(), calls)
+	applyListing(t, server, board)
+	waitSynced(t, synced)
+	is.Equal(len(server.Members()), 1)
 }
 
 // Guards against an agent that stops forever: a report of its backend server, for
@@ -433,7 +477,7 @@
 	defer server.Close()
 	a, _ := newAnnouncer(t, server)
 	noticed := make(chan bool, 1)
-	a.OnCreate = func(time.Time) {
+	a.OnStored = func() {
 		set := make(chan struct{})
 		go func() {
 			defer close(set)
@@ -524,12 +568,7 @@
 	defer server.Close()
 	previous, _ := newAnnouncer(t, server)
 	waitSynced(t, previous.Set(agentMember))
-	a, board := newAnnouncer(t, server)
-	store := platform.NewStore(server.Address())
-	defer store.Close()
-	changes, revision, err := store.List(context.Background(), view.MembersSection)
-	is.NoErr(err)
-	board.Apply(view.Delta{Section: view.MembersSection, To: revision, Full: true, Members: []view.Member{*changes[0].Member}})
+	a, _ := newAnnouncer(t, server)
 	waitSynced(t, a.Withdraw("agent-1"))
 	is.Equal(len(server.Members()), 0)
 }
--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -15,8 +15,8 @@
 	// maxMissedReports is the number of report intervals without a report after
 	// which the backend server gets no new flows.
 	maxMissedReports = 4
-	// NewAgentDelay is how long a new agent accepts no flows after the store has
-	// accepted its member. A balancer resets a flow that no agent in its view
+	// NewAgentDelay is how long a new agent accepts no flows after it has learned
+	// that the store holds its member. A balancer resets a flow that no agent in its view
 	// holds if that view was current at most 2 s before. With the longer delay,
 	// such a view names every agent that has flows.
 	NewAgentDelay = 2500 * time.Millisecond
@@ -50,6 +50,7 @@
 	reportedAt time.Time
 	report     Report
 
+	memberStored            bool      // the store holds the agent's member, so that balancers can know it
 	unknownToBalancersUntil time.Time // some balancers may not know this new agent before then
 	evacuated               bool      // the failure domain is evacuated
 	maybeCold               bool      // the backend server may have become cold since the last report
@@ -108,7 +109,7 @@
 		return errkind.BackendLeaving
 	case b.evacuated:
 		return errkind.DomainOut
-	case now.Before(b.unknownToBalancersUntil):
+	case !b.memberStored || now.Before(b.unknownToBalancersUntil):
 		return errkind.AgentNew
 	case b.maxFlows > 0 && flows >= b.maxFlows:
 		return errkind.ConnectionsFull
@@ -232,8 +233,12 @@
 	g.backend.stateKnown, g.backend.report = true, r
 }
 
-// SetCreated records when the store accepted the member of this agent as a new one.
-func (g *Gate) SetCreated(at time.Time) { g.backend.unknownToBalancersUntil = at.Add(NewAgentDelay) }
+// SetMemberStored records whether the store is known to hold the member of this
+// agent, and since when: since the zero time if it did before the agent started. A
+// gate accepts no flows before the first call.
+func (g *Gate) SetMemberStored(since time.Time, stored bool) {
+	g.backend.memberStored, g.backend.unknownToBalancersUntil = stored, since.Add(NewAgentDelay)
+}
 
 // RefuseNewFlows makes the gate accept no new flows from now on.
 func (g *Gate) RefuseNewFlows() { g.backend.report.State = view.Leaving }
--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -30,12 +30,14 @@
 	return netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(port))
 }
 
-// newGate returns a gate that has no report of its backend server yet.
+// newGate returns the gate of an agent that balancers know. It has no report of its
+// backend server yet.
 func newGate(learning bool) *Gate {
 	g := New(Options{
 		Self: self, Service: serviceID, Limits: Limits{ReportInterval: time.Second, ColdBurst: 2},
 		Learning: learning, LearnFor: time.Minute,
 	}, start)
+	g.SetMemberStored(time.Time{}, true)
 	g.SetService(view.Service{Name: "comptoir", MaxFlows: 100}, 15*time.Second)
 	g.SetRoutes(map[netip.AddrPort]view.Route{
 		orders: {Address: orders, Priority: 1, Objective: 300 * time.Millisecond, Timeout: 2 * time.Second},
@@ -124,13 +126,25 @@
 func TestNewAgentTakesNoFlowsAtFirst(t *testing.T) {
 	is := is.New(t)
 	g := readyGate(t, false)
-	g.SetCreated(start)
+	g.SetMemberStored(time.Time{}, false)
+	is.Equal(g.FromPeer(start, forward(self), openingPacket(1)).Kind, errkind.AgentNew)
+	g.SetMemberStored(start, true)
 	a := g.FromPeer(start.Add(NewAgentDelay-time.Millisecond), forward(self), openingPacket(1))
 	is.Equal(a.Verdict, PassOn)
 	is.Equal(a.Kind, errkind.AgentNew)
 	is.Equal(g.FromPeer(start.Add(NewAgentDelay), forward(self), openingPacket(1)).Verdict, Deliver)
 }
 
+// Guards against a gate that accepts flows before it is told whether the store holds
+// the agent's member.
+func TestNoFlowsBeforeTheMemberIsKnown(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{Self: self, Service: serviceID, Limits: Limits{ReportInterval: time.Second}}, start)
+	_, err := g.Report(start, report(1))
+	is.NoErr(err)
+	is.Equal(g.FromPeer(start.Add(time.Second), forward(self), openingPacket(1)).Kind, errkind.AgentNew)
+}
+
 // Guards against openings for a backend server that has not reported yet.
 func TestNoOpeningBeforeTheFirstReport(t *testing.T) {
 	is := is.New(t)
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -86,6 +86,7 @@
 		Self: a.address, Service: flowsteer.ServiceID(service), Limits: flowgate.Limits{ReportInterval: time.Hour, ColdBurst: 1},
 		Learning: learning, LearnFor: time.Hour,
 	}, p.now)
+	a.gate.SetMemberStored(time.Time{}, true)
 	a.gate.SetService(view.Service{Name: service}, time.Hour)
 	p.report(a)
 }
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	a.node.Announcer.OnCreate = a.onMemberCreated
+	a.node.Announcer.OnStored = a.onMemberStored
 	if err := a.node.Serve(s.ReportAddress, platform.ReportHandler(a)); err != nil {
 		return err
 	}
@@ -178,6 +178,7 @@
 	if ok && m.Service == s.Service && !s.FirstStart {
 		a.gate.RestoreAnnounced(flowgate.Report{State: m.State, Slots: m.Slots})
 	}
+	a.updateMemberStored()
 	firstBalancers := len(a.balancers) == 0
 	a.balancers = a.balancers[:0]
 	for _, m := range v.Members.ByName {
@@ -191,12 +192,19 @@
 	}
 }
 
-// onMemberCreated records that the store has created this agent's member.
-func (a *Agent) onMemberCreated(at time.Time) {
+// updateMemberStored passes on whether and since when the store holds this agent's
+// member. The caller holds the lock.
+func (a *Agent) updateMemberStored() {
+	a.gate.SetMemberStored(a.node.Announcer.Stored(MemberName(a.settings.Address)))
+}
+
+// onMemberStored is called when the announcer has learned whether the store holds
+// this agent's member.
+func (a *Agent) onMemberStored() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.gate.SetCreated(at)
-	a.updateRefusal(at)
+	a.updateMemberStored()
+	a.updateRefusal(time.Now())
 }
 
 func (a *Agent) runTimers(ctx context.Context) {
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -75,6 +75,7 @@
 	a.backendLeft = true
 	a.gate.RefuseNewFlows()
 	a.node.Announcer.Withdraw(MemberName(a.settings.Address))
+	a.updateMemberStored()
 	a.logger.Emit(event.Leaving, event.Fields{"instance": instance, "ended": true})
 	return nil
 }
