Create a member anew after its removal

Cause: a removal that gets no answer can take effect later, also after a later process of the agent has found the member in its view and taken it for stored. The announcer never noticed that its member had gone. And after its own removal it trusted a view that still held the member: the same member counted as stored again, and for a changed one it repeated a write that ended in 404 without a pause.

Now a member that counts as stored and is missing in a view at its revision or later is created anew, and the agent waits like a new one. After a removal, a view that holds the member at the removed revision no longer counts.

Before: TestRemovedMemberIsCreatedAnew "condition not met within 10s: the member's creation"; TestDeletedMemberInAnOldView "the store lacks the member that counts as announced" and "602 calls of the store within 300 ms". Both pass now, three times each with -race.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -38,6 +38,9 @@
 	synced        bool // the store is known to hold the desired state
 	knownRevision view.Revision
 	waiters       []chan struct{}
+	// removedRevision is the last revision at which the member is known to have
+	// been removed. An older view may still contain it.
+	removedRevision view.Revision
 
 	stored        bool      // the member is known to be in the store
 	storedSince   time.Time // when this process learned so, zero if it didn't create the member
@@ -173,18 +176,33 @@
 	return !a.synced && (a.knownRevision > 0 || members.Revision > 0)
 }
 
-// observeView takes over newer revisions of the member from the view. The caller
-// holds the lock.
+// observeView takes over newer revisions of the member from the view, and notices
+// that a member in the store was removed. The caller holds the lock.
 func (a *Announcer) observeView(name string) {
-	m, ok := a.board.View().Members.ByName[name]
-	if !ok {
-		return
-	}
-	if m.Revision > a.knownRevision {
-		a.knownRevision = m.Revision
+	members := a.board.View().Members
+	m, ok := members.ByName[name]
+	switch {
+	case ok && m.Revision > a.removedRevision:
+		if m.Revision > a.knownRevision {
+			a.knownRevision = m.Revision
+			a.synced = false
+		}
+		a.noteStored()
+	case a.synced && !a.withdrawn && members.Revision >= a.knownRevision:
+		// A write of an earlier process, or of another writer, has removed it.
+		a.noteRemoved(a.knownRevision)
 		a.synced = false
 	}
-	a.noteStored()
+}
+
+// noteRemoved records that the store no longer holds the member at the given
+// revision. The caller holds the lock.
+func (a *Announcer) noteRemoved(revision view.Revision) {
+	a.removedRevision = max(a.removedRevision, revision)
+	if a.knownRevision <= revision {
+		a.knownRevision = 0
+	}
+	a.noteMaybeNew()
 }
 
 func equalIgnoringRevision(a, b view.Member) bool {
@@ -228,17 +246,18 @@
 		return nil
 	}
 	if errkind.Is(err, errkind.NotFound) {
-		a.knownRevision = 0
-		a.noteMaybeNew()
+		a.noteRemoved(m.Revision)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if !withdrawn {
+	if withdrawn {
+		a.noteRemoved(m.Revision)
+	} else {
 		a.noteStored()
+		a.knownRevision = max(a.knownRevision, revision)
 	}
-	a.knownRevision = max(a.knownRevision, revision)
 	if withdrawn == a.withdrawn && (withdrawn || equalIgnoringRevision(m, a.desired)) {
 		a.markSynced()
 		a.logger.Emit(event.Announced, event.Fields{"member": m.Name, "state": m.State, "gone": withdrawn, "created": created, "revision": revision})
