Let an agent that is restarted while new wait for the rest

Cause: the successor finds its member in the view and can't tell whether it was created a minute or a moment ago. A balancer's view that counts as current may lack a member that was created less than 2 s ago.

Now the member's object holds when its creation was sent (CreatedMS), by the clock of the machine that also runs the successor. The creation had taken effect 0.8 s later at the latest, or was sent again; from then on the agent waits NewAgentDelay, so that a restart costs at most 0.8 s more than the first process would have waited, and nothing from 3.3 s after the creation on. The writes of a restarted process keep the time. Objects without it count as old. This takes no further write of the store.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -15,6 +15,11 @@
 // with the view, because a write whose response was lost may take effect late.
 const reconcileInterval = 2 * time.Second
 
+// maxCreationTime is how long after its sending a creation may take effect that is
+// answered in time; the client of the store waits no longer. One that gets no
+// answer is repeated.
+const maxCreationTime = 800 * time.Millisecond
+
 // Announcer keeps the member of this process in the store equal to the last one
 // passed to Set, or absent after Withdraw. Each write is conditional on the
 // object's revision, so a delayed write changes nothing once a later one has
@@ -43,7 +48,8 @@
 	removedRevision view.Revision
 
 	stored        bool      // the member is known to be in the store
-	storedSince   time.Time // when this process learned so, zero if it didn't create the member
+	storedSince   time.Time // see Stored
+	createdMS     int64     // Member.CreatedMS of the object
 	maybeNew      bool      // this process may have created or removed the member
 	storedChanged bool      // OnStored is to be called
 }
@@ -68,10 +74,12 @@
 	return a.setDesired(view.Member{Name: name}, true)
 }
 
-// Stored reports since when the store is known to hold the member called name:
-// since the zero time if it did before this process wrote anything, and otherwise
-// since this process learned of it, from an answer or from the view. ok is false
-// while that isn't known, and from Withdraw to the next Set.
+// Stored reports since when the store is known to hold the member called name. If
+// this process may have created it, that is when it learned of it, from an answer
+// or from the view. If an earlier process created it, that is when the creation had
+// taken effect at the latest, by the member's CreatedMS, but not after this process
+// learned of the member; the zero time if CreatedMS is unknown. ok is false while
+// nothing is known, and from Withdraw to the next Set.
 func (a *Announcer) Stored(name string) (since time.Time, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -85,8 +93,14 @@
 		return
 	}
 	a.stored, a.storedChanged = true, true
-	if a.maybeNew {
-		a.storedSince = time.Now()
+	switch now := time.Now(); {
+	case a.maybeNew:
+		a.storedSince = now
+	case a.createdMS > 0:
+		a.storedSince = time.UnixMilli(a.createdMS).Add(maxCreationTime)
+		if a.storedSince.After(now) {
+			a.storedSince = now
+		}
 	}
 }
 
@@ -170,7 +184,7 @@
 	a.observeView(a.desired.Name)
 	members := a.board.View().Members
 	m, ok := members.ByName[a.desired.Name]
-	if !a.synced && ok && m.Revision == a.knownRevision && !a.withdrawn && equalIgnoringRevision(m, a.desired) {
+	if !a.synced && ok && m.Revision == a.knownRevision && !a.withdrawn && announcesSame(m, a.desired) {
 		a.markSynced()
 	}
 	return !a.synced && (a.knownRevision > 0 || members.Revision > 0)
@@ -187,6 +201,9 @@
 			a.knownRevision = m.Revision
 			a.synced = false
 		}
+		if a.createdMS == 0 {
+			a.createdMS = m.CreatedMS
+		}
 		a.noteStored()
 	case a.synced && !a.withdrawn && members.Revision >= a.knownRevision:
 		// A write of an earlier process, or of another writer, has removed it.
@@ -201,12 +218,16 @@
 	a.removedRevision = max(a.removedRevision, revision)
 	if a.knownRevision <= revision {
 		a.knownRevision = 0
+		a.createdMS = 0
 	}
 	a.noteMaybeNew()
 }
 
-func equalIgnoringRevision(a, b view.Member) bool {
+// announcesSame reports whether a and b differ at most in what the announcer or the
+// store sets.
+func announcesSame(a, b view.Member) bool {
 	a.Revision, b.Revision = 0, 0
+	a.CreatedMS, b.CreatedMS = 0, 0
 	return a == b
 }
 
@@ -230,7 +251,9 @@
 	if created {
 		// Whatever becomes of the call, it may create the member.
 		a.noteMaybeNew()
+		a.createdMS = time.Now().UnixMilli()
 	}
+	m.CreatedMS = a.createdMS
 	a.mu.Unlock()
 	revision, err := m.Revision, error(nil)
 	if !withdrawn {
@@ -258,7 +281,7 @@
 		a.noteStored()
 		a.knownRevision = max(a.knownRevision, revision)
 	}
-	if withdrawn == a.withdrawn && (withdrawn || equalIgnoringRevision(m, a.desired)) {
+	if withdrawn == a.withdrawn && (withdrawn || announcesSame(m, a.desired)) {
 		a.markSynced()
 		a.logger.Emit(event.Announced, event.Fields{"member": m.Name, "state": m.State, "gone": withdrawn, "created": created, "revision": revision})
 	}
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -102,6 +102,9 @@
 	Service string         // agents: the service of the backend server
 	Slots   int            // agents: requests that the backend server processes at the same time
 	State   State          // agents
+	// CreatedMS is when the process sent the creation of the object, in Unix
+	// milliseconds of its own clock; 0 if unknown.
+	CreatedMS int64 `json:",omitempty"`
 	// Revision is that of the member's object in the store.
 	Revision Revision
 }
