--- a/internal/control/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -384,11 +385,19 @@
 	return fmt.Sprintf(`{"Name":%q,"Role":"agent","Address":"10.1.0.12:8172","Peer":"10.1.0.12:7720"}`, name)
 }
 
-// newAnnouncer runs an announcer that uses server as its store.
+// newAnnouncer runs an announcer that uses server as its store. Its board holds the
+// members that are in the store now.
 func newAnnouncer(t *testing.T, server *platformtest.Store) (*follow.Announcer, *view.Board) {
 	t.Helper()
-	store := platform.NewStore(server.Address())
 	board := view.NewBoard()
+	applyListing(t, server, board)
+	return runAnnouncer(t, server, board), board
+}
+
+// runAnnouncer runs an announcer that uses server as its store.
+func runAnnouncer(t *testing.T, server *platformtest.Store, board *view.Board) *follow.Announcer {
+	t.Helper()
+	store := platform.NewStore(server.Address())
 	a := follow.NewAnnouncer(store, board, event.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -401,7 +410,7 @@
 		<-done
 		store.Close()
 	})
-	return a, board
+	return a
 }
 
 var agentMember = view.Member{
@@ -442,26 +451,155 @@
 	is.Equal(len(server.Members()), 0)
 }
 
-// Guards against a new agent for which OnCreate is not called, and against a
-// restarted one for which it is called, so that it accepts no flows after a power
-// cut.
-func TestOnlyNewMembersCountAsCreated(t *testing.T) {
-	is := is.New(t)
+// Guards against a new agent that doesn't count as new, and against a restarted one
+// that does, so that it accepts no flows after a power cut.
+func TestOnlyNewMembersCountAsNew(t *testing.T) {
 	server := platformtest.New()
 	defer server.Close()
-	var created atomic.Int64
-	announce := func(m view.Member) {
-		a, _ := newAnnouncer(t, server)
-		a.OnCreate = func(time.Time) { created.Add(1) }
+	oldBoard := view.NewBoard()
+	applyListing(t, server, oldBoard)
+	// expect checks whether the member counts as stored before Set, and as new.
+	expect := func(a *follow.Announcer, m view.Member, storedBefore, isNew bool) {
+		t.Helper()
+		var changes atomic.Int64
+		a.OnStored = func() { changes.Add(1) }
+		began := time.Now()
+		check := func(when string, wantStored bool) {
+			t.Helper()
+			since, ok := a.Stored("agent-1")
+			if ok != wantStored || ok && since.Before(began.Add(-waitLimit)) == isNew {
+				t.Errorf("%s: stored %v since %v", when, ok, since)
+			}
+		}
+		check("before Set", storedBefore)
 		waitSynced(t, a.Set(m))
+		eventually(t, "OnStored", func() bool { return changes.Load() == 1 })
+		check("after Set", true)
 	}
-	announce(agentMember)
-	is.Equal(created.Load(), int64(1))
-	announce(agentMember) // the restarted process
+	a, _ := newAnnouncer(t, server)
+	expect(a, agentMember, false, true)
+	// The previous process was killed before the member came into the view.
+	expect(runAnnouncer(t, server, oldBoard), agentMember, false, true)
+	restarted, _ := newAnnouncer(t, server)
+	expect(restarted, agentMember, true, true)
+
 	leaving := agentMember
 	leaving.State = view.Leaving
-	announce(leaving)
-	is.Equal(created.Load(), int64(1))
+	created := time.Now().Add(-time.Minute).UnixMilli()
+	for _, createdMS := range []int64{created, 0} { // 0: written by an earlier version
+		server.Delete("members", "agent-1")
+		old := agentMember
+		old.CreatedMS = createdMS
+		spec, err := json.Marshal(old)
+		if err != nil {
+			t.Fatal(err)
+		}
+		server.PutMember("agent-1", string(spec))
+		for _, m := range []view.Member{agentMember, leaving, agentMember} {
+			restarted, _ = newAnnouncer(t, server)
+			expect(restarted, m, true, false)
+			var stored view.Member
+			if err := json.Unmarshal([]byte(server.Member("agent-1")), &stored); err != nil || stored.CreatedMS != createdMS {
+				t.Errorf("the member was created at %d, not %d: %v", stored.CreatedMS, createdMS, err)
+			}
+		}
+	}
+}
+
+// Guards against an agent that creates its member, and so counts as new, before it
+// knows whether the store holds it, and against a leave that is confirmed then.
+func TestNothingIsWrittenBeforeTheMembersAreKnown(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	board := view.NewBoard()
+	a := runAnnouncer(t, server, board)
+	calls := server.CallCount()
+	synced := a.Withdraw("agent-1")
+	time.Sleep(100 * time.Millisecond)
+	select {
+	case <-synced:
+		t.Error("the member counts as removed")
+	default:
+	}
+	synced = a.Set(agentMember)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(server.CallCount(), calls)
+	applyListing(t, server, board)
+	waitSynced(t, synced)
+	is.Equal(len(server.Members()), 1)
+}
+
+// Guards against an agent that stops forever: a report of its backend server, for
+// which it holds its own lock, sets the member while the announcer tells it about
+// the creation.
+func TestSetDuringTheNoticeOfACreation(t *testing.T) {
+	server := platformtest.New()
+	defer server.Close()
+	a, _ := newAnnouncer(t, server)
+	noticed := make(chan bool, 1)
+	a.OnStored = func() {
+		set := make(chan struct{})
+		go func() {
+			defer close(set)
+			a.Set(agentMember)
+		}()
+		select {
+		case <-set:
+			noticed <- true
+		case <-time.After(time.Second):
+			noticed <- false
+		}
+	}
+	a.Set(agentMember)
+	if !<-noticed {
+		t.Fatal("Set waits for the notice of the creation to end")
+	}
+}
+
+// Guards against an announcer that calls the store without pause, or takes its
+// member for stored, while the view still holds the member that was deleted.
+func TestDeletedMemberInAnOldView(t *testing.T) {
+	changed := agentMember
+	changed.Slots = 9
+	for name, next := range map[string]view.Member{"same member": agentMember, "changed member": changed} {
+		t.Run(name, func(t *testing.T) {
+			server := platformtest.New()
+			defer server.Close()
+			a, board := newAnnouncer(t, server)
+			waitSynced(t, a.Set(agentMember))
+			applyListing(t, server, board)
+			waitSynced(t, a.Withdraw("agent-1"))
+			before := server.CallCount()
+			done := a.Set(next)
+			time.Sleep(300 * time.Millisecond)
+			if calls := server.CallCount() - before; calls > 3 {
+				t.Errorf("%d calls of the store within 300 ms", calls)
+			}
+			waitSynced(t, done)
+			if server.Member("agent-1") == "" {
+				t.Error("the store lacks the member that counts as announced")
+			}
+		})
+	}
+}
+
+// applyListing applies the members in the store to a board, as a follower does.
+func applyListing(t *testing.T, server *platformtest.Store, board *view.Board) {
+	t.Helper()
+	store := platform.NewStore(server.Address())
+	defer store.Close()
+	changes, revision, err := store.List(context.Background(), view.MembersSection)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := view.Delta{Section: view.MembersSection, To: revision, Full: true}
+	for _, c := range changes {
+		if c.Err == nil {
+			d.Members = append(d.Members, *c.Member)
+		}
+	}
+	board.Apply(d)
 }
 
 // Guards against a member that stays wrong after another process has written it.
@@ -491,12 +629,7 @@
 	defer server.Close()
 	previous, _ := newAnnouncer(t, server)
 	waitSynced(t, previous.Set(agentMember))
-	a, board := newAnnouncer(t, server)
-	store := platform.NewStore(server.Address())
-	defer store.Close()
-	changes, revision, err := store.List(context.Background(), view.MembersSection)
-	is.NoErr(err)
-	board.Apply(view.Delta{Section: view.MembersSection, To: revision, Full: true, Members: []view.Member{*changes[0].Member}})
+	a, _ := newAnnouncer(t, server)
 	waitSynced(t, a.Withdraw("agent-1"))
 	is.Equal(len(server.Members()), 0)
 }
