Remove a member that is written and deleted in one watch

A watch may return the creation and the deletion of a member together. The delta listed the member both as written and as gone, and applying it removes the gone ones first, so the member stayed in the view until the next listing. Before the change TestLastChangeOfAMemberCounts fails for the case "written and deleted": the member is present.

--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -160,6 +160,8 @@
 		case d.Section == view.EvacuationsSection:
 			domains[c.Name] = true
 		case c.Deleted:
+			// A delta removes the gone members before it adds others.
+			d.Members = slices.DeleteFunc(d.Members, func(m view.Member) bool { return m.Name == c.Name })
 			d.Gone = append(d.Gone, c.Name)
 		case c.Member != nil:
 			d.Gone = slices.DeleteFunc(d.Gone, func(name string) bool { return name == c.Name })
