Deny flows only if the backend server refuses connections

An agent that started again offers packets of unknown flows to its backend server, and denied the flows of all of them if the backend server sent nothing for 450 ms. A running one may be silent for longer: it answers no acknowledgement, and a request of one packet only after processing it. Agents now attempt a TCP connection to the backend server after 450 ms of silence, and deny the flows only if it is refused. Without listener the kernel of the same host refuses at once, so callers of a backend server that crashed with its agent learn no later than before; each such silence costs one connection.

The simulated agents of path_test.go attempt a connection after the silence as agents do, which a crashed backend server refuses.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -66,6 +66,7 @@
 
 	sentOpenings answerTracker // openings; only packets of the backend server's own answer them
 	sentOffers   answerTracker // packets of unknown flows; bounced packets answer them as well
+	refusedAt    time.Time     // when a connection attempt to the backend server was last refused
 	lastOpening  time.Time     // when the last opening was delivered
 }
 
@@ -143,6 +144,13 @@
 	return b.sentOffers.pending() && now.Sub(b.sentOffers.sentAt) >= offerResponseTimeout
 }
 
+// isDown reports whether the backend server refused a connection attempt and has
+// sent nothing since the packets offered before. Its silence alone proves nothing:
+// it answers no acknowledgement, and a request only after processing it.
+func (b *backend) isDown() bool {
+	return b.sentOffers.pending() && b.refusedAt.After(b.sentOffers.sentAt)
+}
+
 // refillTokens adds the tokens earned since the last call, and returns the number
 // of openings that a cold backend server may get.
 func (b *backend) refillTokens(now time.Time) float64 {
@@ -178,6 +186,7 @@
 	}
 	newRun, lastOfOldRun := reportedBefore && !sameRun, b.reportedAt
 	b.stateKnown, b.reportedAt, b.report = true, now, r
+	b.sentOffers.answeredAt = now
 	b.maybeCold = false
 	b.coldUntil = now.Add(r.ColdFor)
 	if !newRun {
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -175,18 +175,34 @@
 
 // unknownFlow decides about a packet of a flow that this agent doesn't know.
 func (g *Gate) unknownFlow(now time.Time, m *hop.Message, key flow.Key) Action {
-	if !now.Before(g.backend.learnUntil) || g.backend.ignoresOffers(now) {
+	if !now.Before(g.backend.learnUntil) || g.backend.isDown() {
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
 	g.backend.noteOffer(now)
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, slices.Clone(m.Packet)), Key: key}
 }
 
+// OffersUnanswered reports whether the backend server has sent nothing for long
+// since packets were offered to it. A connection attempt is then to show whether it
+// is down; see RecordConnAttempt.
+func (g *Gate) OffersUnanswered(now time.Time) bool {
+	return g.backend.ignoresOffers(now) && !g.backend.isDown()
+}
+
+// RecordConnAttempt records whether the backend server refused a connection
+// attempt. One that doesn't refuse it counts as running.
+func (g *Gate) RecordConnAttempt(now time.Time, refused bool) {
+	if refused {
+		g.backend.refusedAt = now
+		return
+	}
+	g.backend.sentOffers.answeredAt = now
+}
+
 // PassOnUnanswered returns actions that pass on the packets offered to a
-// backend server which has sent nothing since. The backend server is down, and
-// another agent may hold their flows.
+// backend server that is down. Another agent may hold their flows.
 func (g *Gate) PassOnUnanswered(now time.Time) []Action {
-	if !g.backend.ignoresOffers(now) {
+	if !g.backend.isDown() {
 		return nil
 	}
 	var out []Action
@@ -202,10 +218,9 @@
 }
 
 // BackendVanished reports whether the backend server ended while no agent was
-// running: it has not reported since this process started and leaves offered
-// packets unanswered.
-func (g *Gate) BackendVanished(now time.Time) bool {
-	return g.backend.reportedAt.IsZero() && g.backend.ignoresOffers(now)
+// running: it has not reported since this process started and is down.
+func (g *Gate) BackendVanished() bool {
+	return g.backend.reportedAt.IsZero() && g.backend.isDown()
 }
 
 // keepOffer remembers a message whose packet the backend server may return, and
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -165,6 +165,9 @@
 	for _, a := range p.list {
 		p.answerOpenings(a, func(last time.Time) bool { return !last.IsZero() && p.now.Sub(last) >= maxAnswerInterval })
 		a.gate.Tick(p.now)
+		if a.gate.OffersUnanswered(p.now) {
+			a.gate.RecordConnAttempt(p.now, a.down)
+		}
 		due := a.gate.PassOnUnanswered(p.now)
 		slices.SortFunc(due, func(a, b flowgate.Action) int { return slices.Compare(a.Message.Packet, b.Message.Packet) })
 		for _, action := range due {
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -26,7 +26,7 @@
 	// The backend server waits one second for the confirmation.
 	storeTimeout = 700 * time.Millisecond
 	// backendDialTimeout bounds the connection attempt that shows whether a
-	// leaving backend server still runs.
+	// leaving or silent backend server still runs.
 	backendDialTimeout = 200 * time.Millisecond
 	// drainCheckInterval is how often a stopping agent checks for requests in
 	// progress.
@@ -213,6 +213,7 @@
 	for {
 		select {
 		case <-ticker.C:
+			a.checkBackend()
 			a.mu.Lock()
 			now := time.Now()
 			a.gate.Tick(now)
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -1,7 +1,9 @@
 package flowagent
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
@@ -81,23 +83,43 @@
 }
 
 // backendEnded reports whether the backend server has ended, so that this stop is
-// not a mere restart of the agent. It has ended if it reported so, if it leaves
-// offers unanswered, or if it is leaving and accepts no more connections.
+// not a mere restart of the agent. It has ended if it reported so, if it
+// is down, or if it is leaving and accepts no more connections.
 func (a *Agent) backendEnded() bool {
 	a.mu.Lock()
-	ended := a.backendLeft || a.gate.BackendVanished(time.Now())
+	ended := a.backendLeft || a.gate.BackendVanished()
 	leaving := a.gate.Leaving()
 	a.mu.Unlock()
 	if ended || !leaving {
 		return ended
 	}
+	return a.dialBackend() != nil
+}
+
+// dialBackend attempts a connection to the backend server and logs a failure.
+func (a *Agent) dialBackend() error {
 	conn, err := net.DialTimeout("tcp4", a.settings.BackendAddress.String(), backendDialTimeout)
 	if err != nil {
 		a.logger.EmitError(event.BackendConnFailed, errkind.Wrap(err, errkind.BackendDown, "connect to the backend server"), nil)
-		return true
+		return err
 	}
 	_ = conn.Close() // nothing was sent
-	return false
+	return nil
+}
+
+// checkBackend attempts a connection if the backend server leaves offers
+// unanswered, to learn whether it is down.
+func (a *Agent) checkBackend() {
+	a.mu.Lock()
+	unanswered := a.gate.OffersUnanswered(time.Now())
+	a.mu.Unlock()
+	if !unanswered {
+		return
+	}
+	refused := errors.Is(a.dialBackend(), syscall.ECONNREFUSED)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.RecordConnAttempt(time.Now(), refused)
 }
 
 // withdrawMember removes the member of a backend server that has ended. If the
