Look up flows by a packet that is answered

While the lookup of an acknowledgement ran, later packets of the flow waited for its result, a request among them. An agent that started again learns its flows by what its backend server sends, and the server answers no acknowledgement: nobody reported the holder, and after 1.2 s the request was dropped together with the lookup. The first packet that calls for an answer now replaces the acknowledgement in the lookup. Before the change TestRequestReplacesAcknowledgementInLookup fails: the retry sends "ack".

--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -59,6 +59,10 @@
 // running already, the packet waits for its result.
 func (s *Steerer) findHolder(now time.Time, key flow.Key, p flow.Packet, raw []byte) Action {
 	if l := s.lookups[key]; l != nil {
+		if !callsForAnswer(l.packet) && callsForAnswer(p) {
+			l.replacePacket(now, p, raw)
+			return Action{Verdict: Keep, Packet: p}
+		}
 		if len(l.waitingPackets) >= maxWaitingPackets {
 			return noHolderAction(Drop, p)
 		}
@@ -76,6 +80,17 @@
 	return s.askNextAgents(now, l, 1)[0]
 }
 
+// callsForAnswer reports whether the end that holds a packet's flow answers it. An
+// agent that learns its flows by the answers of its backend server doesn't report
+// that it holds the flow of another packet.
+func callsForAnswer(p flow.Packet) bool { return p.Length > 0 || p.Has(flow.Close) }
+
+// replacePacket makes the lookup send another packet of its flow, with the next
+// timer. The earlier denials still hold.
+func (l *lookup) replacePacket(now time.Time, p flow.Packet, raw []byte) {
+	l.packet, l.raw, l.startedAt, l.retryAt, l.retries = p, slices.Clone(raw), now, now, 0
+}
+
 // askNextAgents sends the packet of a lookup to the agents that were not asked
 // yet, in up to the given number of candidate lists.
 func (s *Steerer) askNextAgents(now time.Time, l *lookup, lists int) []Action {
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -218,3 +218,22 @@
 	s.Placed(start, placed(p, agentAddress(1), hop.Load{}))
 	is.Equal(s.FromCaller(start, p, nil).To, agentAddress(1))
 }
+
+// Guards against a request that is dropped together with the lookup of an earlier
+// acknowledgement, which the agent that holds the flow leaves unanswered after a
+// restart.
+func TestRequestReplacesAcknowledgementInLookup(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(3))
+	p := callerPacket(1, flow.Ack)
+	first := s.FromCaller(start, p, []byte("ack"))
+	is.Equal(first.Verdict, Send)
+	p.Length = 10
+	is.Equal(s.FromCaller(start.Add(time.Second), p, []byte("request")).Verdict, Keep)
+	sent := forwardActions(s.Tick(start.Add(time.Second + 20*time.Millisecond)))
+	is.Equal(len(sent), 1)
+	is.Equal(string(sent[0].Message.Packet), "request")
+	for _, a := range s.Tick(start.Add(lookupTimeout + 100*time.Millisecond)) {
+		is.True(a.Verdict != Drop)
+	}
+}
