Announce that an agent restarts

A balancer resets the flows of an agent that leaves hellos unanswered for 2 s, or for 0.7 s if it never heard from it. Silence can't tell a restart from a crash, but a stopping agent can: it now announces Restarting in its member if the backend server still accepts connections, and the first report to the next process takes that back. Such an agent counts as dead after 6 s of silence.

Costs: two writes of the store and one connection to the backend server for each restart, and up to 0.7 s more for the stop if the store is slow. If the host is lost after the announcement, lost flows get their reset up to 6 s after the first unanswered hello instead of 2 s; their callers, with deadlines of 2 s, run into them. A crash, a kill and a power cut announce nothing, so resets after them are as early as before.

--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -105,6 +105,10 @@
 	// CreatedMS is when the process sent the creation of the object, in Unix
 	// milliseconds of its own clock; 0 if unknown.
 	CreatedMS int64 `json:",omitempty"`
+	// Restarting is set if the agent's process has stopped while its backend server
+	// runs on, so that a new process of the agent follows. The new process clears it
+	// with the first report of the backend server.
+	Restarting bool `json:",omitempty"`
 	// Revision is that of the member's object in the store.
 	Revision Revision
 }
--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -36,6 +36,10 @@
 	// deadAfterNeverHeard replaces deadAfter for an agent that has not answered
 	// since this balancer started, since it may have been down for long.
 	deadAfterNeverHeard = 700 * time.Millisecond
+	// restartTimeout replaces both for an agent that announced that its process
+	// restarts while its backend server runs on. It exceeds the time that a process
+	// takes to start on a slow, busy host.
+	restartTimeout = 6 * time.Second
 	// maxSuspectShare is the maximum share of agents that may be suspect before the
 	// balancer assumes that the fault is its own. A crash of more hosts at a time
 	// is rarer than a full link of the balancer.
@@ -152,7 +156,10 @@
 // which no host answers may be cut off from this balancer only.
 func (as *agentSet) isDead(now time.Time, a *agent) bool {
 	timeout := deadAfter
-	if a.heardAt.IsZero() {
+	switch {
+	case a.member.Restarting:
+		timeout = restartTimeout
+	case a.heardAt.IsZero():
 		timeout = deadAfterNeverHeard
 	}
 	return a.suspect && now.Sub(a.unansweredSince) > timeout && as.domainAnswers(a.member.Domain)
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -370,3 +370,45 @@
 		is.Equal(a.Verdict, Keep)
 	}
 }
+
+// Guards against the reset of a flow whose agent restarts while its backend server
+// holds the flow, also by a balancer that started during the restart.
+func TestRestartingAgentIsNotDead(t *testing.T) {
+	const agents, silent = 12, 5
+	verdict := func(restarting bool, since, silence time.Duration) Verdict {
+		v := testView(agents)
+		m := v.Members.ByName["agent-5"]
+		m.Restarting = restarting
+		v.Members.ByName["agent-5"] = m
+		s := newSteerer(v)
+		end := start.Add(since + silence)
+		for at := start; at.Before(end); at = at.Add(100 * time.Millisecond) {
+			s.Tick(at)
+			for i := range agents {
+				if i != silent || at.Before(start.Add(since)) {
+					s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
+				}
+			}
+		}
+		s.SetView(v, end)
+		p := callerPacket(1, flow.Ack)
+		return denyByAllAsked(s, end, p, s.FromCaller(end, p, nil), ignoreCandidates).Verdict
+	}
+	for _, c := range []struct {
+		name           string
+		restarting     bool
+		since, silence time.Duration
+		want           Verdict
+	}{
+		{"balancer started during the restart", true, 0, time.Second, Keep},
+		{"slow restart", true, time.Second, deadAfter + time.Second, Keep},
+		{"restart that never ends", true, time.Second, restartTimeout + time.Second, Reset},
+		{"agent gone before the balancer started", false, 0, time.Second, Reset},
+		{"agent gone", false, time.Second, deadAfter + time.Second, Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(verdict(c.restarting, c.since, c.silence), c.want)
+		})
+	}
+}
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -54,6 +54,7 @@
 	gate        *flowgate.Gate
 	lastReport  flowgate.Report
 	backendLeft bool         // the backend server reported that it has ended
+	restarting  bool         // the process stops while the backend server runs on
 	evacuated   bool         // the failure domain is evacuated
 	refusal     errkind.Kind // why the agent accepts no new flows, or only a few; 0 if it accepts all
 	buffer      []byte
@@ -119,15 +120,19 @@
 	return nil
 }
 
-// Stop refuses new flows, waits up to drainTimeout for requests in progress, and
-// then stops the agent.
+// Stop refuses new flows, announces whether the backend server runs on, waits up
+// to drainTimeout for requests in progress, and then stops the agent.
 func (a *Agent) Stop(context.Context) error {
-	if a.backendEnded() {
+	ended := a.backendEnded()
+	if ended {
 		a.withdrawMember()
 	}
 	a.mu.Lock()
 	a.gate.RefuseNewFlows()
 	a.mu.Unlock()
+	if !ended {
+		a.announceRestart()
+	}
 	a.logger.Emit(event.Stopping, event.Fields{"drain_ms": drainTimeout.Milliseconds()})
 	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && a.requestsInProgress() > 0; {
 		time.Sleep(drainCheckInterval)
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -1,6 +1,7 @@
 package flowagent
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
@@ -9,7 +10,11 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flownode"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
@@ -38,3 +43,57 @@
 		})
 	}
 }
+
+// memberStore is a store that sends the members that are written to a channel.
+type memberStore struct {
+	follow.Store
+	written chan view.Member
+}
+
+func (s memberStore) WriteMember(_ context.Context, m view.Member) (view.Revision, error) {
+	s.written <- m
+	return m.Revision + 10, nil
+}
+
+// Guards against balancers that take a restarting agent for dead, and against
+// agents that announce a restart although their backend server is gone.
+func TestStopAnnouncesRestart(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	store := memberStore{written: make(chan view.Member, 10)}
+	a := New(platform.Settings{BackendAddress: listener.Addr().(*net.TCPAddr).AddrPort()}, store, event.Discard())
+	board := view.NewBoard()
+	board.Apply(view.Delta{Section: view.MembersSection, To: 1, Full: true})
+	a.node = &flownode.Node{Board: board, Announcer: follow.NewAnnouncer(store, board, event.Discard()), Logger: event.Discard()}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.node.Announcer.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	a.announceRestart()
+	is.Equal(len(store.written), 0) // no report yet
+	report := func(sequence uint64) {
+		stored, err := a.applyReport(flowgate.Report{Instance: "i-1", Started: time.Unix(1, 0), Sequence: sequence, State: view.Ready, Slots: 9})
+		is.NoErr(err)
+		<-stored
+	}
+	report(1)
+	is.True(!(<-store.written).Restarting)
+	a.announceRestart()
+	m := <-store.written
+	is.True(m.Restarting)
+	is.Equal(m.State, view.Ready)
+	report(2)
+	is.Equal(len(store.written), 0) // a report doesn't take the announcement back
+	is.NoErr(listener.Close())
+	a.restarting = false
+	a.announceRestart()
+	is.Equal(len(store.written), 0) // the backend server is gone
+}
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -60,11 +60,36 @@
 	for _, f := range lost {
 		a.sendReset(f.Key, f.Ack)
 	}
-	s := a.settings
+	return a.announceMember(), nil
+}
+
+// announceMember announces the member by the last report. The caller holds the lock.
+func (a *Agent) announceMember() <-chan struct{} {
+	s, r := a.settings, a.lastReport
 	return a.node.Announcer.Set(view.Member{
 		Name: MemberName(s.Address), Role: view.AgentRole, Domain: s.Domain, Address: s.PacketAddress, Peer: s.PeerAddress,
-		Service: s.Service, Slots: r.Slots, State: r.State,
-	}), nil
+		Service: s.Service, Slots: r.Slots, State: r.State, Restarting: a.restarting,
+	})
+}
+
+// announceRestart announces that this process stops while the backend server runs
+// on. Without a report in this process, the member is as an earlier one left it.
+func (a *Agent) announceRestart() {
+	if a.dialBackend() != nil {
+		return
+	}
+	a.mu.Lock()
+	if a.lastReport.Instance == "" {
+		a.mu.Unlock()
+		return
+	}
+	a.restarting = true
+	stored := a.announceMember()
+	a.mu.Unlock()
+	select {
+	case <-stored:
+	case <-time.After(storeTimeout):
+	}
 }
 
 // BackendLeft implements platform.ReportReceiver.
