Measure the silence of agents by the time a balancer runs

Hellos and their answers were judged by the clock. After a stall of the balancer the answers lie unread in its socket, but an agent that was suspect before the stall counted as dead at the next packet, and with the next timer every agent became suspect and, after a stall of 2 s, dead until its answer was read. A gap between two timers now counts as at most 100 ms of silence.

Costs: a balancer whose timers run only every 200 ms finds an agent dead after 4 s instead of 2 s.

--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -40,6 +40,10 @@
 	// restarts while its backend server runs on. It exceeds the time that a process
 	// takes to start on a slow, busy host.
 	restartTimeout = 6 * time.Second
+	// maxTickGap is how much of the time between two calls of Tick counts as silence
+	// of the agents at most. After a longer gap their answers may lie unread. A usage
+	// cap of the processor stalls a balancer for up to a tenth of a second.
+	maxTickGap = 100 * time.Millisecond
 	// maxSuspectShare is the maximum share of agents that may be suspect before the
 	// balancer assumes that the fault is its own. A crash of more hosts at a time
 	// is rarer than a full link of the balancer.
@@ -52,7 +56,8 @@
 // contact holds what the balancer knows about a node to which it sends hellos.
 type contact struct {
 	member          view.Member
-	unansweredSince time.Time // when the oldest unanswered hello was sent, zero if none
+	unanswered      bool          // a hello is unanswered
+	unansweredSince time.Duration // unanswered: when the oldest such hello was sent, on the clock of the agentSet
 	nextHello       time.Time
 	suspect         bool
 }
@@ -74,6 +79,9 @@
 	all                []*agent
 	balancers          map[netip.AddrPort]*contact // of other failure domains only
 	otherDomainReached bool                        // a balancer of another failure domain has answered
+	// clock is how long this balancer has run without stalls. Silence is measured by it.
+	clock    time.Duration
+	lastTick time.Time
 }
 
 func newAgentSet() agentSet {
@@ -154,7 +162,7 @@
 // isDead reports whether an agent counts as dead: it has left hellos unanswered
 // for long while another host of its failure domain answers. A failure domain in
 // which no host answers may be cut off from this balancer only.
-func (as *agentSet) isDead(now time.Time, a *agent) bool {
+func (as *agentSet) isDead(a *agent) bool {
 	timeout := deadAfter
 	switch {
 	case a.member.Restarting:
@@ -162,7 +170,7 @@
 	case a.heardAt.IsZero():
 		timeout = deadAfterNeverHeard
 	}
-	return a.suspect && now.Sub(a.unansweredSince) > timeout && as.domainAnswers(a.member.Domain)
+	return a.suspect && as.clock-a.unansweredSince > timeout && as.domainAnswers(a.member.Domain)
 }
 
 // domainAnswers reports whether any host of a failure domain answers hellos.
@@ -178,8 +186,8 @@
 // rankForLookup returns all agents in the order in which they are asked for a
 // flow: first those of the services of its route, and suspect ones last. Dead ones
 // are left out, because they would not pass the packet on.
-func (as *agentSet) rankForLookup(now time.Time, hash uint64, targets []view.Target) []netip.AddrPort {
-	ranked := slices.DeleteFunc(rankByHash(as.all, hash), func(a *agent) bool { return as.isDead(now, a) })
+func (as *agentSet) rankForLookup(hash uint64, targets []view.Target) []netip.AddrPort {
+	ranked := slices.DeleteFunc(rankByHash(as.all, hash), func(a *agent) bool { return as.isDead(a) })
 	order := func(a *agent) int {
 		position := 0
 		if !slices.ContainsFunc(targets, func(t view.Target) bool { return t.Service == a.member.Service }) {
@@ -225,7 +233,7 @@
 // recordLoad records that a node answered, and the load that an agent sent.
 func (as *agentSet) recordLoad(now time.Time, address netip.AddrPort, load hop.Load) {
 	if b := as.balancers[address]; b != nil {
-		b.unansweredSince, b.suspect = time.Time{}, false
+		b.unanswered, b.suspect = false, false
 		as.otherDomainReached = true
 	}
 	a := as.byAddress[address]
@@ -233,13 +241,13 @@
 		return
 	}
 	a.load, a.heardAt, a.placedSinceHeard = load, now, 0
-	a.unansweredSince, a.suspect = time.Time{}, false
+	a.unanswered, a.suspect = false, false
 }
 
 // requestHello makes a hello due at once for an agent that left an opening
 // unanswered.
 func (as *agentSet) requestHello(now time.Time, address netip.AddrPort) {
-	if a := as.byAddress[address]; a != nil && a.unansweredSince.IsZero() && a.nextHello.After(now) {
+	if a := as.byAddress[address]; a != nil && !a.unanswered && a.nextHello.After(now) {
 		a.nextHello = now
 	}
 }
@@ -247,18 +255,22 @@
 // dueHellos returns the nodes to which a hello is due, and marks as suspect those
 // that left one unanswered.
 func (as *agentSet) dueHellos(now time.Time) []netip.AddrPort {
+	if !as.lastTick.IsZero() {
+		as.clock += min(now.Sub(as.lastTick), maxTickGap)
+	}
+	as.lastTick = now
 	interval := max(minHelloInterval, time.Duration(len(as.all)+len(as.balancers))*time.Second/helloRate)
 	var due []netip.AddrPort
 	for _, a := range as.all {
 		if a.load.Refusing && now.Sub(a.heardAt) > refusalTTL {
 			a.load.Refusing = false
 		}
-		if a.helloDue(now, interval) {
+		if a.helloDue(now, as.clock, interval) {
 			due = append(due, a.member.Address)
 		}
 	}
 	for _, b := range as.balancers {
-		if b.helloDue(now, interval) {
+		if b.helloDue(now, as.clock, interval) {
 			due = append(due, b.member.Address)
 		}
 	}
@@ -267,15 +279,15 @@
 
 // helloDue reports whether a hello is due, and marks the node as suspect if it
 // left one unanswered.
-func (c *contact) helloDue(now time.Time, interval time.Duration) bool {
-	if !c.unansweredSince.IsZero() && now.Sub(c.unansweredSince) > suspectAfter {
+func (c *contact) helloDue(now time.Time, clock, interval time.Duration) bool {
+	if c.unanswered && clock-c.unansweredSince > suspectAfter {
 		c.suspect = true
 	}
 	if now.Before(c.nextHello) {
 		return false
 	}
-	if c.unansweredSince.IsZero() {
-		c.unansweredSince = now
+	if !c.unanswered {
+		c.unanswered, c.unansweredSince = true, clock
 	}
 	if c.suspect {
 		interval = min(interval, maxSuspectHelloInterval)
@@ -285,14 +297,14 @@
 }
 
 // anyUndecided reports whether any agent is suspect but not dead yet.
-func (as *agentSet) anyUndecided(now time.Time) bool {
-	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect && !as.isDead(now, a) })
+func (as *agentSet) anyUndecided() bool {
+	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect && !as.isDead(a) })
 }
 
 // allDecided reports whether each agent either answers or is dead. It is false if
 // many agents are suspect: then the fault is probably the balancer's own, such as a
 // full link, and silence proves nothing about the agents.
-func (as *agentSet) allDecided(now time.Time) bool { return !as.anyUndecided(now) && !as.manySuspect() }
+func (as *agentSet) allDecided() bool { return !as.anyUndecided() && !as.manySuspect() }
 
 // manySuspect reports whether more than maxSuspectShare of the agents are suspect.
 func (as *agentSet) manySuspect() bool {
@@ -311,10 +323,10 @@
 }
 
 // deadCount returns the number of dead agents.
-func (as *agentSet) deadCount(now time.Time) int {
+func (as *agentSet) deadCount() int {
 	n := 0
 	for _, a := range as.all {
-		if as.isDead(now, a) {
+		if as.isDead(a) {
 			n++
 		}
 	}
@@ -324,15 +336,15 @@
 // isLost reports whether the agent at an address is dead or is no longer in the
 // view. While many agents are suspect, a dead one is not counted
 // as lost.
-func (as *agentSet) isLost(now time.Time, address netip.AddrPort) bool {
+func (as *agentSet) isLost(address netip.AddrPort) bool {
 	a := as.byAddress[address]
-	return a == nil || (as.isDead(now, a) && !as.manySuspect())
+	return a == nil || (as.isDead(a) && !as.manySuspect())
 }
 
 // allListed reports whether list contains every agent that isn't dead.
-func (as *agentSet) allListed(now time.Time, list []netip.AddrPort) bool {
+func (as *agentSet) allListed(list []netip.AddrPort) bool {
 	return !slices.ContainsFunc(as.all, func(a *agent) bool {
-		return !as.isDead(now, a) && !slices.Contains(list, a.member.Address)
+		return !as.isDead(a) && !slices.Contains(list, a.member.Address)
 	})
 }
 
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -72,7 +72,7 @@
 	if len(s.lookups) >= maxLookups {
 		return noHolderAction(Drop, p)
 	}
-	l := &lookup{packet: p, raw: slices.Clone(raw), startedAt: now, order: s.agents.rankForLookup(now, key.Hash(), s.targets(p.To))}
+	l := &lookup{packet: p, raw: slices.Clone(raw), startedAt: now, order: s.agents.rankForLookup(key.Hash(), s.targets(p.To))}
 	if len(l.order) == 0 {
 		return noHolderAction(Drop, p)
 	}
@@ -145,7 +145,7 @@
 	case l.packet.Has(flow.Reset):
 		delete(s.lookups, key)
 		return noHolderAction(Drop, l.packet)
-	case s.viewFresh(l) && s.agents.allDecided(now) && s.agents.allListed(now, l.deniedBy):
+	case s.viewFresh(l) && s.agents.allDecided() && s.agents.allListed(l.deniedBy):
 		delete(s.lookups, key)
 		return s.unresolved(Reset, now, l)
 	}
@@ -160,7 +160,7 @@
 		Members:    s.view.Members.Revision,
 		ViewAge:    l.startedAt.Sub(s.confirmedAt),
 		Denied:     len(l.deniedBy),
-		DeadAgents: s.agents.deadCount(now),
+		DeadAgents: s.agents.deadCount(),
 	}
 	return a
 }
@@ -182,7 +182,7 @@
 		return nil
 	}
 	var due []Action
-	allDecided := s.agents.allDecided(now)
+	allDecided := s.agents.allDecided()
 	for key, l := range s.lookups {
 		switch {
 		case now.Sub(l.startedAt) > lookupTimeout:
@@ -198,7 +198,7 @@
 
 // retryLookup asks the agents that have not denied a flow.
 func (s *Steerer) retryLookup(now time.Time, key flow.Key, l *lookup) []Action {
-	l.order = slices.DeleteFunc(s.agents.rankForLookup(now, key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
+	l.order = slices.DeleteFunc(s.agents.rankForLookup(key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
 		return slices.Contains(l.deniedBy, agent)
 	})
 	l.next = 0
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -121,7 +121,7 @@
 		return s.openFlow(now, key, p, raw, route)
 	}
 	if agent, ok := s.flows.get(key, now); ok {
-		if !s.agents.isLost(now, agent) {
+		if !s.agents.isLost(agent) {
 			return s.forwardToHolder(agent, raw)
 		}
 		s.flows.remove(key)
