Look up flows of unknown routes before resetting them

A balancer reset every packet to a route that its configuration lacks. Packets that open no flow are now looked up like others, and reset when all agents deny the flow under the usual conditions. Openings are reset at once as before, and so are flows of a route that the balancer saw dropped. Before the change TestFlowsOfAddedRouteAreNotReset fails: verdict Reset for a held flow.

A balancer that started after a route was dropped forwards the remaining flows of that route to their agent instead of resetting them.

--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -29,6 +29,9 @@
 	// openingRetention is how long an opening is kept after its last candidates were
 	// asked. Its caller gives up sooner.
 	openingRetention = 1500 * time.Millisecond
+	// maxDroppedRoutes is the maximum number of dropped routes that are remembered.
+	// Flows of others are reset only after a lookup.
+	maxDroppedRoutes = 1 << 16
 )
 
 // Verdict is what happens to a packet.
@@ -71,6 +74,8 @@
 	flows       holders
 	openings    map[flow.Key]*opening
 	lookups     map[flow.Key]*lookup
+	// droppedRoutes are the routes that an earlier configuration had.
+	droppedRoutes map[netip.AddrPort]bool
 }
 
 // opening is a new flow whose agent has not answered yet.
@@ -93,6 +98,8 @@
 		flows:    newHolders(),
 		openings: map[flow.Key]*opening{},
 		lookups:  map[flow.Key]*lookup{},
+
+		droppedRoutes: map[netip.AddrPort]bool{},
 	}
 }
 
@@ -101,16 +108,36 @@
 // call because a later confirmation says nothing about an earlier view.
 func (s *Steerer) SetView(v view.View, confirmedAt time.Time) {
 	agentsChanged := v.Members.Revision != s.view.Members.Revision || v.Evacuations.Revision != s.view.Evacuations.Revision
+	s.recordDroppedRoutes(v.Configuration)
 	s.view, s.confirmedAt = v, confirmedAt
 	if agentsChanged {
 		s.agents.setView(v, s.domain)
 	}
 }
 
+// recordDroppedRoutes remembers the routes that are missing from a new configuration.
+func (s *Steerer) recordDroppedRoutes(next view.Configuration) {
+	if next.Revision == s.view.Configuration.Revision {
+		return
+	}
+	for address := range s.view.Configuration.Routes {
+		if _, ok := next.Routes[address]; !ok && len(s.droppedRoutes) < maxDroppedRoutes {
+			s.droppedRoutes[address] = true
+		}
+	}
+	for address := range s.droppedRoutes {
+		if _, ok := next.Routes[address]; ok {
+			delete(s.droppedRoutes, address)
+		}
+	}
+}
+
 // FromCaller decides about a caller's packet; raw is its encoding.
 func (s *Steerer) FromCaller(now time.Time, p flow.Packet, raw []byte) Action {
 	route, ok := s.view.Configuration.Routes[p.To]
-	if !ok {
+	// Another balancer may have opened the flow by a newer configuration, so only
+	// openings and flows of dropped routes are reset for lack of a route.
+	if !ok && (p.Opening() || s.droppedRoutes[p.To] || s.view.Configuration.Revision == 0) {
 		if s.view.Configuration.Revision == 0 || p.Has(flow.Reset) {
 			return Action{Verdict: Drop, Kind: errkind.PacketNoRoute, Packet: p}
 		}
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -143,6 +143,43 @@
 	is.Equal(New(self, "a").FromCaller(start, p, nil).Verdict, Drop)
 }
 
+// Guards against the reset of a flow that another balancer opened by a newer
+// configuration, which added its route, and against flows of a dropped route that
+// go on.
+func TestFlowsOfAddedRouteAreNotReset(t *testing.T) {
+	added := netip.MustParseAddrPort("198.18.0.2:8443")
+	p := callerPacket(1, flow.Ack)
+	p.To = added
+	t.Run("held", func(t *testing.T) {
+		is := is.New(t)
+		s := newSteerer(testView(3))
+		is.Equal(s.FromCaller(start, p, nil).Verdict, Send)
+		s.Placed(start, placed(p, agentAddress(1), hop.Load{}))
+		is.Equal(s.FromCaller(start, p, nil).To, agentAddress(1))
+	})
+	t.Run("held nowhere", func(t *testing.T) {
+		is := is.New(t)
+		s := newSteerer(testView(3))
+		is.Equal(denyByAllAsked(s, start, p, s.FromCaller(start, p, nil), ignoreCandidates).Verdict, Reset)
+	})
+	t.Run("dropped", func(t *testing.T) {
+		is := is.New(t)
+		v := testView(3)
+		v.Configuration.Routes[added] = view.Route{Address: added, Targets: []view.Target{{Service: "comptoir", Weight: 1}}}
+		s := newSteerer(v)
+		is.Equal(s.FromCaller(start, p, nil).Verdict, Send)
+		dropped := testView(3)
+		dropped.Configuration.Revision = 2
+		s.SetView(dropped, start)
+		a := s.FromCaller(start, p, nil)
+		is.Equal(a.Verdict, Reset)
+		is.Equal(a.Kind, errkind.PacketNoRoute)
+		v.Configuration.Revision = 3
+		s.SetView(v, start)
+		is.True(s.FromCaller(start, p, nil).Verdict != Reset)
+	})
+}
+
 // Guards against balancers that choose different services for one flow, and
 // against shares of flows that differ from the weights of the route.
 func TestRouteWeightsSplitFlows(t *testing.T) {
