Repeat hellos to an agent that left one unanswered

A balancer sends each node a hello every N/50 s for N nodes. An agent that left one unanswered for 150 ms was suspect, but got the next hello only when that interval was over. So one lost datagram made an agent count as dead: at a balancer that has just started from 0.7 s on, with more than 35 nodes, and otherwise from 2 s on, with more than 100 nodes, until the next hello. A suspect node now gets a hello at once and then every 250 ms instead of 500 ms, so at least three are unanswered before an agent is dead.

Costs: up to four hellos a second to each node that doesn't answer, instead of two. Before the change TestLostHellosProveNothing fails in all four cases, with 60 and 150 agents and one or two lost hellos: 1 dead agent instead of 0.

--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -17,15 +17,14 @@
 	leastLoadedChoices = hop.MaxCandidates
 	// idleFlowLoad is the load of an open flow without a request, in requests.
 	idleFlowLoad = 0.1
-	// helloRate is the maximum rate of hellos that a balancer sends, in messages a
-	// second.
+	// helloRate is the maximum rate of hellos that a balancer sends to nodes that
+	// answer, in messages a second.
 	helloRate = 50
 	// minHelloInterval is the minimum time between two hellos to a node.
 	minHelloInterval = 250 * time.Millisecond
-	// maxSuspectHelloInterval is the maximum time between two hellos to a suspect
-	// node. It is short because flows wait until the balancer knows whether the
-	// agent is dead.
-	maxSuspectHelloInterval = 500 * time.Millisecond
+	// suspectHelloInterval is the time between two hellos to a suspect node. An agent
+	// gets at least three before it counts as dead, since datagrams are lost at times.
+	suspectHelloInterval = minHelloInterval
 	// suspectAfter is how long a node may leave a hello unanswered before it is
 	// suspect.
 	suspectAfter = 150 * time.Millisecond
@@ -280,8 +279,8 @@
 // helloDue reports whether a hello is due, and marks the node as suspect if it
 // left one unanswered.
 func (c *contact) helloDue(now time.Time, clock, interval time.Duration) bool {
-	if c.unanswered && clock-c.unansweredSince > suspectAfter {
-		c.suspect = true
+	if c.unanswered && !c.suspect && clock-c.unansweredSince > suspectAfter {
+		c.suspect, c.nextHello = true, now
 	}
 	if now.Before(c.nextHello) {
 		return false
@@ -290,7 +289,7 @@
 		c.unanswered, c.unansweredSince = true, clock
 	}
 	if c.suspect {
-		interval = min(interval, maxSuspectHelloInterval)
+		interval = suspectHelloInterval
 	}
 	c.nextHello = now.Add(interval)
 	return true
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -518,3 +518,40 @@
 		is.Equal(deny(s, at), Reset)
 	})
 }
+
+// Guards against the reset of a flow because one or two datagrams were lost: a
+// balancer in a large installation sends a hello to each agent only every few
+// seconds, and took a lost one for the silence of an agent until the next.
+func TestLostHellosProveNothing(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		agents, lost int
+		heard        bool
+	}{
+		{"one lost after the start of the balancer", 60, 1, false},
+		{"two lost after the start of the balancer", 60, 2, false},
+		{"one lost in a large installation", 150, 1, true},
+		{"two lost in a large installation", 150, 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSteerer(testView(c.agents))
+			lossy, lost, heard := agentAddress(5), 0, false
+			for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(20 * time.Millisecond) {
+				for _, a := range s.Tick(at) {
+					if a.Message.Type != hop.Hello {
+						continue
+					}
+					if a.To == lossy && lost < c.lost && (heard || !c.heard) {
+						lost++
+						continue
+					}
+					heard = heard || a.To == lossy
+					s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: a.To})
+				}
+				is.Equal(s.agents.deadCount(), 0) // no hello or one or two are unanswered
+			}
+			is.Equal(lost, c.lost)
+		})
+	}
+}
