Ask agents that restart last

An agent whose process restarts leaves messages unanswered for about half a second. Balancers now ask an agent that announces its restart last, like one that is suspect, in lookups and for new flows.

TestRestartingAgentIsAskedLast fails without the change.

--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -120,6 +120,10 @@
 // acceptsNewFlows reports whether new flows may go to the agent.
 func (a *agent) acceptsNewFlows() bool { return !a.evacuated && a.member.State == view.Ready }
 
+// maybeAway reports whether the agent may leave messages unanswered: it has done so
+// lately, or its process restarts.
+func (a *agent) maybeAway() bool { return a.suspect || a.member.Restarting }
+
 // score returns the load of the agent in requests per slot.
 func (a *agent) score() float64 {
 	slots := max(float64(a.member.Slots), 1)
@@ -147,10 +151,10 @@
 }
 
 // refusalRank is the sort key of agents by whether they are expected to accept a
-// new flow: 0 if so, 1 if the agent refuses, 2 if it is suspect.
+// new flow: 0 if so, 1 if the agent refuses, 2 if it may leave the opening unanswered.
 func (a *agent) refusalRank() int {
 	switch {
-	case a.suspect:
+	case a.maybeAway():
 		return 2
 	case a.load.Refusing:
 		return 1
@@ -183,8 +187,8 @@
 }
 
 // rankForLookup returns all agents in the order in which they are asked for a
-// flow: first those of the services of its route, and suspect ones last. Dead ones
-// are left out, because they would not pass the packet on.
+// flow: first those of the services of its route, and last those that may not pass the
+// packet on. Dead ones are left out.
 func (as *agentSet) rankForLookup(hash uint64, targets []view.Target) []netip.AddrPort {
 	ranked := slices.DeleteFunc(rankByHash(as.all, hash), func(a *agent) bool { return as.isDead(a) })
 	order := func(a *agent) int {
@@ -192,7 +196,7 @@
 		if !slices.ContainsFunc(targets, func(t view.Target) bool { return t.Service == a.member.Service }) {
 			position = 1
 		}
-		if a.suspect {
+		if a.maybeAway() {
 			position += 2
 		}
 		return position
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -264,6 +264,26 @@
 	is.Equal(len(a.Message.Candidates), 5)
 }
 
+// Guards against lookups and openings that stop at an agent whose process restarts. A
+// retried lookup reached the backend servers of the agents before it again, and not
+// the one that held the flow (issue 17).
+func TestRestartingAgentIsAskedLast(t *testing.T) {
+	const agents, restarting = 8, 5
+	v := testView(agents)
+	m := v.Members.ByName["agent-5"]
+	m.Restarting = true
+	v.Members.ByName["agent-5"] = m
+	s := newSteerer(v)
+	for port := range 20 {
+		for _, flags := range []flow.Flags{flow.Open, flow.Ack} {
+			is := is.New(t)
+			candidates := s.FromCaller(start, callerPacket(port+1, flags), nil).Message.Candidates
+			is.Equal(len(candidates), agents)
+			is.Equal(candidates[agents-1], agentAddress(restarting))
+		}
+	}
+}
+
 // Guards against agents that get far more than their share of flows when all
 // callers reconnect at the same time, as after a power cut, through four balancers
 // that don't know each other's choices.
