Retry lookups in short lists

Agents pass a lookup along a list of eight. One that is down kept those behind it from being asked, and the balancer from learning the denials of those before it; a retry sent the same list again.

A retry now spreads the agents that have not denied the flow over all 16 lists, so that with up to 16 left each is asked by itself and its denial counts.

--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -77,7 +77,7 @@
 		return noHolderAction(Drop, p)
 	}
 	s.lookups[key] = l
-	return s.askNextAgents(now, l, 1)[0]
+	return s.askNextAgents(now, l, 1, hop.MaxCandidates)[0]
 }
 
 // callsForAnswer reports whether the end that holds a packet's flow answers it. An
@@ -92,15 +92,15 @@
 }
 
 // askNextAgents sends the packet of a lookup to the agents that were not asked
-// yet, in up to the given number of candidate lists.
-func (s *Steerer) askNextAgents(now time.Time, l *lookup, lists int) []Action {
+// yet, in up to the given number of candidate lists of the given length.
+func (s *Steerer) askNextAgents(now time.Time, l *lookup, lists, length int) []Action {
 	l.lastSentAt, l.retryAt = now, time.Time{}
 	var due []Action
 	for range lists {
 		if l.next == len(l.order) {
 			break
 		}
-		list := l.order[l.next:min(len(l.order), l.next+hop.MaxCandidates)]
+		list := l.order[l.next:min(len(l.order), l.next+length)]
 		l.next += len(list)
 		due = append(due, s.forward(list, 0, true, l.raw))
 	}
@@ -126,7 +126,7 @@
 		return nil
 	}
 	if l.next < len(l.order) {
-		return s.askNextAgents(now, l, maxListsPerRound)
+		return s.askNextAgents(now, l, maxListsPerRound, hop.MaxCandidates)
 	}
 	return []Action{s.resolveMissing(now, key, l)}
 }
@@ -196,7 +196,9 @@
 	return due
 }
 
-// retryLookup asks the agents that have not denied a flow.
+// retryLookup asks the agents that have not denied a flow, in lists as short as
+// possible: an agent that is down keeps those behind it in its list from being asked,
+// and the denials of those before it from being known.
 func (s *Steerer) retryLookup(now time.Time, key flow.Key, l *lookup) []Action {
 	l.order = slices.DeleteFunc(s.agents.rankForLookup(key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
 		return slices.Contains(l.deniedBy, agent)
@@ -206,7 +208,8 @@
 		return []Action{s.resolveMissing(now, key, l)}
 	}
 	l.retries++
-	return s.askNextAgents(now, l, maxListsPerRound)
+	length := min((len(l.order)+maxListsPerRound-1)/maxListsPerRound, hop.MaxCandidates)
+	return s.askNextAgents(now, l, maxListsPerRound, length)
 }
 
 // isDue reports whether the lookup is due for a retry.
