Offer packets to backend servers only when no agent knows their flow

An agent that has restarted learns its flows: for one flow lifetime it offered each packet of an unknown flow to its backend server, before agents further down the list were asked, one of which knew the flow.

A balancer now first asks all agents whether they know the flow (KnownOnly). Agents that learn say that they are unsure, which isn't a denial. Only when all others have denied the flow, or some have left it unanswered, the unsure ones are asked to offer the packet. Old agents ignore the flag, and new agents offer at once to an old balancer, which wouldn't know the answer.

--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -364,6 +364,23 @@
 	is.Equal(a.To, other)
 }
 
+// Guards against packets of a flow that reach other backend servers while its own agent
+// knows it: agents that learn must not offer them before all agents were asked
+// (issue 17).
+func TestLearningAgentIsUnsureBeforeItOffers(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	m := forward(other, self)
+	m.KnownOnly, m.Position = true, 1
+	a := g.FromPeer(start, m, dataPacket(1, feeds, 900, 10))
+	is.Equal(a.Verdict, PassOn)
+	is.Equal(a.Message.Type, hop.Declined)
+	is.Equal(a.Message.Unsure, uint8(1<<1))
+	// It knows a flow of which its backend server has sent a packet.
+	g.FromBackend(start, backendPacket(1, feeds, flow.Ack, 20))
+	is.Equal(g.FromPeer(start, m, dataPacket(1, feeds, 900, 10)).Verdict, Deliver)
+}
+
 // Guards against an agent that offers packets of unknown flows to its backend
 // server after the learning period.
 func TestLearningEnds(t *testing.T) {
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -40,11 +40,14 @@
 )
 
 // lookup is the search for the agent that holds a flow. The flow was open when
-// the packet was sent, so an agent that denied it needn't be asked again.
+// the packet was sent, so an agent that denied it needn't be asked again. Agents are
+// first asked whether they know the flow. Only when none of a round does, those that
+// may hold it without knowing it offer the packet to their backend servers.
 type lookup struct {
 	order          []netip.AddrPort // agents to ask, in this order
 	next           int              // index in order of the first agent that was not asked
 	deniedBy       []netip.AddrPort // agents that don't hold the flow
+	unsure         []netip.AddrPort // agents that don't know the flow but may hold it
 	packet         flow.Packet
 	raw            []byte   // the encoding of packet
 	waitingPackets [][]byte // further packets of the flow
@@ -77,7 +80,13 @@
 		return noHolderAction(Drop, p)
 	}
 	s.lookups[key] = l
-	return s.askNextAgents(now, l, 1, hop.MaxCandidates)[0]
+	return s.askNextAgents(now, l, round{lists: 1, length: hop.MaxCandidates, knownOnly: true})[0]
+}
+
+// round says how agents are asked at the same time.
+type round struct {
+	lists, length int  // at most so many candidate lists, of at most so many agents
+	knownOnly     bool // agents don't offer the packet to their backend servers
 }
 
 // callsForAnswer reports whether the end that holds a packet's flow answers it. An
@@ -91,22 +100,28 @@
 	l.packet, l.raw, l.startedAt, l.retryAt, l.retries = p, slices.Clone(raw), now, now, 0
 }
 
-// askNextAgents sends the packet of a lookup to the agents that were not asked
-// yet, in up to the given number of candidate lists of the given length.
-func (s *Steerer) askNextAgents(now time.Time, l *lookup, lists, length int) []Action {
+// askNextAgents sends the packet of a lookup to the agents that were not asked yet.
+func (s *Steerer) askNextAgents(now time.Time, l *lookup, r round) []Action {
 	l.lastSentAt, l.retryAt = now, time.Time{}
 	var due []Action
-	for range lists {
+	for range r.lists {
 		if l.next == len(l.order) {
 			break
 		}
-		list := l.order[l.next:min(len(l.order), l.next+length)]
+		list := l.order[l.next:min(len(l.order), l.next+r.length)]
 		l.next += len(list)
-		due = append(due, s.forward(list, 0, true, l.raw))
+		due = append(due, s.ask(l, list, r.knownOnly))
 	}
 	return due
 }
 
+// ask sends the packet of a lookup to a list of agents.
+func (s *Steerer) ask(l *lookup, list []netip.AddrPort, knownOnly bool) Action {
+	a := s.forward(list, 0, true, l.raw)
+	a.Message.KnownOnly = knownOnly
+	return a
+}
+
 // recordDenial records the agents that don't hold a flow, and asks further ones
 // when all that were asked have denied it.
 func (s *Steerer) recordDenial(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) []Action {
@@ -117,20 +132,43 @@
 		}
 		return []Action{noHolderAction(Drop, p)}
 	}
-	for _, agent := range m.Candidates {
-		if !slices.Contains(l.deniedBy, agent) {
-			l.deniedBy = append(l.deniedBy, agent)
-		}
-	}
-	if slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !slices.Contains(l.deniedBy, agent) }) {
+	l.recordAnswers(m)
+	switch {
+	case slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !l.answered(agent) }):
 		return nil
-	}
-	if l.next < len(l.order) {
-		return s.askNextAgents(now, l, maxListsPerRound, hop.MaxCandidates)
+	case len(l.unsure) > 0 && l.next <= hop.MaxCandidates:
+		// The first list usually contains the holder.
+		unsure := l.unsure
+		l.unsure, l.lastSentAt = nil, now
+		return []Action{s.ask(l, unsure, false)}
+	case l.next < len(l.order):
+		return s.askNextAgents(now, l, round{lists: maxListsPerRound, length: hop.MaxCandidates, knownOnly: true})
+	case len(l.unsure) > 0:
+		return s.askAgain(now, l, l.unsure)
 	}
 	return []Action{s.resolveMissing(now, key, l)}
 }
 
+// recordAnswers records what the agents of a declined list know of the flow. One that
+// is unsure although it was asked to offer the packet has not answered.
+func (l *lookup) recordAnswers(m *hop.Message) {
+	for i, agent := range m.Candidates {
+		unsure := m.Unsure&(1<<i) != 0
+		switch {
+		case l.answered(agent) || (unsure && !m.KnownOnly):
+		case unsure:
+			l.unsure = append(l.unsure, agent)
+		default:
+			l.deniedBy = append(l.deniedBy, agent)
+		}
+	}
+}
+
+// answered reports whether an agent has denied the flow or is unsure.
+func (l *lookup) answered(agent netip.AddrPort) bool {
+	return slices.Contains(l.deniedBy, agent) || slices.Contains(l.unsure, agent)
+}
+
 func (s *Steerer) targets(address netip.AddrPort) []view.Target {
 	return s.view.Configuration.Routes[address].Targets
 }
@@ -196,20 +234,25 @@
 	return due
 }
 
-// retryLookup asks the agents that have not denied a flow, in lists as short as
-// possible: an agent that is down keeps those behind it in its list from being asked,
-// and the denials of those before it from being known.
+// retryLookup asks the agents that have not denied a flow.
 func (s *Steerer) retryLookup(now time.Time, key flow.Key, l *lookup) []Action {
-	l.order = slices.DeleteFunc(s.agents.rankForLookup(key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
+	undenied := slices.DeleteFunc(s.agents.rankForLookup(key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
 		return slices.Contains(l.deniedBy, agent)
 	})
-	l.next = 0
-	if len(l.order) == 0 {
+	if len(undenied) == 0 {
 		return []Action{s.resolveMissing(now, key, l)}
 	}
 	l.retries++
-	length := min((len(l.order)+maxListsPerRound-1)/maxListsPerRound, hop.MaxCandidates)
-	return s.askNextAgents(now, l, maxListsPerRound, length)
+	return s.askAgain(now, l, undenied)
+}
+
+// askAgain asks agents that may hold the flow without knowing it, in lists as short as
+// possible: an agent that is down keeps those behind it in its list from being asked,
+// and the answers of those before it from being known.
+func (s *Steerer) askAgain(now time.Time, l *lookup, agents []netip.AddrPort) []Action {
+	l.order, l.next, l.unsure = agents, 0, nil
+	length := min((len(agents)+maxListsPerRound-1)/maxListsPerRound, hop.MaxCandidates)
+	return s.askNextAgents(now, l, round{lists: maxListsPerRound, length: length})
 }
 
 // isDue reports whether the lookup is due for a retry.
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -162,6 +162,40 @@
 	}
 }
 
+// Guards against packets that reach the backend servers of other agents while an agent
+// knows the flow, and against the reset of a flow that an agent holds without
+// knowing it.
+func TestAgentsOfferPacketsWhenNoneKnowsTheFlow(t *testing.T) {
+	is := is.New(t)
+	const agents = 20
+	s := newSteerer(testView(agents))
+	p := callerPacket(1, flow.Ack)
+	// answerUnsure answers a list whose second agent is unsure.
+	answerUnsure := func(a Action) (next []Action, unsure netip.AddrPort) {
+		is.True(a.Message.KnownOnly)
+		answer := a.Message
+		answer.Unsure = 1 << 1
+		return s.Declined(start, p, &answer), a.Message.Candidates[1]
+	}
+	isOffer := func(a Action, agent netip.AddrPort) {
+		is.True(!a.Message.KnownOnly)
+		is.Equal(a.Message.Candidates, []netip.AddrPort{agent})
+	}
+	offers, unsure := answerUnsure(s.FromCaller(start, p, []byte("data")))
+	is.Equal(len(offers), 1) // in the first list, before others are asked
+	isOffer(offers[0], unsure)
+	rest := s.Declined(start, p, &offers[0].Message)
+	is.Equal(len(rest), 2)
+	none, firstUnsure := answerUnsure(rest[0])
+	is.Equal(len(none), 0)
+	offers, secondUnsure := answerUnsure(rest[1])
+	is.Equal(len(offers), 2)
+	isOffer(offers[0], firstUnsure)
+	isOffer(offers[1], secondUnsure)
+	is.Equal(len(s.Declined(start, p, &offers[0].Message)), 0)
+	is.Equal(s.Declined(start, p, &offers[1].Message)[0].Verdict, Reset)
+}
+
 // Guards against packets that reach the backend servers of other agents again with
 // each retry of a lookup: an agent whose denial was lost behind one that is down must
 // not be asked more than once again.
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -32,6 +32,7 @@
 	magic            = 0x6b
 	reportHolderFlag = 1
 	lastRoundFlag    = 2
+	knownOnlyFlag    = 4
 	fixedHeaderLen   = 20
 	loadLen          = 8
 	keyLen           = 2 * endpoint.Size
@@ -57,6 +58,8 @@
 	Type         Type
 	ReportHolder bool   // the agent that holds the flow is to answer with Placed
 	LastRound    bool   // all candidates were tried: the agent at Position accepts the flow even if it is busy
+	KnownOnly    bool   // agents don't offer the packet of an unknown flow to their backend server; see Unsure
+	Unsure       uint8  // bit i is set if the agent at index i of Candidates may hold the flow without knowing it
 	Position     uint8  // index in Candidates of the agent that gets the message
 	LeastLoaded  uint8  // 1 + the index of the least loaded agent that passed the flow on, 0 if none did
 	LeastLoad    uint16 // the load of that agent, in units of flowgate's loadScale
@@ -78,8 +81,10 @@
 	if m.LastRound {
 		flags |= lastRoundFlag
 	}
-	b = append(b, magic, byte(m.Type), flags, m.Position, byte(len(m.Candidates)), m.LeastLoaded)
-	b = append(b, 0, 0)
+	if m.KnownOnly {
+		flags |= knownOnlyFlag
+	}
+	b = append(b, magic, byte(m.Type), flags, m.Position, byte(len(m.Candidates)), m.LeastLoaded, m.Unsure, 0)
 	b = binary.BigEndian.AppendUint32(b, m.Service)
 	b = endpoint.Append(b, m.Balancer)
 	b = binary.BigEndian.AppendUint16(b, m.LeastLoad)
@@ -110,6 +115,8 @@
 		Type:         Type(b[1]),
 		ReportHolder: b[2]&reportHolderFlag != 0,
 		LastRound:    b[2]&lastRoundFlag != 0,
+		KnownOnly:    b[2]&knownOnlyFlag != 0,
+		Unsure:       b[6],
 		Position:     b[3],
 		LeastLoaded:  b[5],
 		Service:      binary.BigEndian.Uint32(b[8:]),
--- a/internal/flowpath/hop/hop_test.go
+++ b/internal/flowpath/hop/hop_test.go
@@ -30,6 +30,7 @@
 		m.Position = uint8(rapid.IntRange(0, len(m.Candidates)-1).Draw(t, "position"))
 		m.Service, m.ReportHolder = rapid.Uint32().Draw(t, "service"), rapid.Bool().Draw(t, "ask")
 		m.LastRound, m.LeastLoaded, m.LeastLoad = rapid.Bool().Draw(t, "final"), uint8(rapid.IntRange(0, len(m.Candidates)).Draw(t, "best")), rapid.Uint16().Draw(t, "best load")
+		m.KnownOnly, m.Unsure = rapid.Bool().Draw(t, "known only"), rapid.Byte().Draw(t, "unsure")
 		m.Packet = rapid.SliceOf(rapid.Byte()).Draw(t, "packet")
 	case Placed:
 		m.Key = flow.Key{Caller: drawAddress(t, "caller"), Service: drawAddress(t, "service address")}
