Write a member anew if its removal is unanswered

A removal that got no answer may take effect later. A member that was announced again in the meantime, unchanged, counted as stored without a write, so that the late removal took it away while its agent had flows, which balancers then reset.

The announcer remembers the revision of an unanswered removal and then writes the member with a new creation time, so that the removal's condition fails.

TestSetInvalidatesUnansweredRemoval and TestConflictingRemovalIsNotRepeatedWithoutPause fail without the change.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -47,11 +47,12 @@
 	// been removed. An older view may still contain it.
 	removedRevision view.Revision
 
-	stored        bool      // the member is known to be in the store
-	storedSince   time.Time // see Stored
-	createdMS     int64     // Member.CreatedMS of the object
-	maybeNew      bool      // this process may have created or removed the member
-	storedChanged bool      // OnStored is to be called
+	stored            bool          // the member is known to be in the store
+	storedSince       time.Time     // see Stored
+	createdMS         int64         // Member.CreatedMS of the object
+	unansweredRemoval view.Revision // a removal at this revision may still take effect
+	maybeNew          bool          // this process may have created or removed the member
+	storedChanged     bool          // OnStored is to be called
 }
 
 // NewAnnouncer returns an announcer that writes nothing before the first call of
@@ -184,7 +185,8 @@
 	a.observeView(a.desired.Name)
 	members := a.board.View().Members
 	m, ok := members.ByName[a.desired.Name]
-	if !a.synced && ok && m.Revision == a.knownRevision && !a.withdrawn && announcesSame(m, a.desired) {
+	stays := m.Revision == a.knownRevision && m.Revision != a.unansweredRemoval
+	if !a.synced && ok && stays && !a.withdrawn && announcesSame(m, a.desired) {
 		a.markSynced()
 	}
 	return !a.synced && (a.knownRevision > 0 || members.Revision > 0)
@@ -253,6 +255,10 @@
 		a.noteMaybeNew()
 		a.createdMS = time.Now().UnixMilli()
 	}
+	if !withdrawn && m.Revision > 0 && m.Revision == a.unansweredRemoval {
+		// A write that changes nothing would leave the revision as it is.
+		a.createdMS = time.Now().UnixMilli()
+	}
 	m.CreatedMS = a.createdMS
 	a.mu.Unlock()
 	revision, err := m.Revision, error(nil)
@@ -263,7 +269,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if errkind.Is(err, errkind.VersionConflict) && revision > 0 {
+	if errkind.Is(err, errkind.VersionConflict) && revision > 0 && revision != m.Revision {
 		a.knownRevision = revision
 		a.noteStored()
 		return nil
@@ -273,6 +279,9 @@
 		return nil
 	}
 	if err != nil {
+		if withdrawn {
+			a.unansweredRemoval = m.Revision
+		}
 		return err
 	}
 	if withdrawn {
