Bound the time that a peer's response confirms

If a process is suspended during a poll, its steady clock shows less time than its peer held the request, and the view counted as current in the future.

--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -134,6 +134,9 @@
 // HeldMS after the request.
 func (f *Follower) confirmFromPeer(requestedAt time.Time, r ChangesResponse) {
 	sentAt := requestedAt.Add(time.Duration(r.HeldMS) * time.Millisecond)
+	if now := time.Now(); sentAt.After(now) {
+		sentAt = requestedAt // this process was suspended meanwhile
+	}
 	for _, s := range view.Sections() {
 		age := r.AgeMS
 		if s == view.MembersSection {
