Take a backend server for ended only if it refuses connections

A stopping agent withdrew the member of a leaving backend server, and did not announce its own restart, also if the connection attempt of 200 ms timed out. A busy server or agent can cause that; balancers then reset the flows that the server still holds, under planned work.

One function now decides for all three callers: only a refused connection counts. TestBusyBackendServerHasNotEnded fails without the change.

--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -97,3 +98,45 @@
 	a.announceRestart()
 	is.Equal(len(store.written), 0) // the backend server is gone
 }
+
+// busyListener returns the address of a listener that lets connection attempts time
+// out, as its queue of new connections is full.
+func busyListener(t *testing.T) netip.AddrPort {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name.(*syscall.SockaddrInet4).Port))
+	for range 4 {
+		conn, err := net.DialTimeout("tcp4", address.String(), 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	t.Fatal("the listener accepts all connection attempts")
+	return address
+}
+
+// Guards against an agent that removes its member, so that balancers reset the flows of
+// its backend server, because a connection attempt to the leaving server timed out. The
+// server, or the agent itself, may only be busy.
+func TestBusyBackendServerHasNotEnded(t *testing.T) {
+	is := is.New(t)
+	a := New(platform.Settings{BackendAddress: busyListener(t)}, nil, event.Discard())
+	_, err := a.gate.Report(time.Now(), flowgate.Report{Instance: "i-1", Started: time.Unix(1, 0), Sequence: 1, State: view.Leaving})
+	is.NoErr(err)
+	is.True(!a.backendEnded())
+}
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -75,7 +75,7 @@
 // announceRestart announces that this process stops while the backend server runs
 // on. Without a report in this process, the member is as an earlier one left it.
 func (a *Agent) announceRestart() {
-	if a.dialBackend() != nil {
+	if a.backendRefusesConns() {
 		return
 	}
 	a.mu.Lock()
@@ -118,7 +118,7 @@
 	if ended || !leaving {
 		return ended
 	}
-	return a.dialBackend() != nil
+	return a.backendRefusesConns()
 }
 
 // dialBackend attempts a connection to the backend server and logs a failure.
@@ -132,6 +132,12 @@
 	return nil
 }
 
+// backendRefusesConns reports whether the backend server refuses connections. An attempt
+// that times out proves nothing: the server or this agent may be busy.
+func (a *Agent) backendRefusesConns() bool {
+	return errors.Is(a.dialBackend(), syscall.ECONNREFUSED)
+}
+
 // checkBackend attempts a connection if the backend server leaves offers
 // unanswered, to learn whether it is down.
 func (a *Agent) checkBackend() {
@@ -141,7 +147,7 @@
 	if !unanswered {
 		return
 	}
-	refused := errors.Is(a.dialBackend(), syscall.ECONNREFUSED)
+	refused := a.backendRefusesConns()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.gate.RecordConnAttempt(time.Now(), refused)
