Give agents that a balancer has never heard from the same time as others

A balancer that had never heard from an agent took it for dead after 0.7 s without an answer, others after 2 s. A new balancer gets its configuration from an agent, which may be busy for that long with sending it; so was the agent of the break on, for 0.7 s. The balancer then reset the flows of that agent that came to it.

Now 2 s count for all. Flows of hosts that went away before a balancer started are reset by it up to 1.3 s later, which is a cost for their callers.

TestBusyAgentIsNotDeadForNewBalancer fails without the change. The case 'agent gone before the balancer started' of TestRestartingAgentIsNotDead expects the reset after the 2 s.

--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -32,10 +32,7 @@
 	// as dead and the flows that it may hold are reset. Callers' deadlines are not
 	// longer.
 	deadAfter = 2 * time.Second
-	// deadAfterNeverHeard replaces deadAfter for an agent that has not answered
-	// since this balancer started, since it may have been down for long.
-	deadAfterNeverHeard = 700 * time.Millisecond
-	// restartTimeout replaces both for an agent that announced that its process
+	// restartTimeout replaces deadAfter for an agent that announced that its process
 	// restarts while its backend server runs on. It exceeds the time that a process
 	// takes to start on a slow, busy host.
 	restartTimeout = 6 * time.Second
@@ -167,11 +164,8 @@
 // which no host answers may be cut off from this balancer only.
 func (as *agentSet) isDead(a *agent) bool {
 	timeout := deadAfter
-	switch {
-	case a.member.Restarting:
+	if a.member.Restarting {
 		timeout = restartTimeout
-	case a.heardAt.IsZero():
-		timeout = deadAfterNeverHeard
 	}
 	return a.suspect && as.clock-a.unansweredSince > timeout && as.domainAnswers(a.member.Domain)
 }
