Match refusals and denials to what was sent

Two messages of agents were read as answers to something else. A late refusal of an opening's first candidates counted against a newer copy of that opening and could reset the flow that its agent had just taken. And packets on their way to an agent that was wrongly cached as the holder were dropped when they came back during the lookup that the first of them had started.

Refusals are matched by the first agent of their list. The ReportHolder flag, which only lookups set, tells denials of a lookup from a packet that the cached holder returned; the latter goes to the holder known by then, or waits for the lookup.

TestLateRefusalOfEarlierOpeningResetsNothing and TestPacketsSentToWrongHolderReachTheHolder fail without the change.

--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -83,7 +83,7 @@
 	packet     []byte
 	service    string
 	remaining  []netip.AddrPort // candidates that were not tried yet
-	unanswered int              // lists of candidates that were sent and not declined
+	unanswered []netip.AddrPort // first agents of the lists that were sent and not declined
 	lastAsked  netip.AddrPort
 	askedAt    time.Time
 }
@@ -206,7 +206,7 @@
 	list := o.remaining[:min(len(o.remaining), hop.MaxCandidates)]
 	o.lastAsked, o.askedAt = list[0], now
 	o.remaining = o.remaining[1:]
-	o.unanswered++
+	o.unanswered = append(o.unanswered, o.lastAsked)
 	s.agents.countPlaced(o.lastAsked)
 	a := s.forward(list, ServiceID(o.service), true, o.packet)
 	a.Service = o.service
@@ -262,31 +262,40 @@
 func (s *Steerer) Declined(now time.Time, p flow.Packet, m *hop.Message) []Action {
 	key := p.CallerKey()
 	if p.Opening() {
-		return []Action{s.declinedOpening(now, key, p)}
+		return []Action{s.declinedOpening(now, key, p, m)}
 	}
-	if holder, known := s.flows.get(key, now); known && slices.Contains(m.Candidates, holder) {
-		// The cached agent no longer holds the flow: ask all agents.
-		s.flows.remove(key)
-		return []Action{s.findHolder(now, key, p, m.Packet)}
+	if m.ReportHolder {
+		return s.recordDenial(now, key, p, m)
+	}
+	// The packet was sent to the cached agent, which doesn't hold the flow.
+	holder, known := s.flows.get(key, now)
+	if known && !slices.Contains(m.Candidates, holder) {
+		return []Action{s.forwardToHolder(holder, m.Packet)}
 	}
-	return s.recordDenial(now, key, p, m)
+	s.flows.remove(key)
+	return []Action{s.findHolder(now, key, p, m.Packet)}
 }
 
 // declinedOpening tries further candidates, or resets the flow at once if there are
 // none. It waits while the answer to another list of candidates is missing: one of
 // them may have accepted the flow, which is then open.
-func (s *Steerer) declinedOpening(now time.Time, key flow.Key, p flow.Packet) Action {
+func (s *Steerer) declinedOpening(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) Action {
 	o, ok := s.openings[key]
-	if !ok {
+	if !ok || len(m.Candidates) == 0 {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoAgent, Packet: p}
 	}
-	o.unanswered--
+	list := slices.Index(o.unanswered, m.Candidates[0])
+	if list < 0 {
+		// The list was sent before another agent accepted the flow.
+		return Action{Verdict: Drop, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
+	}
+	o.unanswered = slices.Delete(o.unanswered, list, list+1)
 	if len(o.remaining) >= hop.MaxCandidates {
 		o.remaining = o.remaining[hop.MaxCandidates-1:]
 		return s.askNext(now, o)
 	}
 	o.remaining = nil // the declined list ended with the last of them
-	if o.unanswered > 0 {
+	if len(o.unanswered) > 0 {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
 	}
 	delete(s.openings, key)
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -592,3 +592,36 @@
 	}
 	is.Equal(denyByAllAsked(s, at, p, s.FromCaller(at, p, nil), ignoreCandidates).Verdict, Keep)
 }
+
+// Guards against a reset of a flow whose agent has just got a copy of the opening, by
+// the late refusal of the candidates of an earlier copy.
+func TestLateRefusalOfEarlierOpeningResetsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(3))
+	p := callerPacket(1, flow.Open)
+	first := s.FromCaller(start, p, []byte("syn"))
+	second := forwardActions(s.Tick(start.Add(placementTimeout)))
+	is.Equal(len(second), 1)
+	s.Placed(start.Add(100*time.Millisecond), placed(p, first.To, hop.Load{}))
+	copyAt := start.Add(200 * time.Millisecond)
+	is.Equal(s.FromCaller(copyAt, p, []byte("syn")).To, first.To)
+	is.Equal(s.Declined(copyAt.Add(time.Millisecond), p, &second[0].Message)[0].Verdict, Drop)
+}
+
+// Guards against a packet that is lost because it was on its way to a wrong holder when
+// the lookup for an earlier packet started.
+func TestPacketsSentToWrongHolderReachTheHolder(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(3))
+	p := callerPacket(1, flow.Ack)
+	p.Length = 10
+	s.Placed(start, placed(p, agentAddress(0), hop.Load{}))
+	first := s.FromCaller(start, p, []byte("1"))
+	second := s.FromCaller(start, p, []byte("2"))
+	is.Equal(second.To, agentAddress(0))
+	s.Declined(start, p, &hop.Message{Type: hop.Declined, Candidates: first.Message.Candidates, Packet: []byte("1")})
+	sent := s.Declined(start, p, &hop.Message{Type: hop.Declined, Candidates: second.Message.Candidates, Packet: []byte("2")})
+	sent = append(sent, s.Placed(start, placed(p, agentAddress(1), hop.Load{}))...)
+	is.Equal(len(forwardActions(sent)), 1)
+	is.Equal(string(forwardActions(sent)[0].Message.Packet), "2")
+}
