Drop resets of backend servers that hold no open flow

An agent passed on a reset of its backend server also for a flow that wasn't open there. If the caller had continued with another backend server's answer to the same opening, it got a reset on an open flow (FLOW).

Such a reset is dropped now, and so is one of a flow that the agent doesn't know, unless it is still learning its flows.

TestResetOfUnusedBackendServerIsDropped fails without the change, and TestResetBeforeFlowIsOpenLeavesNoEntry expects the drop instead of the reset.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -326,9 +326,12 @@
 	if f != nil && f.state == stateOpening && p.Has(flow.Reset) {
 		// The flow may be open at another backend server.
 		g.flows.remove(key)
-		return a
+		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
 	}
 	if f == nil || f.state == stateLost {
+		if f == nil && p.Has(flow.Reset) && !now.Before(g.backend.learnUntil) {
+			return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
+		}
 		if p.Has(flow.Reset) {
 			return a
 		}
