Pass packets of a silent backend server on without denying them

Since silence no longer counts as a denial, an agent that learns kept offered packets for good if its backend server accepted connections and read nothing. A packet sent to a wrongly cached agent got no answer, so that no lookup started, and its flow's own backend server got nothing.

After 0.45 s the agent passes the packet on and says that it is unsure. The next agents get it, a balancer that took this one for the holder looks the flow up, and none resets the flow. Connections are attempted at most every 2 s: a hanging server takes a new one each time.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -66,7 +66,8 @@
 
 	sentOpenings answerTracker // openings; only packets of the backend server's own answer them
 	sentOffers   answerTracker // packets of unknown flows; bounced packets answer them as well
-	refusedAt    time.Time     // when a connection attempt to the backend server was last refused
+	dialledAt    time.Time     // when a connection to the backend server was last attempted
+	refusedAt    time.Time     // when such an attempt was last refused
 	lastOpening  time.Time     // when the last opening was delivered
 }
 
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -25,6 +25,9 @@
 	// offerResponseTimeout is how long a backend server may send nothing after a
 	// packet was offered to it. It covers the processing of a request.
 	offerResponseTimeout = 450 * time.Millisecond
+	// connAttemptInterval is the minimum time between two connection attempts to a
+	// silent backend server, which answers them with new connections if it hangs.
+	connAttemptInterval = 2 * time.Second
 	// maxOffers is the maximum number of offered packets that are remembered.
 	maxOffers = 4096
 )
@@ -79,6 +82,9 @@
 	key     flow.Key
 	at      time.Time
 	raw     []byte // the packet, if it may have to be passed on without being returned
+	// passedOn is set if the packet was passed on although the backend server may
+	// still answer it.
+	passedOn bool
 }
 
 // Gate makes the decisions of one agent. It is not safe for concurrent use.
@@ -189,37 +195,45 @@
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, slices.Clone(m.Packet)), Key: key}
 }
 
-// OffersUnanswered reports whether the backend server has sent nothing for long
-// since packets were offered to it. A connection attempt is then to show whether it
-// is down; see RecordConnAttempt.
-func (g *Gate) OffersUnanswered(now time.Time) bool {
-	return g.backend.ignoresOffers(now) && !g.backend.isDown()
+// ConnAttemptDue reports whether a connection attempt is to show whether the backend
+// server is down, because it has sent nothing for long since packets were offered to
+// it; see RecordConnAttempt.
+func (g *Gate) ConnAttemptDue(now time.Time) bool {
+	return g.backend.ignoresOffers(now) && !g.backend.isDown() && now.Sub(g.backend.dialledAt) >= connAttemptInterval
 }
 
 // RecordConnAttempt records whether the backend server refused a connection
-// attempt. One that doesn't refuse it counts as running.
+// attempt.
 func (g *Gate) RecordConnAttempt(now time.Time, refused bool) {
+	g.backend.dialledAt = now
 	if refused {
 		g.backend.refusedAt = now
-		return
 	}
-	g.backend.sentOffers.answeredAt = now
 }
 
-// PassOnUnanswered returns actions that pass on the packets offered to a
-// backend server that is down. Another agent may hold their flows.
+// PassOnUnanswered returns actions that pass on the packets offered to a backend
+// server that has sent nothing since. Another agent may hold their flows. This agent
+// denies them only if the backend server is down; a silent one may still answer.
 func (g *Gate) PassOnUnanswered(now time.Time) []Action {
-	if !g.backend.isDown() {
+	down := g.backend.isDown()
+	if !down && !g.backend.ignoresOffers(now) {
 		return nil
 	}
 	var out []Action
 	for mark, o := range g.offers {
-		if o.raw == nil || now.Sub(o.at) < offerResponseTimeout {
+		if o.raw == nil || now.Sub(o.at) < offerResponseTimeout || (o.passedOn && !down) {
 			continue
 		}
-		delete(g.offers, mark)
-		o.message.Packet = o.raw
-		out = append(out, g.passOn(&o.message, o.key, errkind.BackendDown))
+		m := o.message
+		m.Packet = o.raw
+		if down {
+			delete(g.offers, mark)
+		} else {
+			o.passedOn = true
+			g.offers[mark] = o
+			m.Unsure |= 1 << m.Position
+		}
+		out = append(out, g.passOn(&m, o.key, errkind.BackendDown))
 	}
 	return out
 }
@@ -392,7 +406,7 @@
 		}
 		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key, Lost: f.lostEntry(now)}
 	}
-	if !isOffered {
+	if !isOffered || o.passedOn {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
 	}
 	return g.passOn(&o.message, key, errkind.PacketNoHolder)
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -165,7 +165,7 @@
 	for _, a := range p.list {
 		p.answerOpenings(a, func(last time.Time) bool { return !last.IsZero() && p.now.Sub(last) >= maxAnswerInterval })
 		a.gate.Tick(p.now)
-		if a.gate.OffersUnanswered(p.now) {
+		if a.gate.ConnAttemptDue(p.now) {
 			a.gate.RecordConnAttempt(p.now, a.down)
 		}
 		due := a.gate.PassOnUnanswered(p.now)
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -37,10 +37,12 @@
 			p := flow.Packet{From: netip.MustParseAddrPort("100.64.0.7:40001"), To: netip.MustParseAddrPort("198.18.0.1:8443"), Flags: flow.Ack}
 			m := &hop.Message{Type: hop.Forward, Candidates: []netip.AddrPort{{}}, Packet: []byte("packet")}
 			a.gate.FromPeer(time.Now().Add(-time.Second), m, p)
-			is.True(a.gate.OffersUnanswered(time.Now()))
+			is.True(a.gate.ConnAttemptDue(time.Now()))
 			a.checkBackend()
-			is.True(!a.gate.OffersUnanswered(time.Now()))
-			is.Equal(len(a.gate.PassOnUnanswered(time.Now())) > 0, !running)
+			is.True(!a.gate.ConnAttemptDue(time.Now()))
+			passedOn := a.gate.PassOnUnanswered(time.Now())
+			is.Equal(len(passedOn), 1)
+			is.Equal(passedOn[0].Message.Unsure == 0, !running) // denied
 		})
 	}
 }
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -142,9 +142,9 @@
 // unanswered, to learn whether it is down.
 func (a *Agent) checkBackend() {
 	a.mu.Lock()
-	unanswered := a.gate.OffersUnanswered(time.Now())
+	due := a.gate.ConnAttemptDue(time.Now())
 	a.mu.Unlock()
-	if !unanswered {
+	if !due {
 		return
 	}
 	refused := a.backendRefusesConns()
