End learning beside a backend server that started after the agent

On a new host, and after a power cut, an agent went on learning for one flow lifetime although its backend server had started after it: all packets of that server's flows pass through the agent. It offered packets of others' flows to the server, and lookups of lost flows took a round more.

The first report says when the backend server started; if that is after the start of the agent's process, the agent stops learning. Both times are of the same host's clock. TestBackendServerThatStartedLaterEndsLearning fails without the change.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -190,6 +190,10 @@
 	b.sentOffers.answeredAt = now
 	b.maybeCold = false
 	b.coldUntil = now.Add(r.ColdFor)
+	if r.Started.After(g.started) {
+		// All packets of its flows have passed through this process.
+		b.learnUntil = time.Time{}
+	}
 	if !newRun {
 		return nil, nil
 	}
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -93,6 +93,7 @@
 	service  uint32
 	backend  backend
 	health   health
+	started  time.Time // start of this process
 	flows    table
 	queue    queue
 	routes   map[netip.AddrPort]view.Route
@@ -118,6 +119,7 @@
 	g := &Gate{
 		self:    o.Self,
 		service: o.Service,
+		started: now,
 		backend: newBackend(o.Limits, now),
 		flows:   newTable(),
 		offers:  map[uint32]offer{},
--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -381,6 +381,29 @@
 	is.Equal(g.FromPeer(start, m, dataPacket(1, feeds, 900, 10)).Verdict, Deliver)
 }
 
+// Guards against an agent that goes on learning beside a backend server that started
+// after it, as on a new host or after a power cut: lookups of lost flows take longer,
+// and the backend server gets packets of others' flows.
+func TestBackendServerThatStartedLaterEndsLearning(t *testing.T) {
+	for name, c := range map[string]struct {
+		started time.Time
+		verdict Verdict
+	}{
+		"before the agent": {start.Add(-time.Millisecond), Deliver},
+		"after the agent":  {start.Add(time.Millisecond), PassOn},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate(true)
+			r := report(1)
+			r.Started = c.started
+			_, err := g.Report(start.Add(time.Second), r)
+			is.NoErr(err)
+			is.Equal(g.FromPeer(start.Add(time.Second), forward(self, other), dataPacket(1, feeds, 900, 10)).Verdict, c.verdict)
+		})
+	}
+}
+
 // Guards against an agent that offers packets of unknown flows to its backend
 // server after the learning period.
 func TestLearningEnds(t *testing.T) {
