--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -69,7 +69,9 @@
 	started  time.Time
 	sequence uint64
 	state    view.State
-	down     bool // the backend server has crashed
+	down     bool             // the backend server has crashed
+	hangs    bool             // the backend server reads nothing but accepts connections
+	unread   map[flow.Key]int // packets that a backend server which hangs has not read
 }
 
 // newPath returns a path whose backend servers' sequence numbers differ by a
@@ -260,6 +262,8 @@
 	key := packet.CallerKey()
 	switch {
 	case a.down:
+	case a.hangs:
+		a.unread[key]++
 	case packet.Opening():
 		if a.state == view.Leaving {
 			p.t.Fatalf("an opening reached a leaving backend server")
@@ -502,3 +506,74 @@
 		p.passStep()
 	}
 }
+
+// Guards against a flow none of whose packets reach its backend server for 2 s while
+// they reach that of another agent, which has restarted and whose backend server hangs.
+func TestHangingBackendServerKeepsNoPacketsOfOthers(t *testing.T) {
+	for number := range 20 {
+		p := newPath(t, 2, 3, 1000)
+		packet := opening(number)
+		for _, a := range p.list[1:] {
+			a.gate.SetEvacuated(true) // the others refuse, whatever their rank
+		}
+		p.send(0, packet)
+		key := packet.CallerKey()
+		holder := p.holder(key)
+		data := flow.Packet{From: packet.From, To: packet.To, Flags: flow.Ack, Seq: 1, Ack: holder.firstSeq + 1, Length: pathDataLength}
+		p.send(0, data)
+		for _, a := range p.list {
+			if a != holder {
+				p.startAgent(a, true)
+				a.hangs, a.unread = true, map[flow.Key]int{}
+			}
+		}
+		delete(p.delivered, key)
+		// The router now selects another balancer. The caller retransmits.
+		began, next, interval := p.now, p.now, 200*time.Millisecond
+		for p.delivered[key] == nil && p.now.Sub(began) < 2*time.Second {
+			if !p.now.Before(next) {
+				next, interval = p.now.Add(interval), 2*interval
+				data.Seq = 1 + pathDataLength
+				p.send(1, data)
+			}
+			p.passStep()
+		}
+		if p.delivered[key] != holder {
+			unread := 0
+			for _, a := range p.list {
+				unread += a.unread[key]
+			}
+			t.Errorf("flow %d: no packet reached its backend server within 2 s, %d reached others", number, unread)
+		}
+	}
+}
+
+// Guards against a flow none of whose packets reach its backend server for 2 s: a late
+// agent took a copy of the opening and replaced the cached holder, has restarted since,
+// and its backend server hangs.
+func TestHangingBackendServerOfWrongHolder(t *testing.T) {
+	p := newPath(t, 1, 2, 1000)
+	packet := opening(1)
+	p.send(0, packet)
+	key := packet.CallerKey()
+	holder := p.holder(key)
+	for _, a := range p.list {
+		if a != holder {
+			p.startAgent(a, true)
+			a.hangs, a.unread = true, map[flow.Key]int{}
+			m := a.gate.Placed(p.now, key) // of the copy that it delivered before
+			p.balancers[0].Placed(p.now, &m)
+		}
+	}
+	began, next, interval := p.now, p.now, 200*time.Millisecond
+	for p.delivered[key] == nil && p.now.Sub(began) < 2*time.Second {
+		if !p.now.Before(next) {
+			next, interval = p.now.Add(interval), 2*interval
+			p.send(0, flow.Packet{From: packet.From, To: packet.To, Flags: flow.Ack, Seq: 1, Ack: holder.firstSeq + 1, Length: pathDataLength})
+		}
+		p.passStep()
+	}
+	if p.delivered[key] != holder {
+		t.Error("no packet reached the backend server of the flow within 2 s")
+	}
+}
