Bound the messages of a lookup

Only the agents of the first list, which usually contains the holder, are asked whether they know the flow, and a retry has at most 8 lists unless they would be longer than others.

--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -24,6 +24,9 @@
 	// maxListsPerRound is the maximum number of candidate lists that are sent at a
 	// time after the first list, which usually contains the holder.
 	maxListsPerRound = 16
+	// maxShortLists is the maximum number of candidate lists of a retry that are shorter
+	// than others. More lists would fill a narrow link of the balancer.
+	maxShortLists = 8
 	// maxWaitingPackets is the maximum number of further packets of a flow that
 	// wait for its lookup. A caller has no more than that in flight.
 	maxWaitingPackets = 16
@@ -40,9 +43,10 @@
 )
 
 // lookup is the search for the agent that holds a flow. The flow was open when
-// the packet was sent, so an agent that denied it needn't be asked again. Agents are
-// first asked whether they know the flow. Only when none of a round does, those that
-// may hold it without knowing it offer the packet to their backend servers.
+// the packet was sent, so an agent that denied it needn't be asked again. The agents of
+// the first list, which usually contains the holder, are first asked whether they know
+// the flow. Only when none does, those that may hold it without knowing it offer the
+// packet to their backend servers.
 type lookup struct {
 	order          []netip.AddrPort // agents to ask, in this order
 	next           int              // index in order of the first agent that was not asked
@@ -80,13 +84,11 @@
 		return noHolderAction(Drop, p)
 	}
 	s.lookups[key] = l
-	return s.askNextAgents(now, l, round{lists: 1, length: hop.MaxCandidates, knownOnly: true})[0]
-}
-
-// round says how agents are asked at the same time.
-type round struct {
-	lists, length int  // at most so many candidate lists, of at most so many agents
-	knownOnly     bool // agents don't offer the packet to their backend servers
+	list := l.order[:min(len(l.order), hop.MaxCandidates)]
+	l.next, l.lastSentAt = len(list), now
+	a := s.forward(list, 0, true, l.raw)
+	a.Message.KnownOnly = true
+	return a
 }
 
 // callsForAnswer reports whether the end that holds a packet's flow answers it. An
@@ -100,28 +102,22 @@
 	l.packet, l.raw, l.startedAt, l.retryAt, l.retries = p, slices.Clone(raw), now, now, 0
 }
 
-// askNextAgents sends the packet of a lookup to the agents that were not asked yet.
-func (s *Steerer) askNextAgents(now time.Time, l *lookup, r round) []Action {
+// askNextAgents sends the packet of a lookup to the agents that were not asked yet, in
+// up to the given number of candidate lists of the given length.
+func (s *Steerer) askNextAgents(now time.Time, l *lookup, lists, length int) []Action {
 	l.lastSentAt, l.retryAt = now, time.Time{}
 	var due []Action
-	for range r.lists {
+	for range lists {
 		if l.next == len(l.order) {
 			break
 		}
-		list := l.order[l.next:min(len(l.order), l.next+r.length)]
+		list := l.order[l.next:min(len(l.order), l.next+length)]
 		l.next += len(list)
-		due = append(due, s.ask(l, list, r.knownOnly))
+		due = append(due, s.forward(list, 0, true, l.raw))
 	}
 	return due
 }
 
-// ask sends the packet of a lookup to a list of agents.
-func (s *Steerer) ask(l *lookup, list []netip.AddrPort, knownOnly bool) Action {
-	a := s.forward(list, 0, true, l.raw)
-	a.Message.KnownOnly = knownOnly
-	return a
-}
-
 // recordDenial records the agents that don't hold a flow, and asks further ones
 // when all that were asked have denied it.
 func (s *Steerer) recordDenial(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) []Action {
@@ -136,15 +132,12 @@
 	switch {
 	case slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !l.answered(agent) }):
 		return nil
-	case len(l.unsure) > 0 && l.next <= hop.MaxCandidates:
-		// The first list usually contains the holder.
+	case len(l.unsure) > 0:
 		unsure := l.unsure
 		l.unsure, l.lastSentAt = nil, now
-		return []Action{s.ask(l, unsure, false)}
+		return []Action{s.forward(unsure, 0, true, l.raw)}
 	case l.next < len(l.order):
-		return s.askNextAgents(now, l, round{lists: maxListsPerRound, length: hop.MaxCandidates, knownOnly: true})
-	case len(l.unsure) > 0:
-		return s.askAgain(now, l, l.unsure)
+		return s.askNextAgents(now, l, maxListsPerRound, hop.MaxCandidates)
 	}
 	return []Action{s.resolveMissing(now, key, l)}
 }
@@ -234,7 +227,9 @@
 	return due
 }
 
-// retryLookup asks the agents that have not denied a flow.
+// retryLookup asks the agents that have not denied a flow, in lists as short as
+// possible: an agent that is down keeps those behind it in its list from being asked,
+// and the answers of those before it from being known.
 func (s *Steerer) retryLookup(now time.Time, key flow.Key, l *lookup) []Action {
 	undenied := slices.DeleteFunc(s.agents.rankForLookup(key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
 		return slices.Contains(l.deniedBy, agent)
@@ -243,16 +238,9 @@
 		return []Action{s.resolveMissing(now, key, l)}
 	}
 	l.retries++
-	return s.askAgain(now, l, undenied)
-}
-
-// askAgain asks agents that may hold the flow without knowing it, in lists as short as
-// possible: an agent that is down keeps those behind it in its list from being asked,
-// and the answers of those before it from being known.
-func (s *Steerer) askAgain(now time.Time, l *lookup, agents []netip.AddrPort) []Action {
-	l.order, l.next, l.unsure = agents, 0, nil
-	length := min((len(agents)+maxListsPerRound-1)/maxListsPerRound, hop.MaxCandidates)
-	return s.askNextAgents(now, l, round{lists: maxListsPerRound, length: length})
+	l.order, l.next, l.unsure = undenied, 0, nil
+	length := min((len(undenied)+maxShortLists-1)/maxShortLists, hop.MaxCandidates)
+	return s.askNextAgents(now, l, maxListsPerRound, length)
 }
 
 // isDue reports whether the lookup is due for a retry.
