Bound the rate of hellos to suspect nodes

A balancer asked each suspect node every 250 ms, whatever their number: with 80 nodes, which all become suspect when the balancer itself is overloaded, 320 hellos a second, six times the rate that balancers keep otherwise.

Hellos to suspect nodes together now keep the same rate as the others. With few suspects the interval is 250 ms as before, so that a lost datagram makes no agent dead; with many, flows aren't reset.

TestManySuspectAgentsGetHellosAtABoundedRate fails without the change.

--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -18,13 +18,15 @@
 	// idleFlowLoad is the load of an open flow without a request, in requests.
 	idleFlowLoad = 0.1
 	// helloRate is the maximum rate of hellos that a balancer sends to nodes that
-	// answer, in messages a second.
+	// answer, and that to suspect ones, in messages a second.
 	helloRate = 50
 	// minHelloInterval is the minimum time between two hellos to a node.
 	minHelloInterval = 250 * time.Millisecond
-	// suspectHelloInterval is the time between two hellos to a suspect node. An agent
-	// gets at least three before it counts as dead, since datagrams are lost at times.
-	suspectHelloInterval = minHelloInterval
+	// minSuspectHelloInterval is the minimum time between two hellos to a suspect node.
+	// An agent gets at least three before it counts as dead, since datagrams are lost
+	// at times. It gets fewer if many agents are suspect, because flows are not reset
+	// then and the balancer may be overloaded.
+	minSuspectHelloInterval = minHelloInterval
 	// suspectAfter is how long a node may leave a hello unanswered before it is
 	// suspect.
 	suspectAfter = 150 * time.Millisecond
@@ -252,45 +254,70 @@
 // dueHellos returns the nodes to which a hello is due, and marks as suspect those
 // that left one unanswered.
 func (as *agentSet) dueHellos(now time.Time) []netip.AddrPort {
+	as.advanceClock(now)
+	as.expireRefusals(now)
+	contacts := as.contacts()
+	suspects := 0
+	for _, c := range contacts {
+		c.markSuspect(now, as.clock)
+		if c.suspect {
+			suspects++
+		}
+	}
+	interval := max(minHelloInterval, time.Duration(len(contacts))*time.Second/helloRate)
+	suspectInterval := max(minSuspectHelloInterval, time.Duration(suspects)*time.Second/helloRate)
+	var due []netip.AddrPort
+	for _, c := range contacts {
+		if now.Before(c.nextHello) {
+			continue
+		}
+		due = append(due, c.member.Address)
+		c.nextHello = now.Add(interval)
+		if c.suspect {
+			c.nextHello = now.Add(suspectInterval)
+		}
+		if !c.unanswered {
+			c.unanswered, c.unansweredSince = true, as.clock
+		}
+	}
+	return due
+}
+
+// advanceClock adds the time since the last tick to the clock, at most maxTickGap.
+func (as *agentSet) advanceClock(now time.Time) {
 	if !as.lastTick.IsZero() {
 		as.clock += min(now.Sub(as.lastTick), maxTickGap)
 	}
 	as.lastTick = now
-	interval := max(minHelloInterval, time.Duration(len(as.all)+len(as.balancers))*time.Second/helloRate)
-	var due []netip.AddrPort
+}
+
+// expireRefusals ends the refusals of agents that have not repeated them.
+func (as *agentSet) expireRefusals(now time.Time) {
 	for _, a := range as.all {
 		if a.load.Refusing && now.Sub(a.heardAt) > refusalTTL {
 			a.load.Refusing = false
 		}
-		if a.helloDue(now, as.clock, interval) {
-			due = append(due, a.member.Address)
-		}
+	}
+}
+
+// contacts returns all nodes to which the balancer sends hellos.
+func (as *agentSet) contacts() []*contact {
+	list := make([]*contact, 0, len(as.all)+len(as.balancers))
+	for _, a := range as.all {
+		list = append(list, &a.contact)
 	}
 	for _, b := range as.balancers {
-		if b.helloDue(now, as.clock, interval) {
-			due = append(due, b.member.Address)
-		}
+		list = append(list, b)
 	}
-	return due
+	return list
 }
 
-// helloDue reports whether a hello is due, and marks the node as suspect if it
-// left one unanswered.
-func (c *contact) helloDue(now time.Time, clock, interval time.Duration) bool {
+// markSuspect marks the node as suspect if it left a hello unanswered. The next hello
+// is then due at once.
+func (c *contact) markSuspect(now time.Time, clock time.Duration) {
 	if c.unanswered && !c.suspect && clock-c.unansweredSince > suspectAfter {
 		c.suspect, c.nextHello = true, now
 	}
-	if now.Before(c.nextHello) {
-		return false
-	}
-	if !c.unanswered {
-		c.unanswered, c.unansweredSince = true, clock
-	}
-	if c.suspect {
-		interval = suspectHelloInterval
-	}
-	c.nextHello = now.Add(interval)
-	return true
 }
 
 // anyUndecided reports whether any agent is suspect but not dead yet.
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -625,3 +625,22 @@
 	is.Equal(len(forwardActions(sent)), 1)
 	is.Equal(string(forwardActions(sent)[0].Message.Packet), "2")
 }
+
+// Guards against a balancer with a narrow link or little processor time that stays
+// overloaded by its own hellos, because the answers of all nodes are late.
+func TestManySuspectAgentsGetHellosAtABoundedRate(t *testing.T) {
+	is := is.New(t)
+	const agents = 150
+	s := newSteerer(testView(agents))
+	hellos := 0
+	const seconds = 10
+	for at := start; at.Before(start.Add(seconds * time.Second)); at = at.Add(20 * time.Millisecond) {
+		for _, a := range s.Tick(at) {
+			if a.Message.Type == hop.Hello {
+				hellos++
+			}
+		}
+	}
+	// All nodes get one at the start and another as soon as they are suspect.
+	is.True(hellos <= 2*(agents+1)+seconds*helloRate*11/10)
+}
