--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -93,7 +93,7 @@
 	return revision, nil
 }
 
-// unchangedUntil returns the time up to which a watch without changes vouches for the
+// unchangedUntil returns the time up to which a watch without changes confirms the
 // view: the store sends its response no sooner than after the wait.
 func unchangedUntil(requestedAt, receivedAt time.Time, wait time.Duration) time.Time {
 	if until := requestedAt.Add(wait); !until.After(receivedAt) {
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -15,9 +15,9 @@
 // times at which its sections were known to be current. Subscribers are notified of
 // changes. It is safe for concurrent use.
 //
-// A confirmation vouches for the view that the board holds when it is recorded, so
-// that what it vouches for must be applied before. A reader that needs both takes
-// them in one call.
+// A confirmation says that the view that the board holds when it is recorded was
+// current at a time, so changes are applied before they are confirmed. A reader that
+// needs both takes them in one call.
 type Board struct {
 	view   blackboard.Entry[View]
 	source blackboard.Entry[string]
--- a/internal/control/view/view_test.go
+++ b/internal/control/view/view_test.go
@@ -119,8 +119,8 @@
 	is.Equal(b.ConfirmedAt(), now.Add(-time.Second))
 }
 
-// Guards against a reader that pairs a confirmation with a view or with deltas that
-// lack what the confirmation vouches for.
+// Guards against a reader that pairs a confirmation with an earlier view or with
+// earlier deltas.
 func TestConfirmationIsReadWithItsData(t *testing.T) {
 	is := is.New(t)
 	b := NewBoard()
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -182,9 +182,9 @@
 }
 
 // unknownFlow decides about a packet of a flow that this agent doesn't know. While
-// the agent learns, its backend server may hold the flow. The packet is offered to it
-// only if no agent knows the flow, because other backend servers must not get many
-// packets of a flow.
+// the agent learns, its backend server may hold the flow. The packet is not offered to
+// it while agents are asked whether they know the flow, because other backend servers
+// must not get many packets of a flow.
 func (g *Gate) unknownFlow(now time.Time, m *hop.Message, key flow.Key) Action {
 	if !now.Before(g.backend.learnUntil) || g.backend.isDown() {
 		return g.passOn(m, key, errkind.PacketNoHolder)
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -18,8 +18,8 @@
 	lostRetention = 10 * time.Second
 	// maxFirstAckDistance is the maximum distance from the sequence number of an
 	// answer to an opening to the acknowledgement with which the caller continues.
-	// The backend server sends no data before that. Each of 3,316 flows of a trial
-	// had a distance of 1; the protocol doesn't state whether an opening counts.
+	// The backend server sends no data before that. The protocol doesn't state whether
+	// an opening counts as one.
 	maxFirstAckDistance = 1
 	// idleMargin is added to the configured idle timeout before an open flow is
 	// removed.
--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"net/netip"
 	"slices"
 	"time"
@@ -256,18 +257,17 @@
 func (as *agentSet) dueHellos(now time.Time) []netip.AddrPort {
 	as.advanceClock(now)
 	as.expireRefusals(now)
-	contacts := as.contacts()
 	suspects := 0
-	for _, c := range contacts {
+	for c := range as.contacts() {
 		c.markSuspect(now, as.clock)
 		if c.suspect {
 			suspects++
 		}
 	}
-	interval := max(minHelloInterval, time.Duration(len(contacts))*time.Second/helloRate)
+	interval := max(minHelloInterval, time.Duration(len(as.all)+len(as.balancers))*time.Second/helloRate)
 	suspectInterval := max(minSuspectHelloInterval, time.Duration(suspects)*time.Second/helloRate)
 	var due []netip.AddrPort
-	for _, c := range contacts {
+	for c := range as.contacts() {
 		if now.Before(c.nextHello) {
 			continue
 		}
@@ -301,15 +301,19 @@
 }
 
 // contacts returns all nodes to which the balancer sends hellos.
-func (as *agentSet) contacts() []*contact {
-	list := make([]*contact, 0, len(as.all)+len(as.balancers))
-	for _, a := range as.all {
-		list = append(list, &a.contact)
-	}
-	for _, b := range as.balancers {
-		list = append(list, b)
+func (as *agentSet) contacts() iter.Seq[*contact] {
+	return func(yield func(*contact) bool) {
+		for _, a := range as.all {
+			if !yield(&a.contact) {
+				return
+			}
+		}
+		for _, b := range as.balancers {
+			if !yield(b) {
+				return
+			}
+		}
 	}
-	return list
 }
 
 // markSuspect marks the node as suspect if it left a hello unanswered. The next hello
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -88,8 +88,7 @@
 }
 
 // Guards against a new agent that holds flows while it is missing from a
-// balancer's view that still counts as fresh. frontend-shawi-8 reset such a flow
-// (gelatines-tr-grown, scale-1 with seed 131941182070).
+// balancer's view that still counts as fresh: the balancer resets them.
 func TestNewAgentDelayExceedsMaxViewAge(t *testing.T) {
 	if flowgate.NewAgentDelay <= maxViewAge {
 		t.Fatalf("new agents accept flows after %v, but views count as fresh for %v", flowgate.NewAgentDelay, maxViewAge)
