Offer no acknowledgements to backend servers

While the agent of a flow restarts, a lookup of the caller's acknowledgement was retried, and with each retry agents that learn offered it to their backend servers.

An acknowledgement is now looked up among agents that know its flow only, and dropped if some are unsure: a lost one is made good by a retransmission.

TestAcknowledgementIsNotOffered fails without the change.

--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -46,7 +46,8 @@
 // the packet was sent, so an agent that denied it needn't be asked again. The agents of
 // the first list, which usually contains the holder, are first asked whether they know
 // the flow. Only when none does, those that may hold it without knowing it offer the
-// packet to their backend servers.
+// packet to their backend servers. An acknowledgement is never offered: its loss is
+// made good by a retransmission, and nothing shows which backend server took it.
 type lookup struct {
 	order          []netip.AddrPort // agents to ask, in this order
 	next           int              // index in order of the first agent that was not asked
@@ -113,7 +114,9 @@
 		}
 		list := l.order[l.next:min(len(l.order), l.next+length)]
 		l.next += len(list)
-		due = append(due, s.forward(list, 0, true, l.raw))
+		a := s.forward(list, 0, true, l.raw)
+		a.Message.KnownOnly = !callsForAnswer(l.packet)
+		due = append(due, a)
 	}
 	return due
 }
@@ -132,12 +135,15 @@
 	switch {
 	case slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !l.answered(agent) }):
 		return nil
-	case len(l.unsure) > 0:
+	case len(l.unsure) > 0 && callsForAnswer(l.packet):
 		unsure := l.unsure
 		l.unsure, l.lastSentAt = nil, now
 		return []Action{s.forward(unsure, 0, true, l.raw)}
 	case l.next < len(l.order):
 		return s.askNextAgents(now, l, maxListsPerRound, hop.MaxCandidates)
+	case len(l.unsure) > 0:
+		delete(s.lookups, key)
+		return []Action{noHolderAction(Drop, p)}
 	}
 	return []Action{s.resolveMissing(now, key, l)}
 }
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -168,6 +168,7 @@
 	is := is.New(t)
 	s := newSteerer(testView(20))
 	p := callerPacket(1, flow.Ack)
+	p.Length = 10
 	first := s.FromCaller(start, p, []byte("data"))
 	is.True(first.Message.KnownOnly)
 	answer := first.Message
@@ -186,6 +187,28 @@
 	is.Equal(s.Declined(start, p, &rest[1].Message)[0].Verdict, Reset)
 }
 
+// Guards against acknowledgements that reach the backend servers of other agents while
+// the agent of their flow restarts: callers don't retransmit them, so that the flow's
+// own backend server gets nothing until the next request.
+func TestAcknowledgementIsNotOffered(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(20))
+	p := callerPacket(1, flow.Ack)
+	due := []Action{s.FromCaller(start, p, []byte("ack"))}
+	due = append(due, forwardActions(s.Tick(start.Add(lookupAnswerTimeout)))...)
+	var last []Action
+	for _, a := range due[1:] {
+		is.True(a.Message.KnownOnly)
+		answer := a.Message
+		answer.Unsure = 1
+		last = s.Declined(start, p, &answer)
+	}
+	is.True(due[0].Message.KnownOnly)
+	is.Equal(len(last), 1)
+	is.Equal(last[0].Verdict, Drop) // an agent is unsure, so the flow isn't reset
+	is.Equal(len(s.lookups), 0)
+}
+
 // Guards against packets that reach the backend servers of other agents again with
 // each retry of a lookup: an agent whose denial was lost behind one that is down must
 // not be asked more than once again.
