--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -84,7 +84,7 @@
 func (a *Announcer) Stored(name string) (since time.Time, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.observeView(name)
+	a.observeView(a.board.View().Members, name)
 	return a.storedSince, a.stored
 }
 
@@ -182,8 +182,8 @@
 	if !a.hasDesired {
 		return false
 	}
-	a.observeView(a.desired.Name)
 	members := a.board.View().Members
+	a.observeView(members, a.desired.Name)
 	m, ok := members.ByName[a.desired.Name]
 	stays := m.Revision == a.knownRevision && m.Revision != a.unansweredRemoval
 	if !a.synced && ok && stays && !a.withdrawn && announcesSame(m, a.desired) {
@@ -192,10 +192,9 @@
 	return !a.synced && (a.knownRevision > 0 || members.Revision > 0)
 }
 
-// observeView takes over newer revisions of the member from the view, and notices
-// that a member in the store was removed. The caller holds the lock.
-func (a *Announcer) observeView(name string) {
-	members := a.board.View().Members
+// observeView takes over newer revisions of the member from the members of the view,
+// and notices that a member in the store was removed. The caller holds the lock.
+func (a *Announcer) observeView(members view.Members, name string) {
 	m, ok := members.ByName[name]
 	switch {
 	case ok && m.Revision > a.removedRevision:
