Log offered packets and requests that stay without an answer

The logs showed neither why no slot became free nor who offered what. An agent now logs each packet of an unknown flow that it offers, with the balancer whose lookup it belongs to (1516), and each delivered request that no longer counts as in progress although it has no answer (1517). Decisions are unchanged.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -62,6 +62,8 @@
 	RequestReceived          ID = 1513
 	NewFlowAcceptanceChanged ID = 1514
 	PacketKept               ID = 1515
+	PacketOffered            ID = 1516
+	RequestUnanswered        ID = 1517
 )
 
 // Events of the balancer.
@@ -151,6 +153,8 @@
 	{PacketRefused, log.WarnLevel, true, "packet refused", "See ERRORS.md for the kind."},
 	{RequestReceived, log.InfoLevel, false, "request received", "None."},
 	{NewFlowAcceptanceChanged, log.InfoLevel, false, "agent's acceptance of new flows changed", "See ERRORS.md for the reason."},
+	{PacketOffered, log.InfoLevel, false, "packet of an unknown flow offered to the backend server", "None, unless it lasts: look for the agent of the flow."},
+	{RequestUnanswered, log.WarnLevel, false, "delivered request has no answer and no longer counts as in progress", "Check whether the backend server hangs."},
 }
 
 var byID = indexByID(catalogue)
--- a/internal/base/metrics/flows.go
+++ b/internal/base/metrics/flows.go
@@ -26,6 +26,7 @@
 // give the units.
 type FlowAgent struct {
 	Openings, Bounced, Resets  Counter
+	Offered                    Counter
 	PassedOn                   *KindCounter // request and packet kinds
 	Drops                      *KindCounter // packet kinds
 	Flows, InProgress, Waiting Gauge
@@ -38,6 +39,7 @@
 	return &FlowAgent{
 		Openings:   r.registerCounter(FlowAgentOpenings),
 		Bounced:    r.registerCounter(FlowAgentBounced),
+		Offered:    r.registerCounter(FlowAgentOffered),
 		Resets:     r.registerCounter(FlowAgentResets),
 		PassedOn:   r.registerKindCounter(FlowAgentPassedOn, firstRequestKind, lastPacketKind),
 		Drops:      r.registerKindCounter(FlowAgentDrops, firstPacketKind, lastPacketKind),
--- a/internal/base/metrics/names.go
+++ b/internal/base/metrics/names.go
@@ -51,6 +51,7 @@
 	FlowAgentOpenings   Name = "flow_agent.openings"      // new flows delivered to the backend server
 	FlowAgentPassedOn   Name = "flow_agent.passed_on"     // packets passed on or returned, by error kind
 	FlowAgentBounced    Name = "flow_agent.bounced"       // packets that the backend server handed back
+	FlowAgentOffered    Name = "flow_agent.offered"       // packets of unknown flows that the backend server was offered
 	FlowAgentResets     Name = "flow_agent.resets"        // flows reset
 	FlowAgentDrops      Name = "flow_agent.drops"         // packets dropped, by error kind
 	FlowAgentFlows      Name = "flow_agent.flows"         // open flows
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -56,7 +56,8 @@
 	NotifyBalancer netip.AddrPort // balancer to notify that this agent holds or lost the flow, if valid
 	Key            flow.Key
 	Progress       FlowProgress
-	Lost           LostEntry // Reset: the entry of the flow
+	Lost           LostEntry      // Reset: the entry of the flow
+	LookupFrom     netip.AddrPort // Deliver: the balancer that looks for the holder, if the flow is unknown and the packet is offered
 }
 
 // LostEntry is what the agent knew of a flow that its backend server turned out
@@ -194,7 +195,7 @@
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
 	g.backend.noteOffer(now)
-	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, slices.Clone(m.Packet)), Key: key}
+	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, slices.Clone(m.Packet)), Key: key, LookupFrom: m.Balancer}
 }
 
 // ConnAttemptDue reports whether a connection attempt is to show whether the backend
@@ -415,10 +416,11 @@
 }
 
 // Tick removes expired flows and offers, and records overdue requests, at most
-// once a second.
-func (g *Gate) Tick(now time.Time) {
+// once a second. It returns the flows whose delivered request no longer counts as in
+// progress although it has no answer.
+func (g *Gate) Tick(now time.Time) []flow.Key {
 	if now.Sub(g.sweptAt) < time.Second {
-		return
+		return nil
 	}
 	g.sweptAt = now
 	g.recordOverdue(now)
@@ -427,7 +429,7 @@
 			delete(g.offers, mark)
 		}
 	}
-	g.flows.sweep(now, g.backend.idleTimeout)
+	return g.flows.sweep(now, g.backend.idleTimeout)
 }
 
 // Load returns the load that the agent reports to balancers.
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -233,16 +233,20 @@
 }
 
 // sweep removes flows whose retention has expired, and stops counting requests
-// that have waited for an answer for longer than defaultTimeout.
-func (t *table) sweep(now time.Time, idle time.Duration) {
+// that have waited for an answer for longer than defaultTimeout. It returns the flows
+// of those requests.
+func (t *table) sweep(now time.Time, idle time.Duration) []flow.Key {
+	var unanswered []flow.Key
 	for key, f := range t.entries {
 		if f.awaitsAnswer && now.Sub(f.requestDeliveredAt) > defaultTimeout {
 			t.endRequest(f)
+			unanswered = append(unanswered, key)
 		}
 		if now.Sub(f.lastPacketAt) > f.retention(idle) {
 			t.remove(key)
 		}
 	}
+	return unanswered
 }
 
 // retention returns how long a flow is kept after its last packet.
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -221,7 +221,9 @@
 			a.checkBackend()
 			a.mu.Lock()
 			now := time.Now()
-			a.gate.Tick(now)
+			for _, key := range a.gate.Tick(now) {
+				a.logger.Emit(event.RequestUnanswered, flowFields(key))
+			}
 			a.deliverQueued(now)
 			a.updateRefusal(now)
 			for _, action := range a.gate.PassOnUnanswered(now) {
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -133,6 +133,11 @@
 	case action.Verdict == flowgate.Deliver && p.Opening():
 		a.metrics.Openings.Inc(1)
 		a.logger.Emit(event.FlowPlaced, flowFields(action.Key))
+	case action.LookupFrom.IsValid():
+		a.metrics.Offered.Inc(1)
+		fields := flowFields(action.Key)
+		fields["balancer"] = action.LookupFrom.String()
+		a.logger.Emit(event.PacketOffered, fields)
 	case action.Verdict == flowgate.PassOn:
 		a.metrics.PassedOn.Inc(action.Kind)
 		fields := flowFields(action.Key)
