--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -72,6 +72,7 @@
 	down     bool             // the backend server has crashed
 	hangs    bool             // the backend server reads nothing but accepts connections
 	unread   map[flow.Key]int // packets that a backend server which hangs has not read
+	returned map[flow.Key]int // packets that the backend server returned
 }
 
 // newPath returns a path whose backend servers' sequence numbers differ by a
@@ -92,7 +93,7 @@
 		a := &pathAgent{
 			address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172),
 			openings: map[flow.Key]time.Time{}, holds: map[flow.Key]bool{},
-			firstSeq: 5000 + uint32(i)*seqDistance, started: pathStart, state: view.Ready,
+			firstSeq: 5000 + uint32(i)*seqDistance, started: pathStart, state: view.Ready, returned: map[flow.Key]int{},
 		}
 		p.agents[a.address] = a
 		p.list = append(p.list, a)
@@ -167,6 +168,9 @@
 	for _, a := range p.list {
 		p.answerOpenings(a, func(last time.Time) bool { return !last.IsZero() && p.now.Sub(last) >= maxAnswerInterval })
 		a.gate.Tick(p.now)
+		for _, d := range a.gate.Release(p.now) {
+			p.toBackend(a, d.Raw, 0)
+		}
 		if a.gate.ConnAttemptDue(p.now) {
 			a.gate.RecordConnAttempt(p.now, a.down)
 		}
@@ -224,6 +228,8 @@
 	case flowgate.Deliver:
 		p.notify(a, action)
 		p.toBackend(a, raw, action.Mark)
+	case flowgate.Hold:
+		p.notify(a, action)
 	case flowgate.PassOn:
 		action.Message.Packet = raw
 		if action.Message.Type != hop.Declined {
@@ -282,6 +288,7 @@
 			p.notify(a, a.gate.FromBackend(p.now, flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: a.firstSeq + 1, Length: pathDataLength}))
 		}
 	default:
+		a.returned[key]++
 		packet.Flags |= flow.Bounced
 		packet.Mark = mark
 		p.fromAgent(a, raw, a.gate.FromBackend(p.now, packet))
