Add failing tests: a retransmission takes a slot after its answer

An agent that has restarted keeps nothing of an offered request. The caller retransmits it after 200 ms, the balancer keeps that copy for the lookup, and the notification that goes out with the answer releases it. The copy then counts as a new request: it takes a slot until 5 s have passed or the flow's next answer begins, and counts as a failure after 1 s. With slots + 1 such flows the next request waits beside an idle server.

--- a/internal/flowpath/flowsteer/pathrestart_test.go
+++ b/internal/flowpath/flowsteer/pathrestart_test.go
@@ -144,3 +144,29 @@
 		})
 	}
 }
+
+// Guards against an answered request that counts as in progress: its retransmission waits
+// at the balancer while the request is offered, and the notification of the holder, sent
+// with the answer, releases it.
+func TestAnswerEndsOfferedRequest(t *testing.T) {
+	p := newPath(t, 1, 3, 1000)
+	packet := opening(1)
+	p.send(0, packet)
+	holder := p.holder(packet.CallerKey())
+	data := flow.Packet{From: packet.From, To: packet.To, Flags: flow.Ack, Seq: 1, Ack: holder.firstSeq + 1, Length: pathDataLength}
+	p.send(0, data)
+	p.startAgent(holder, true)
+	p.balancers[0] = p.newBalancer(0)
+	holder.hangs, holder.unread = true, map[flow.Key]int{} // it processes the request
+	data.Seq, data.Ack = data.Seq+pathDataLength, data.Ack+pathDataLength
+	p.send(0, data)
+	p.passStep()
+	p.passStep()
+	p.send(0, data)
+	p.passStep()
+	answer := flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: data.Ack, Length: pathDataLength}
+	p.notify(holder, holder.gate.FromBackend(p.now, answer))
+	if n := holder.gate.InProgress(); n != 0 {
+		t.Errorf("%d requests in progress after the answer", n)
+	}
+}
