--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -18,7 +18,9 @@
 	if a := g.FromPeer(now, m, dataPacket(port, orders, 910, 10)); a.Mark == 0 {
 		t.Fatal("the request was not offered")
 	}
-	if a := g.FromBackend(now.Add(250*time.Millisecond), backendPacket(port, orders, flow.Ack, 100)); a.NotifyBalancer != balancer {
+	answer := backendPacket(port, orders, flow.Ack, 100)
+	answer.Ack = 920
+	if a := g.FromBackend(now.Add(250*time.Millisecond), answer); a.NotifyBalancer != balancer {
 		t.Fatal("the balancer was not notified")
 	}
 }
--- a/internal/flowpath/flowgate/queue_test.go
+++ b/internal/flowpath/flowgate/queue_test.go
@@ -102,6 +102,21 @@
 	return next
 }
 
+// Guards against slots that stay taken after a restart of the agent: a request that
+// the backend server has acknowledged must not count as a new one when the caller
+// repeats it, because its answer may have passed before.
+func TestAcknowledgedRequestTakesNoSlot(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	answer := backendPacket(1, feeds, flow.Ack, 100)
+	answer.Ack = 111
+	g.FromBackend(start, answer)
+	is.Equal(g.FromPeer(start, forward(self), dataPacket(1, feeds, 101, 10)).Verdict, Deliver)
+	is.Equal(g.InProgress(), 0)
+	is.Equal(g.FromPeer(start, forward(self), dataPacket(1, feeds, 111, 10)).Verdict, Deliver)
+	is.Equal(g.InProgress(), 1)
+}
+
 // Guards against a backlog that makes every later request late. The backlog arrives
 // at once when hosts are back after an outage, followed by the usual rate, which is
 // below the capacity of the slots.
--- a/internal/flowpath/flowsteer/pathrestart_test.go
+++ b/internal/flowpath/flowsteer/pathrestart_test.go
@@ -72,7 +72,7 @@
 		packet := opening(1000 + number)
 		first := flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: 1}
 		if answered {
-			first.Length = pathDataLength
+			first.Length, first.Ack = pathDataLength, 1+pathDataLength
 		}
 		r.holder.gate.FromBackend(r.now, first)
 		m := hop.Message{Type: hop.Forward, Service: flowsteer.ServiceID(service), Balancer: balancerAddress(0), Candidates: []netip.AddrPort{r.holder.address}}
@@ -164,7 +164,7 @@
 	p.passStep()
 	p.send(0, data)
 	p.passStep()
-	answer := flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: data.Ack, Length: pathDataLength}
+	answer := flow.Packet{From: packet.To, To: packet.From, Flags: flow.Ack, Seq: data.Ack, Ack: data.Seq + pathDataLength, Length: pathDataLength}
 	p.notify(holder, holder.gate.FromBackend(p.now, answer))
 	if n := holder.gate.InProgress(); n != 0 {
 		t.Errorf("%d requests in progress after the answer", n)
