Count a request as new only if the backend server has not acknowledged it

After an agent's restart callers waited for seconds beside an idle backend server. The agent knew nothing of a flow but the first packet that passed. If that was the answer to a request, a copy of the request that had waited at a balancer or was retransmitted counted as a new one. Its answer never started, so it took a slot until the flow's next answer or for 5 s, and counted as a failure after 1 s.

The backend server's acknowledgement shows which data it has. Data up to it is no new request.

--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -55,6 +55,8 @@
 	callerEndSeq           uint32         // sequence number after the last data of the caller
 	callerAck              uint32         // the caller's last acknowledgement number
 	callerSentData         bool           // callerEndSeq is valid
+	backendAck             uint32         // the backend server's highest acknowledgement number
+	backendAcked           bool           // backendAck is valid
 	backendEndSeq          uint32         // sequence number after the last data of the backend server
 	backendSentData        bool           // backendEndSeq is valid
 	awaitsAnswer           bool           // the answer to a delivered request has not started
@@ -162,10 +164,13 @@
 }
 
 // isNewRequestData reports whether p carries data that the caller didn't send
-// before.
+// before, as far as the agent has seen. Data that the backend server has acknowledged
+// may have been sent before this process started.
 func (t *table) isNewRequestData(f *entry, p flow.Packet) bool {
 	end := p.Seq + uint32(p.Length)
-	return p.Length > 0 && (!f.callerSentData || int32(end-f.callerEndSeq) > 0)
+	sent := f.callerSentData && int32(end-f.callerEndSeq) <= 0
+	acknowledged := f.backendAcked && int32(end-f.backendAck) <= 0
+	return p.Length > 0 && !sent && !acknowledged
 }
 
 // requestedAt returns the time from which the caller has waited for the answer to
@@ -210,6 +215,9 @@
 		t.end(f, stateEnded)
 		return
 	}
+	if p.Has(flow.Ack) && (!f.backendAcked || int32(p.Ack-f.backendAck) > 0) {
+		f.backendAck, f.backendAcked = p.Ack, true
+	}
 	if f.isNewAnswerData(p) {
 		f.backendEndSeq, f.backendSentData = p.Seq+uint32(p.Length), true
 		t.endRequest(f)
