Let a request leave the queue while other backend servers are offered its packets

A lookup that offers packets says so (not KnownOnly). The agent that knows the flow now delivers the request at once, and the backend server queues or refuses it itself.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -172,6 +172,7 @@
 	}
 	if g.holdForSlot(now, f, key, p, m.Packet) {
 		a.Verdict = Hold
+		f.queued.offered = f.queued.offered || isOffered(m)
 	} else {
 		g.flows.recordCallerPacket(now, f, p)
 	}
@@ -182,6 +183,10 @@
 	return a
 }
 
+// isOffered reports whether a packet belongs to a lookup in which agents that don't know
+// its flow offer it to their backend servers.
+func isOffered(m *hop.Message) bool { return m.ReportHolder && !m.KnownOnly }
+
 // unknownFlow decides about a packet of a flow that this agent doesn't know. While
 // the agent learns, its backend server may hold the flow. The packet is not offered to
 // it while agents are asked whether they know the flow, because other backend servers
--- a/internal/flowpath/flowgate/queue.go
+++ b/internal/flowpath/flowgate/queue.go
@@ -36,6 +36,7 @@
 	urgentFrom  time.Time // time from which the request goes before all others
 	deadline    time.Time // the caller gives up at this time
 	priority    int
+	offered     bool // balancers offer packets of the flow to other backend servers
 }
 
 // queue holds requests while all slots are taken. Requests that can still meet
@@ -43,7 +44,9 @@
 // with the oldest first, each request of an overload would just miss its
 // objective. So a backlog after an outage doesn't make every later request late
 // as well. A request that has waited for urgentTimeoutShare of its timeout goes
-// before all others, so that none is held until its caller has given up.
+// before all others, so that none is held until its caller has given up. A request
+// whose packets are offered to other backend servers doesn't wait: its own must not be
+// the only one that gets none.
 type queue struct {
 	requests []*queuedRequest
 }
@@ -83,14 +86,17 @@
 
 // The classes of queued requests, in the order in which they leave the queue.
 const (
-	classUrgent = iota // has waited for urgentTimeoutShare of its timeout
-	classInTime        // can still meet its latency objective
-	classLate          // has missed its latency objective
+	classOffered = iota // doesn't wait for a slot
+	classUrgent         // has waited for urgentTimeoutShare of its timeout
+	classInTime         // can still meet its latency objective
+	classLate           // has missed its latency objective
 )
 
 // class returns the class of a request at the given time.
 func (w *queuedRequest) class(now time.Time) int {
 	switch {
+	case w.offered:
+		return classOffered
 	case !now.Before(w.urgentFrom):
 		return classUrgent
 	case !now.After(w.inTimeUntil):
@@ -99,6 +105,11 @@
 	return classLate
 }
 
+// hasOffered reports whether a request doesn't wait for a slot.
+func (q *queue) hasOffered() bool {
+	return slices.ContainsFunc(q.requests, func(w *queuedRequest) bool { return w.offered })
+}
+
 // remove drops the queued request of a flow.
 func (q *queue) remove(f *entry) {
 	for i, w := range q.requests {
@@ -176,7 +187,7 @@
 	}
 	g.queue.expire(now)
 	var out []Delivery
-	for !g.allSlotsTaken() || len(g.queue.requests) > maxQueuedPerSlot*g.slots() {
+	for g.mayRelease() {
 		w := g.queue.next(now)
 		if w == nil {
 			break
@@ -190,5 +201,10 @@
 	return out
 }
 
+// mayRelease reports whether a request may leave the queue.
+func (g *Gate) mayRelease() bool {
+	return !g.allSlotsTaken() || len(g.queue.requests) > maxQueuedPerSlot*g.slots() || g.queue.hasOffered()
+}
+
 // QueuedRequests returns the number of requests that wait for a slot.
 func (g *Gate) QueuedRequests() int { return len(g.queue.requests) }
