Ask an agent that is back from its restart in the usual order

A member says that its agent restarts until the next process has had a report of its backend server and the store and the balancers have its write; in an outage of the store that lasts as long.

An agent's load now says whether its process stops. A load without that, after the member came into view as restarting, is of the next process. The time after which the agent counts as dead still depends on the member alone.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -257,6 +257,12 @@
 // RefuseNewFlows makes the gate accept no new flows from now on.
 func (g *Gate) RefuseNewFlows() { g.backend.report.State = view.Leaving }
 
+// PrepareStop makes the gate accept no new flows and report that the process ends.
+func (g *Gate) PrepareStop() {
+	g.RefuseNewFlows()
+	g.stopping = true
+}
+
 // Leaving reports whether the backend server is known to be leaving.
 func (g *Gate) Leaving() bool { return g.backend.stateKnown && g.backend.report.State == view.Leaving }
 
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -100,6 +100,7 @@
 	routes   map[netip.AddrPort]view.Route
 	offers   map[uint32]offer
 	lastMark uint32
+	stopping bool
 	sweptAt  time.Time
 }
 
@@ -444,6 +445,7 @@
 		InProgress: uint16(min(g.outstanding(), 1<<16-1)),
 		Slots:      uint16(min(g.backend.report.Slots, 1<<16-1)),
 		Refusing:   g.Refusal(now) != 0,
+		Stopping:   g.stopping,
 	}
 }
 
--- a/internal/flowpath/flowgate/load_test.go
+++ b/internal/flowpath/flowgate/load_test.go
@@ -101,3 +101,12 @@
 	g.FromPeer(start, forward(self), dataPacket(1, orders, 101, 100))
 	is.Equal(g.Load(start).InProgress, uint16(3)) // two flows, and the request of the third
 }
+
+// Guards against balancers that take a process which stops for the one that follows it.
+func TestLoadSaysThatTheProcessStops(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	is.True(!g.Load(start).Stopping)
+	g.PrepareStop()
+	is.True(g.Load(start).Stopping)
+}
--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -65,6 +65,7 @@
 type agent struct {
 	contact
 	evacuated        bool // its failure domain is evacuated
+	restarted        bool // its next process has answered since its member says that it restarts
 	load             hop.Load
 	heardAt          time.Time
 	placedSinceHeard int // flows sent to the agent since its load was received
@@ -107,6 +108,7 @@
 			a = &agent{}
 		}
 		a.member, a.evacuated = m, v.Evacuations.Domains[m.Domain]
+		a.restarted = a.restarted && m.Restarting
 		next[m.Address] = a
 		as.all = append(as.all, a)
 	}
@@ -121,8 +123,9 @@
 func (a *agent) acceptsNewFlows() bool { return !a.evacuated && a.member.State == view.Ready }
 
 // maybeAway reports whether the agent may leave messages unanswered: it has done so
-// lately, or its process restarts.
-func (a *agent) maybeAway() bool { return a.suspect || a.member.Restarting }
+// lately, or its process restarts. Its member still says so after the restart, until the
+// agent writes it again.
+func (a *agent) maybeAway() bool { return a.suspect || (a.member.Restarting && !a.restarted) }
 
 // score returns the load of the agent in requests per slot.
 func (a *agent) score() float64 {
@@ -241,6 +244,7 @@
 		return
 	}
 	a.load, a.heardAt, a.placedSinceHeard = load, now, 0
+	a.restarted = a.member.Restarting && !load.Stopping
 	a.unanswered, a.suspect = false, false
 }
 
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -50,6 +50,7 @@
 	InProgress uint16 // requests whose answer has not started
 	Slots      uint16 // maximum number of requests that the backend server processes concurrently
 	Refusing   bool   // currently accepts no new flows, or only a few
+	Stopping   bool   // the process ends soon
 }
 
 // Message is one datagram between a balancer and an agent, or between two
@@ -173,10 +174,14 @@
 	b = binary.BigEndian.AppendUint16(b, l.Flows)
 	b = binary.BigEndian.AppendUint16(b, l.InProgress)
 	b = binary.BigEndian.AppendUint16(b, l.Slots)
-	if l.Refusing {
-		return append(b, 1, 0)
+	return append(b, flagByte(l.Refusing), flagByte(l.Stopping))
+}
+
+func flagByte(set bool) byte {
+	if set {
+		return 1
 	}
-	return append(b, 0, 0)
+	return 0
 }
 
 func decodeLoad(b []byte) Load {
@@ -185,5 +190,6 @@
 		InProgress: binary.BigEndian.Uint16(b[2:]),
 		Slots:      binary.BigEndian.Uint16(b[4:]),
 		Refusing:   b[6] == 1,
+		Stopping:   b[7] == 1,
 	}
 }
--- a/internal/flowpath/hop/hop_test.go
+++ b/internal/flowpath/hop/hop_test.go
@@ -21,7 +21,7 @@
 
 func drawMessage(t *rapid.T) Message {
 	m := Message{Type: Type(rapid.IntRange(int(Forward), int(HelloAck)).Draw(t, "type")), Balancer: drawAddress(t, "balancer")}
-	load := Load{Flows: rapid.Uint16().Draw(t, "flows"), InProgress: rapid.Uint16().Draw(t, "requests"), Slots: 9, Refusing: rapid.Bool().Draw(t, "refusing")}
+	load := Load{Flows: rapid.Uint16().Draw(t, "flows"), InProgress: rapid.Uint16().Draw(t, "requests"), Slots: 9, Refusing: rapid.Bool().Draw(t, "refusing"), Stopping: rapid.Bool().Draw(t, "stopping")}
 	switch m.Type {
 	case Forward, Declined:
 		for range rapid.IntRange(1, MaxCandidates).Draw(t, "candidates") {
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -128,7 +128,7 @@
 		a.withdrawMember()
 	}
 	a.mu.Lock()
-	a.gate.RefuseNewFlows()
+	a.gate.PrepareStop()
 	a.mu.Unlock()
 	if !ended {
 		a.announceRestart()
