Leave no agent out of lookups while many are silent

While more than a quarter of the agents were silent, the balancer took the fault for its own: it reset no flow and went on using cached holders.

The condition now stands once, in isDead, in place of isLost and allDecided.

--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -167,13 +167,15 @@
 
 // isDead reports whether an agent counts as dead: it has left hellos unanswered
 // for long while another host of its failure domain answers. A failure domain in
-// which no host answers may be cut off from this balancer only.
+// which no host answers may be cut off from this balancer only. While many agents are
+// suspect, silence proves nothing about any of them.
 func (as *agentSet) isDead(a *agent) bool {
 	timeout := deadAfter
 	if a.member.Restarting {
 		timeout = restartTimeout
 	}
-	return a.suspect && as.clock-a.unansweredSince > timeout && as.domainAnswers(a.member.Domain)
+	silent := a.suspect && as.clock-a.unansweredSince > timeout
+	return silent && as.domainAnswers(a.member.Domain) && !as.manySuspect()
 }
 
 // domainAnswers reports whether any host of a failure domain answers hellos.
@@ -328,17 +330,13 @@
 	}
 }
 
-// anyUndecided reports whether any agent is suspect but not dead yet.
-func (as *agentSet) anyUndecided() bool {
-	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect && !as.isDead(a) })
+// allDecided reports whether each agent either answers or is dead.
+func (as *agentSet) allDecided() bool {
+	return !slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect && !as.isDead(a) })
 }
 
-// allDecided reports whether each agent either answers or is dead. It is false if
-// many agents are suspect: then the fault is probably the balancer's own, such as a
-// full link, and silence proves nothing about the agents.
-func (as *agentSet) allDecided() bool { return !as.anyUndecided() && !as.manySuspect() }
-
-// manySuspect reports whether more than maxSuspectShare of the agents are suspect.
+// manySuspect reports whether more than maxSuspectShare of the agents are suspect. Then
+// the fault is probably the balancer's own, such as a full link.
 func (as *agentSet) manySuspect() bool {
 	return float64(as.suspectCount()) > maxSuspectShare*float64(len(as.all))
 }
@@ -366,11 +364,10 @@
 }
 
 // isLost reports whether the agent at an address is dead or is no longer in the
-// view. While many agents are suspect, a dead one is not counted
-// as lost.
+// view.
 func (as *agentSet) isLost(address netip.AddrPort) bool {
 	a := as.byAddress[address]
-	return a == nil || (as.isDead(a) && !as.manySuspect())
+	return a == nil || as.isDead(a)
 }
 
 // allListed reports whether list contains every agent that isn't dead.
--- a/internal/flowpath/flowsteer/restart_test.go
+++ b/internal/flowpath/flowsteer/restart_test.go
@@ -1,7 +1,9 @@
 package flowsteer
 
 import (
+	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -34,3 +36,26 @@
 	clear(s.lookups)
 	is.Equal(s.FromCaller(start, p, nil).Message.Candidates, want)
 }
+
+// Guards against lookups that never reach the agent of a flow at a balancer whose link is
+// full: while many agents are silent, that proves nothing about any of them.
+func TestManySilentAgentsAreAskedForFlows(t *testing.T) {
+	is := is.New(t)
+	const agents, silent = 12, 4
+	s := newSteerer(testView(agents))
+	for at := start.Add(-4 * time.Second); at.Before(start); at = at.Add(maxTickGap) {
+		s.Tick(at)
+		for i := silent; i < agents; i++ {
+			s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
+		}
+	}
+	is.True(s.agents.manySuspect())
+	asked := map[netip.AddrPort]bool{}
+	p := callerPacket(1, flow.Ack)
+	denyByAllAsked(s, start, p, s.FromCaller(start, p, nil), func(list []netip.AddrPort) {
+		for _, agent := range list {
+			asked[agent] = true
+		}
+	})
+	is.Equal(len(asked), agents)
+}
