Send a request on that waits behind the lookup of an acknowledgement

A request that came while an acknowledgement of its flow was looked up replaced it, to be sent with the next timer.

A packet that was not sent yet goes to the agent with the packets that wait. TestRequestBehindAcknowledgementIsSentOn fails without the change.

--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -55,6 +55,7 @@
 	unsure         []netip.AddrPort // agents that don't know the flow but may hold it
 	packet         flow.Packet
 	raw            []byte   // the encoding of packet
+	unsent         bool     // packet replaced an earlier one and was not sent yet
 	waitingPackets [][]byte // further packets of the flow
 	startedAt      time.Time
 	lastSentAt     time.Time // when agents were asked last
@@ -100,13 +101,14 @@
 // replacePacket makes the lookup send another packet of its flow, with the next
 // timer. The earlier denials still hold.
 func (l *lookup) replacePacket(now time.Time, p flow.Packet, raw []byte) {
-	l.packet, l.raw, l.startedAt, l.retryAt, l.retries = p, slices.Clone(raw), now, now, 0
+	l.packet, l.raw, l.unsent = p, slices.Clone(raw), true
+	l.startedAt, l.retryAt, l.retries = now, now, 0
 }
 
 // askNextAgents sends the packet of a lookup to the agents that were not asked yet, in
 // up to the given number of candidate lists of the given length.
 func (s *Steerer) askNextAgents(now time.Time, l *lookup, lists, length int) []Action {
-	l.lastSentAt, l.retryAt = now, time.Time{}
+	l.lastSentAt, l.retryAt, l.unsent = now, time.Time{}, false
 	var due []Action
 	for range lists {
 		if l.next == len(l.order) {
@@ -137,7 +139,7 @@
 		return nil
 	case len(l.unsure) > 0 && callsForAnswer(l.packet):
 		unsure := l.unsure
-		l.unsure, l.lastSentAt = nil, now
+		l.unsure, l.lastSentAt, l.unsent = nil, now, false
 		return []Action{s.forward(unsure, 0, true, l.raw)}
 	case l.next < len(l.order):
 		return s.askNextAgents(now, l, maxListsPerRound, hop.MaxCandidates)
--- a/internal/flowpath/flowsteer/restart_test.go
+++ b/internal/flowpath/flowsteer/restart_test.go
@@ -59,3 +59,20 @@
 	})
 	is.Equal(len(asked), agents)
 }
+
+// Guards against a request that is lost at the balancer because it comes while the
+// acknowledgement before it is looked up: it replaces that packet in the lookup, and the
+// agent answers the earlier packet before the timer sends the request.
+func TestRequestBehindAcknowledgementIsSentOn(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(20))
+	p := callerPacket(1, flow.Ack)
+	asked := s.FromCaller(start, p, []byte("ack"))
+	p.Length = 10
+	is.Equal(s.FromCaller(start.Add(time.Millisecond), p, []byte("request")).Verdict, Keep)
+	var sent []string
+	for _, a := range s.Placed(start.Add(2*time.Millisecond), placed(p, asked.To, hop.Load{})) {
+		sent = append(sent, string(a.Message.Packet))
+	}
+	is.Equal(sent, []string{"request"})
+}
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -247,6 +247,9 @@
 	}
 	delete(s.lookups, m.Key)
 	var due []Action
+	if l.unsent {
+		due = append(due, s.forwardToHolder(m.Agent, l.raw))
+	}
 	for _, raw := range l.waitingPackets {
 		due = append(due, s.forwardToHolder(m.Agent, raw))
 	}
