--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -271,6 +271,17 @@
 	return g.lastMark
 }
 
+// takeOffer removes and returns the offer of a packet that the backend server returned.
+// Marks of an earlier process of the agent may be in use again, for other flows.
+func (g *Gate) takeOffer(mark uint32, key flow.Key) (offer, bool) {
+	o, ok := g.offers[mark]
+	if !ok || o.key != key {
+		return offer{}, false
+	}
+	delete(g.offers, mark)
+	return o, true
+}
+
 // openFlow decides about an opening or a copy of it.
 func (g *Gate) openFlow(now time.Time, m *hop.Message, p flow.Packet, key flow.Key) Action {
 	f := g.flows.get(key)
@@ -393,14 +404,13 @@
 func (g *Gate) bouncedPacket(now time.Time, p flow.Packet) Action {
 	key := p.CallerKey()
 	g.backend.sentOffers.answeredAt = now
-	o, isOffered := g.offers[p.Mark]
-	delete(g.offers, p.Mark)
+	o, kept := g.takeOffer(p.Mark, key)
 	f := g.flows.get(key)
 	if p.Opening() {
 		if f != nil && f.state == stateOpening && !f.openingAnswered {
 			g.flows.remove(key)
 		}
-		if !isOffered {
+		if !kept {
 			return Action{Verdict: Drop, Kind: errkind.BackendFull, Key: key}
 		}
 		return g.passOn(&o.message, key, errkind.BackendFull)
@@ -415,7 +425,7 @@
 		}
 		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key, Lost: f.lostEntry(now)}
 	}
-	if !isOffered || o.passedOn {
+	if !kept || o.passedOn {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
 	}
 	return g.passOn(&o.message, key, errkind.PacketNoHolder)
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -63,3 +63,22 @@
 	failures, _ := g.RecentOutcomes()
 	is.Equal(failures, 0.0)
 }
+
+// Guards against a packet that is passed on with the message of another flow, whose
+// candidates then count as denying it: the packet was delivered by an earlier process of
+// the agent, whose marks this process uses again.
+func TestBounceOfEarlierProcessMatchesNoOffer(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	m := forward(self, other)
+	m.ReportHolder = true
+	mark := g.FromPeer(start, m, dataPacket(1, orders, 910, 10)).Mark
+	earlier := dataPacket(2, orders, 500, 10)
+	earlier.Flags |= flow.Bounced
+	earlier.Mark = mark
+	is.Equal(g.FromBackend(start, earlier).Verdict, Drop)
+	own := dataPacket(1, orders, 910, 10)
+	own.Flags |= flow.Bounced
+	own.Mark = mark
+	is.Equal(g.FromBackend(start, own).Verdict, PassOn)
+}
