Take a reset in reply to an offered packet for a denial

A backend server answers data of a flow that ended there with a reset, for example one whose opening it answered although the caller chose another. The packet now goes to the next agent, as if it had been returned. TestResetInReplyToOfferReachesNoCaller fails without the change.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -362,10 +362,10 @@
 		g.flows.remove(key)
 		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
 	}
+	if f == nil && p.Has(flow.Reset) {
+		return g.resetOfUnknownFlow(now, key)
+	}
 	if f == nil || f.state == stateLost {
-		if f == nil && p.Has(flow.Reset) && !now.Before(g.backend.learnUntil) {
-			return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
-		}
 		if p.Has(flow.Reset) {
 			return a
 		}
@@ -389,6 +389,28 @@
 	return a
 }
 
+// resetOfUnknownFlow decides about a reset that the backend server sent. The caller gets
+// it only if the backend server may hold the flow. In reply to an offered packet a reset
+// says that the flow ended here, for example one that was opened at another backend
+// server in the end.
+func (g *Gate) resetOfUnknownFlow(now time.Time, key flow.Key) Action {
+	if !now.Before(g.backend.learnUntil) {
+		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
+	}
+	for mark, o := range g.offers {
+		if o.key != key || o.raw == nil {
+			continue
+		}
+		delete(g.offers, mark)
+		if o.passedOn {
+			return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
+		}
+		o.message.Packet = o.raw
+		return g.passOn(&o.message, key, errkind.PacketNoHolder)
+	}
+	return Action{Verdict: ToCaller, Key: key}
+}
+
 // balancerLookingFor returns the balancer that looks for the holder of a flow and
 // whose packet was offered to the backend server, if there is one.
 func (g *Gate) balancerLookingFor(key flow.Key) netip.AddrPort {
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -82,3 +82,15 @@
 	own.Mark = mark
 	is.Equal(g.FromBackend(start, own).Verdict, PassOn)
 }
+
+// Guards against a reset that reaches the caller of a flow at another agent: the backend
+// server answers data of a flow that ended here, such as an opening it gave up on, with a
+// reset, and its agent has restarted since.
+func TestResetInReplyToOfferReachesNoCaller(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	m := forward(self, other)
+	m.ReportHolder = true
+	is.True(g.FromPeer(start, m, dataPacket(1, orders, 910, 10)).Mark != 0)
+	is.True(g.FromBackend(start, backendPacket(1, orders, flow.Reset, 0)).Verdict != ToCaller)
+}
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -70,7 +70,9 @@
 	case flowgate.ToCaller:
 		a.writeDatagram(a.nodeSocket, raw, a.callerAddress(action.Key))
 	case flowgate.PassOn:
-		action.Message.Packet = raw
+		if action.Message.Packet == nil {
+			action.Message.Packet = raw
+		}
 		a.sendMessage(action.To, action.Message)
 	case flowgate.Reset:
 		a.sendReset(action.Key, action.Packet.Ack)
