Offer no further packets of a flow to a backend server that has returned one

Each lookup, and each retry of one, offered its packet to the backend servers of all agents that learn, also to those that had returned a packet of the same flow before.

While it learns, an agent now remembers the flows that its backend server has returned (at most 65,536, a few megabytes) and denies them, until they are opened there. TestReturnedFlowIsNotOfferedAgain fails without the change.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -30,6 +30,8 @@
 	connAttemptInterval = 2 * time.Second
 	// maxOffers is the maximum number of offered packets that are remembered.
 	maxOffers = 4096
+	// maxDenied is the maximum number of flows that are remembered as not held.
+	maxDenied = 1 << 16
 )
 
 // Verdict is what happens to a packet.
@@ -100,6 +102,7 @@
 	routes   map[netip.AddrPort]view.Route
 	offers   map[uint32]offer
 	lastMark uint32
+	denied   map[flow.Key]struct{} // flows that the backend server doesn't hold, learned from offers
 	stopping bool
 	sweptAt  time.Time
 }
@@ -125,6 +128,7 @@
 		backend: newBackend(o.Limits, now),
 		flows:   newTable(),
 		offers:  map[uint32]offer{},
+		denied:  map[flow.Key]struct{}{},
 	}
 	if o.Learning {
 		g.backend.learnUntil = now.Add(o.LearnFor)
@@ -193,7 +197,8 @@
 // it while agents are asked whether they know the flow, because other backend servers
 // must not get many packets of a flow.
 func (g *Gate) unknownFlow(now time.Time, m *hop.Message, key flow.Key) Action {
-	if !now.Before(g.backend.learnUntil) || g.backend.isDown() {
+	_, denied := g.denied[key]
+	if denied || !now.Before(g.backend.learnUntil) || g.backend.isDown() {
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
 	if m.KnownOnly {
@@ -271,6 +276,14 @@
 	return g.lastMark
 }
 
+// noteDenied records that the backend server doesn't hold a flow. It can only come to
+// hold it by an opening.
+func (g *Gate) noteDenied(key flow.Key) {
+	if len(g.denied) < maxDenied {
+		g.denied[key] = struct{}{}
+	}
+}
+
 // takeOffer removes and returns the offer of a packet that the backend server returned.
 // Marks of an earlier process of the agent may be in use again, for other flows.
 func (g *Gate) takeOffer(mark uint32, key flow.Key) (offer, bool) {
@@ -300,6 +313,7 @@
 	g.backend.noteOpening(now)
 	g.health.noteNewFlow(now)
 	g.flows.add(key, now).firstOpeningAt = now.Add(-p.Age)
+	delete(g.denied, key)
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, nil), Key: key, NotifyBalancer: m.Balancer}
 }
 
@@ -402,6 +416,7 @@
 			continue
 		}
 		delete(g.offers, mark)
+		g.noteDenied(key)
 		if o.passedOn {
 			return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
 		}
@@ -447,6 +462,9 @@
 		}
 		return Action{Verdict: Reset, Packet: p, Kind: errkind.PacketFlowLost, Key: key, Lost: f.lostEntry(now)}
 	}
+	if kept {
+		g.noteDenied(key)
+	}
 	if !kept || o.passedOn {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
 	}
@@ -461,6 +479,9 @@
 		return nil
 	}
 	g.sweptAt = now
+	if !now.Before(g.backend.learnUntil) {
+		clear(g.denied)
+	}
 	g.recordOverdue(now)
 	for mark, o := range g.offers {
 		if now.Sub(o.at) > bounceTimeout {
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -94,3 +94,22 @@
 	is.True(g.FromPeer(start, m, dataPacket(1, orders, 910, 10)).Mark != 0)
 	is.True(g.FromBackend(start, backendPacket(1, orders, flow.Reset, 0)).Verdict != ToCaller)
 }
+
+// Guards against an agent that offers further packets of a flow to a backend server that
+// has returned one, and against one that denies the flow after it was opened here.
+func TestReturnedFlowIsNotOfferedAgain(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	m := forward(self, other)
+	m.ReportHolder = true
+	p := dataPacket(1, orders, 910, 10)
+	returned := p
+	returned.Mark = g.FromPeer(start, m, p).Mark
+	returned.Flags |= flow.Bounced
+	is.Equal(g.FromBackend(start, returned).Verdict, PassOn)
+	is.Equal(g.FromPeer(start, m, p).Verdict, PassOn)
+	m.KnownOnly = true
+	is.Equal(g.FromPeer(start, m, p).Message.Unsure, uint8(0))
+	establishFlow(g, start, 1, orders)
+	is.Equal(g.FromPeer(start, m, p).Verdict, Deliver)
+}
