Deliver queued requests before an agent stops

A stopping agent waited for requests in progress and dropped those in its queue. It now waits for both and delivers what is left; the backend server queues or refuses what exceeds its slots. TestStoppingAgentDropsNoQueuedRequest checks the gate's part.

--- a/internal/flowpath/flowgate/queue.go
+++ b/internal/flowpath/flowgate/queue.go
@@ -53,17 +53,14 @@
 
 func (q *queue) add(w *queuedRequest) { q.requests = append(q.requests, w) }
 
-// next removes and returns the request that goes first, nil if there is none.
+// next removes and returns the request that goes first. The queue must not be empty.
 func (q *queue) next(now time.Time) *queuedRequest {
-	best := -1
+	best := 0
 	for i, w := range q.requests {
-		if best < 0 || w.precedes(q.requests[best], now) {
+		if w.precedes(q.requests[best], now) {
 			best = i
 		}
 	}
-	if best < 0 {
-		return nil
-	}
 	w := q.requests[best]
 	q.requests = append(q.requests[:best], q.requests[best+1:]...)
 	return w
@@ -187,16 +184,30 @@
 	}
 	g.queue.expire(now)
 	var out []Delivery
-	for g.mayRelease() {
-		w := g.queue.next(now)
-		if w == nil {
-			break
-		}
-		w.entry.queued = nil
-		g.flows.beginRequest(now, w.entry)
-		for _, raw := range w.packets {
-			out = append(out, Delivery{Key: w.key, Raw: raw})
-		}
+	for len(g.queue.requests) > 0 && g.mayRelease() {
+		out = append(out, g.releaseNext(now)...)
+	}
+	return out
+}
+
+// ReleaseAll returns the packets of all queued requests, for an agent that stops: its
+// callers' retransmissions would find no agent for a while.
+func (g *Gate) ReleaseAll(now time.Time) []Delivery {
+	var out []Delivery
+	for len(g.queue.requests) > 0 {
+		out = append(out, g.releaseNext(now)...)
+	}
+	return out
+}
+
+// releaseNext removes the request that goes first from the queue and returns its packets.
+func (g *Gate) releaseNext(now time.Time) []Delivery {
+	w := g.queue.next(now)
+	w.entry.queued = nil
+	g.flows.beginRequest(now, w.entry)
+	out := make([]Delivery, 0, len(w.packets))
+	for _, raw := range w.packets {
+		out = append(out, Delivery{Key: w.key, Raw: raw})
 	}
 	return out
 }
--- a/internal/flowpath/flowgate/queue_test.go
+++ b/internal/flowpath/flowgate/queue_test.go
@@ -102,6 +102,16 @@
 	return next
 }
 
+// Guards against requests that a stopping agent drops although it has accepted them.
+func TestStoppingAgentDropsNoQueuedRequest(t *testing.T) {
+	is := is.New(t)
+	s := newBacklog(t)
+	queued := s.gate.QueuedRequests()
+	is.True(queued > 0)
+	is.Equal(len(s.gate.ReleaseAll(s.now)), queued)
+	is.Equal(s.gate.QueuedRequests(), 0)
+}
+
 // Guards against slots that stay taken after a restart of the agent: a request that
 // the backend server has acknowledged must not count as a new one when the caller
 // repeats it, because its answer may have passed before.
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -31,8 +31,8 @@
 	// drainCheckInterval is how often a stopping agent checks for requests in
 	// progress.
 	drainCheckInterval = 20 * time.Millisecond
-	// drainTimeout is how long a stopping agent waits for requests in progress at
-	// most.
+	// drainTimeout is how long a stopping agent waits for requests that are queued or in
+	// progress at most.
 	drainTimeout = 1200 * time.Millisecond
 	// timerInterval is how often the gate's timers run, which expire state,
 	// deliver queued requests and pass unanswered offers on.
@@ -121,7 +121,7 @@
 }
 
 // Stop refuses new flows, announces whether the backend server runs on, waits up
-// to drainTimeout for requests in progress, and then stops the agent.
+// to drainTimeout for requests that are queued or in progress, and then stops the agent.
 func (a *Agent) Stop(context.Context) error {
 	ended := a.backendEnded()
 	if ended {
@@ -134,9 +134,10 @@
 		a.announceRestart()
 	}
 	a.logger.Emit(event.Stopping, event.Fields{"drain_ms": drainTimeout.Milliseconds()})
-	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && a.requestsInProgress() > 0; {
+	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && a.pendingRequests() > 0; {
 		time.Sleep(drainCheckInterval)
 	}
+	a.deliverAllQueued()
 	a.node.Stop()
 	a.logger.Emit(event.Stopped, nil)
 	return nil
@@ -156,10 +157,11 @@
 	return flowgate.Limits{ReportInterval: s.ReportInterval, ColdBurst: s.ColdBurst / 2}
 }
 
-func (a *Agent) requestsInProgress() int {
+// pendingRequests returns the number of requests that are queued or in progress.
+func (a *Agent) pendingRequests() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.gate.InProgress()
+	return a.gate.InProgress() + a.gate.QueuedRequests()
 }
 
 // applyView passes the relevant parts of a new view to the gate.
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// deliverAllQueued delivers all queued requests to the backend server, which queues or
+// refuses those beyond its slots.
+func (a *Agent) deliverAllQueued() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, d := range a.gate.ReleaseAll(time.Now()) {
+		a.writeDatagram(a.backendSocket, d.Raw, a.settings.BackendAddress)
+	}
+}
+
 func (a *Agent) callerAddress(key flow.Key) netip.AddrPort {
 	return netip.AddrPortFrom(key.Caller.Addr(), a.settings.PacketAddress.Port())
 }
