Replace no known holder by an agent that has only delivered an opening

The notification now says whether only the opening was delivered. Such a one replaces no known holder and ends no lookup. The first copy of an opening clears what is cached of an earlier flow of the same port. TestLateOpeningEndsNoLookup fails without the change.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -502,9 +502,14 @@
 	}
 }
 
-// Placed returns the message that notifies a balancer that this agent holds a flow.
+// Placed returns the message that notifies a balancer that this agent holds a flow or has
+// delivered its opening.
 func (g *Gate) Placed(now time.Time, key flow.Key) hop.Message {
-	return hop.Message{Type: hop.Placed, Service: g.service, Key: key, Agent: g.self, Load: g.Load(now)}
+	f := g.flows.get(key)
+	return hop.Message{
+		Type: hop.Placed, Opening: f != nil && f.state == stateOpening,
+		Service: g.service, Key: key, Agent: g.self, Load: g.Load(now),
+	}
 }
 
 // Refusal returns why the agent currently accepts no new flows, or only a few, and
--- a/internal/flowpath/flowsteer/pathrestart_test.go
+++ b/internal/flowpath/flowsteer/pathrestart_test.go
@@ -170,3 +170,29 @@
 		t.Errorf("%d requests in progress after the answer", n)
 	}
 }
+
+// Guards against a packet that is lost with its lookup because an agent that delivered a
+// late copy of the opening tells the balancer that it has the flow.
+func TestLateOpeningEndsNoLookup(t *testing.T) {
+	p := newPath(t, 2, 3, 1000)
+	packet := opening(1)
+	p.send(0, packet)
+	key := packet.CallerKey()
+	holder := p.holder(key)
+	data := flow.Packet{From: packet.From, To: packet.To, Flags: flow.Ack, Seq: 1, Ack: holder.firstSeq + 1, Length: pathDataLength}
+	p.packets = append(p.packets, data)
+	p.balancers[1].FromCaller(p.now, data, []byte{0, 0, 0, byte(len(p.packets) - 1)}) // lost on the way
+	for _, a := range p.list {
+		if a != holder {
+			// It was busy when the opening's copy came.
+			p.toAgent(a.address, hop.Message{Type: hop.Forward, Service: flowsteer.ServiceID(service), Balancer: balancerAddress(1), Candidates: []netip.AddrPort{a.address}, Packet: []byte{0, 0, 0, 0}})
+			break
+		}
+	}
+	for range 10 {
+		p.passStep()
+	}
+	if p.delivered[key] != holder {
+		t.Error("the packet didn't reach the backend server of its flow")
+	}
+}
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -187,6 +187,9 @@
 	if holder, ok := s.flows.get(key, now); ok {
 		candidates = slices.DeleteFunc(candidates, func(a netip.AddrPort) bool { return a == holder })
 		candidates = slices.Insert(candidates, 0, holder)
+		if p.Age == 0 {
+			s.flows.remove(key) // of an earlier flow of the caller's port
+		}
 	}
 	if len(candidates) == 0 {
 		return Action{Verdict: Reset, Kind: errkind.PacketNoAgent, Packet: p, Service: service}
@@ -236,12 +239,18 @@
 }
 
 // Placed records that an agent holds a flow. Packets that waited for the lookup of
-// the flow go to the agent.
+// the flow go to the agent. An agent that has only delivered the opening may not be the
+// one with whose backend server the caller continues: it replaces no known holder and
+// ends no lookup.
 func (s *Steerer) Placed(now time.Time, m *hop.Message) []Action {
 	s.agents.recordLoad(now, m.Agent, m.Load)
 	delete(s.openings, m.Key)
-	s.flows.set(m.Key, m.Agent, now)
 	l := s.lookups[m.Key]
+	_, known := s.flows.get(m.Key, now)
+	if m.Opening && (known || l != nil) {
+		return nil
+	}
+	s.flows.set(m.Key, m.Agent, now)
 	if l == nil {
 		return nil
 	}
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -19,7 +19,7 @@
 // The message types.
 const (
 	Forward  Type = iota + 1 // carries a caller's packet to the candidates, one after the other
-	Placed                   // the sender holds the flow
+	Placed                   // the sender holds the flow, or has delivered its opening
 	Declined                 // no candidate holds the flow or accepts it; returns the packet to the balancer
 	Hello                    // asks a node whether it is reachable
 	HelloAck                 // answers a hello; an agent adds its load
@@ -33,6 +33,7 @@
 	reportHolderFlag = 1
 	lastRoundFlag    = 2
 	knownOnlyFlag    = 4
+	openingFlag      = 8
 	fixedHeaderLen   = 20
 	loadLen          = 8
 	keyLen           = 2 * endpoint.Size
@@ -60,6 +61,7 @@
 	ReportHolder bool   // the agent that holds the flow is to answer with Placed
 	LastRound    bool   // all candidates were tried: the agent at Position accepts the flow even if it is busy
 	KnownOnly    bool   // agents don't offer the packet of an unknown flow to their backend server; see Unsure
+	Opening      bool   // Placed: the flow's opening was delivered, which other agents may have done too
 	Unsure       uint8  // bit i is set if the agent at index i of Candidates may hold the flow without knowing it
 	Position     uint8  // index in Candidates of the agent that gets the message
 	LeastLoaded  uint8  // 1 + the index of the least loaded agent that passed the flow on, 0 if none did
@@ -85,6 +87,9 @@
 	if m.KnownOnly {
 		flags |= knownOnlyFlag
 	}
+	if m.Opening {
+		flags |= openingFlag
+	}
 	b = append(b, magic, byte(m.Type), flags, m.Position, byte(len(m.Candidates)), m.LeastLoaded, m.Unsure, 0)
 	b = binary.BigEndian.AppendUint32(b, m.Service)
 	b = endpoint.Append(b, m.Balancer)
@@ -117,6 +122,7 @@
 		ReportHolder: b[2]&reportHolderFlag != 0,
 		LastRound:    b[2]&lastRoundFlag != 0,
 		KnownOnly:    b[2]&knownOnlyFlag != 0,
+		Opening:      b[2]&openingFlag != 0,
 		Unsure:       b[6],
 		Position:     b[3],
 		LeastLoaded:  b[5],
--- a/internal/flowpath/hop/hop_test.go
+++ b/internal/flowpath/hop/hop_test.go
@@ -33,6 +33,7 @@
 		m.KnownOnly, m.Unsure = rapid.Bool().Draw(t, "known only"), rapid.Byte().Draw(t, "unsure")
 		m.Packet = rapid.SliceOf(rapid.Byte()).Draw(t, "packet")
 	case Placed:
+		m.Opening = rapid.Bool().Draw(t, "opening")
 		m.Key = flow.Key{Caller: drawAddress(t, "caller"), Service: drawAddress(t, "service address")}
 		m.Agent, m.Load = drawAddress(t, "agent"), load
 	case HelloAck:
