Notify each balancer that looks for a flow

If several balancers had offered packets of one flow to the backend server of an agent that learns, only one of them, by map order, was told that the agent holds it. Each further packet of the backend server now notifies the next one.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -388,7 +388,9 @@
 	}
 	if f.state == stateOpening && f.opens(p, fromBackend) {
 		g.flows.open(f)
-		a.NotifyBalancer = g.balancerLookingFor(key)
+	}
+	if f.adopted && f.state == stateOpen && now.Before(g.backend.learnUntil) {
+		a.NotifyBalancer = g.nextBalancerLookingFor(key)
 	}
 	switch {
 	case p.Has(flow.Open) && !f.openingAnswered && !f.adopted:
@@ -426,11 +428,12 @@
 	return Action{Verdict: ToCaller, Key: key}
 }
 
-// balancerLookingFor returns the balancer that looks for the holder of a flow and
-// whose packet was offered to the backend server, if there is one.
-func (g *Gate) balancerLookingFor(key flow.Key) netip.AddrPort {
-	for _, o := range g.offers {
+// nextBalancerLookingFor returns a balancer that looks for the holder of a flow and whose
+// packet was offered to the backend server, if there is one. It returns each once.
+func (g *Gate) nextBalancerLookingFor(key flow.Key) netip.AddrPort {
+	for mark, o := range g.offers {
 		if o.raw != nil && o.key == key && o.message.ReportHolder {
+			delete(g.offers, mark)
 			return o.message.Balancer
 		}
 	}
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -1,6 +1,7 @@
 package flowgate
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -113,3 +114,26 @@
 	establishFlow(g, start, 1, orders)
 	is.Equal(g.FromPeer(start, m, p).Verdict, Deliver)
 }
+
+// Guards against balancers that look for a flow again and have its packets offered to
+// other backend servers, because only one of those that asked was told who holds it.
+func TestEachBalancerThatLooksIsNotified(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	second := netip.MustParseAddrPort("10.1.0.11:7720")
+	for _, b := range []netip.AddrPort{balancer, second} {
+		m := forward(self)
+		m.ReportHolder, m.Balancer = true, b
+		is.True(g.FromPeer(start, m, dataPacket(1, orders, 910, 10)).Mark != 0)
+	}
+	notified := map[netip.AddrPort]bool{}
+	for i := range 2 {
+		at := start.Add(time.Duration(250+i) * time.Millisecond)
+		answer := backendPacket(1, orders, flow.Ack, 100)
+		answer.Seq += uint32(100 * i)
+		if a := g.FromBackend(at, answer); a.NotifyBalancer.IsValid() {
+			notified[a.NotifyBalancer] = true
+		}
+	}
+	is.Equal(len(notified), 2)
+}
