Reset no flow by a copy of its opening

A balancer reset a caller whose opening it could not serve: it had no route, no candidates, or all candidates declined. That is right for the first packet, by which no other balancer can have opened the flow.

An opening that can not be served is now rejected with a reset only while its caller can not have sent a copy: for 200 ms after the opening, which a copy carries as its age. The first packet of an opening is rejected at once as before.

Evidence: TestFlowSurvivesAnswersOfOtherBackendServers now lets copies cross answers and gives balancers an earlier configuration or views in which agents take no new flows.

--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -31,6 +31,10 @@
 	pathStep = 100 * time.Millisecond
 	// pathDataLength is the length of the data in each packet, in bytes.
 	pathDataLength = 10
+	// copyAge is the age of the copies of openings.
+	copyAge = 200 * time.Millisecond
+	// copyTime is how long a copy of an opening may come after the opening.
+	copyTime = time.Second
 	// maxAnswerInterval is the longest time after which a backend server repeats an
 	// answer to an opening that the caller has not acknowledged.
 	maxAnswerInterval = 1600 * time.Millisecond
@@ -43,6 +47,7 @@
 	now       time.Time
 	view      view.View
 	balancers []*flowsteer.Steerer
+	changed   map[int]func(*view.View) // how the view of a balancer, by its index, differs from view
 	agents    map[netip.AddrPort]*pathAgent
 	list      []*pathAgent
 	packets   []flow.Packet // messages carry the index of their packet
@@ -79,11 +84,11 @@
 // multiple of seqDistance.
 func newPath(t rapid.TB, balancers, agents int, seqDistance uint32) *path {
 	p := &path{
-		t: t, now: pathStart, agents: map[netip.AddrPort]*pathAgent{},
+		t: t, now: pathStart, agents: map[netip.AddrPort]*pathAgent{}, changed: map[int]func(*view.View){},
 		accepted: map[flow.Key]answer{}, delivered: map[flow.Key]*pathAgent{}, gaveUp: map[flow.Key]bool{},
 	}
 	p.view = view.View{
-		Configuration: view.Configuration{Revision: 1, Routes: map[netip.AddrPort]view.Route{
+		Configuration: view.Configuration{Revision: 2, Routes: map[netip.AddrPort]view.Route{
 			pathRoute: {Address: pathRoute, Targets: []view.Target{{Service: service, Weight: 1}}},
 		}},
 		Evacuations: view.Evacuations{Revision: 1},
@@ -120,10 +125,45 @@
 
 func (p *path) newBalancer(i int) *flowsteer.Steerer {
 	s := flowsteer.New(balancerAddress(i), "a")
-	s.SetView(p.view, p.now)
+	s.SetView(p.viewOf(i), p.now)
 	return s
 }
 
+// viewOf returns the view of a balancer.
+func (p *path) viewOf(balancer int) view.View {
+	v := p.view
+	if change := p.changed[balancer]; change != nil {
+		v.Configuration.Routes = maps.Clone(v.Configuration.Routes)
+		v.Members.ByName = maps.Clone(v.Members.ByName)
+		change(&v)
+	}
+	return v
+}
+
+// withoutRoutes makes a view one of a configuration before the route was added.
+func withoutRoutes(v *view.View) {
+	v.Configuration.Revision--
+	clear(v.Configuration.Routes)
+}
+
+// withoutCandidates makes the members of a view refuse new flows.
+func withoutCandidates(v *view.View) {
+	v.Evacuations = view.Evacuations{Revision: v.Evacuations.Revision + 1, Domains: map[string]bool{"": true}}
+}
+
+// withoutAgent makes the member of an agent refuse new flows.
+func withoutAgent(a *pathAgent) func(*view.View) {
+	return func(v *view.View) {
+		v.Members.Revision++
+		for name, m := range v.Members.ByName {
+			if m.Address == a.address {
+				m.State = view.Leaving
+				v.Members.ByName[name] = m
+			}
+		}
+	}
+}
+
 func (p *path) startAgent(a *pathAgent, learning bool) {
 	a.gate = flowgate.New(flowgate.Options{
 		Self: a.address, Service: flowsteer.ServiceID(service), Limits: flowgate.Limits{ReportInterval: time.Hour, ColdBurst: 1},
@@ -180,8 +220,8 @@
 			p.fromAgent(a, action.Message.Packet, action)
 		}
 	}
-	for _, s := range p.balancers {
-		s.SetView(p.view, p.now)
+	for i, s := range p.balancers {
+		s.SetView(p.viewOf(i), p.now)
 		due := s.Tick(p.now)
 		slices.SortFunc(due, func(a, b flowsteer.Action) int {
 			return cmp.Or(slices.Compare(a.Message.Packet, b.Message.Packet), a.To.Compare(b.To))
@@ -346,15 +386,6 @@
 	return slices.DeleteFunc(slices.Clone(list), func(key flow.Key) bool { return p.holder(key) == nil })
 }
 
-// unanswered returns the flows of list whose callers wait for an answer to their
-// opening.
-func (p *path) unanswered(list []flow.Key) []flow.Key {
-	return slices.DeleteFunc(slices.Clone(list), func(key flow.Key) bool {
-		_, answered := p.accepted[key]
-		return answered || p.gaveUp[key]
-	})
-}
-
 // reaches sends a packet of a flow, which may acknowledge data if the flow is open,
 // and reports whether it reaches the backend server that holds the flow.
 func (p *path) reaches(t *rapid.T, balancer int, key flow.Key, seq uint32) bool {
@@ -413,8 +444,8 @@
 
 // Guards against a flow that is reset, or whose packets don't reach its backend
 // server, because another backend server got a copy of its opening. Answers and
-// notifications are lost, answers are repeated, and other backend servers crash and
-// start again meanwhile.
+// notifications are lost, answers are repeated, other backend servers crash and start
+// again, and balancers don't know the route or some agents meanwhile.
 func TestFlowSurvivesAnswersOfOtherBackendServers(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
 		// No two numbers differ by the length of a packet's data.
@@ -422,13 +453,18 @@
 		p := newPath(t, 3, rapid.IntRange(2, 6).Draw(t, "agents"), distance)
 		p.lost = func(what string) bool { return rapid.IntRange(0, 3).Draw(t, "lost "+what) == 0 }
 		var keys []flow.Key
+		openedAt := map[flow.Key]time.Time{}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			p.passStep()
 			balancer := rapid.IntRange(0, 2).Draw(t, "balancer")
 			a := p.list[rapid.IntRange(0, len(p.list)-1).Draw(t, "agent")]
-			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
 			case 0:
+				views := []func(*view.View){nil, withoutRoutes, withoutCandidates, withoutAgent(a)}
+				p.changed[balancer] = views[rapid.IntRange(0, len(views)-1).Draw(t, "view")]
 				p.balancers[balancer] = p.newBalancer(balancer)
+			case 12:
+				delete(p.changed, balancer)
 			case 1:
 				p.startAgent(a, true)
 			case 2:
@@ -446,12 +482,16 @@
 			case 5, 6:
 				packet := opening(step)
 				keys = append(keys, packet.CallerKey())
+				openedAt[packet.CallerKey()] = p.now
 				p.send(balancer, packet)
 			case 7:
-				// Callers send copies until they have an answer.
-				if unanswered := p.unanswered(keys); len(unanswered) > 0 {
-					key := rapid.SampledFrom(unanswered).Draw(t, "flow")
-					p.send(balancer, flow.Packet{From: key.Caller, To: key.Service, Flags: flow.Open, Ack: 1})
+				// Callers send copies until they have an answer, which may cross a copy.
+				copied := slices.DeleteFunc(slices.Clone(keys), func(key flow.Key) bool {
+					return p.gaveUp[key] || p.accepted[key].from != nil && p.now.Sub(openedAt[key]) > copyTime
+				})
+				if len(copied) > 0 {
+					key := rapid.SampledFrom(copied).Draw(t, "flow")
+					p.send(balancer, flow.Packet{From: key.Caller, To: key.Service, Flags: flow.Open, Ack: 1, Age: copyAge})
 				}
 			case 8:
 				p.answerOpenings(a, func(time.Time) bool { return true })
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -21,8 +21,10 @@
 const (
 	// placementTimeout is how long an agent may take to confirm that it holds a new
 	// flow. It covers a round trip between failure domains and a busy agent, and
-	// ends before the caller sends its first copy of the opening after 200 ms.
+	// is shorter than openingCopyDelay.
 	placementTimeout = 80 * time.Millisecond
+	// openingCopyDelay is how long after an opening its caller sends the first copy.
+	openingCopyDelay = 200 * time.Millisecond
 	// maxOpenings is the maximum number of new flows that wait for an agent's
 	// answer.
 	maxOpenings = 4096
@@ -86,6 +88,7 @@
 	unanswered []netip.AddrPort // first agents of the lists that were sent and not declined
 	lastAsked  netip.AddrPort
 	askedAt    time.Time
+	sentAt     time.Time // when the caller sent the opening
 }
 
 // New returns a steerer for a balancer of a failure domain, whose address for
@@ -141,6 +144,9 @@
 		if s.view.Configuration.Revision == 0 || p.Has(flow.Reset) {
 			return Action{Verdict: Drop, Kind: errkind.PacketNoRoute, Packet: p}
 		}
+		if p.Opening() {
+			return rejectOpening(p.Age, p, errkind.PacketNoRoute, "")
+		}
 		return Action{Verdict: Reset, Kind: errkind.PacketNoRoute, Packet: p}
 	}
 	key := p.CallerKey()
@@ -178,7 +184,11 @@
 // goes to the agent that holds the flow, or to the next candidate if none has
 // answered.
 func (s *Steerer) openFlow(now time.Time, key flow.Key, p flow.Packet, raw []byte, route view.Route) Action {
+	sentAt := now.Add(-p.Age)
 	earlier := s.openings[key]
+	if earlier != nil && earlier.sentAt.After(sentAt) {
+		earlier.sentAt = sentAt
+	}
 	if earlier != nil && len(earlier.remaining) > 0 {
 		return s.askNext(now, earlier)
 	}
@@ -191,12 +201,12 @@
 			s.flows.remove(key) // of an earlier flow of the caller's port
 		}
 	}
-	if len(candidates) == 0 {
-		return Action{Verdict: Reset, Kind: errkind.PacketNoAgent, Packet: p, Service: service}
-	}
-	o := &opening{packet: slices.Clone(raw), service: service, remaining: candidates}
+	o := &opening{packet: slices.Clone(raw), service: service, remaining: candidates, sentAt: sentAt}
 	if earlier != nil {
-		o.unanswered = earlier.unanswered
+		o.unanswered, o.sentAt = earlier.unanswered, earlier.sentAt
+	}
+	if len(candidates) == 0 {
+		return rejectOpening(now.Sub(o.sentAt), p, errkind.PacketNoAgent, service)
 	}
 	if len(s.openings) < maxOpenings {
 		s.openings[key] = o
@@ -204,6 +214,17 @@
 	return s.askNext(now, o)
 }
 
+// rejectOpening returns the action for an opening that can't be served and whose caller
+// sent it the given time ago. Once the caller may have sent copies, the flow is not
+// reset: another balancer may have opened it by one of them.
+func rejectOpening(age time.Duration, p flow.Packet, kind errkind.Kind, service string) Action {
+	a := Action{Verdict: Reset, Kind: kind, Packet: p, Service: service}
+	if age >= openingCopyDelay {
+		a.Verdict = Drop
+	}
+	return a
+}
+
 // askNext sends an opening to the candidates that were not tried yet.
 func (s *Steerer) askNext(now time.Time, o *opening) Action {
 	list := o.remaining[:min(len(o.remaining), hop.MaxCandidates)]
@@ -288,7 +309,7 @@
 	return []Action{s.findHolder(now, key, p, m.Packet)}
 }
 
-// declinedOpening tries further candidates, or resets the flow at once if there are
+// declinedOpening tries further candidates, or rejects the opening at once if there are
 // none. It waits while the answer to another list of candidates is missing: one of
 // them may have accepted the flow, which is then open.
 func (s *Steerer) declinedOpening(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) Action {
@@ -311,7 +332,7 @@
 		return Action{Verdict: Drop, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
 	}
 	delete(s.openings, key)
-	return Action{Verdict: Reset, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
+	return rejectOpening(now.Sub(o.sentAt), p, errkind.PacketNoAgent, o.service)
 }
 
 // Tick returns the actions that are due: retries of unanswered openings and of
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -133,6 +133,50 @@
 	is.Equal(s.Declined(start, p, &first.Message)[0].Verdict, Reset)
 }
 
+// Guards against the reset of a flow that another balancer opened: a copy of the
+// opening came to a balancer without a route or candidates for it.
+func TestCopyOfOpeningIsNotReset(t *testing.T) {
+	evacuated := testView(3)
+	evacuated.Evacuations.Domains = map[string]bool{"a": true, "b": true, "c": true}
+	withoutRoute := testView(3)
+	clear(withoutRoute.Configuration.Routes)
+	for name, v := range map[string]view.View{"no candidates": evacuated, "no route": withoutRoute} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := callerPacket(1, flow.Open)
+			is.Equal(newSteerer(v).FromCaller(start, p, nil).Verdict, Reset)
+			p.Age = openingCopyDelay
+			is.Equal(newSteerer(v).FromCaller(start, p, nil).Verdict, Drop)
+		})
+	}
+}
+
+// Guards against the reset of a flow that another balancer opened by a copy of the
+// opening, before the candidates declined an earlier copy or another copy.
+func TestLateRefusalOfOpeningIsNoReset(t *testing.T) {
+	verdict := func(age, after time.Duration) Verdict {
+		s := newSteerer(testView(3))
+		p := callerPacket(1, flow.Open)
+		p.Age = age
+		a := s.FromCaller(start, p, []byte("syn"))
+		p.Age = 0 // a message may return an earlier copy
+		return s.Declined(start.Add(after), p, &a.Message)[0].Verdict
+	}
+	is := is.New(t)
+	is.Equal(verdict(0, openingCopyDelay-time.Millisecond), Reset)
+	is.Equal(verdict(0, openingCopyDelay), Drop)
+	is.Equal(verdict(openingCopyDelay, 0), Drop)
+
+	// The balancer gets the opening late, and a copy before the candidates decline.
+	s := newSteerer(testView(3))
+	p := callerPacket(1, flow.Open)
+	first := s.FromCaller(start, p, []byte("syn"))
+	p.Age = openingCopyDelay
+	second := s.FromCaller(start.Add(time.Millisecond), p, []byte("syn"))
+	is.Equal(s.Declined(start.Add(2*time.Millisecond), p, &first.Message)[0].Verdict, Drop)
+	is.Equal(s.Declined(start.Add(2*time.Millisecond), p, &second.Message)[0].Verdict, Drop)
+}
+
 // Guards against packets without a route that reach a service, and against resets
 // before the configuration is known.
 func TestUnknownRoutes(t *testing.T) {
