Apply configuration changes only to the revision that they start from

A change of the configuration lists the routes that differ between two revisions. It was also applied to a view between the two.

A change of the configuration now applies only at its first revision; those of members and evacuations are absolute and stay as they were. A board offers such a change only for that revision and a full section otherwise. The changes of a watch are computed anew if a peer changed the view meanwhile; before, a refused change would have been lost. A response whose changes were refused confirms nothing. The section has the revision of its object, so that processes that read the same object at different revisions of the store still exchange small changes rather than full ones.

TestConcurrentChangesLeadToSameConfiguration fails with the old rule (40 routes instead of 20) and without the repetition (version 79 after 81); TestPeerConfirmsNoViewWithoutItsChanges fails if refused changes confirm the view.

A process of an earlier version may still offer a change from an older revision. It is refused until the configuration changes again or another peer answers.

--- a/internal/control/follow/changes_test.go
+++ b/internal/control/follow/changes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,6 +41,83 @@
 	}
 }
 
+// Guards against a change of the store that is lost, and against routes that stay after
+// they were dropped, because other changes are applied at the same time.
+func TestConcurrentChangesLeadToSameConfiguration(t *testing.T) {
+	board := view.NewBoard()
+	const versions, routes = 5000, 20
+	// Each version has routes to other addresses than the version before.
+	address := func(r view.Revision, i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i), 1}), uint16(r%3+1))
+	}
+	configuration := func(r view.Revision) *view.Configuration {
+		c := &view.Configuration{Revision: r, Routes: map[netip.AddrPort]view.Route{}}
+		for i := range routes {
+			c.Routes[address(r, i)] = view.Route{Address: address(r, i)}
+		}
+		return c
+	}
+	board.Apply(view.Delta{Section: view.ConfigurationSection, To: 1, Full: true, Configuration: configuration(1).DeltaFrom(view.Configuration{})})
+	f := New(Options{Board: board, Logger: event.Discard()})
+	var wg sync.WaitGroup
+	for _, step := range []view.Revision{1, 2, 5} { // each skips other versions
+		wg.Go(func() {
+			for r := 1 + step; r <= versions; r = board.View().Configuration.Revision + step {
+				f.applyChanges(view.ConfigurationSection, []Change{{Name: "main", Configuration: configuration(r)}}, r)
+				got := board.View().Configuration
+				_, ok := got.Routes[address(got.Revision, 0)]
+				if got.Revision < r || len(got.Routes) != routes || !ok {
+					t.Errorf("after version %d: version %d with %d routes", r, got.Revision, len(got.Routes))
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a view that a peer confirms although it lacks the peer's changes: they
+// were from an older revision than the known one.
+func TestPeerConfirmsNoViewWithoutItsChanges(t *testing.T) {
+	is := is.New(t)
+	board := view.NewBoard()
+	for _, s := range view.Sections() {
+		board.Apply(view.Delta{Section: s, To: 5, Full: true})
+	}
+	f := New(Options{Board: board, Logger: event.Discard()})
+	change := view.Delta{Section: view.ConfigurationSection, From: 4, To: 6, Configuration: &view.ConfigurationDelta{}}
+	f.applyResponse(time.Now(), ChangesResponse{Source: "peer", Deltas: []view.Delta{change}})
+	is.True(board.ConfirmedAt().IsZero())
+	f.applyResponse(time.Now(), ChangesResponse{Source: "peer"})
+	is.True(!board.ConfirmedAt().IsZero())
+}
+
+// Guards against processes that know the same configuration by different revisions, so
+// that the changes of one can't be applied by another.
+func TestConfigurationHasTheRevisionOfItsObject(t *testing.T) {
+	is := is.New(t)
+	board := view.NewBoard()
+	store := &listStore{changes: []Change{{Name: "main", Configuration: &view.Configuration{Revision: 3}}}, revision: 7}
+	f := New(Options{Store: store, Board: board, Logger: event.Discard()})
+	next, err := f.listSection(context.Background(), view.ConfigurationSection)
+	is.NoErr(err)
+	is.Equal(next, view.Revision(7))
+	is.Equal(board.View().Configuration.Revision, view.Revision(3))
+	f.applyChanges(view.ConfigurationSection, []Change{{Name: "main", Configuration: &view.Configuration{Revision: 9}}}, 12)
+	is.Equal(board.View().Configuration.Revision, view.Revision(9))
+}
+
+// listStore is a store with one listing.
+type listStore struct {
+	Store
+	changes  []Change
+	revision view.Revision
+}
+
+func (s *listStore) List(context.Context, view.Section) ([]Change, view.Revision, error) {
+	return s.changes, s.revision, nil
+}
+
 // writeStore is a store whose writes are answered by functions.
 type writeStore struct {
 	Store
--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -101,9 +101,8 @@
 	wg.Wait()
 }
 
-// pollPeer sends one request to a peer, applies the deltas of the response and
-// reports whether the peer's view is fresh and comes from another process that the
-// store serves.
+// pollPeer sends one request to a peer, applies the response and reports whether the
+// peer's view is fresh and comes from another process that the store serves.
 func (f *Follower) pollPeer(ctx context.Context, conns *peerConns, peer netip.AddrPort) bool {
 	requestedAt := time.Now()
 	response, err := conns.poll(ctx, peer, newChangesRequest(f.opts.Board.View(), pollTimeout))
@@ -113,8 +112,16 @@
 		}
 		return false
 	}
+	return f.applyResponse(requestedAt, response)
+}
+
+// applyResponse applies the deltas of a peer's response and confirms the view to which
+// they lead. It reports whether the peer's view is fresh and comes from another process
+// that the store serves.
+func (f *Follower) applyResponse(requestedAt time.Time, response ChangesResponse) bool {
+	applied := true
 	for _, d := range response.Deltas {
-		f.applyDelta(d)
+		applied = f.applyDelta(d) && applied
 	}
 	membersAgeMS := response.membersAgeMS()
 	if membersAgeMS < 0 || membersAgeMS > maxPeerViewAge.Milliseconds() {
@@ -126,7 +133,9 @@
 		return false
 	}
 	f.setSource(response.Source)
-	f.confirmFromPeer(requestedAt, response)
+	if applied { // otherwise the view has changed since the request
+		f.confirmFromPeer(requestedAt, response)
+	}
 	return true
 }
 
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -134,12 +134,17 @@
 	return revision, nil
 }
 
-// applyChanges applies the changes of a watch to the board.
+// applyChanges applies the changes of a watch to the board. It repeats that if the
+// response of a peer has changed the view meanwhile.
 func (f *Follower) applyChanges(s view.Section, changes []Change, revision view.Revision) {
-	v := f.opts.Board.View()
-	d := view.Delta{Section: s, From: v.Revision(s), To: revision}
-	f.addChanges(&d, v, changes)
-	f.applyDelta(d)
+	for {
+		v := f.opts.Board.View()
+		d := view.Delta{Section: s, From: v.Revision(s), To: revision}
+		f.addChanges(&d, v, changes)
+		if f.applyDelta(d) || f.opts.Board.View().Revision(s) == d.From {
+			return
+		}
+	}
 }
 
 // addChanges adds changes to d, as differences from v. It logs and skips objects
@@ -168,6 +173,9 @@
 			d.Members = append(d.Members, *c.Member)
 		case c.Configuration != nil:
 			d.Configuration = c.Configuration.DeltaFrom(v.Configuration)
+			// Processes that read it at different revisions of the store can then
+			// apply each other's changes.
+			d.To = c.Configuration.Revision
 		}
 	}
 	if d.Section == view.EvacuationsSection {
@@ -178,9 +186,11 @@
 	}
 }
 
-func (f *Follower) applyDelta(d view.Delta) {
+// applyDelta applies a delta to the board and logs it. It reports whether the view then
+// is at the delta's revision or a later one.
+func (f *Follower) applyDelta(d view.Delta) bool {
 	if !f.opts.Board.Apply(d) {
-		return
+		return f.opts.Board.View().Revision(d.Section) >= d.To
 	}
 	fields := event.Fields{"section": d.Section, "revision": d.To, "full": d.Full}
 	switch {
@@ -193,4 +203,5 @@
 		fields["members"], fields["gone"] = len(d.Members), len(d.Gone)
 	}
 	f.opts.Logger.Emit(event.ViewChanged, fields)
+	return true
 }
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -39,8 +39,7 @@
 // that ends the subscription; see package blackboard.
 func (b *Board) Subscribe() (<-chan struct{}, func()) { return b.view.Subscribe() }
 
-// Apply applies a delta to the view if it is newer than its section and has no gap,
-// and reports whether it did.
+// Apply applies a delta to the view, and reports whether it did; see View.Apply.
 func (b *Board) Apply(d Delta) bool {
 	// The lock also covers the update of the view, so that the recent deltas are in
 	// the order in which they were applied.
@@ -90,8 +89,8 @@
 }
 
 // deltasSince returns the deltas that lead from revision known of a section to the
-// current one: none if known is current, and a full delta if the recent ones don't
-// reach back to known. The caller holds the lock.
+// current one: none if known is current, and a full delta if no recent one applies to
+// known. The caller holds the lock.
 func (b *Board) deltasSince(s Section, known Revision) []Delta {
 	v := b.view.Get()
 	if v.Revision(s) <= known {
@@ -99,7 +98,7 @@
 	}
 	recent := b.recentDeltas[s]
 	for i, d := range recent {
-		if d.From <= known && known > 0 && d.To > known {
+		if d.appliesTo(known) {
 			return recent[i:]
 		}
 	}
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -147,8 +147,10 @@
 	return true
 }
 
-// Delta is a change of one section. Its values are absolute, so that a delta from a
-// revision before the known one can be applied too.
+// Delta is a change of one section. The values of evacuations and members are absolute,
+// so that a delta from a revision before the known one can be applied too. A change of
+// the configuration is relative to the one at From: it lacks the routes that were added
+// after From and dropped again before To.
 type Delta struct {
 	Section  Section
 	From, To Revision
@@ -169,11 +171,25 @@
 	IdleTimeout time.Duration
 }
 
+// appliesTo reports whether d leads from the known revision of its section to a later
+// one. Only a full delta applies to a section that is not known.
+func (d Delta) appliesTo(known Revision) bool {
+	switch {
+	case d.To <= known:
+		return false
+	case d.Full:
+		return true
+	case d.Section == ConfigurationSection:
+		return known > 0 && d.From == known
+	}
+	return known > 0 && d.From <= known
+}
+
 // Apply returns the view after d. It returns false and the same view if d is not newer
-// than its section, leaves a gap after it, or changes a section that is not known.
+// than its section, leaves a gap after it, is relative to another revision, or changes a
+// section that is not known.
 func (v View) Apply(d Delta) (View, bool) {
-	known := v.Revision(d.Section)
-	if d.To <= known || (!d.Full && (d.From > known || known == 0)) {
+	if !d.appliesTo(v.Revision(d.Section)) {
 		return v, false
 	}
 	switch d.Section {
--- a/internal/control/view/view_test.go
+++ b/internal/control/view/view_test.go
@@ -48,6 +48,56 @@
 	})
 }
 
+// Guards against routes that a process keeps after they were dropped or changed: it gets
+// deltas of several processes, which know other revisions than it does, and some arrive
+// after later ones.
+func TestConfigurationIsThatOfItsRevision(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		history := map[Revision]Configuration{1: drawConfiguration(t, 1)}
+		sources := []*Board{NewBoard(), NewBoard(), NewBoard()}
+		follower, latest := NewBoard(), Revision(1)
+		apply := func(b *Board) {
+			known := b.View().Configuration
+			b.Apply(Delta{
+				Section: ConfigurationSection, From: known.Revision, To: latest, Full: known.Revision == 0,
+				Configuration: history[latest].DeltaFrom(known),
+			})
+		}
+		poll := func(b *Board) []Delta {
+			return b.ChangesSince(map[Section]Revision{ConfigurationSection: follower.View().Configuration.Revision}).Deltas
+		}
+		var delayed []Delta
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			source := rapid.SampledFrom(sources).Draw(t, "source")
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				latest++
+				history[latest] = drawConfiguration(t, int64(latest))
+			case 1:
+				apply(source)
+			case 2:
+				delayed = append(delayed, poll(source)...)
+			case 3:
+				for _, d := range delayed {
+					follower.Apply(d)
+				}
+				delayed = nil
+			case 4:
+				for _, d := range poll(source) {
+					follower.Apply(d)
+				}
+				if got, want := follower.View().Configuration.Revision, source.View().Configuration.Revision; got < want {
+					t.Fatalf("revision %d after the changes up to %d", got, want)
+				}
+			}
+			got := follower.View().Configuration
+			if diff := cmp.Diff(history[got.Revision].Routes, got.Routes, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }), cmpopts.EquateEmpty()); diff != "" {
+				t.Fatalf("revision %d: %s", got.Revision, diff)
+			}
+		}
+	})
+}
+
 // Guards against a process that goes back to an older revision because the response
 // of a slow peer arrives late.
 func TestSectionsNeverGoBack(t *testing.T) {
