Keep flows of the current run when an earlier run reports late

A report tells that its run was alive when it was sent, not when it arrives. The agent took the arrival for the former: with the first report of the next run it reset all flows that were older than the last report of the earlier run. If that one arrived late, flows that the next run had opened before its own first report were reset. Reports of an earlier run after one of the current run were refused before already: runs are ordered by their start, whatever their instances are called.

A flow is now taken for lost only if it was also opened before the current run started. Flows that are spared by mistake, for example because the clock has jumped, are reset when the backend server returns their next packet. Learning ends only by the start of the current run, as it does with the first report of all.

TestLateReportOfEarlierRunLosesNoFlow and TestLateReportOfEarlierRunDoesNotEndLearning failed before.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -197,10 +197,9 @@
 	if !newRun {
 		return nil, nil
 	}
-	b.learnUntil = time.Time{}
 	b.sentOpenings.sentAt = time.Time{}
 	g.health.reset(now)
-	return g.markLostBefore(lastOfOldRun, now), nil
+	return g.markLost(lastOfOldRun, r.Started, now), nil
 }
 
 // SetLimits replaces the limits.
@@ -221,13 +220,14 @@
 	Ack uint32 // the caller's last acknowledgement number
 }
 
-// markLostBefore marks as lost the flows that were opened before lastReport, the
-// time of the earlier run's last report, and returns them. Later flows may belong
-// to the current run; the backend server returns their packets if they don't.
-func (g *Gate) markLostBefore(lastReport, now time.Time) []LostFlow {
+// markLost marks as lost the flows that were opened before the last report of an earlier
+// run and before the current run started, and returns them. Others may belong to the
+// current run, because a report may arrive after its run has ended; the backend server
+// returns their packets if they don't.
+func (g *Gate) markLost(lastReport, started, now time.Time) []LostFlow {
 	var lostFlows []LostFlow
 	for key, f := range g.flows.entries {
-		if f.state != stateOpen || !f.openedAt.Before(lastReport) {
+		if f.state != stateOpen || !f.openedAt.Before(lastReport) || !f.openedAt.Before(started) {
 			continue
 		}
 		g.flows.markLost(f)
--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -521,6 +521,37 @@
 	is.Equal(lost[0].Key.Caller, caller(1))
 }
 
+// Guards against the loss of flows of the current run: the last report of an earlier run
+// arrives late, after flows of the current run were opened.
+func TestLateReportOfEarlierRunLosesNoFlow(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	establishFlow(g, start.Add(100*time.Millisecond), 1, feeds)
+	current := report(1)
+	current.Started = start.Add(time.Second)
+	establishFlow(g, start.Add(1500*time.Millisecond), 2, feeds)
+	_, err := g.Report(start.Add(1600*time.Millisecond), report(2))
+	is.NoErr(err)
+	lost, err := g.Report(start.Add(2*time.Second), current)
+	is.NoErr(err)
+	is.Equal(len(lost), 1)
+	is.Equal(lost[0].Key.Caller, caller(1))
+}
+
+// Guards against an agent that denies flows of the current run: it has restarted, and the
+// last report of an earlier run arrives before one of the current run.
+func TestLateReportOfEarlierRunDoesNotEndLearning(t *testing.T) {
+	is := is.New(t)
+	g := newGate(true)
+	for _, age := range []time.Duration{time.Minute, time.Second} {
+		r := report(1)
+		r.Started = start.Add(-age)
+		_, err := g.Report(start.Add(time.Second), r)
+		is.NoErr(err)
+	}
+	is.Equal(g.FromPeer(start.Add(2*time.Second), forward(self, other), dataPacket(1, feeds, 900, 10)).Verdict, Deliver)
+}
+
 // Guards against a cold backend server that gets more new flows than its cold rate
 // and burst allow. After a restart of the agent and after an evacuation the backend
 // server counts as cold until it reports.
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
@@ -73,6 +74,7 @@
 	firstSeq uint32                 // sequence number in answers to openings
 	started  time.Time
 	sequence uint64
+	earlier  flowgate.Report // last report of the earlier run, zero if there was none
 	state    view.State
 	down     bool             // the backend server has crashed
 	hangs    bool             // the backend server reads nothing but accepts connections
@@ -171,6 +173,9 @@
 	}, p.now)
 	a.gate.SetMemberStored(time.Time{}, true)
 	a.gate.SetService(view.Service{Name: service}, time.Hour)
+	if p.loses("report of an earlier run") {
+		p.reportLate(a)
+	}
 	p.report(a)
 }
 
@@ -180,7 +185,7 @@
 		return
 	}
 	a.sequence++
-	lost, err := a.gate.Report(p.now, flowgate.Report{Instance: "i", Started: a.started, Sequence: a.sequence, State: a.state, Slots: 9})
+	lost, err := a.gate.Report(p.now, a.nextReport())
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -189,6 +194,26 @@
 	}
 }
 
+func (a *pathAgent) nextReport() flowgate.Report {
+	return flowgate.Report{Instance: "i", Started: a.started, Sequence: a.sequence, State: a.state, Slots: 9}
+}
+
+// reportLate delivers a report that the earlier run of a backend server sent before it
+// ended, if there was one.
+func (p *path) reportLate(a *pathAgent) {
+	if a.earlier.Started.IsZero() {
+		return
+	}
+	a.earlier.Sequence++
+	lost, err := a.gate.Report(p.now, a.earlier)
+	if err != nil && !errkind.Is(err, errkind.ReportStale) {
+		p.t.Fatal(err)
+	}
+	for _, f := range lost {
+		p.reset(f.Key)
+	}
+}
+
 // crash ends the backend server of an agent, which loses its flows.
 func (p *path) crash(a *pathAgent) {
 	a.down = true
@@ -198,6 +223,7 @@
 
 // startBackend starts a new run of a backend server that is down.
 func (p *path) startBackend(a *pathAgent) {
+	a.earlier = a.nextReport()
 	a.down, a.started, a.sequence = false, p.now, 0
 	a.firstSeq += 100_000
 }
@@ -445,7 +471,8 @@
 // Guards against a flow that is reset, or whose packets don't reach its backend
 // server, because another backend server got a copy of its opening. Answers and
 // notifications are lost, answers are repeated, other backend servers crash and start
-// again, and balancers don't know the route or some agents meanwhile.
+// again and have sent reports that arrive late, and balancers don't know the route or
+// some agents meanwhile.
 func TestFlowSurvivesAnswersOfOtherBackendServers(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
 		// No two numbers differ by the length of a packet's data.
@@ -458,7 +485,9 @@
 			p.passStep()
 			balancer := rapid.IntRange(0, 2).Draw(t, "balancer")
 			a := p.list[rapid.IntRange(0, len(p.list)-1).Draw(t, "agent")]
-			switch rapid.IntRange(0, 12).Draw(t, "event") {
+			switch rapid.IntRange(0, 13).Draw(t, "event") {
+			case 13:
+				p.reportLate(a)
 			case 0:
 				views := []func(*view.View){nil, withoutRoutes, withoutCandidates, withoutAgent(a)}
 				p.changed[balancer] = views[rapid.IntRange(0, len(views)-1).Draw(t, "view")]
