Take the age of a flow from its opening, not from the opening packet

With the first report of a new run the agent resets the flows that were opened before the last report of the earlier run. The age of a flow was that of its first opening packet. If the earlier run answered that packet, its answer was lost, the backend server restarted, and the new run answered a copy, the flow of the new run was reset. The age now counts from the packet that shows that the backend server holds the flow.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -65,7 +65,7 @@
 // LostEntry is what the agent knew of a flow that its backend server turned out
 // not to hold, for logs.
 type LostEntry struct {
-	Age             time.Duration // since the entry was made
+	Age             time.Duration // since the flow was opened
 	OpeningAnswered bool          // the backend server answered the opening
 	Adopted         bool          // the entry was made by a packet of the backend server, not by an opening
 }
@@ -150,6 +150,7 @@
 	if f != nil && f.state == stateOpening {
 		if f.opens(p, fromCaller) {
 			g.flows.open(f)
+			f.openedAt = now // an earlier run may have got the opening
 		} else {
 			// The caller acknowledges another backend server's answer to the same
 			// opening or, if the agent has restarted since, data of this one.
@@ -388,6 +389,7 @@
 	}
 	if f.state == stateOpening && f.opens(p, fromBackend) {
 		g.flows.open(f)
+		f.openedAt = now // an earlier run may have got the opening
 	}
 	if f.adopted && f.state == stateOpen && now.Before(g.backend.learnUntil) {
 		a.NotifyBalancer = g.nextBalancerLookingFor(key)
--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -538,6 +538,27 @@
 	is.Equal(lost[0].Key.Caller, caller(1))
 }
 
+// Guards against the loss of a flow of the current run: the earlier run answered the
+// opening, but only the answer of the current run to a copy reached the caller.
+func TestFlowOpenedByCopyAfterRestartOfBackendServerIsNotLost(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	answer := backendPacket(1, orders, flow.Open|flow.Ack, 0)
+	g.FromPeer(start.Add(100*time.Millisecond), forward(self), openingPacket(1))
+	g.FromBackend(start.Add(110*time.Millisecond), answer)
+	_, err := g.Report(start.Add(150*time.Millisecond), report(2))
+	is.NoErr(err)
+	is.Equal(g.FromPeer(start.Add(700*time.Millisecond), forward(self), openingPacket(1)).Verdict, Deliver)
+	answer.Seq = 9000
+	g.FromBackend(start.Add(710*time.Millisecond), answer)
+	is.Equal(g.FromPeer(start.Add(720*time.Millisecond), forward(self), ackPacket(1, 9001, 10)).Verdict, Deliver)
+	current := report(1)
+	current.Started = start.Add(400 * time.Millisecond)
+	lost, err := g.Report(start.Add(time.Second), current)
+	is.NoErr(err)
+	is.Equal(len(lost), 0)
+}
+
 // Guards against an agent that denies flows of the current run: it has restarted, and the
 // last report of an earlier run arrives before one of the current run.
 func TestLateReportOfEarlierRunDoesNotEndLearning(t *testing.T) {
