Record a flow as broken when its feed learns of the close first

It is a race in the stand-in, in the case without an error code. quic-go hands the error of a closed connection to its streams before it ends the connection's context. A feed's reader that ran in between found the context alive, so it didn't record that the connection had cost it an answer, and finished before the end of the flow was recorded; the flow then counted as closed gracefully. In a traced run: "retireAfterLoss: active 1 ctxErr <nil>" and 102 us later "endedGracefully: active 0 lost false"; the ledger had a feed "feed-cut" on a flow "graceful", all 4 flows had answers and both feeds lines. The same check decides about requests and GOAWAYs. It now waits for the end of the context after an error that ends a connection.

The test also cut after at most 1.05 s whether or not its condition was met; with one processor the first run of a fresh process then had 0 to 2 connections. It now waits until the four flows have an answer and both feeds a line, and after the cut until each caller has an answer on a new flow. All checks stay; it also asks for exactly two feeds on the first flows. A new test closes 48 flows with a feed without an error code.

--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -1,15 +1,14 @@
 package caller
 
 import (
-	"context"
+	"fmt"
 	"net/http"
-	"sync"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
-	"github.com/quic-go/quic-go/http3"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 )
@@ -33,10 +32,27 @@
 }
 
 // answeredFlows returns the number of flows with an answer.
-func answeredFlows(l Ledger) int {
+func answeredFlows(flows []Flow) int {
+	return countFlows(flows, func(f Flow) bool { return f.Answers > 0 })
+}
+
+// followedFeeds returns the number of flows whose first feed has had a line.
+func followedFeeds(flows []Flow) int {
+	return countFlows(flows, func(f Flow) bool { return len(f.Feeds) > 0 && f.Feeds[0].Lines > 0 })
+}
+
+// endedFlows returns the number of flows that have ended with all their feeds.
+func endedFlows(flows []Flow) int {
+	return countFlows(flows, func(f Flow) bool {
+		isOpen := func(feed *Feed) bool { return feed.Reason == NotEnded }
+		return f.Reason != NotEnded && !slices.ContainsFunc(f.Feeds, isOpen)
+	})
+}
+
+func countFlows(flows []Flow, ok func(Flow) bool) int {
 	n := 0
-	for _, f := range l.Flows {
-		if f.Answers > 0 {
+	for _, f := range flows {
+		if ok(f) {
 			n++
 		}
 	}
@@ -130,41 +146,54 @@
 // with an error code (all 4 flows break), or without one while a feed is in
 // progress (the 2 flows with a feed break).
 func TestClosedFlowsAreBroken(t *testing.T) {
-	is := is.New(t)
 	for code, broken := range map[quic.ApplicationErrorCode]int{7: 4, noError: 2} {
-		s := newSite(t)
-		var mu sync.Mutex
-		var conns []*quic.Conn
-		s.serve(func(server *http3.Server) {
-			server.ConnContext = func(ctx context.Context, c *quic.Conn) context.Context {
-				mu.Lock()
-				defer mu.Unlock()
-				conns = append(conns, c)
-				return ctx
+		t.Run(fmt.Sprintf("code %#x", uint64(code)), func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t)
+			closeConns := s.serveClosable()
+			l := s.load("gel", closedLater, 0)
+			// A flow without an answer can't break, and a close before the end of its
+			// handshake reaches the caller as a transport error.
+			s.waitForLedger(l, "answers on 4 flows and lines of 2 feeds", func(l Ledger) bool {
+				return answeredFlows(l.Flows) == 4 && followedFeeds(l.Flows) == 2
+			})
+			closeConns(code)
+			s.waitForLedger(l, "end of the 4 flows and answers on their successors", func(l Ledger) bool {
+				return len(l.Flows) >= 8 && endedFlows(l.Flows[:4]) == 4 && answeredFlows(l.Flows[4:]) >= 4 && countOutcomes(l)[Done] > 60
+			})
+			l.Close()
+			got := l.Ledger()
+			is.True(brokenFlowsByReason(got)[ApplicationError] >= broken)
+			feeds := 0
+			for _, f := range got.Flows[:4] {
+				for _, feed := range f.Feeds {
+					feeds++
+					is.Equal(feed.Reason, FeedCut)
+					is.Equal(f.Reason, ApplicationError)
+				}
 			}
+			is.Equal(feeds, 2)
+			is.True(countOutcomes(got)[Done] > 60)
 		})
-		l := s.load("gel", 1200*time.Millisecond, 0)
-		time.Sleep(250 * time.Millisecond)
-		// A flow without an answer can't break, and a close before the end of its
-		// handshake reaches the caller as a transport error.
-		for end := time.Now().Add(800 * time.Millisecond); answeredFlows(l.Ledger()) < 4 && time.Now().Before(end); {
-			time.Sleep(5 * time.Millisecond)
-		}
-		mu.Lock()
-		for _, c := range conns {
-			_ = c.CloseWithError(code, "cut")
-		}
-		mu.Unlock()
-		l.Wait()
-		got := l.Ledger()
-		is.True(brokenFlowsByReason(got)[ApplicationError] >= broken)
-		for _, f := range got.Flows[:4] {
-			for _, feed := range f.Feeds {
-				is.Equal(feed.Reason, FeedCut)
-				is.Equal(f.Reason, ApplicationError)
-			}
-		}
-		is.True(countOutcomes(got)[Done] > 60)
+	}
+}
+
+// Guards against a flow that counts as gracefully closed although its close cut
+// off a feed: the reader of the feed learns of the close before the flow does.
+func TestEachCutFeedBreaksItsFlow(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	closeConns := s.serveClosable()
+	const callers = 48
+	service := ServiceLoad{Name: "gel", Address: s.addr, Callers: callers, Feeds: callers}
+	l := s.start(service, closedLater)
+	s.waitForLedger(l, "lines of all feeds", func(l Ledger) bool { return followedFeeds(l.Flows) == callers })
+	closeConns(noError)
+	s.waitForLedger(l, "end of the flows", func(l Ledger) bool { return endedFlows(l.Flows[:callers]) == callers })
+	l.Close()
+	for _, f := range l.Ledger().Flows[:callers] {
+		is.Equal(f.Feeds[0].Reason, FeedCut)
+		is.Equal(f.Reason, ApplicationError)
 	}
 }
 
--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -74,7 +74,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		c.retireAfterLoss(f)
+		c.retireAfterLoss(f, err)
 		return attemptResult{outcome: Lost, flow: f.id}
 	}
 	return c.readAnswer(f, resp, body)
@@ -118,7 +118,7 @@
 		c.retire(f, true)
 		return nil, false
 	}
-	c.retireAfterLoss(f)
+	c.retireAfterLoss(f, err)
 	return nil, true
 }
 
@@ -127,19 +127,18 @@
 // sent.
 func (f *flow) isRejectedByGoAway(err error, written bool) bool {
 	if stream, ok := errors.AsType[*http3.Error](err); ok {
-		return stream.ErrorCode == http3.ErrCodeRequestRejected && f.conn.Context().Err() == nil
+		return stream.ErrorCode == http3.ErrCodeRequestRejected && !f.hasEnded(err)
 	}
 	if written {
 		return false
 	}
-	alive := f.conn.Context().Err() == nil
-	return alive || f.endedGracefully(context.Cause(f.conn.Context()))
+	return !f.hasEnded(err) || f.endedGracefully(context.Cause(f.conn.Context()))
 }
 
-// retireAfterLoss retires a flow on which an answer was lost, so that a retry uses
-// a new flow.
-func (c *caller) retireAfterLoss(f *flow) {
-	if f.conn.Context().Err() != nil {
+// retireAfterLoss retires a flow on which an answer was lost with err, so that a
+// retry uses a new flow.
+func (c *caller) retireAfterLoss(f *flow, err error) {
+	if f.hasEnded(err) {
 		f.requestLost.Store(true)
 	}
 	c.retire(f, false)
--- a/standin/caller/feed.go
+++ b/standin/caller/feed.go
@@ -105,7 +105,7 @@
 		return CallerClosed
 	}
 	if err != nil {
-		c.retireAfterLoss(f)
+		c.retireAfterLoss(f, err)
 		return FeedCut
 	}
 	for range maxGoAwayChecks {
--- a/standin/caller/flow.go
+++ b/standin/caller/flow.go
@@ -133,6 +133,31 @@
 	return !closed.Remote || f.active.Load() == 0 && !f.requestLost.Load()
 }
 
+// hasEnded reports whether the connection has ended, given an error of one of its
+// streams. The streams return the error that ended the connection before its
+// context ends, so after such an error this waits for the context.
+func (f *flow) hasEnded(err error) bool {
+	if isConnectionError(err) {
+		<-f.conn.Context().Done()
+	}
+	return f.conn.Context().Err() != nil
+}
+
+// isConnectionError reports whether err is one that ends a connection.
+func isConnectionError(err error) bool {
+	if _, ok := errors.AsType[*quic.ApplicationError](err); ok {
+		return true
+	}
+	if _, ok := errors.AsType[*quic.IdleTimeoutError](err); ok {
+		return true
+	}
+	if _, ok := errors.AsType[*quic.StatelessResetError](err); ok {
+		return true
+	}
+	_, ok := errors.AsType[*quic.TransportError](err)
+	return ok
+}
+
 // hasReceivedGoAway reports whether the far end has announced a graceful shutdown.
 // The HTTP/3 client does not expose this, but after a GOAWAY it refuses to open a
 // stream on a live connection, so this tries to open one.
@@ -148,7 +173,7 @@
 		stream.CancelRead(quic.StreamErrorCode(http3.ErrCodeRequestCanceled))
 		return false
 	}
-	if f.conn.Context().Err() != nil {
+	if f.hasEnded(err) {
 		return f.endedGracefully(context.Cause(f.conn.Context()))
 	}
 	return ctx.Err() == nil
--- a/standin/caller/site_test.go
+++ b/standin/caller/site_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -17,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
 	"github.com/knapweedpier/knapweedpier/standin/fabric"
@@ -212,10 +214,21 @@
 	s.tls = &tls.Config{RootCAs: roots, Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}
 }
 
+const (
+	// waitLimit is how long these tests wait for a condition before they fail.
+	waitLimit = 10 * time.Second
+	// closedLater is the duration of a load that its test closes earlier.
+	closedLater = 3 * waitLimit
+)
+
 // load starts 4 callers, 2 of them with a feed, for d. share is the share of
 // orders.
 func (s *site) load(name string, d time.Duration, share float64) *Load {
-	service := ServiceLoad{Name: name, Address: s.addr, Callers: 4, Feeds: 2, Rate: 200, OrderShare: share}
+	return s.start(ServiceLoad{Name: name, Address: s.addr, Callers: 4, Feeds: 2, Rate: 200, OrderShare: share}, d)
+}
+
+// start starts the callers of service for d.
+func (s *site) start(service ServiceLoad, d time.Duration) *Load {
 	l, err := New(Options{Services: []ServiceLoad{service}, Seed: 5, Duration: d, TLS: s.tls})
 	if err != nil {
 		s.t.Fatal(err)
@@ -223,3 +236,36 @@
 	l.Start(s.t.Context())
 	return l
 }
+
+// serveClosable starts a server as serve does. The returned function closes all
+// its connections with an error code.
+func (s *site) serveClosable() func(quic.ApplicationErrorCode) {
+	var mu sync.Mutex
+	var conns []*quic.Conn
+	s.serve(func(server *http3.Server) {
+		server.ConnContext = func(ctx context.Context, c *quic.Conn) context.Context {
+			mu.Lock()
+			defer mu.Unlock()
+			conns = append(conns, c)
+			return ctx
+		}
+	})
+	return func(code quic.ApplicationErrorCode) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range conns {
+			_ = c.CloseWithError(code, "cut")
+		}
+	}
+}
+
+// waitForLedger waits until the ledger of l meets the condition, and fails the test
+// after waitLimit.
+func (s *site) waitForLedger(l *Load, condition string, ok func(Ledger) bool) {
+	s.t.Helper()
+	for end := time.Now().Add(waitLimit); !ok(l.Ledger()); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("not met within %s: %s", waitLimit, condition)
+		}
+	}
+}
