Give BenchmarkRound a metrics registry

It panicked with a nil pointer dereference in metrics.NewAgent, because it calls New without Options.Metrics, which New needs.

--- a/pkg/agent/round_bench_test.go
+++ b/pkg/agent/round_bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
+	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 	"github.com/knapweedpier/knapweedpier/internal/control/membership"
 	"github.com/knapweedpier/knapweedpier/internal/requestpath/tunnel"
@@ -71,7 +72,7 @@
 // balancers (each 400 ms) and one load report received.
 func BenchmarkRound(b *testing.B) {
 	for _, size := range []struct{ balancers, siblings, others int }{{3, 7, 3}, {100, 10, 0}, {630, 10, 0}, {630, 1000, 0}, {630, 10, 3290}} {
-		a := New(Options{ID: "process-0000", Service: "comptoir"})
+		a := New(Options{ID: "process-0000", Service: "comptoir", Metrics: metrics.New()})
 		a.node.Board.Members.Set(benchMembers(size.balancers, size.siblings, size.others))
 		e, hello := benchEndpoint(b)
 		in := &incarnation{endpoint: e}
