Split the files of the follow package by concern

peer.go keeps the messages and the client of peers, serve.go has the server; watch.go keeps listing and watching, changes.go applies their changes to the board. No statement changed; handle, newChangesResponse, listSection and applyDelta got doc comments. announce.go is as it was.

Stores close after the processes that use them instead of before. Tests with balancer-1 now all wait for its complete view before they go on.

--- /dev/null
+++ b/internal/control/follow/changes.go
@@ -0,0 +1,80 @@
+package follow
+
+import (
+	"slices"
+
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+)
+
+// applyChanges applies the changes of a watch to the board. It repeats that if the
+// response of a peer has changed the view meanwhile.
+func (f *Follower) applyChanges(s view.Section, changes []Change, revision view.Revision) {
+	for {
+		v := f.opts.Board.View()
+		d := view.Delta{Section: s, From: v.Revision(s), To: revision}
+		f.addChanges(&d, v, changes)
+		if f.applyDelta(d) || f.opts.Board.View().Revision(s) == d.From {
+			return
+		}
+	}
+}
+
+// addChanges adds changes to d, as differences from v. It logs and skips objects
+// that can't be used.
+func (f *Follower) addChanges(d *view.Delta, v view.View, changes []Change) {
+	domains := map[string]bool{}
+	for domain := range v.Evacuations.Domains {
+		domains[domain] = true
+	}
+	for _, c := range changes {
+		if c.Err != nil {
+			f.opts.Logger.EmitError(event.StoredObjectRefused, c.Err, event.Fields{"object": c.Name, "section": d.Section})
+			continue
+		}
+		switch {
+		case d.Section == view.EvacuationsSection && c.Deleted:
+			delete(domains, c.Name)
+		case d.Section == view.EvacuationsSection:
+			domains[c.Name] = true
+		case c.Deleted:
+			// A delta removes the gone members before it adds others.
+			d.Members = slices.DeleteFunc(d.Members, func(m view.Member) bool { return m.Name == c.Name })
+			d.Gone = append(d.Gone, c.Name)
+		case c.Member != nil:
+			d.Gone = slices.DeleteFunc(d.Gone, func(name string) bool { return name == c.Name })
+			d.Members = append(d.Members, *c.Member)
+		case c.Configuration != nil:
+			d.Configuration = c.Configuration.DeltaFrom(v.Configuration)
+			// Processes that read it at different revisions of the store can then
+			// apply each other's changes.
+			d.To = c.Configuration.Revision
+		}
+	}
+	if d.Section == view.EvacuationsSection {
+		for domain := range domains {
+			d.Domains = append(d.Domains, domain)
+		}
+		slices.Sort(d.Domains)
+	}
+}
+
+// applyDelta applies d to the board, and logs the change if it made one. It reports whether the view then
+// is at the delta's revision or a later one.
+func (f *Follower) applyDelta(d view.Delta) bool {
+	if !f.opts.Board.Apply(d) {
+		return f.opts.Board.View().Revision(d.Section) >= d.To
+	}
+	fields := event.Fields{"section": d.Section, "revision": d.To, "full": d.Full}
+	switch {
+	case d.Configuration != nil:
+		fields["version"], fields["routes"] = d.Configuration.Version, len(d.Configuration.Routes)
+		fields["dropped"] = len(d.Configuration.Dropped)
+	case d.Section == view.EvacuationsSection:
+		fields["domains"] = d.Domains
+	default:
+		fields["members"], fields["gone"] = len(d.Members), len(d.Gone)
+	}
+	f.opts.Logger.Emit(event.ViewChanged, fields)
+	return true
+}
--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"log"
 	"net"
@@ -22,8 +21,6 @@
 	pollGrace = 400 * time.Millisecond
 	// dialTimeout bounds how long connecting to a peer may take.
 	dialTimeout = 300 * time.Millisecond
-	// maxPollTimeout bounds how long a request is held, whatever it asks for.
-	maxPollTimeout = 5 * time.Second
 )
 
 // discardLogger drops the log lines of the jsonrpc2 library, which aren't
@@ -64,82 +61,6 @@
 	return *r.MembersAgeMS
 }
 
-// Serve serves the view of board to the peers that connect to listener, until
-// listener is closed.
-func Serve(ctx context.Context, listener net.Listener, board *view.Board) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			// The listener was closed at shutdown.
-			return
-		}
-		stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
-			func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-				return handle(ctx, board, r)
-			},
-		)), jsonrpc2.SetLogger(discardLogger))
-	}
-}
-
-func handle(ctx context.Context, board *view.Board, r *jsonrpc2.Request) (any, error) {
-	var req ChangesRequest
-	if r.Method != methodChanges || r.Params == nil || json.Unmarshal(*r.Params, &req) != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "unknown question"}
-	}
-	wait := min(time.Duration(req.WaitMS)*time.Millisecond, maxPollTimeout)
-	return awaitChanges(ctx, board, req, wait), nil
-}
-
-// awaitChanges responds as soon as board is newer than the revisions of the request
-// or its source changes, and without changes after wait.
-func awaitChanges(ctx context.Context, board *view.Board, req ChangesRequest, wait time.Duration) ChangesResponse {
-	changed, cancel := board.Subscribe()
-	defer cancel()
-	sourceChanged, cancelSourceChanged := board.SubscribeSource()
-	defer cancelSourceChanged()
-	receivedAt := time.Now()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	expired := false
-	for initialSource := board.Source(); ; {
-		changes := board.ChangesSince(req.Known)
-		// Followers learn of a change of the source, such as its loss, at once.
-		if len(changes.Deltas) > 0 || board.Source() != initialSource || expired {
-			return newChangesResponse(board, changes, receivedAt)
-		}
-		select {
-		case <-changed:
-		case <-sourceChanged:
-		case <-timer.C:
-			expired = true
-		case <-ctx.Done():
-			expired = true
-		}
-	}
-}
-
-func newChangesResponse(board *view.Board, c view.Changes, receivedAt time.Time) ChangesResponse {
-	now := time.Now()
-	membersAge := ageMS(now, c.MembersConfirmedAt)
-	return ChangesResponse{
-		Deltas:       c.Deltas,
-		AgeMS:        ageMS(now, c.ConfirmedAt),
-		MembersAgeMS: &membersAge,
-		HeldMS:       now.Sub(receivedAt).Milliseconds(),
-		Source:       board.Source(),
-	}
-}
-
-// ageMS returns the milliseconds from confirmedAt to now, rounded up, and -1 for the
-// zero time.
-func ageMS(now, confirmedAt time.Time) int64 {
-	if confirmedAt.IsZero() {
-		return -1
-	}
-	return (now.Sub(confirmedAt) + time.Millisecond - 1).Milliseconds()
-}
-
 // peerConns holds one open connection per peer. It is not safe for concurrent use.
 type peerConns struct {
 	byAddr map[netip.AddrPort]*jsonrpc2.Conn
