Let TestOneProcessOfADomainCallsTheStore see who calls the store

The test could not fail: its first process was a balancer, and since agents are polled before balancers the six agents beside it polled nobody and each watched the store (seen: each had itself as its source, 14 calls in the second after the change, 28 in the next 3 s). It counted the calls as soon as the change was in each view, 0 at that time in all runs, before the watches' pause of 0.3 s had passed. With followsPeer never set it passed in 2 of 2 runs.

The first process is now the agent that ranks first. The test also asks that it is the source of the others, and counts until 1 s after the change with the same bound of 6: 2 calls in 3 of 3 runs. 4 of 4 passed with -race; with followsPeer never set 2 of 2 fail. The follower itself is unchanged.

--- a/internal/control/follow/poll_test.go
+++ b/internal/control/follow/poll_test.go
@@ -17,11 +17,11 @@
 	is := is.New(t)
 	server := newStore(t)
 	server.SetConfiguration(1)
-	first := startFirst(t, server.Address())
+	first := startProcess(t, agent("agent-0", "a"), server.Address()) // ranks first
 	announce(t, server, first)
 	var followers []process
 	for i := range 6 {
-		followers = append(followers, startProcess(t, agent(fmt.Sprintf("agent-%d", i), "a"), server.Address()))
+		followers = append(followers, startProcess(t, agent(fmt.Sprintf("agent-%d", i+1), "a"), server.Address()))
 	}
 	for _, p := range followers {
 		eventually(t, "first configuration", func() bool { return p.version() == 1 })
@@ -41,6 +41,10 @@
 	for _, p := range followers {
 		eventually(t, "change from the peer", func() bool { return p.version() == 3 })
 	}
+	for _, p := range followers {
+		is.Equal(p.board.Source(), "agent-0")
+	}
+	time.Sleep(time.Second)                 // a process that watches pauses for 0.3 s after a change
 	is.True(server.CallCount()-before <= 6) // calls of the first process only
 }
 
