Let a gate hand its flows over to the next process

Cause: the table of flows ends with the process.

The first report of another run marks them as lost; a report that is older than the handover is stale.

--- a/internal/base/errkind/errkind.go
+++ b/internal/base/errkind/errkind.go
@@ -88,6 +88,7 @@
 	HistoryGone       Kind = 314 // the platform no longer has the changes since a revision
 	ReportStale       Kind = 315 // a report of a backend server is older than the latest one known
 	ReportMalformed   Kind = 316 // a report doesn't parse or is for another backend server
+	HandoverUnusable  Kind = 317 // a handover is too old or too large, or of another service or run of the backend server
 )
 
 // Operator kinds: input of operators.
@@ -176,6 +177,7 @@
 	{HistoryGone, "history-gone", http.StatusGone, "", 0, ExitPlatform, "The platform no longer holds the changes since a revision; everything is listed again."},
 	{ReportStale, "report-stale", http.StatusConflict, "", 0, ExitFailure, "A report of a backend server is older than the one known."},
 	{ReportMalformed, "report-malformed", http.StatusBadRequest, "", 0, ExitFailure, "A report doesn't parse or is for another backend server."},
+	{HandoverUnusable, "handover-unusable", 0, "", 0, ExitFailure, "A handover of an agent's flows is too old or too large, or of another service or run of the backend server."},
 
 	{SheetInvalid, "sheet-invalid", 0, "", 0, ExitUsage, "A sheet has faults, which are listed by line and column."},
 	{SheetStale, "sheet-stale", 0, "", 0, ExitConflict, "A sheet was made on an older base than what is accepted now."},
--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -58,6 +58,7 @@
 	tokens                  float64 // openings that a cold backend server may get now (token bucket)
 	refilledAt              time.Time
 	learnUntil              time.Time // packets of unknown flows are offered to the backend server before then
+	takenOver               Run       // run of the handover of an earlier process of this agent, if there was one
 
 	serviceKnown  bool // the configuration of the service is known
 	coldPerSecond float64
@@ -174,18 +175,18 @@
 // lost with an earlier run. Errors have kind ReportStale.
 func (g *Gate) Report(now time.Time, r Report) ([]LostFlow, error) {
 	b := &g.backend
-	reportedBefore := !b.reportedAt.IsZero()
-	if reportedBefore && r.Started.Before(b.report.Started) {
+	reportedBefore, known, reported := !b.reportedAt.IsZero(), g.knownRun(), Run{Instance: r.Instance, Started: r.Started}
+	if known.isKnown() && r.Started.Before(known.Started) {
 		return nil, errkind.New(errkind.ReportStale, "report is of an earlier run of the backend server")
 	}
-	sameRun := reportedBefore && r.Started.Equal(b.report.Started) && r.Instance == b.report.Instance
-	if sameRun && r.Sequence <= b.report.Sequence {
+	sameRun := known.sameAs(reported)
+	if sameRun && r.Sequence <= known.Sequence {
 		return nil, errkind.New(errkind.ReportStale, "sequence number is not above that of the last report")
 	}
-	if sameRun && b.report.State == view.Leaving {
+	if reportedBefore && sameRun && b.report.State == view.Leaving {
 		r.State = view.Leaving
 	}
-	newRun, lastOfOldRun := reportedBefore && !sameRun, b.reportedAt
+	newRun, lastOfOldRun := known.isKnown() && !sameRun, b.reportedAt
 	b.stateKnown, b.reportedAt, b.report = true, now, r
 	b.sentOffers.answeredAt = now
 	b.maybeCold = false
@@ -220,14 +221,15 @@
 	Ack uint32 // the caller's last acknowledgement number
 }
 
-// markLost marks as lost the flows that were opened before the last report of an earlier
-// run and before the current run started, and returns them. Others may belong to the
-// current run, because a report may arrive after its run has ended; the backend server
-// returns their packets if they don't.
+// markLost marks as lost the flows that were taken over, and those that were opened before
+// the last report of an earlier run and before the current run started, and returns them.
+// Others may belong to the current run, because a report may arrive after its run has
+// ended; the backend server returns their packets if they don't.
 func (g *Gate) markLost(lastReport, started, now time.Time) []LostFlow {
 	var lostFlows []LostFlow
 	for key, f := range g.flows.entries {
-		if f.state != stateOpen || !f.openedAt.Before(lastReport) || !f.openedAt.Before(started) {
+		ofEarlierRun := f.takenOver || (f.openedAt.Before(lastReport) && f.openedAt.Before(started))
+		if f.state != stateOpen || !ofEarlierRun {
 			continue
 		}
 		g.flows.markLost(f)
--- a/internal/flowpath/flowgate/queue.go
+++ b/internal/flowpath/flowgate/queue.go
@@ -30,6 +30,7 @@
 type queuedRequest struct {
 	key         flow.Key
 	entry       *entry
+	before      entry // the flow before the request was queued
 	packets     [][]byte
 	queuedAt    time.Time
 	inTimeUntil time.Time // last time to leave the queue and meet the latency objective
@@ -153,7 +154,7 @@
 	if p.Length == 0 || f.awaitsAnswer || !g.flows.isNewRequestData(f, p) || !g.allSlotsTaken() {
 		return false
 	}
-	w := &queuedRequest{key: key, entry: f, queuedAt: now, packets: [][]byte{slices.Clone(raw)}}
+	w := &queuedRequest{key: key, entry: f, before: *f, queuedAt: now, packets: [][]byte{slices.Clone(raw)}}
 	objective, timeout := defaultObjective, defaultTimeout
 	if r, ok := g.routes[key.Service]; ok {
 		objective, timeout, w.priority = r.Objective, r.Timeout, r.Priority
