Hand an agent's flows over to its next process

Cause: the next process knows no flow and has to guess.

A stopping agent whose backend server runs on writes its flows after the drain, once the store has acknowledged the announcement of the restart. From the export on it processes no packet, so that no flow becomes known to it alone; the write takes at most 500 ms. The next process takes them over, unless the system starts for the first time: at most two tries of 650 ms each. Without one the agent learns as before. Events 1518 and 1519.

--- a/cmd/knapweedpier-node/main.go
+++ b/cmd/knapweedpier-node/main.go
@@ -125,7 +125,7 @@
 // constructor returns the fx constructor of the daemon for a role.
 func constructor(role string) any {
 	if role == "agent" {
-		return func(s platform.Settings, store follow.Store, l *event.Logger) daemon {
+		return func(s platform.Settings, store *platform.Store, l *event.Logger) daemon {
 			return flowagent.New(s, store, l)
 		}
 	}
--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -64,6 +64,8 @@
 	PacketKept               ID = 1515
 	PacketOffered            ID = 1516
 	RequestUnanswered        ID = 1517
+	HandoverWritten          ID = 1518
+	HandoverTakenOver        ID = 1519
 )
 
 // Events of the balancer.
@@ -155,6 +157,8 @@
 	{NewFlowAcceptanceChanged, log.InfoLevel, false, "agent's acceptance of new flows changed", "See ERRORS.md for the reason."},
 	{PacketOffered, log.InfoLevel, false, "packet of an unknown flow offered to the backend server", "None, unless it lasts: look for the agent of the flow."},
 	{RequestUnanswered, log.WarnLevel, false, "delivered request has no answer and no longer counts as in progress", "Check whether the backend server hangs."},
+	{HandoverWritten, log.InfoLevel, false, "flows written for the next process of the agent", "None; with an error the next process learns the flows from packets."},
+	{HandoverTakenOver, log.InfoLevel, false, "flows of the earlier process taken over", "None; with an error the agent learns the flows from packets."},
 }
 
 var byID = indexByID(catalogue)
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -13,7 +13,6 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
-	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flownode"
@@ -43,7 +42,7 @@
 type Agent struct {
 	settings      platform.Settings
 	logger        *event.Logger
-	store         follow.Store
+	store         Store
 	registry      *metrics.Registry
 	metrics       *metrics.FlowAgent
 	node          *flownode.Node
@@ -55,6 +54,7 @@
 	lastReport  flowgate.Report
 	backendLeft bool         // the backend server reported that it has ended
 	restarting  bool         // the process stops while the backend server runs on
+	handedOver  bool         // the flows were exported for the next process; see writeHandover
 	evacuated   bool         // the failure domain is evacuated
 	refusal     errkind.Kind // why the agent accepts no new flows, or only a few; 0 if it accepts all
 	buffer      []byte
@@ -63,7 +63,7 @@
 }
 
 // New returns an agent that is not started.
-func New(s platform.Settings, store follow.Store, logger *event.Logger) *Agent {
+func New(s platform.Settings, store Store, logger *event.Logger) *Agent {
 	registry := metrics.New()
 	return &Agent{
 		settings: s,
@@ -116,12 +116,17 @@
 	a.node.ReadMessages(a.nodeSocket, a.handleMessage)
 	a.node.ReadPackets(a.backendSocket, a.handleBackendPacket)
 	a.node.Go(a.runTimers)
+	if !s.FirstStart {
+		a.node.Go(a.takeOver)
+	}
 	a.logger.Emit(event.Started, event.Fields{"role": "agent", "name": s.Name, "domain": s.Domain, "service": s.Service, "first_start": s.FirstStart})
 	return nil
 }
 
 // Stop refuses new flows, announces whether the backend server runs on, waits up
-// to drainTimeout for requests that are queued or in progress, and then stops the agent.
+// to drainTimeout for requests that are queued or in progress, hands the flows over to
+// the next process if the backend server runs on and the store answers, and then stops
+// the agent.
 func (a *Agent) Stop(context.Context) error {
 	ended := a.backendEnded()
 	if ended {
@@ -130,14 +135,15 @@
 	a.mu.Lock()
 	a.gate.PrepareStop()
 	a.mu.Unlock()
-	if !ended {
-		a.announceRestart()
-	}
+	announced := !ended && a.announceRestart()
 	a.logger.Emit(event.Stopping, event.Fields{"drain_ms": drainTimeout.Milliseconds()})
 	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && a.pendingRequests() > 0; {
 		time.Sleep(drainCheckInterval)
 	}
 	a.deliverAllQueued()
+	if announced {
+		a.writeHandover()
+	}
 	a.node.Stop()
 	a.logger.Emit(event.Stopped, nil)
 	return nil
@@ -222,6 +228,10 @@
 		case <-ticker.C:
 			a.checkBackend()
 			a.mu.Lock()
+			if a.handedOver {
+				a.mu.Unlock()
+				return
+			}
 			now := time.Now()
 			for _, key := range a.gate.Tick(now) {
 				a.logger.Emit(event.RequestUnanswered, flowFields(key))
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -49,7 +49,7 @@
 
 // memberStore is a store that sends the members that are written to a channel.
 type memberStore struct {
-	follow.Store
+	Store
 	written chan view.Member
 }
 
--- /dev/null
+++ b/pkg/flowagent/handover.go
@@ -0,0 +1,113 @@
+package flowagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/platform"
+)
+
+const (
+	// handoverWriteTimeout bounds the writing of the handover, during which the
+	// agent forwards nothing.
+	handoverWriteTimeout = 500 * time.Millisecond
+	// takeOverTimeout bounds one try to take the handover over. The tries end
+	// within 1.5 s: later the agent has learned most flows from packets.
+	takeOverTimeout    = 650 * time.Millisecond
+	takeOverRetryDelay = 200 * time.Millisecond
+	maxTakeOverTries   = 2
+	// maxHandoverAge bounds how long a handover that could not be deleted can
+	// mislead a later process. It is measured by the clock of the machine, which may
+	// be off by seconds.
+	maxHandoverAge = 10 * time.Second
+)
+
+// Store is the platform's object store.
+type Store interface {
+	follow.Store
+	HandoverStore
+}
+
+// HandoverStore holds what a stopped agent knew of its flows, for the next process of
+// that agent.
+type HandoverStore interface {
+	// WriteHandover replaces the handover of the agent called name. Errors have
+	// kind PlatformDown, PlatformLimited, VersionConflict, NotFound or, if it is too
+	// large, HandoverUnusable.
+	WriteHandover(ctx context.Context, name string, h platform.Handover) error
+	// TakeHandover returns the handover of the agent called name after its deletion
+	// was acknowledged. Errors have kind PlatformDown, PlatformLimited,
+	// VersionConflict, PeerMalformed or, if there is no handover, NotFound.
+	TakeHandover(ctx context.Context, name string) (platform.Handover, error)
+}
+
+// writeHandover writes what the gate knows for the next process of the agent. From
+// now on the agent ignores all packets and messages, because the next process would
+// not know what they change. Callers and backend servers retransmit them.
+func (a *Agent) writeHandover() {
+	a.mu.Lock()
+	now := time.Now()
+	a.handedOver = true
+	h := platform.Handover{Handover: a.gate.Handover(now), Written: now, Service: a.settings.Service}
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), handoverWriteTimeout)
+	defer cancel()
+	fields := event.Fields{"flows": len(h.Flows), "learn_ms": h.LearnFor.Milliseconds()}
+	if err := a.store.WriteHandover(ctx, MemberName(a.settings.Address), h); err != nil {
+		a.logger.EmitError(event.HandoverWritten, err, fields)
+		return
+	}
+	fields["ms"] = time.Since(now).Milliseconds()
+	a.logger.Emit(event.HandoverWritten, fields)
+}
+
+// takeOver takes over what the earlier process of the agent knew. Without it the
+// agent learns the flows from packets.
+func (a *Agent) takeOver(ctx context.Context) {
+	began := time.Now()
+	h, err := a.takeHandover(ctx)
+	if err == nil {
+		err = a.applyHandover(h)
+	}
+	fields := event.Fields{"flows": len(h.Flows), "learn_ms": h.LearnFor.Milliseconds(), "ms": time.Since(began).Milliseconds()}
+	if err != nil {
+		a.logger.EmitError(event.HandoverTakenOver, err, fields)
+		return
+	}
+	a.logger.Emit(event.HandoverTakenOver, fields)
+}
+
+// takeHandover reads the handover from the store. It tries again unless the store
+// answers that there is none.
+func (a *Agent) takeHandover(ctx context.Context) (h platform.Handover, err error) {
+	for try := range maxTakeOverTries {
+		if try > 0 {
+			delay.Sleep(ctx, takeOverRetryDelay)
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, takeOverTimeout)
+		h, err = a.store.TakeHandover(tryCtx, MemberName(a.settings.Address))
+		cancel()
+		if err == nil || errkind.Is(err, errkind.NotFound) || ctx.Err() != nil {
+			break
+		}
+	}
+	return h, err
+}
+
+// applyHandover passes a handover to the gate. Errors have kind HandoverUnusable.
+func (a *Agent) applyHandover(h platform.Handover) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	switch age := now.Sub(h.Written).Abs(); {
+	case h.Service != a.settings.Service:
+		return errkind.Errorf(errkind.HandoverUnusable, "handover is of service %s", h.Service)
+	case age > maxHandoverAge:
+		return errkind.Errorf(errkind.HandoverUnusable, "handover was written %v from now", age)
+	}
+	return a.gate.TakeOver(now, h.Handover)
+}
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -17,6 +17,9 @@
 func (a *Agent) handleMessage(m *hop.Message) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.handedOver {
+		return nil
+	}
 	now := time.Now()
 	switch m.Type {
 	case hop.Hello:
@@ -51,6 +54,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.handedOver {
+		return nil
+	}
 	now := time.Now()
 	action := a.gate.FromBackend(now, p)
 	if p.Has(flow.Bounced) {
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -73,22 +73,25 @@
 }
 
 // announceRestart announces that this process stops while the backend server runs
-// on. Without a report in this process, the member is as an earlier one left it.
-func (a *Agent) announceRestart() {
+// on, and reports whether the store holds the announcement. Without a report in this
+// process, the member is as an earlier one left it.
+func (a *Agent) announceRestart() bool {
 	if a.backendRefusesConns() {
-		return
+		return false
 	}
 	a.mu.Lock()
 	if a.lastReport.Instance == "" {
 		a.mu.Unlock()
-		return
+		return false
 	}
 	a.restarting = true
 	stored := a.announceMember()
 	a.mu.Unlock()
 	select {
 	case <-stored:
+		return true
 	case <-time.After(storeTimeout):
+		return false
 	}
 }
 
