--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -41,7 +41,7 @@
 	OpeningAge      time.Duration // since the caller sent its first opening, unless Adopted
 	OpeningAnswered bool
 	BackendSeq      uint32 // valid if OpeningAnswered
-	Adopted         bool // the first packet seen was one of the backend server
+	Adopted         bool   // the first packet seen was one of the backend server
 	CallerAck       uint32
 	CallerSentData  bool
 	CallerEndSeq    uint32 // valid if CallerSentData
