Write into the member since when the store is known to hold it

An agent that restarts while it is new waits for the rest of NewAgentDelay. It took its member for old 0.8 s after the creation was sent.

The object now has StoredMS: when a process of the agent knew that the store held it. The process that created the member writes it with one more write, and later processes keep it. A member without it counts as stored 10 s after its creation was sent at the latest, and until then the wait begins when the restarted process learns of the member. Raising the 0.8 s alone would have made all agents wait 2.5 s that are killed within 12.5 s of their creation, for example by a power cut after the backend servers of a service were replaced.

This costs one call of the store for each creation of an agent, none for balancers.

Evidence: TestLateCreationCountsAsNew failed before. Two tests now expect the further write: TestStopAnnouncesRestart checks both writes of a creation, and TestForeignWriteIsCorrected waits for the second one; what else they check is unchanged.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -15,10 +15,9 @@
 // with the view, because a write whose response was lost may take effect late.
 const reconcileInterval = 2 * time.Second
 
-// maxCreationTime is how long after its sending a creation may take effect that is
-// answered in time; the client of the store waits no longer. One that gets no
-// answer is repeated.
-const maxCreationTime = 800 * time.Millisecond
+// maxCreationTime is how long after its sending a creation is assumed to take effect at
+// the latest. The store may execute a call that it doesn't answer seconds later.
+const maxCreationTime = 10 * time.Second
 
 // Announcer keeps the member of this process in the store equal to the last one
 // passed to Set, or absent after Withdraw. Each write is conditional on the
@@ -50,6 +49,7 @@
 	stored            bool          // the member is known to be in the store
 	storedSince       time.Time     // see Stored
 	createdMS         int64         // Member.CreatedMS of the object
+	storedMS          int64         // Member.StoredMS of the object
 	unansweredRemoval view.Revision // a removal at this revision may still take effect
 	maybeNew          bool          // this process may have created or removed the member
 	storedChanged     bool          // OnStored is to be called
@@ -94,14 +94,17 @@
 		return
 	}
 	a.stored, a.storedChanged = true, true
-	switch now := time.Now(); {
+	now := time.Now()
+	switch {
 	case a.maybeNew:
 		a.storedSince = now
+	case a.storedMS > 0:
+		a.storedSince = time.UnixMilli(a.storedMS)
 	case a.createdMS > 0:
 		a.storedSince = time.UnixMilli(a.createdMS).Add(maxCreationTime)
-		if a.storedSince.After(now) {
-			a.storedSince = now
-		}
+	}
+	if a.storedSince.After(now) {
+		a.storedSince = now
 	}
 }
 
@@ -189,7 +192,13 @@
 	if !a.synced && ok && stays && !a.withdrawn && announcesSame(m, a.desired) {
 		a.markSynced()
 	}
-	return !a.synced && (a.knownRevision > 0 || members.Revision > 0)
+	return (!a.synced || a.lacksStoredMS()) && (a.knownRevision > 0 || members.Revision > 0)
+}
+
+// lacksStoredMS reports whether the object is to be written once more, so that it tells a
+// later process of an agent that it isn't new. The caller holds the lock.
+func (a *Announcer) lacksStoredMS() bool {
+	return a.desired.Role == view.AgentRole && a.stored && !a.storedSince.IsZero() && a.storedMS == 0
 }
 
 // observeView takes over newer revisions of the member from the members of the view,
@@ -199,7 +208,7 @@
 	switch {
 	case ok && m.Revision > a.removedRevision:
 		if m.Revision > a.knownRevision {
-			a.knownRevision = m.Revision
+			a.knownRevision, a.storedMS = m.Revision, m.StoredMS
 			a.synced = false
 		}
 		if a.createdMS == 0 {
@@ -219,7 +228,7 @@
 	a.removedRevision = max(a.removedRevision, revision)
 	if a.knownRevision <= revision {
 		a.knownRevision = 0
-		a.createdMS = 0
+		a.createdMS, a.storedMS = 0, 0
 	}
 	a.noteMaybeNew()
 }
@@ -229,6 +238,7 @@
 func announcesSame(a, b view.Member) bool {
 	a.Revision, b.Revision = 0, 0
 	a.CreatedMS, b.CreatedMS = 0, 0
+	a.StoredMS, b.StoredMS = 0, 0
 	return a == b
 }
 
@@ -259,6 +269,9 @@
 		a.createdMS = time.Now().UnixMilli()
 	}
 	m.CreatedMS = a.createdMS
+	if a.stored && !a.storedSince.IsZero() {
+		m.StoredMS = a.storedSince.UnixMilli()
+	}
 	a.mu.Unlock()
 	revision, err := m.Revision, error(nil)
 	if !withdrawn {
@@ -287,7 +300,7 @@
 		a.noteRemoved(m.Revision)
 	} else {
 		a.noteStored()
-		a.knownRevision = max(a.knownRevision, revision)
+		a.knownRevision, a.storedMS = max(a.knownRevision, revision), m.StoredMS
 	}
 	if withdrawn == a.withdrawn && (withdrawn || announcesSame(m, a.desired)) {
 		a.markSynced()
--- a/internal/control/follow/announce_test.go
+++ b/internal/control/follow/announce_test.go
@@ -147,6 +147,71 @@
 	}
 }
 
+// Guards against an agent that takes flows before balancers can know it: the creation of
+// its member got no answer and took effect seconds later, after a restart.
+func TestLateCreationCountsAsNew(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	sent := time.Now().Add(-5 * time.Second)
+	m := agentMember
+	m.CreatedMS = sent.UnixMilli()
+	spec, err := json.Marshal(m)
+	is.NoErr(err)
+	server.PutMember("agent-1", string(spec))
+
+	began := time.Now()
+	first, _ := newAnnouncer(t, server)
+	since, ok := first.Stored("agent-1")
+	is.True(ok)
+	is.True(!since.Before(began))
+	first.Set(agentMember)
+	eventually(t, "time of storage", func() bool { return storedMember(t, server).StoredMS == since.UnixMilli() })
+	is.Equal(storedMember(t, server).CreatedMS, m.CreatedMS)
+
+	second, _ := newAnnouncer(t, server)
+	known, ok := second.Stored("agent-1")
+	is.True(ok)
+	is.Equal(known.UnixMilli(), since.UnixMilli())
+	restarting := agentMember
+	restarting.Restarting = true
+	waitSynced(t, second.Set(restarting))
+	is.Equal(storedMember(t, server).StoredMS, since.UnixMilli())
+}
+
+// Guards against an agent that waits like a new one after a restart, because its object
+// doesn't tell when the store was known to hold it, and against a write for each balancer.
+func TestOnlyAgentsWriteWhenTheyWereStored(t *testing.T) {
+	is := is.New(t)
+	server := platformtest.New()
+	defer server.Close()
+	a, _ := newAnnouncer(t, server)
+	waitSynced(t, a.Set(agentMember))
+	eventually(t, "time of storage", func() bool { return storedMember(t, server).StoredMS > 0 })
+	since, ok := a.Stored("agent-1")
+	is.True(ok)
+	is.Equal(storedMember(t, server).StoredMS, since.UnixMilli())
+
+	server.Delete("members", "agent-1")
+	balancer := agentMember
+	balancer.Role = view.BalancerRole
+	b, _ := newAnnouncer(t, server)
+	waitSynced(t, b.Set(balancer))
+	calls := server.CallCount()
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(server.CallCount(), calls)
+}
+
+// storedMember returns the member agent-1 as the store holds it.
+func storedMember(t *testing.T, server *platformtest.Store) view.Member {
+	t.Helper()
+	var m view.Member
+	if err := json.Unmarshal([]byte(server.Member("agent-1")), &m); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
 // Guards against an agent that creates its member, and so counts as new, before it
 // knows whether the store holds it, and against a leave that is confirmed then.
 func TestNothingIsWrittenBeforeTheMembersAreKnown(t *testing.T) {
@@ -201,6 +266,7 @@
 	server := newStore(t)
 	a, board := newAnnouncer(t, server)
 	waitSynced(t, a.Set(agentMember))
+	eventually(t, "time of storage", func() bool { return storedMember(t, server).StoredMS > 0 })
 	wanted := server.Member("agent-1")
 	server.PutMember("agent-1", `{"Name":"agent-1","State":"ready"}`)
 	_, revision := listMembers(t, server)
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -105,6 +105,9 @@
 	// CreatedMS is when the process sent the creation of the object, in Unix
 	// milliseconds of its own clock; 0 if unknown.
 	CreatedMS int64 `json:",omitempty"`
+	// StoredMS is when a process of the agent knew that the store held the object, in
+	// Unix milliseconds of its own clock; 0 if unknown.
+	StoredMS int64 `json:",omitempty"`
 	// Restarting is set if the agent's process has stopped while its backend server
 	// runs on, so that a new process of the agent follows. The new process clears it
 	// with the first report of the backend server.
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -88,7 +88,11 @@
 		<-stored
 	}
 	report(1)
-	is.True(!(<-store.written).Restarting)
+	for _, known := range []bool{false, true} { // the creation, and that the store holds it
+		m := <-store.written
+		is.True(!m.Restarting)
+		is.Equal(m.StoredMS > 0, known)
+	}
 	a.announceRestart()
 	m := <-store.written
 	is.True(m.Restarting)
