Reset flows of a dropped route only by a configuration that is current

A balancer that had seen a route dropped reset every packet of the route.

Such a packet now goes on to the agent of its flow, and the balancer remembers when the first one came. The flow is reset with the next packet after the configuration without the route was confirmed for that time or a later one: the route can not have been added again before the flow was opened. The confirmation is read with the view, like that of the members. Openings are rejected as before.

Flows of a dropped route go on for some seconds longer.

--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -61,12 +61,17 @@
 	return true
 }
 
-// Snapshot returns the current view and the time at which its members were last known
-// to be current, the zero time if they never were.
-func (b *Board) Snapshot() (v View, membersConfirmedAt time.Time) {
+// Confirmations are the times at which sections of a view were last known to be current,
+// the zero time for one that never was.
+type Confirmations struct {
+	Configuration, Members time.Time
+}
+
+// Snapshot returns the current view and its confirmations.
+func (b *Board) Snapshot() (View, Confirmations) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.view.Get(), b.confirmedAt[MembersSection]
+	return b.view.Get(), Confirmations{Configuration: b.confirmedAt[ConfigurationSection], Members: b.confirmedAt[MembersSection]}
 }
 
 // Changes holds the deltas after some revisions, and the times at which the view to
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -34,6 +34,9 @@
 	// maxDroppedRoutes is the maximum number of dropped routes that are remembered.
 	// Flows of others are reset only after a lookup.
 	maxDroppedRoutes = 1 << 16
+	// maxUnroutedFlows is the maximum number of flows of dropped routes that are
+	// remembered. Others are not reset for lack of their route.
+	maxUnroutedFlows = 4096
 )
 
 // Verdict is what happens to a packet.
@@ -78,6 +81,12 @@
 	lookups     map[flow.Key]*lookup
 	// droppedRoutes are the routes that an earlier configuration had.
 	droppedRoutes map[netip.AddrPort]bool
+	// unroutedFlows are the flows of dropped routes, with the time of their first
+	// packet under the current configuration.
+	unroutedFlows map[flow.Key]time.Time
+	// configurationConfirmedAt is when the configuration of view was last known to
+	// be current.
+	configurationConfirmedAt time.Time
 }
 
 // opening is a new flow whose agent has not answered yet.
@@ -103,6 +112,7 @@
 		lookups:  map[flow.Key]*lookup{},
 
 		droppedRoutes: map[netip.AddrPort]bool{},
+		unroutedFlows: map[flow.Key]time.Time{},
 	}
 }
 
@@ -118,11 +128,17 @@
 	}
 }
 
+// ConfirmConfiguration records when the configuration of the view that was set last was
+// last known to be current, the zero time if it never was.
+func (s *Steerer) ConfirmConfiguration(at time.Time) { s.configurationConfirmedAt = at }
+
 // recordDroppedRoutes remembers the routes that are missing from a new configuration.
 func (s *Steerer) recordDroppedRoutes(next view.Configuration) {
 	if next.Revision == s.view.Configuration.Revision {
 		return
 	}
+	s.configurationConfirmedAt = time.Time{}
+	clear(s.unroutedFlows)
 	for address := range s.view.Configuration.Routes {
 		if _, ok := next.Routes[address]; !ok && len(s.droppedRoutes) < maxDroppedRoutes {
 			s.droppedRoutes[address] = true
@@ -138,20 +154,16 @@
 // FromCaller decides about a caller's packet; raw is its encoding.
 func (s *Steerer) FromCaller(now time.Time, p flow.Packet, raw []byte) Action {
 	route, ok := s.view.Configuration.Routes[p.To]
-	// Another balancer may have opened the flow by a newer configuration, so only
-	// openings and flows of dropped routes are reset for lack of a route.
-	if !ok && (p.Opening() || s.droppedRoutes[p.To] || s.view.Configuration.Revision == 0) {
-		if s.view.Configuration.Revision == 0 || p.Has(flow.Reset) {
-			return Action{Verdict: Drop, Kind: errkind.PacketNoRoute, Packet: p}
-		}
-		if p.Opening() {
-			return rejectOpening(p.Age, p, errkind.PacketNoRoute, "")
-		}
-		return Action{Verdict: Reset, Kind: errkind.PacketNoRoute, Packet: p}
-	}
 	key := p.CallerKey()
-	if p.Opening() {
+	switch {
+	case s.view.Configuration.Revision == 0:
+		return Action{Verdict: Drop, Kind: errkind.PacketNoRoute, Packet: p}
+	case p.Opening() && !ok:
+		return rejectOpening(p.Age, p, errkind.PacketNoRoute, "")
+	case p.Opening():
 		return s.openFlow(now, key, p, raw, route)
+	case !ok && !p.Has(flow.Reset) && s.lostRoute(now, key):
+		return Action{Verdict: Reset, Kind: errkind.PacketNoRoute, Packet: p}
 	}
 	if agent, ok := s.flows.get(key, now); ok {
 		if !s.agents.isLost(agent) {
@@ -162,6 +174,23 @@
 	return s.findHolder(now, key, p, raw)
 }
 
+// lostRoute reports whether the route of a flow was dropped after the flow was opened:
+// the configuration without the route was current when a packet of the flow had come.
+// Without that, another balancer may have opened the flow by a newer configuration.
+func (s *Steerer) lostRoute(now time.Time, key flow.Key) bool {
+	if !s.droppedRoutes[key.Service] {
+		return false
+	}
+	firstPacketAt, ok := s.unroutedFlows[key]
+	if !ok {
+		firstPacketAt = now
+		if len(s.unroutedFlows) < maxUnroutedFlows {
+			s.unroutedFlows[key] = now
+		}
+	}
+	return !s.configurationConfirmedAt.Before(firstPacketAt)
+}
+
 // forwardToHolder sends a packet to the agent that holds its flow.
 func (s *Steerer) forwardToHolder(agent netip.AddrPort, raw []byte) Action {
 	return s.forward([]netip.AddrPort{agent}, 0, false, raw)
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -185,11 +185,12 @@
 	})
 }
 
-// updateView passes the current view and its confirmation to the steerer, and returns
+// updateView passes the current view and its confirmations to the steerer, and returns
 // the view. The caller holds the lock.
 func (b *Balancer) updateView() view.View {
 	v, confirmedAt := b.node.Board.Snapshot()
-	b.steerer.SetView(v, confirmedAt)
+	b.steerer.SetView(v, confirmedAt.Members)
+	b.steerer.ConfirmConfiguration(confirmedAt.Configuration)
 	return v
 }
 
