Leave packets unread until the handover is taken over

Such a request has its answer, but its copy counts as a new request and takes a slot for 5 s. Cause: the agent read packets before it had taken the handover over (32 ms in the median, 142 ms at most).

An agent that restarts now waits for the handover up to 150 ms before it reads packets, which stay in the socket's buffer.

--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -113,12 +113,12 @@
 		return err
 	}
 	a.node.FollowView(func() { a.applyView(a.node.Board.View()) })
+	if !s.FirstStart {
+		a.startTakeOver()
+	}
 	a.node.ReadMessages(a.nodeSocket, a.handleMessage)
 	a.node.ReadPackets(a.backendSocket, a.handleBackendPacket)
 	a.node.Go(a.runTimers)
-	if !s.FirstStart {
-		a.node.Go(a.takeOver)
-	}
 	a.logger.Emit(event.Started, event.Fields{"role": "agent", "name": s.Name, "domain": s.Domain, "service": s.Service, "first_start": s.FirstStart})
 	return nil
 }
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -20,6 +20,9 @@
 	takeOverTimeout    = 650 * time.Millisecond
 	takeOverRetryDelay = 200 * time.Millisecond
 	maxTakeOverTries   = 2
+	// takeOverWait is how long an agent leaves packets unread until the handover is
+	// taken over. A request that is offered before can't be told from its copies.
+	takeOverWait = 150 * time.Millisecond
 	// maxHandoverAge bounds how long a handover that could not be deleted can
 	// mislead a later process. It is measured by the clock of the machine, which may
 	// be off by seconds.
@@ -65,6 +68,19 @@
 	a.logger.Emit(event.HandoverWritten, fields)
 }
 
+// startTakeOver starts to take the handover over, and waits for it up to takeOverWait.
+func (a *Agent) startTakeOver() {
+	done := make(chan struct{})
+	a.node.Go(func(ctx context.Context) {
+		defer close(done)
+		a.takeOver(ctx)
+	})
+	select {
+	case <-done:
+	case <-time.After(takeOverWait):
+	}
+}
+
 // takeOver takes over what the earlier process of the agent knew. Without it the
 // agent learns the flows from packets.
 func (a *Agent) takeOver(ctx context.Context) {
