Keep handed-over flows that the current run has opened

A process of an agent that took flows over reset all of them with the first report of another run. Flows that this run had opened were among them if it had not reported before the restart, or if it answered a copy of an opening that was handed over. As for other flows, only those that were opened before the current run started are now taken for lost.

Evidence: TestHandedOverFlowsOfTheCurrentRunAreNotLost failed before (3 flows lost instead of 1); TestHandedOverFlowsAreLostWithTheirRun still passes.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -221,14 +221,14 @@
 	Ack uint32 // the caller's last acknowledgement number
 }
 
-// markLost marks as lost the flows that were taken over, and those that were opened before
-// the last report of an earlier run and before the current run started, and returns them.
+// markLost marks as lost the flows that were opened before the current run started and
+// were taken over or opened before the last report of an earlier run, and returns them.
 // Others may belong to the current run, because a report may arrive after its run has
 // ended; the backend server returns their packets if they don't.
 func (g *Gate) markLost(lastReport, started, now time.Time) []LostFlow {
 	var lostFlows []LostFlow
 	for key, f := range g.flows.entries {
-		ofEarlierRun := f.takenOver || (f.openedAt.Before(lastReport) && f.openedAt.Before(started))
+		ofEarlierRun := f.openedAt.Before(started) && (f.takenOver || f.openedAt.Before(lastReport))
 		if f.state != stateOpen || !ofEarlierRun {
 			continue
 		}
--- a/internal/flowpath/flowgate/handover_test.go
+++ b/internal/flowpath/flowgate/handover_test.go
@@ -170,6 +170,29 @@
 	is.Equal(next.OpenFlows(), 0)
 }
 
+// Guards against the loss of flows that the current run of the backend server opened: it
+// had not reported before the agent restarted, so they were handed over with those of the
+// earlier run, or it answered a copy of an opening that was handed over.
+func TestHandedOverFlowsOfTheCurrentRunAreNotLost(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	establishFlow(g, start, 1, orders)
+	current := Report{Instance: "i-2", Started: start.Add(time.Second), Sequence: 1, Slots: 2}
+	establishFlow(g, start.Add(1500*time.Millisecond), 2, orders)
+	answer := backendPacket(3, orders, flow.Open|flow.Ack, 0)
+	g.FromPeer(start, forward(self), openingPacket(3))
+	g.FromBackend(start, answer)
+	next := successor(t, g, start.Add(2*time.Second))
+	answer.Seq = 9000
+	now := start.Add(2100 * time.Millisecond)
+	next.FromBackend(now, answer)
+	is.Equal(next.FromPeer(now, forward(self), ackPacket(3, 9001, 10)).Verdict, Deliver)
+	lost, err := next.Report(now, current)
+	is.NoErr(err)
+	is.Equal(len(lost), 1)
+	is.Equal(lost[0].Key.Caller, caller(1))
+}
+
 // Guards against a report of an earlier run, or an older one of the same run, that
 // arrives after the restart and marks the flows as lost.
 func TestLateReportAfterHandoverIsStale(t *testing.T) {
