Let TestSuccessorWithdraws wait for the second write of the member

The test withdraws a member with a view that never changes, and took the write that creates the member for the only one of the earlier process. Processes follow the store, so their view changes. The test now waits for the second write; what it expects is unchanged.

--- a/internal/control/follow/announce_removal_test.go
+++ b/internal/control/follow/announce_removal_test.go
@@ -115,6 +115,8 @@
 	server := newStore(t)
 	previous, _ := newAnnouncer(t, server)
 	waitSynced(t, previous.Set(agentMember))
+	// Its second write, for which the test's view is too old, must not come later.
+	eventually(t, "time of storage", func() bool { return storedMember(t, server).StoredMS > 0 })
 	a, _ := newAnnouncer(t, server)
 	waitSynced(t, a.Withdraw("agent-1"))
 	is.Equal(len(server.Members()), 0)
