--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -197,7 +197,7 @@
 	a := noHolderAction(v, l.packet)
 	a.Lookup = LookupResult{
 		Members:    s.view.Members.Revision,
-		ViewAge:    l.startedAt.Sub(s.confirmedAt),
+		ViewAge:    l.startedAt.Sub(s.confirmedAt.Members),
 		Denied:     len(l.deniedBy),
 		DeadAgents: s.agents.deadCount(),
 	}
@@ -211,7 +211,9 @@
 
 // viewFresh reports whether the view is sure to contain all agents that may
 // hold the flow of a lookup.
-func (s *Steerer) viewFresh(l *lookup) bool { return l.startedAt.Sub(s.confirmedAt) <= maxViewAge }
+func (s *Steerer) viewFresh(l *lookup) bool {
+	return l.startedAt.Sub(s.confirmedAt.Members) <= maxViewAge
+}
 
 // retryLookups retries the lookups that were denied by all agents known or reached
 // at the time, and those that were not answered, and drops the packets of lookups
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
@@ -60,11 +61,11 @@
 func TestKeptPacketIsResetAsSoonAsAllAgentsAreKnown(t *testing.T) {
 	is := is.New(t)
 	s := newSteerer(testView(12))
-	s.SetView(testView(12), start.Add(-maxViewAge-time.Second))
+	s.SetView(testView(12), view.Confirmations{Members: start.Add(-maxViewAge - time.Second)})
 	p := callerPacket(1, flow.Ack)
 	is.Equal(denyByAllAsked(s, start, p, s.FromCaller(start, p, []byte("data")), ignoreCandidates).Verdict, Keep)
 	is.Equal(countResets(s.Tick(start.Add(lookupRetryDelay))), 0)
-	s.SetView(testView(12), start.Add(-time.Second))
+	s.SetView(testView(12), view.Confirmations{Members: start.Add(-time.Second)})
 	is.Equal(countResets(s.Tick(start.Add(2*lookupRetryDelay))), 1)
 }
 
@@ -73,12 +74,12 @@
 func TestLookupAsksAddedAgent(t *testing.T) {
 	is := is.New(t)
 	s := newSteerer(testView(3))
-	s.SetView(testView(3), start.Add(-maxViewAge-time.Second))
+	s.SetView(testView(3), view.Confirmations{Members: start.Add(-maxViewAge - time.Second)})
 	p := callerPacket(1, flow.Ack)
 	is.Equal(denyByAllAsked(s, start, p, s.FromCaller(start, p, []byte("data")), ignoreCandidates).Verdict, Keep)
 	added := testView(4)
 	added.Members.Revision++
-	s.SetView(added, start)
+	s.SetView(added, view.Confirmations{Members: start})
 	due := s.Tick(start.Add(lookupRetryDelay))
 	again := forwardActions(due)
 	is.Equal(len(again), 1)
@@ -139,7 +140,7 @@
 	m.Revision = 2
 	v.Members.ByName["agent-1"] = m
 	v.Members.Revision++
-	s.SetView(v, start)
+	s.SetView(v, view.Confirmations{Members: start})
 	p := callerPacket(1, flow.Ack)
 	is.Equal(denyByAllAsked(s, start, p, s.FromCaller(start, p, nil), ignoreCandidates).Verdict, Reset)
 }
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -127,7 +127,7 @@
 
 func (p *path) newBalancer(i int) *flowsteer.Steerer {
 	s := flowsteer.New(balancerAddress(i), "a")
-	s.SetView(p.viewOf(i), p.now)
+	s.SetView(p.viewOf(i), view.Confirmations{Members: p.now})
 	return s
 }
 
@@ -252,10 +252,11 @@
 	}
 	for i, s := range p.balancers {
 		v := p.viewOf(i)
-		s.SetView(v, p.now)
+		confirmedAt := view.Confirmations{Members: p.now}
 		if v.Configuration.Revision == p.view.Configuration.Revision {
-			s.ConfirmConfiguration(p.now)
+			confirmedAt.Configuration = p.now
 		}
+		s.SetView(v, confirmedAt)
 		due := s.Tick(p.now)
 		slices.SortFunc(due, func(a, b flowsteer.Action) int {
 			return cmp.Or(slices.Compare(a.Message.Packet, b.Message.Packet), a.To.Compare(b.To))
@@ -500,7 +501,7 @@
 				p.changed[balancer] = beforeDrop
 				p.balancers[balancer] = p.newBalancer(balancer)
 				p.changed[balancer] = withoutRoutes
-				p.balancers[balancer].SetView(p.viewOf(balancer), p.now)
+				p.balancers[balancer].SetView(p.viewOf(balancer), view.Confirmations{Members: p.now})
 			case 0:
 				views := []func(*view.View){nil, withoutRoutes, withoutCandidates, withoutAgent(a)}
 				p.changed[balancer] = views[rapid.IntRange(0, len(views)-1).Draw(t, "view")]
--- a/internal/flowpath/flowsteer/pathrestart_test.go
+++ b/internal/flowpath/flowsteer/pathrestart_test.go
@@ -90,7 +90,7 @@
 	}
 	r.view.Members = view.Members{Revision: r.view.Members.Revision + 1, ByName: members}
 	for _, s := range r.balancers {
-		s.SetView(r.view, r.now)
+		s.SetView(r.view, view.Confirmations{Members: r.now})
 	}
 }
 
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -74,7 +74,7 @@
 	self        netip.AddrPort
 	domain      string
 	view        view.View
-	confirmedAt time.Time // the members of view were current at this time
+	confirmedAt view.Confirmations
 	agents      agentSet
 	flows       holders
 	openings    map[flow.Key]*opening
@@ -84,9 +84,6 @@
 	// unroutedFlows are the flows of dropped routes, with the time of their first
 	// packet under the current configuration.
 	unroutedFlows map[flow.Key]time.Time
-	// configurationConfirmedAt is when the configuration of view was last known to
-	// be current.
-	configurationConfirmedAt time.Time
 }
 
 // opening is a new flow whose agent has not answered yet.
@@ -116,10 +113,9 @@
 	}
 }
 
-// SetView replaces the view. confirmedAt is the time at which the members of this view
-// were last known to be current, the zero time if they never were. Both are set in one
-// call because a later confirmation says nothing about an earlier view.
-func (s *Steerer) SetView(v view.View, confirmedAt time.Time) {
+// SetView replaces the view and its confirmations. Both are set in one call because a
+// later confirmation says nothing about an earlier view.
+func (s *Steerer) SetView(v view.View, confirmedAt view.Confirmations) {
 	agentsChanged := v.Members.Revision != s.view.Members.Revision || v.Evacuations.Revision != s.view.Evacuations.Revision
 	s.recordDroppedRoutes(v.Configuration)
 	s.view, s.confirmedAt = v, confirmedAt
@@ -128,16 +124,11 @@
 	}
 }
 
-// ConfirmConfiguration records when the configuration of the view that was set last was
-// last known to be current, the zero time if it never was.
-func (s *Steerer) ConfirmConfiguration(at time.Time) { s.configurationConfirmedAt = at }
-
 // recordDroppedRoutes remembers the routes that are missing from a new configuration.
 func (s *Steerer) recordDroppedRoutes(next view.Configuration) {
 	if next.Revision == s.view.Configuration.Revision {
 		return
 	}
-	s.configurationConfirmedAt = time.Time{}
 	clear(s.unroutedFlows)
 	for address := range s.view.Configuration.Routes {
 		if _, ok := next.Routes[address]; !ok && len(s.droppedRoutes) < maxDroppedRoutes {
@@ -188,7 +179,7 @@
 			s.unroutedFlows[key] = now
 		}
 	}
-	return !s.configurationConfirmedAt.Before(firstPacketAt)
+	return !s.confirmedAt.Configuration.Before(firstPacketAt)
 }
 
 // forwardToHolder sends a packet to the agent that holds its flow.
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -50,7 +50,7 @@
 // newSteerer returns a steerer of failure domain a whose view is current at start.
 func newSteerer(v view.View) *Steerer {
 	s := New(self, "a")
-	s.SetView(v, start)
+	s.SetView(v, view.Confirmations{Members: start})
 	return s
 }
 
@@ -214,12 +214,12 @@
 		is.Equal(s.FromCaller(start, p, nil).Verdict, Send)
 		dropped := testView(3)
 		dropped.Configuration.Revision = 2
-		s.SetView(dropped, start)
+		s.SetView(dropped, view.Confirmations{Members: start})
 		// The route may have been added again, and the flow opened since.
 		is.True(s.FromCaller(start, p, nil).Verdict != Reset)
-		s.ConfirmConfiguration(start.Add(-time.Millisecond))
+		s.SetView(dropped, view.Confirmations{Members: start, Configuration: start.Add(-time.Millisecond)})
 		is.True(s.FromCaller(start.Add(time.Second), p, nil).Verdict != Reset)
-		s.ConfirmConfiguration(start)
+		s.SetView(dropped, view.Confirmations{Members: start, Configuration: start})
 		a := s.FromCaller(start.Add(time.Second), p, nil)
 		is.Equal(a.Verdict, Reset)
 		is.Equal(a.Kind, errkind.PacketNoRoute)
@@ -227,7 +227,7 @@
 		other.From = callerPacket(2, flow.Ack).From
 		is.True(s.FromCaller(start.Add(time.Second), other, nil).Verdict != Reset)
 		v.Configuration.Revision = 3
-		s.SetView(v, start)
+		s.SetView(v, view.Confirmations{Members: start})
 		is.True(s.FromCaller(start.Add(time.Second), p, nil).Verdict != Reset)
 	})
 }
@@ -281,7 +281,7 @@
 	t.Run("view out of date", func(t *testing.T) {
 		is := is.New(t)
 		s := newSteerer(testView(3))
-		s.SetView(testView(3), start.Add(-maxViewAge-time.Second))
+		s.SetView(testView(3), view.Confirmations{Members: start.Add(-maxViewAge - time.Second)})
 		is.Equal(verdictAfterDenials(s, start), Keep)
 	})
 	t.Run("an agent doesn't answer", func(t *testing.T) {
@@ -296,7 +296,7 @@
 		at := start.Add(maxViewAge + time.Millisecond)
 		is.Equal(verdictAfterDenials(s, at), Keep)
 		is.Equal(countResets(s.Tick(at.Add(200*time.Millisecond))), 0)
-		s.SetView(testView(3), at)
+		s.SetView(testView(3), view.Confirmations{Members: at})
 		is.Equal(countResets(s.Tick(at.Add(250*time.Millisecond))), 1)
 	})
 }
@@ -504,7 +504,7 @@
 				}
 			}
 		}
-		s.SetView(v, end)
+		s.SetView(v, view.Confirmations{Members: end})
 		p := callerPacket(1, flow.Ack)
 		return denyByAllAsked(s, end, p, s.FromCaller(end, p, nil), ignoreCandidates).Verdict
 	}
@@ -547,7 +547,7 @@
 		return s
 	}
 	deny := func(s *Steerer, at time.Time) Verdict {
-		s.SetView(testView(agents), at)
+		s.SetView(testView(agents), view.Confirmations{Members: at})
 		p := callerPacket(1, flow.Ack)
 		return denyByAllAsked(s, at, p, s.FromCaller(at, p, nil), ignoreCandidates).Verdict
 	}
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -189,8 +189,7 @@
 // the view. The caller holds the lock.
 func (b *Balancer) updateView() view.View {
 	v, confirmedAt := b.node.Board.Snapshot()
-	b.steerer.SetView(v, confirmedAt.Members)
-	b.steerer.ConfirmConfiguration(confirmedAt.Configuration)
+	b.steerer.SetView(v, confirmedAt)
 	return v
 }
 
