--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -92,18 +92,18 @@
 
 // deliverQueued delivers the queued requests that the gate releases to the
 // backend server.
-func (a *Agent) deliverQueued(now time.Time) {
-	for _, d := range a.gate.Release(now) {
-		a.writeDatagram(a.backendSocket, d.Raw, a.settings.BackendAddress)
-	}
-}
+func (a *Agent) deliverQueued(now time.Time) { a.deliver(a.gate.Release(now)) }
 
 // deliverAllQueued delivers all queued requests to the backend server, which queues or
 // refuses those beyond its slots.
 func (a *Agent) deliverAllQueued() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, d := range a.gate.ReleaseAll(time.Now()) {
+	a.deliver(a.gate.ReleaseAll(time.Now()))
+}
+
+func (a *Agent) deliver(list []flowgate.Delivery) {
+	for _, d := range list {
 		a.writeDatagram(a.backendSocket, d.Raw, a.settings.BackendAddress)
 	}
 }
