Hand the acknowledgements of the backend server over

The record of a flow put the backend server's acknowledgement in place of the end of the caller's data, unless a request of the flow was queued.

--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -48,6 +48,8 @@
 	CallerClosed    bool
 	BackendSentData bool
 	BackendEndSeq   uint32 // valid if BackendSentData
+	BackendAcked    bool
+	BackendAck      uint32 // valid if BackendAcked
 	BackendClosed   bool
 	AwaitsAnswer    bool          // the answer to a delivered request has not started
 	RequestAge      time.Duration // since that request was delivered, if AwaitsAnswer
@@ -75,13 +77,11 @@
 		OpeningAnswered: f.openingAnswered, BackendSeq: f.backendSeq, Adopted: f.adopted,
 		CallerAck: f.callerAck, CallerSentData: f.callerSentData, CallerEndSeq: f.callerEndSeq, CallerClosed: f.callerClosed,
 		BackendSentData: f.backendSentData, BackendEndSeq: f.backendEndSeq, BackendClosed: f.backendClosed,
+		BackendAcked: f.backendAcked, BackendAck: f.backendAck,
 	}
 	if !f.adopted {
 		r.OpeningAge = now.Sub(f.firstOpeningAt)
 	}
-	if f.backendAcked && (!f.callerSentData || int32(f.backendAck-f.callerEndSeq) > 0) {
-		r.CallerSentData, r.CallerEndSeq = true, f.backendAck
-	}
 	if f.awaitsAnswer {
 		r.AwaitsAnswer, r.RequestAge, r.OverdueCounted = true, now.Sub(f.requestDeliveredAt), f.overdueCounted
 	}
@@ -143,6 +143,7 @@
 	f.openingAnswered, f.backendSeq, f.adopted = r.OpeningAnswered, r.BackendSeq, r.Adopted
 	f.callerAck, f.callerSentData, f.callerEndSeq, f.callerClosed = r.CallerAck, r.CallerSentData, r.CallerEndSeq, r.CallerClosed
 	f.backendSentData, f.backendEndSeq, f.backendClosed = r.BackendSentData, r.BackendEndSeq, r.BackendClosed
+	f.backendAcked, f.backendAck = r.BackendAcked, r.BackendAck
 	switch {
 	case r.Ended:
 		t.end(f, stateEnded)
