Count no answered request that leaves the queue

While all slots were taken, the retransmission of a request that the restarted agent had offered waited in the queue. TestAnsweredRequestLeavesTheQueueUncounted fails without the change.

--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -137,3 +137,29 @@
 	}
 	is.Equal(len(notified), 2)
 }
+
+// Guards against a request that takes a slot although it was answered: its retransmission
+// waited in the queue of the restarted agent when the answer to the offered packet came.
+func TestAnsweredRequestLeavesTheQueueUncounted(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	m := forward(self)
+	m.ReportHolder = true
+	is.True(g.FromPeer(start, m, dataPacket(1, orders, 910, 10)).LookupFrom.IsValid())
+	earlier := backendPacket(1, orders, flow.Ack, 10) // repeated end of the answer to an earlier request
+	earlier.Ack = 910
+	g.FromBackend(start.Add(10*time.Millisecond), earlier)
+	for port := 50; port <= 50+g.slots(); port++ {
+		establishFlow(g, start, port, orders)
+		g.FromPeer(start, forward(self), dataPacket(port, orders, 101, 10))
+	}
+	is.Equal(g.FromPeer(start.Add(200*time.Millisecond), forward(self), dataPacket(1, orders, 910, 10)).Verdict, Hold)
+	answer := backendPacket(1, orders, flow.Ack, 100)
+	answer.Seq, answer.Ack = earlier.Seq+10, 920
+	g.FromBackend(start.Add(250*time.Millisecond), answer)
+	for port := 50; port <= 50+g.slots(); port++ {
+		g.FromBackend(start.Add(300*time.Millisecond), backendPacket(port, orders, flow.Ack, 10))
+	}
+	g.Release(start.Add(300 * time.Millisecond))
+	is.Equal(g.InProgress(), 0)
+}
--- a/internal/flowpath/flowgate/queue.go
+++ b/internal/flowpath/flowgate/queue.go
@@ -205,7 +205,9 @@
 func (g *Gate) releaseNext(now time.Time) []Delivery {
 	w := g.queue.next(now)
 	w.entry.queued = nil
-	g.flows.beginRequest(now, w.entry)
+	if !w.entry.backendHasAll() {
+		g.flows.beginRequest(now, w.entry)
+	}
 	out := make([]Delivery, 0, len(w.packets))
 	for _, raw := range w.packets {
 		out = append(out, Delivery{Key: w.key, Raw: raw})
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -174,6 +174,12 @@
 	return p.Length > 0 && !sent && !acknowledged
 }
 
+// backendHasAll reports whether the backend server has acknowledged all data of the
+// caller that the agent has seen.
+func (f *entry) backendHasAll() bool {
+	return f.backendAcked && int32(f.callerEndSeq-f.backendAck) <= 0
+}
+
 // requestedAt returns the time from which the caller has waited for the answer to
 // a request that arrives now. For the first request of a flow that includes the
 // opening.
