--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -58,6 +58,7 @@
 	tokens                  float64 // openings that a cold backend server may get now (token bucket)
 	refilledAt              time.Time
 	learnUntil              time.Time // packets of unknown flows are offered to the backend server before then
+	learnUntilBefore        time.Time // learnUntil before a handover ended learning, zero if none did
 	takenOver               Run       // run of the handover of an earlier process of this agent, if there was one
 
 	serviceKnown  bool // the configuration of the service is known
@@ -198,6 +199,11 @@
 	if !newRun {
 		return nil, nil
 	}
+	if !r.Started.After(g.started) && b.learnUntilBefore.After(b.learnUntil) {
+		// The handover says nothing of this run.
+		b.learnUntil = b.learnUntilBefore
+	}
+	b.learnUntilBefore = time.Time{}
 	b.sentOpenings.sentAt = time.Time{}
 	g.health.reset(now)
 	return g.markLost(lastOfOldRun, r.Started, now), nil
--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -107,7 +107,7 @@
 		g.flows.takeOver(now, &h.Flows[i])
 	}
 	if learnUntil := now.Add(h.LearnFor); learnUntil.Before(g.backend.learnUntil) {
-		g.backend.learnUntil = learnUntil
+		g.backend.learnUntilBefore, g.backend.learnUntil = g.backend.learnUntil, learnUntil
 	}
 	g.backend.takenOver = h.Run
 	g.keepOffersOfOpenFlows()
--- a/internal/flowpath/flowgate/handover_test.go
+++ b/internal/flowpath/flowgate/handover_test.go
@@ -242,3 +242,16 @@
 	is.NoErr(next.TakeOver(now, g.Handover(now)))
 	is.Equal(len(next.PassOnUnanswered(now.Add(time.Second))), 0)
 }
+
+// Guards against an agent that denies the flows of the current run, because it took over
+// the handover of an earlier run before the first report.
+func TestHandoverOfEarlierRunDoesNotEndLearning(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	now := start.Add(5 * time.Second)
+	next := successor(t, g, now)
+	current := Report{Instance: "i-2", Started: start.Add(time.Second), Sequence: 3, Slots: 2, State: view.Ready}
+	_, err := next.Report(now.Add(time.Second), current)
+	is.NoErr(err)
+	is.Equal(next.FromPeer(now.Add(2*time.Second), forward(self, other), dataPacket(1, feeds, 900, 10)).Verdict, Deliver)
+}
