Use no handover after which the agent's member was written

A handover whose creation the store executed late, or whose deletion was lost, could be taken by the process after the next one.

A handover now names the revision of the member that announces the restart. Each process writes its member anew with its first report, so a later one finds another revision. An agent applies reports only when it has taken the handover over, at most 150 ms after its start. A process that ended before its first report leaves a gap; there a handover that is older than 3 s doesn't end learning. An agent that stops takes no handover over, which could be its own. TestNothingIsProcessedAfterTheHandover now sends packets that would be noticed: it fails if either of the two checks is missing.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -88,6 +88,14 @@
 	return a.storedSince, a.stored
 }
 
+// Revision returns the last known revision of the announced member, 0 if the store isn't
+// known to hold it.
+func (a *Announcer) Revision() view.Revision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.knownRevision
+}
+
 // noteStored records that the store holds the member. The caller holds the lock.
 func (a *Announcer) noteStored() {
 	if a.stored || a.withdrawn {
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -49,6 +49,8 @@
 	nodeSocket    udp.Socket // messages from and to balancers and agents
 	backendSocket udp.Socket // packets from and to the backend server
 
+	reportable chan struct{} // closed as soon as reports may be applied
+
 	mu          sync.Mutex
 	gate        *flowgate.Gate
 	lastReport  flowgate.Report
@@ -66,11 +68,12 @@
 func New(s platform.Settings, store Store, logger *event.Logger) *Agent {
 	registry := metrics.New()
 	return &Agent{
-		settings: s,
-		store:    store,
-		logger:   logger,
-		registry: registry,
-		metrics:  metrics.NewFlowAgent(registry),
+		settings:   s,
+		store:      store,
+		logger:     logger,
+		registry:   registry,
+		metrics:    metrics.NewFlowAgent(registry),
+		reportable: make(chan struct{}),
 		gate: flowgate.New(flowgate.Options{
 			Self:     s.PacketAddress,
 			Service:  flowsteer.ServiceID(s.Service),
@@ -113,7 +116,9 @@
 		return err
 	}
 	a.node.FollowView(func() { a.applyView(a.node.Board.View()) })
-	if !s.FirstStart {
+	if s.FirstStart {
+		close(a.reportable)
+	} else {
 		a.startTakeOver()
 	}
 	a.node.ReadMessages(a.nodeSocket, a.handleMessage)
@@ -135,14 +140,17 @@
 	a.mu.Lock()
 	a.gate.PrepareStop()
 	a.mu.Unlock()
-	announced := !ended && a.announceRestart()
+	var announced view.Revision
+	if !ended {
+		announced = a.announceRestart()
+	}
 	a.logger.Emit(event.Stopping, event.Fields{"drain_ms": drainTimeout.Milliseconds()})
 	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && a.pendingRequests() > 0; {
 		time.Sleep(drainCheckInterval)
 	}
 	a.deliverAllQueued()
-	if announced {
-		a.writeHandover()
+	if announced > 0 {
+		a.writeHandover(announced)
 	}
 	a.node.Stop()
 	a.logger.Emit(event.Stopped, nil)
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -8,6 +8,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
@@ -23,10 +24,12 @@
 	// takeOverWait is how long an agent leaves packets unread until the handover is
 	// taken over. A request that is offered before can't be told from its copies.
 	takeOverWait = 150 * time.Millisecond
-	// maxHandoverAge bounds how long a handover that could not be deleted can
-	// mislead a later process. It is measured by the clock of the machine, which may
-	// be off by seconds.
+	// maxHandoverAge is the maximum age at which a handover is used, and
+	// maxCompleteAge that at which it ends learning: an older one may have been left by a
+	// process before the last, if it could not be deleted. Both are measured by the clock
+	// of the machine, which may be off by seconds.
 	maxHandoverAge = 10 * time.Second
+	maxCompleteAge = 3 * time.Second
 )
 
 // Store is the platform's object store.
@@ -44,18 +47,20 @@
 	WriteHandover(ctx context.Context, name string, h platform.Handover) error
 	// TakeHandover returns the handover of the agent called name after its deletion
 	// was acknowledged. Errors have kind PlatformDown, PlatformLimited,
-	// VersionConflict, PeerMalformed or, if there is no handover, NotFound.
+	// VersionConflict, PeerMalformed, HandoverUnusable or, if there is no handover,
+	// NotFound.
 	TakeHandover(ctx context.Context, name string) (platform.Handover, error)
 }
 
-// writeHandover writes what the gate knows for the next process of the agent. From
+// writeHandover writes what the gate knows for the next process of the agent. member is
+// the revision of the agent's member, which announces the restart. From
 // now on the agent ignores all packets and messages, because the next process would
 // not know what they change. Callers and backend servers retransmit them.
-func (a *Agent) writeHandover() {
+func (a *Agent) writeHandover(member view.Revision) {
 	a.mu.Lock()
 	now := time.Now()
 	a.handedOver = true
-	h := platform.Handover{Handover: a.gate.Handover(now), Written: now, Service: a.settings.Service}
+	h := platform.Handover{Handover: a.gate.Handover(now), Written: now, Service: a.settings.Service, Member: member}
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverWriteTimeout)
 	defer cancel()
@@ -69,7 +74,9 @@
 }
 
 // startTakeOver starts to take the handover over, and waits for it up to takeOverWait.
+// Until then no report is applied, because it makes the agent write its member anew.
 func (a *Agent) startTakeOver() {
+	defer close(a.reportable)
 	done := make(chan struct{})
 	a.node.Go(func(ctx context.Context) {
 		defer close(done)
@@ -98,22 +105,32 @@
 }
 
 // takeHandover reads the handover from the store. It tries again unless the store
-// answers that there is none.
+// answers that there is none that can be used.
 func (a *Agent) takeHandover(ctx context.Context) (h platform.Handover, err error) {
 	for try := range maxTakeOverTries {
 		if try > 0 {
 			delay.Sleep(ctx, takeOverRetryDelay)
 		}
+		if a.isRestarting() {
+			break // the handover may be the one that this process has written
+		}
 		tryCtx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 		h, err = a.store.TakeHandover(tryCtx, MemberName(a.settings.Address))
 		cancel()
-		if err == nil || errkind.Is(err, errkind.NotFound) || ctx.Err() != nil {
+		final := errkind.Is(err, errkind.NotFound) || errkind.Is(err, errkind.HandoverUnusable)
+		if err == nil || final || ctx.Err() != nil {
 			break
 		}
 	}
 	return h, err
 }
 
+func (a *Agent) isRestarting() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.restarting
+}
+
 // applyHandover passes a handover to the gate. Errors have kind HandoverUnusable.
 func (a *Agent) applyHandover(h platform.Handover) error {
 	a.mu.Lock()
@@ -124,6 +141,8 @@
 		return errkind.Errorf(errkind.HandoverUnusable, "handover is of service %s", h.Service)
 	case age > maxHandoverAge:
 		return errkind.Errorf(errkind.HandoverUnusable, "handover was written %v from now", age)
+	case age > maxCompleteAge:
+		h.LearnFor = a.settings.FlowLifetime
 	}
 	return a.gate.TakeOver(now, h.Handover)
 }
--- a/pkg/flowagent/handover_test.go
+++ b/pkg/flowagent/handover_test.go
@@ -15,6 +15,9 @@
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
+// Offset and value of the flag that makes a packet an acknowledgement.
+const flagsOffset, ackBit = 30, 4
+
 // handoverStore is a store that counts calls and answers them with errors of a kind.
 type handoverStore struct {
 	Store
@@ -38,11 +41,15 @@
 	is := is.New(t)
 	store := &handoverStore{kind: errkind.PlatformDown}
 	a := New(platform.Settings{}, store, event.Discard())
-	a.writeHandover()
+	a.writeHandover(1)
 	is.Equal(store.calls, 1)
 	key := flow.Key{Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Service: netip.MustParseAddrPort("198.18.0.1:8443")}
-	is.NoErr(a.handleBackendPacket(platform.AppendReset(nil, key, 5001)[:platform.HeaderBytes]))
-	is.NoErr(a.handleMessage(&hop.Message{Type: hop.Hello})) // no socket is open
+	acknowledgement := platform.AppendReset(nil, key, 5001)
+	acknowledgement[flagsOffset] = ackBit
+	is.NoErr(a.handleBackendPacket(acknowledgement))
+	m := hop.Message{Type: hop.Forward, Candidates: []netip.AddrPort{{}}, Packet: acknowledgement}
+	is.NoErr(a.handleMessage(&m)) // no socket is open
+	is.NoErr(a.handleMessage(&hop.Message{Type: hop.Hello}))
 	is.Equal(a.gate.OpenFlows(), 0)
 }
 
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -20,6 +20,7 @@
 		a.logger.EmitError(event.ReportRefused, err, nil)
 		return err
 	}
+	<-a.reportable
 	stored, err := a.applyReport(r.Report)
 	if err != nil {
 		a.logger.EmitError(event.ReportRefused, err, event.Fields{"instance": r.Instance, "sequence": r.Sequence})
@@ -73,25 +74,26 @@
 }
 
 // announceRestart announces that this process stops while the backend server runs
-// on, and reports whether the store holds the announcement. Without a report in this
-// process, the member is as an earlier one left it.
-func (a *Agent) announceRestart() bool {
+// on, and returns the revision of the member with the announcement, 0 if the store isn't
+// known to hold it. Without a report in this process, the member is as an earlier one left
+// it.
+func (a *Agent) announceRestart() view.Revision {
 	if a.backendRefusesConns() {
-		return false
+		return 0
 	}
 	a.mu.Lock()
 	if a.lastReport.Instance == "" {
 		a.mu.Unlock()
-		return false
+		return 0
 	}
 	a.restarting = true
 	stored := a.announceMember()
 	a.mu.Unlock()
 	select {
 	case <-stored:
-		return true
+		return a.node.Announcer.Revision()
 	case <-time.After(storeTimeout):
-		return false
+		return 0
 	}
 }
 
