Let agents offer packets only if one that was asked learns

Lookups told the agents beyond the first list, and all agents of a retry, to offer the packet if they learn, whether or not any agent learns.

Further agents are now asked only whether they know the flow, until one is unsure or a second retry is due. Agents beyond the first list that are unsure offer it afterwards, in lists of at most eight. Four tests of lookups are new; three of them fail without the change.

--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -21,6 +21,9 @@
 	lookupAnswerTimeout = 200 * time.Millisecond
 	// maxLookupRetries is the maximum number of times that a lookup is retried.
 	maxLookupRetries = 4
+	// offeringRetry is the retry from which on agents that may hold a flow without knowing
+	// it offer its packet although others have not answered. Those may be down.
+	offeringRetry = 2
 	// maxListsPerRound is the maximum number of candidate lists that are sent at a
 	// time after the first list, which usually contains the holder.
 	maxListsPerRound = 16
@@ -46,7 +49,7 @@
 // the packet was sent, so an agent that denied it needn't be asked again. The agents of
 // the first list, which usually contains the holder, are first asked whether they know
 // the flow. Only when none does, those that may hold it without knowing it offer the
-// packet to their backend servers. An acknowledgement is never offered: its loss is
+// packet to their backend servers, and so do the agents that are asked after them. An acknowledgement is never offered: its loss is
 // made good by a retransmission, and nothing shows which backend server took it.
 type lookup struct {
 	order          []netip.AddrPort // agents to ask, in this order
@@ -55,6 +58,7 @@
 	unsure         []netip.AddrPort // agents that don't know the flow but may hold it
 	packet         flow.Packet
 	raw            []byte   // the encoding of packet
+	offered        bool     // agents were asked to offer the packet
 	unsent         bool     // packet replaced an earlier one and was not sent yet
 	waitingPackets [][]byte // further packets of the flow
 	startedAt      time.Time
@@ -117,7 +121,7 @@
 		list := l.order[l.next:min(len(l.order), l.next+length)]
 		l.next += len(list)
 		a := s.forward(list, 0, true, l.raw)
-		a.Message.KnownOnly = !callsForAnswer(l.packet)
+		a.Message.KnownOnly = !l.mayBeOffered()
 		due = append(due, a)
 	}
 	return due
@@ -138,9 +142,7 @@
 	case slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !l.answered(agent) }):
 		return nil
 	case len(l.unsure) > 0 && callsForAnswer(l.packet):
-		unsure := l.unsure
-		l.unsure, l.lastSentAt, l.unsent = nil, now, false
-		return []Action{s.forward(unsure, 0, true, l.raw)}
+		return s.offerToUnsure(now, l)
 	case l.next < len(l.order):
 		return s.askNextAgents(now, l, maxListsPerRound, hop.MaxCandidates)
 	case len(l.unsure) > 0:
@@ -150,6 +152,24 @@
 	return []Action{s.resolveMissing(now, key, l)}
 }
 
+// mayBeOffered reports whether agents that are asked next offer the packet if they may
+// hold the flow without knowing it. Unless agents learn, asking whether they know it
+// suffices.
+func (l *lookup) mayBeOffered() bool {
+	return callsForAnswer(l.packet) && (l.offered || l.retries >= offeringRetry)
+}
+
+// offerToUnsure sends the packet of a lookup to the agents that may hold the flow without
+// knowing it, which offer it to their backend servers.
+func (s *Steerer) offerToUnsure(now time.Time, l *lookup) []Action {
+	var due []Action
+	for list := range slices.Chunk(l.unsure, hop.MaxCandidates) {
+		due = append(due, s.forward(list, 0, true, l.raw))
+	}
+	l.unsure, l.lastSentAt, l.unsent, l.offered = nil, now, false, true
+	return due
+}
+
 // recordAnswers records what the agents of a declined list know of the flow. One that
 // is unsure although it was asked to offer the packet has not answered.
 func (l *lookup) recordAnswers(m *hop.Message) {
--- a/internal/flowpath/flowsteer/pathrestart_test.go
+++ b/internal/flowpath/flowsteer/pathrestart_test.go
@@ -196,3 +196,20 @@
 		t.Error("the packet didn't reach the backend server of its flow")
 	}
 }
+
+// Guards against packets that reach the backend servers of all agents that learn because
+// one datagram of the lookup was lost, while the agent of the flow knows it.
+func TestLostLookupIsOfferedToNoOtherServer(t *testing.T) {
+	for number := range 20 {
+		r := newRestartedPath(t, number, false)
+		r.packets = append(r.packets, r.flow)
+		raw := []byte{0, 0, 0, byte(len(r.packets) - 1)}
+		r.balancers[1].FromCaller(r.now, r.flow, raw) // lost on the way to the first agent
+		for range 5 {
+			r.passStep()
+		}
+		if others := r.returnedByOthers(); others > 0 {
+			t.Errorf("flow %d: %d packets reached other backend servers", number, others)
+		}
+	}
+}
--- a/internal/flowpath/flowsteer/restart_test.go
+++ b/internal/flowpath/flowsteer/restart_test.go
@@ -76,3 +76,52 @@
 	}
 	is.Equal(sent, []string{"request"})
 }
+
+// Guards against packets that are offered to the backend servers of all learning agents
+// because one datagram of a lookup was lost, while an agent knows the flow.
+func TestRetryAsksForKnowledgeFirst(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(20))
+	p := callerPacket(1, flow.Ack)
+	p.Length = 10
+	is.True(s.FromCaller(start, p, []byte("data")).Message.KnownOnly) // lost
+	for _, a := range forwardActions(s.Tick(start.Add(lookupAnswerTimeout))) {
+		is.True(a.Message.KnownOnly)
+	}
+}
+
+// Guards against packets that are offered to the backend servers of agents outside the
+// first list before the agent among them that knows the flow was asked.
+func TestFurtherListsAreAskedForKnowledgeFirst(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(20))
+	p := callerPacket(1, flow.Ack)
+	p.Length = 10
+	first := s.FromCaller(start, p, []byte("data"))
+	for _, a := range forwardActions(s.Declined(start, p, &first.Message)) {
+		is.True(a.Message.KnownOnly)
+	}
+}
+
+// Guards against the reset of a flow whose agent learns and is outside the first list, and
+// against messages with more candidates than one may list.
+func TestUnsureAgentsOutsideTheFirstListOffer(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(24))
+	p := callerPacket(1, flow.Ack)
+	p.Length = 10
+	first := s.FromCaller(start, p, []byte("data"))
+	var offers []Action
+	for _, a := range s.Declined(start, p, &first.Message) {
+		a.Message.Unsure = 1<<len(a.Message.Candidates) - 1
+		offers = s.Declined(start, p, &a.Message)
+	}
+	is.Equal(len(offers), 2)
+	var last []Action
+	for _, a := range offers {
+		is.True(!a.Message.KnownOnly)
+		is.Equal(len(a.Message.Candidates), hop.MaxCandidates)
+		last = s.Declined(start, p, &a.Message)
+	}
+	is.Equal(last[0].Verdict, Reset)
+}
