--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"net/netip"
 	"slices"
 	"time"
@@ -18,49 +17,11 @@
 	leastLoadedChoices = hop.MaxCandidates
 	// idleFlowLoad is the load of an open flow without a request, in requests.
 	idleFlowLoad = 0.1
-	// helloRate is the maximum rate of hellos that a balancer sends to nodes that
-	// answer, and that to suspect ones, in messages a second.
-	helloRate = 50
-	// minHelloInterval is the minimum time between two hellos to a node.
-	minHelloInterval = 250 * time.Millisecond
-	// minSuspectHelloInterval is the minimum time between two hellos to a suspect node.
-	// An agent gets at least three before it counts as dead, since datagrams are lost
-	// at times. It gets fewer if many agents are suspect, because flows are not reset
-	// then and the balancer may be overloaded.
-	minSuspectHelloInterval = minHelloInterval
-	// suspectAfter is how long a node may leave a hello unanswered before it is
-	// suspect.
-	suspectAfter = 150 * time.Millisecond
-	// deadAfter is how long an agent may leave hellos unanswered before it counts
-	// as dead and the flows that it may hold are reset. Callers' deadlines are not
-	// longer.
-	deadAfter = 2 * time.Second
-	// restartTimeout replaces deadAfter for an agent that announced that its process
-	// restarts while its backend server runs on. It exceeds the time that a process
-	// takes to start on a slow, busy host.
-	restartTimeout = 6 * time.Second
-	// maxTickGap is how much of the time between two calls of Tick counts as silence
-	// of the agents at most. After a longer gap their answers may lie unread. A usage
-	// cap of the processor stalls a balancer for up to a tenth of a second.
-	maxTickGap = 100 * time.Millisecond
-	// maxSuspectShare is the maximum share of agents that may be suspect before the
-	// balancer assumes that the fault is its own. A crash of more hosts at a time
-	// is rarer than a full link of the balancer.
-	maxSuspectShare = 0.25
 	// refusalTTL is how long an agent counts as refusing new flows after its last
 	// message that said so.
 	refusalTTL = time.Second
 )
 
-// contact holds what the balancer knows about a node to which it sends hellos.
-type contact struct {
-	member          view.Member
-	unanswered      bool          // a hello is unanswered
-	unansweredSince time.Duration // unanswered: when the oldest such hello was sent, on the clock of the agentSet
-	nextHello       time.Time
-	suspect         bool
-}
-
 // agent holds what the balancer knows about one agent.
 type agent struct {
 	contact
@@ -165,29 +126,6 @@
 	return 0
 }
 
-// isDead reports whether an agent counts as dead: it has left hellos unanswered
-// for long while another host of its failure domain answers. A failure domain in
-// which no host answers may be cut off from this balancer only. While many agents are
-// suspect, silence proves nothing about any of them.
-func (as *agentSet) isDead(a *agent) bool {
-	timeout := deadAfter
-	if a.member.Restarting {
-		timeout = restartTimeout
-	}
-	silent := a.suspect && as.clock-a.unansweredSince > timeout
-	return silent && as.domainAnswers(a.member.Domain) && !as.manySuspect()
-}
-
-// domainAnswers reports whether any host of a failure domain answers hellos.
-func (as *agentSet) domainAnswers(domain string) bool {
-	for _, b := range as.balancers {
-		if b.member.Domain == domain && !b.suspect {
-			return true
-		}
-	}
-	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.member.Domain == domain && !a.suspect })
-}
-
 // rankForLookup returns all agents in the order in which they are asked for a
 // flow: first those of the services of its route, and last those that may not pass the
 // packet on. Dead ones are left out.
@@ -250,53 +188,6 @@
 	a.unanswered, a.suspect = false, false
 }
 
-// requestHello makes a hello due at once for an agent that left an opening
-// unanswered.
-func (as *agentSet) requestHello(now time.Time, address netip.AddrPort) {
-	if a := as.byAddress[address]; a != nil && !a.unanswered && a.nextHello.After(now) {
-		a.nextHello = now
-	}
-}
-
-// dueHellos returns the nodes to which a hello is due, and marks as suspect those
-// that left one unanswered.
-func (as *agentSet) dueHellos(now time.Time) []netip.AddrPort {
-	as.advanceClock(now)
-	as.expireRefusals(now)
-	suspects := 0
-	for c := range as.contacts() {
-		c.markSuspect(now, as.clock)
-		if c.suspect {
-			suspects++
-		}
-	}
-	interval := max(minHelloInterval, time.Duration(len(as.all)+len(as.balancers))*time.Second/helloRate)
-	suspectInterval := max(minSuspectHelloInterval, time.Duration(suspects)*time.Second/helloRate)
-	var due []netip.AddrPort
-	for c := range as.contacts() {
-		if now.Before(c.nextHello) {
-			continue
-		}
-		due = append(due, c.member.Address)
-		c.nextHello = now.Add(interval)
-		if c.suspect {
-			c.nextHello = now.Add(suspectInterval)
-		}
-		if !c.unanswered {
-			c.unanswered, c.unansweredSince = true, as.clock
-		}
-	}
-	return due
-}
-
-// advanceClock adds the time since the last tick to the clock, at most maxTickGap.
-func (as *agentSet) advanceClock(now time.Time) {
-	if !as.lastTick.IsZero() {
-		as.clock += min(now.Sub(as.lastTick), maxTickGap)
-	}
-	as.lastTick = now
-}
-
 // expireRefusals ends the refusals of agents that have not repeated them.
 func (as *agentSet) expireRefusals(now time.Time) {
 	for _, a := range as.all {
@@ -306,86 +197,9 @@
 	}
 }
 
-// contacts returns all nodes to which the balancer sends hellos.
-func (as *agentSet) contacts() iter.Seq[*contact] {
-	return func(yield func(*contact) bool) {
-		for _, a := range as.all {
-			if !yield(&a.contact) {
-				return
-			}
-		}
-		for _, b := range as.balancers {
-			if !yield(b) {
-				return
-			}
-		}
-	}
-}
-
-// markSuspect marks the node as suspect if it left a hello unanswered. The next hello
-// is then due at once.
-func (c *contact) markSuspect(now time.Time, clock time.Duration) {
-	if c.unanswered && !c.suspect && clock-c.unansweredSince > suspectAfter {
-		c.suspect, c.nextHello = true, now
-	}
-}
-
-// allDecided reports whether each agent either answers or is dead.
-func (as *agentSet) allDecided() bool {
-	return !slices.ContainsFunc(as.all, func(a *agent) bool { return a.suspect && !as.isDead(a) })
-}
-
-// manySuspect reports whether more than maxSuspectShare of the agents are suspect. Then
-// the fault is probably the balancer's own, such as a full link.
-func (as *agentSet) manySuspect() bool {
-	return float64(as.suspectCount()) > maxSuspectShare*float64(len(as.all))
-}
-
-// suspectCount returns the number of suspect agents.
-func (as *agentSet) suspectCount() int {
-	n := 0
-	for _, a := range as.all {
-		if a.suspect {
-			n++
-		}
-	}
-	return n
-}
-
-// deadCount returns the number of dead agents.
-func (as *agentSet) deadCount() int {
-	n := 0
-	for _, a := range as.all {
-		if as.isDead(a) {
-			n++
-		}
-	}
-	return n
-}
-
-// isLost reports whether the agent at an address is dead or is no longer in the
-// view.
-func (as *agentSet) isLost(address netip.AddrPort) bool {
-	a := as.byAddress[address]
-	return a == nil || as.isDead(a)
-}
-
 // allListed reports whether list contains every agent that isn't dead.
 func (as *agentSet) allListed(list []netip.AddrPort) bool {
 	return !slices.ContainsFunc(as.all, func(a *agent) bool {
 		return !as.isDead(a) && !slices.Contains(list, a.member.Address)
 	})
 }
-
-// isolated reports whether this balancer rather than the other nodes is cut off:
-// no balancer of another failure domain answers any more, and less than half of
-// the agents do. It is false until one such balancer has answered, because a
-// balancer that has just started may have done so before the others.
-func (as *agentSet) isolated() bool {
-	for _, b := range as.balancers {
-		if !b.suspect {
-			return false
-		}
-	}
-	return as.otherDomainReached && len(as.balancers) > 0 && 2*as.suspectCount() > len(as.all)
-}
