--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -49,8 +49,9 @@
 // the packet was sent, so an agent that denied it needn't be asked again. The agents of
 // the first list, which usually contains the holder, are first asked whether they know
 // the flow. Only when none does, those that may hold it without knowing it offer the
-// packet to their backend servers, and so do the agents that are asked after them. An acknowledgement is never offered: its loss is
-// made good by a retransmission, and nothing shows which backend server took it.
+// packet to their backend servers, and so do the agents that are asked after them. An
+// acknowledgement is never offered: its loss is made good by a retransmission, and nothing
+// shows which backend server took it.
 type lookup struct {
 	order          []netip.AddrPort // agents to ask, in this order
 	next           int              // index in order of the first agent that was not asked
