Run the fleets of package distribution on a fake clock

All three were reproduced by running the package alone with -race, -test.parallel 8, under a GOMAXPROCS limit beside other jobs (load 8 to 14 on 8 cores), with a trace of the ticks of each membership table:

- TestPartitionHeals, GOMAXPROCS 3 and 4: "suspected: not within 5s at balancer-0".
With GOMAXPROCS 3 the network was cut at 17:09:44.968; the table of balancer-0 then had gaps between ticks of 1.005 s (17:09:47.071) and 1.694 s (17:09:49.356), both above membership.maxTickGap.
Each sets lastPull to the end of the gap, so the suspicion was due at 17:09:52.356, after the limit at 17:09:49.968.
This is the rule that silence during a pause of the own process is no evidence, and it is right here.
- TestLoadChangesAreHeldBack, GOMAXPROCS 4 and, without trace, 1: "state and load arrive together: not within 1s".
A handshake between the two nodes exceeded its 2 s, and the receiver had tick gaps of 1.35 and 0.73 s; it held the record (leaving, 1000 flows) 1.17 s after the change.
With GOMAXPROCS 2 the fresh host, which starts during the outage, learned the members only 2.5 s after its start, logged event 1108 (isolated) at 3 s and 1109 118 ms later.

Eight tests started up to 13 nodes each at once; TLS handshakes under the race detector then take seconds of processor time. The limits in the tests are about the product's own timers, so the tests measured the machine. The trace with GOMAXPROCS 3 counts 80 tick gaps above 1 s.

The fleets now run in testing/synctest with a network in memory: time passes only while every node waits. All limits stay as they were and are now exact: no slow machine can use them up, and no fast one hides a timer. Sockets remain covered by the tests of packages peer, session and processtest. A frozen node blocks its clock, and fake time stops while a goroutine waits for a mutex, so peertls reads the clock before it takes its lock.

A failing TestFrozenNodeIsSuspectedAndRecovers kept the clock locked in its cleanup, and the run hung until its timeout; the cleanup now thaws the node.

--- a/internal/control/distribution/distribution_test.go
+++ b/internal/control/distribution/distribution_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -21,39 +22,41 @@
 // against nodes that all watch the platform instead of two per failure domain.
 func TestChangeReachesTheFleet(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, 9, 3)
-	const changes = 10
-	var times []time.Duration
-	for generation := uint64(1); generation <= changes; generation++ {
-		start := time.Now()
-		f.putConfig(generation)
-		left := slices.Clone(f.nodes)
-		for len(left) > 0 && time.Since(start) < 5*time.Second {
-			left = slices.DeleteFunc(left, func(n *testNode) bool {
-				arrived := n.generationInForce() >= generation
-				if arrived {
-					times = append(times, time.Since(start))
-				}
-				return arrived
-			})
-			time.Sleep(time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 9, 3)
+		const changes = 10
+		var times []time.Duration
+		for generation := uint64(1); generation <= changes; generation++ {
+			start := time.Now()
+			f.putConfig(generation)
+			left := slices.Clone(f.nodes)
+			for len(left) > 0 && time.Since(start) < 5*time.Second {
+				left = slices.DeleteFunc(left, func(n *testNode) bool {
+					arrived := n.generationInForce() >= generation
+					if arrived {
+						times = append(times, time.Since(start))
+					}
+					return arrived
+				})
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(len(left), 0)
 		}
-		is.Equal(len(left), 0)
-	}
-	slices.Sort(times)
-	t.Logf("%d changes at %d nodes: median %v, 99th percentile %v", changes, len(f.nodes), times[len(times)/2], times[len(times)*99/100])
-	f.waitUntil(5*time.Second, "no member lags", func(n *testNode) bool { return len(n.LaggingMembers(changes)) == 0 })
-	is.Equal(len(f.nodes[0].LaggingMembers(changes+1)), len(f.nodes))
+		slices.Sort(times)
+		t.Logf("%d changes at %d nodes: median %v, 99th percentile %v", changes, len(f.nodes), times[len(times)/2], times[len(times)*99/100])
+		f.waitUntil(5*time.Second, "no member lags", func(n *testNode) bool { return len(n.LaggingMembers(changes)) == 0 })
+		is.Equal(len(f.nodes[0].LaggingMembers(changes+1)), len(f.nodes))
 
-	f.store.mu.Lock()
-	before := f.store.calls
-	f.store.mu.Unlock()
-	time.Sleep(time.Second)
-	f.store.mu.Lock()
-	calls := f.store.calls - before
-	f.store.mu.Unlock()
-	is.True(calls <= 6*3) // six watchers with about one call per second each
+		f.store.mu.Lock()
+		before := f.store.calls
+		f.store.mu.Unlock()
+		time.Sleep(time.Second)
+		f.store.mu.Lock()
+		calls := f.store.calls - before
+		f.store.mu.Unlock()
+		is.True(calls <= 6*3) // six watchers with about one call per second each
+	})
 }
 
 // Guards against a platform outage that isolates a process, delays a planned
@@ -61,84 +64,90 @@
 // that brings back an older generation.
 func TestPlatformOutage(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, 6, 2)
-	due := time.Now().Add(3 * time.Second)
-	f.putConfig(7, config.PlannedChange{ID: "out", Kind: config.DomainOut, Subject: "shawi", At: due, Generation: 7})
-	f.waitUntil(5*time.Second, "generation 7", func(n *testNode) bool { return n.generationInForce() == 7 })
-	f.store.setDown(true)
-	outage := time.Now()
-
-	fresh := f.addNode(membership.RoleBalancer, "shawi")
-	f.waitUntil(3*time.Second, "a fresh host catches up", func(n *testNode) bool {
-		return n.generationInForce() == 7 && len(n.Board.Members.Get().Members) == len(f.nodes)
-	})
-	is.True(time.Now().Before(due))
-	f.waitUntil(time.Until(due)+500*time.Millisecond, "planned change", func(n *testNode) bool {
-		_, out := n.Board.View.Get().DomainOut("shawi")
-		return out
-	})
-	is.True(!time.Now().Before(due))
-	is.True(fresh.log.hasEvent(event.PlannedChangeActive))
-	time.Sleep(time.Until(outage.Add(isolation.NoForwardingAfter)))
-	for _, n := range f.nodes {
-		is.True(!n.log.hasEvent(event.Isolated))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 6, 2)
+		due := time.Now().Add(3 * time.Second)
+		f.putConfig(7, config.PlannedChange{ID: "out", Kind: config.DomainOut, Subject: "shawi", At: due, Generation: 7})
+		f.waitUntil(5*time.Second, "generation 7", func(n *testNode) bool { return n.generationInForce() == 7 })
+		f.store.setDown(true)
+		outage := time.Now()
 
-	f.store.setDown(false)
-	f.putConfig(6) // as if an older state of the object had been restored
-	refused := 0
-	for end := time.Now().Add(3 * time.Second); refused < 2 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		refused = 0
+		fresh := f.addNode(membership.RoleBalancer, "shawi")
+		f.waitUntil(3*time.Second, "a fresh host catches up", func(n *testNode) bool {
+			return n.generationInForce() == 7 && len(n.Board.Members.Get().Members) == len(f.nodes)
+		})
+		is.True(time.Now().Before(due))
+		f.waitUntil(time.Until(due)+500*time.Millisecond, "planned change", func(n *testNode) bool {
+			_, out := n.Board.View.Get().DomainOut("shawi")
+			return out
+		})
+		is.True(!time.Now().Before(due))
+		is.True(fresh.log.hasEvent(event.PlannedChangeActive))
+		time.Sleep(time.Until(outage.Add(isolation.NoForwardingAfter)))
 		for _, n := range f.nodes {
-			if n.log.hasEvent(event.GenerationRefused) {
-				refused++
+			is.True(!n.log.hasEvent(event.Isolated))
+		}
+
+		f.store.setDown(false)
+		f.putConfig(6) // as if an older state of the object had been restored
+		refused := 0
+		for end := time.Now().Add(3 * time.Second); refused < 2 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			refused = 0
+			for _, n := range f.nodes {
+				if n.log.hasEvent(event.GenerationRefused) {
+					refused++
+				}
 			}
 		}
-	}
-	is.True(refused >= 2)
-	f.waitUntil(0, "generation 7 stays", func(n *testNode) bool { return n.generationInForce() == 7 })
+		is.True(refused >= 2)
+		f.waitUntil(0, "generation 7 stays", func(n *testNode) bool { return n.generationInForce() == 7 })
+	})
 }
 
 // Guards against a frozen process that is not suspected within about 3 s, and
 // against a suspicion that lasts after the process runs again.
 func TestFrozenNodeIsSuspectedAndRecovers(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, 6, 0)
-	frozen := f.nodes[1]
-	frozen.faults.freezeMu.Lock()
-	start := time.Now()
-	suspect := func(n *testNode) bool { m, ok := n.memberView(frozen); return ok && m.IsSuspected() }
-	f.waitUntil(6*time.Second, "suspected", suspect, frozen)
-	took := time.Since(start)
-	frozen.faults.freezeMu.Unlock()
-	t.Logf("suspected by all other nodes after %v", took)
-	is.True(took > membership.SuspectAfter-1500*time.Millisecond) // the last pull may have been 1 s earlier
-	is.True(took < membership.SuspectAfter+1500*time.Millisecond)
-	start = time.Now()
-	f.waitUntil(3*time.Second, "no longer suspected", func(n *testNode) bool { return !suspect(n) })
-	t.Logf("suspicion refuted at all nodes after %v", time.Since(start))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 6, 0)
+		frozen := f.nodes[1]
+		frozen.faults.setFrozen(true)
+		start := time.Now()
+		suspect := func(n *testNode) bool { m, ok := n.memberView(frozen); return ok && m.IsSuspected() }
+		f.waitUntil(6*time.Second, "suspected", suspect, frozen)
+		took := time.Since(start)
+		frozen.faults.setFrozen(false)
+		t.Logf("suspected by all other nodes after %v", took)
+		is.True(took > membership.SuspectAfter-1500*time.Millisecond) // the last pull may have been 1 s earlier
+		is.True(took < membership.SuspectAfter+1500*time.Millisecond)
+		start = time.Now()
+		f.waitUntil(3*time.Second, "no longer suspected", func(n *testNode) bool { return !suspect(n) })
+		t.Logf("suspicion refuted at all nodes after %v", time.Since(start))
+	})
 }
 
 // Guards against a process without network that does not become isolated, makes
 // others isolated, or stays isolated after the network is back.
 func TestCutOffNodeIsIsolated(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, 6, 0)
-	cut := f.nodes[2]
-	f.store.setDown(true)
-	cut.faults.setCut(true)
-	start := time.Now()
-	f.waitUntil(5*time.Second, "isolated", func(n *testNode) bool { return n != cut || n.Board.Isolation.Get().Isolated })
-	t.Logf("isolated after %v", time.Since(start))
-	is.True(time.Since(start) < 4500*time.Millisecond) // a peer may have reported the platform's state as newer than the last contact before the cut
-	for _, n := range f.nodes {
-		is.True(n == cut || !n.log.hasEvent(event.Isolated))
-	}
-	cut.faults.setCut(false)
-	f.waitUntil(5*time.Second, "no longer isolated", func(n *testNode) bool { return !n.Board.Isolation.Get().Isolated })
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 6, 0)
+		cut := f.nodes[2]
+		f.store.setDown(true)
+		cut.faults.setCut(true)
+		start := time.Now()
+		f.waitUntil(5*time.Second, "isolated", func(n *testNode) bool { return n != cut || n.Board.Isolation.Get().Isolated })
+		t.Logf("isolated after %v", time.Since(start))
+		is.True(time.Since(start) < 4500*time.Millisecond) // a peer may have reported the platform's state as newer than the last contact before the cut
+		for _, n := range f.nodes {
+			is.True(n == cut || !n.log.hasEvent(event.Isolated))
+		}
+		cut.faults.setCut(false)
+		f.waitUntil(5*time.Second, "no longer isolated", func(n *testNode) bool { return !n.Board.Isolation.Get().Isolated })
+	})
 }
 
 // Guards against two sides of a network partition that have excluded each other
@@ -146,74 +155,80 @@
 // platform is down.
 func TestPartitionHeals(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := &fleet{t: t, store: newFakeStore()}
-	for i := range 2 {
-		f.addNode(membership.RoleBalancer, testDomains[i])
-		f.seeds = nil
-	}
-	both := func(n *testNode) bool { return len(n.Board.Members.Get().Members) == 2 }
-	f.waitUntil(15*time.Second, "members known from the platform", both)
-	f.store.setDown(true)
-	f.waitUntil(5*time.Second, "pulled from", func(n *testNode) bool {
-		return metrics.GetOrRegisterCounter(peer.CounterPullsServed, n.registry).Count() > 0
-	})
-	f.nodes[0].faults.setCut(true)
-	f.waitUntil(5*time.Second, "suspected", func(n *testNode) bool {
-		return slices.ContainsFunc(n.Board.Members.Get().Members, membership.Member.IsSuspected)
-	})
-	for _, n := range f.nodes {
-		n.faults.mu.Lock()
-		n.faults.clockAhead = membership.ExcludeAfter
-		n.faults.mu.Unlock()
-	}
-	f.waitUntil(time.Second, "excluded", func(n *testNode) bool { return !both(n) })
-	f.waitUntil(5*time.Second, "no node pulls any more", func(n *testNode) bool {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		return len(n.pullers) == 0
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newEmptyFleet(t)
+		for i := range 2 {
+			f.addNode(membership.RoleBalancer, testDomains[i])
+			f.seeds = nil
+		}
+		both := func(n *testNode) bool { return len(n.Board.Members.Get().Members) == 2 }
+		f.waitUntil(15*time.Second, "members known from the platform", both)
+		f.store.setDown(true)
+		f.waitUntil(5*time.Second, "pulled from", func(n *testNode) bool {
+			return metrics.GetOrRegisterCounter(peer.CounterPullsServed, n.registry).Count() > 0
+		})
+		f.nodes[0].faults.setCut(true)
+		f.waitUntil(5*time.Second, "suspected", func(n *testNode) bool {
+			return slices.ContainsFunc(n.Board.Members.Get().Members, membership.Member.IsSuspected)
+		})
+		for _, n := range f.nodes {
+			n.faults.mu.Lock()
+			n.faults.clockAhead = membership.ExcludeAfter
+			n.faults.mu.Unlock()
+		}
+		f.waitUntil(time.Second, "excluded", func(n *testNode) bool { return !both(n) })
+		f.waitUntil(5*time.Second, "no node pulls any more", func(n *testNode) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return len(n.pullers) == 0
+		})
+		time.Sleep(time.Second) // for the last pulls to fail
+		f.nodes[0].faults.setCut(false)
+		start := time.Now()
+		f.waitUntil(5*time.Second, "members again", both)
+		t.Logf("members known again after %v", time.Since(start))
+		is.True(!f.nodes[0].log.hasEvent(event.PlatformBack))
 	})
-	time.Sleep(time.Second) // for the last pulls to fail
-	f.nodes[0].faults.setCut(false)
-	start := time.Now()
-	f.waitUntil(5*time.Second, "members again", both)
-	t.Logf("members known again after %v", time.Since(start))
-	is.True(!f.nodes[0].log.hasEvent(event.PlatformBack))
 }
 
 // Guards against a graceful stop that other nodes detect only by silence.
 func TestStopIsAnnounced(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, 3, 2)
-	for _, n := range []*testNode{f.nodes[4], f.nodes[0]} {
-		start := time.Now()
-		is.NoErr(n.Stop(t.Context()))
-		f.nodes = slices.DeleteFunc(f.nodes, func(other *testNode) bool { return other == n })
-		f.waitUntil(time.Second, "gone", func(other *testNode) bool { _, ok := other.memberView(n); return !ok })
-		t.Logf("stopped, and gone in the tables of all others, after %v", time.Since(start))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3, 2)
+		for _, n := range []*testNode{f.nodes[4], f.nodes[0]} {
+			start := time.Now()
+			is.NoErr(n.Stop(t.Context()))
+			f.nodes = slices.DeleteFunc(f.nodes, func(other *testNode) bool { return other == n })
+			f.waitUntil(time.Second, "gone", func(other *testNode) bool { _, ok := other.memberView(n); return !ok })
+			t.Logf("stopped, and gone in the tables of all others, after %v", time.Since(start))
+		}
+	})
 }
 
 // Guards against changes of load that cause a record change each, are lost, or
 // delay a change of state.
 func TestLoadChangesAreHeldBack(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, 2, 0)
-	n, other := f.nodes[0], f.nodes[1]
-	first := n.Self().Sequence
-	for i := range 1000 {
-		n.SetSelf(func(r *membership.Record) { r.Flows = i + 1 })
-	}
-	is.True(n.Self().Sequence <= first+1)
-	n.SetSelf(func(r *membership.Record) { r.State = membership.StateLeaving })
-	f.waitUntil(time.Second, "state and load arrive together", func(*testNode) bool {
-		m, _ := other.memberView(n)
-		return m.State == membership.StateLeaving && m.Flows == 1000
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 0)
+		n, other := f.nodes[0], f.nodes[1]
+		first := n.Self().Sequence
+		for i := range 1000 {
+			n.SetSelf(func(r *membership.Record) { r.Flows = i + 1 })
+		}
+		is.True(n.Self().Sequence <= first+1)
+		n.SetSelf(func(r *membership.Record) { r.State = membership.StateLeaving })
+		f.waitUntil(time.Second, "state and load arrive together", func(*testNode) bool {
+			m, _ := other.memberView(n)
+			return m.State == membership.StateLeaving && m.Flows == 1000
+		})
+		n.SetSelf(func(r *membership.Record) { r.Flows = 5 })
+		f.waitUntil(minLoadInterval+time.Second, "held back load", func(*testNode) bool { m, _ := other.memberView(n); return m.Flows == 5 })
 	})
-	n.SetSelf(func(r *membership.Record) { r.Flows = 5 })
-	f.waitUntil(minLoadInterval+time.Second, "held back load", func(*testNode) bool { m, _ := other.memberView(n); return m.Flows == 5 })
 }
 
 // Guards against control traffic that exceeds the budget in a large fleet, since
@@ -264,16 +279,18 @@
 // platform.
 func TestFreshProcessesAskSeedsFirst(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, 6, 1)
-	f.putConfig(2)
-	f.waitUntil(5*time.Second, "generation 2", func(n *testNode) bool { return n.generationInForce() == 2 })
-	var fresh []*testNode
-	for range 3 {
-		fresh = append(fresh, f.addNode(membership.RoleAgent, "shawi"))
-	}
-	f.waitUntil(5*time.Second, "fresh processes catch up", func(n *testNode) bool { return n.generationInForce() == 2 })
-	for _, n := range fresh {
-		is.Equal(n.store.lists.Load(), int64(0))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 6, 1)
+		f.putConfig(2)
+		f.waitUntil(5*time.Second, "generation 2", func(n *testNode) bool { return n.generationInForce() == 2 })
+		var fresh []*testNode
+		for range 3 {
+			fresh = append(fresh, f.addNode(membership.RoleAgent, "shawi"))
+		}
+		f.waitUntil(5*time.Second, "fresh processes catch up", func(n *testNode) bool { return n.generationInForce() == 2 })
+		for _, n := range fresh {
+			is.Equal(n.store.lists.Load(), int64(0))
+		}
+	})
 }
--- a/internal/control/distribution/harness_test.go
+++ b/internal/control/distribution/harness_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
@@ -121,21 +122,30 @@
 	}
 }
 
-// faultInjector provides a node's clock and network. Locking freezeMu blocks the
-// clock, which freezes the process; setCut cuts its connections.
+// faultInjector provides a node's clock and network. setFrozen blocks the clock,
+// which freezes the process; setCut cuts its connections.
 type faultInjector struct {
-	freezeMu   sync.RWMutex
+	network    *memoryNetwork
 	mu         sync.Mutex
+	frozen     bool
+	thawed     *sync.Cond // with mu
 	cut        bool
 	clockAhead time.Duration // by which the clock is ahead
 	conns      []net.Conn
 }
 
+func newFaultInjector(network *memoryNetwork) *faultInjector {
+	g := &faultInjector{network: network}
+	g.thawed = sync.NewCond(&g.mu)
+	return g
+}
+
 func (g *faultInjector) now() time.Time {
-	g.freezeMu.RLock()
-	defer g.freezeMu.RUnlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for g.frozen {
+		g.thawed.Wait()
+	}
 	return time.Now().Add(g.clockAhead)
 }
 
@@ -153,7 +163,15 @@
 }
 
 func (g *faultInjector) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return g.track((&net.Dialer{}).DialContext(ctx, network, address))
+	return g.track(g.network.dial(ctx, network, address))
+}
+
+func (g *faultInjector) setFrozen(frozen bool) {
+	synctest.Wait() // the process must not stop while it holds a mutex: fake time would stop, too
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.frozen = frozen
+	g.thawed.Broadcast()
 }
 
 func (g *faultInjector) setCut(cut bool) {
@@ -173,12 +191,19 @@
 
 func (l faultListener) Accept() (net.Conn, error) { return l.faults.track(l.Listener.Accept()) }
 
-// fleet is a set of nodes on loopback that share a platform.
+// fleet is a set of nodes that share a platform and a network in memory. It must
+// be created and used in the bubble of synctest.Test: time then passes only while
+// all nodes wait, so its limits do not depend on the load of the machine.
 type fleet struct {
-	t     *testing.T
-	store *fakeStore
-	seeds []netip.AddrPort
-	nodes []*testNode
+	t       *testing.T
+	store   *fakeStore
+	network *memoryNetwork
+	seeds   []netip.AddrPort
+	nodes   []*testNode
+}
+
+func newEmptyFleet(t *testing.T) *fleet {
+	return &fleet{t: t, store: newFakeStore(), network: newMemoryNetwork()}
 }
 
 type testNode struct {
@@ -208,7 +233,7 @@
 var testDomains = []string{"tr-centre", "cap-madeleine", "shawi"}
 
 func newFleet(t *testing.T, balancers, agents int) *fleet {
-	f := &fleet{t: t, store: newFakeStore()}
+	f := newEmptyFleet(t)
 	for i := range balancers + agents {
 		role := membership.RoleBalancer
 		if i >= balancers {
@@ -236,11 +261,7 @@
 
 func (f *fleet) addNode(role membership.Role, domain string) *testNode {
 	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	g, out := &faultInjector{}, &lockedBuffer{}
+	g, out := newFaultInjector(f.network), &lockedBuffer{}
 	logger, err := event.New(out, "json")
 	if err != nil {
 		f.t.Fatal(err)
@@ -255,12 +276,13 @@
 	store := &listCountingStore{Store: f.store}
 	n := &testNode{New(Options{
 		Self: self, Seeds: f.seeds, Store: store, KeyRing: func() *keyring.Ring { return ring },
-		Listener: faultListener{l, g}, Logger: logger, Clock: g.now, Dial: g.dial,
+		Listener: faultListener{f.network.listen(), g}, Logger: logger, Clock: g.now, Dial: g.dial,
 	}), g, out, store}
 	if err := n.Start(f.t.Context()); err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(func() {
+		g.setFrozen(false)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		_ = n.Stop(ctx)
--- a/internal/control/peertls/peertls.go
+++ b/internal/control/peertls/peertls.go
@@ -132,9 +132,10 @@
 // authorities. It builds new ones when the key ring has changed or the certificate
 // has reached certRenewalAge.
 func (i *Identity) currentCredentials() (*tls.Certificate, *x509.CertPool, error) {
+	now := i.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	ring, now := i.ring(), i.now()
+	ring := i.ring()
 	if ring == nil {
 		return nil, nil, errkind.New(errkind.KeyRingInvalid, "no key ring is loaded")
 	}
