Take a rejected peer certificate as not run in the gate

The peer transport promises that an error of kind PeerDown or PeerUnauthorized means that the request did not run, but the gate knew only PeerDown. With PeerUnauthorized it answered "unknown", which is final for an order, although nothing had been sent. This happens for as long as two agents have different key rings: the one with the older ring rejects the certificate of the other.

TestRejectedCertificateMeansNotRun fails before ("unknown != not-run") and passes now. A later attempt with a ticket stays unknown, since the earlier one may have run.

--- a/internal/requestpath/gate/fleet_test.go
+++ b/internal/requestpath/gate/fleet_test.go
@@ -30,6 +30,7 @@
 	state  atomic.Value
 	load   atomic.Value // Load as last reported
 	down   atomic.Bool
+	denies atomic.Bool // rejects the certificates of its peers
 	// transport keeps enough idle connections that relays need not dial.
 	transport *http.Transport
 }
@@ -65,6 +66,9 @@
 	if !ok || m.down.Load() {
 		return nil, errkind.New(errkind.PeerDown, "down")
 	}
+	if m.denies.Load() {
+		return nil, errkind.New(errkind.PeerUnauthorized, "certificate rejected")
+	}
 	out := r.WithContext(ctx)
 	out.URL.Scheme, out.URL.Host = "http", peer.String()
 	resp, err := m.transport.RoundTrip(out)
--- a/internal/requestpath/gate/gate.go
+++ b/internal/requestpath/gate/gate.go
@@ -40,8 +40,8 @@
 	// Candidates returns the peers that may take a relayed request.
 	Candidates() []PeerLoad
 	// Relay sends a request to a peer's RelayHandler. An error of kind
-	// PeerDown means that no byte reached the peer; any other error means that
-	// the request may have run.
+	// PeerDown or PeerUnauthorized means that the request did not run; any
+	// other error means that it may have run.
 	Relay(ctx context.Context, peer netip.AddrPort, r *http.Request) (*http.Response, error)
 }
 
--- a/internal/requestpath/gate/gate_test.go
+++ b/internal/requestpath/gate/gate_test.go
@@ -98,6 +98,21 @@
 	is.True(a.becomesIdle()) // the server confirms the cancellations first
 }
 
+// Guards against an order that is reported as possibly run although a peer
+// rejected the certificate, as peers do during a key rotation.
+func TestRejectedCertificateMeansNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, PolicyAdaptive, backend.Options{WorkMean: time.Millisecond})
+	a, b := f.members[0], f.members[1]
+	text := b.call("POST", TicketPath, "").header.Get(TicketHeader)
+	b.denies.Store(true)
+	is.Equal(a.call("POST", "/orders", orderBody, TicketHeader, text, AttemptHeader, "1").outcome(), "not-run")
+	is.Equal(a.call("POST", "/orders", orderBody, TicketHeader, text, AttemptHeader, "2").outcome(), "unknown")
+	a.state.Store(State{Leaving: true})
+	is.Equal(a.call("POST", "/orders", orderBody).outcome(), "not-run")
+	is.Equal(a.server.Ledger().Runs["o1"]+b.server.Ledger().Runs["o1"], 0)
+}
+
 // Guards against a caller's retry that runs again, at the issuer or through
 // another agent, and against a wrong outcome when the issuer is gone.
 func TestTickets(t *testing.T) {
--- a/internal/requestpath/gate/relay.go
+++ b/internal/requestpath/gate/relay.go
@@ -74,9 +74,15 @@
 	}
 }
 
+// meansNotRun reports whether an error of Peers.Relay means that the request did
+// not run.
+func meansNotRun(err error) bool {
+	return errkind.Is(err, errkind.PeerDown) || errkind.Is(err, errkind.PeerUnauthorized)
+}
+
 func (req *request) relayError(err error) error {
 	switch {
-	case errkind.Is(err, errkind.PeerDown):
+	case meansNotRun(err):
 		return errkind.Wrap(err, errkind.BackendDown, "the peer cannot be reached")
 	case req.ctx.Err() != nil:
 		return req.cancelledError(true, err)
--- a/internal/requestpath/gate/ticketed.go
+++ b/internal/requestpath/gate/ticketed.go
@@ -78,7 +78,7 @@
 	}
 	r.Header.Set(RelayedHeader, "1")
 	resp, err := g.opts.Peers.Relay(req.ctx, tk.Issuer, r)
-	if errkind.Is(err, errkind.PeerDown) {
+	if meansNotRun(err) {
 		return nil, req.issuerGoneError()
 	}
 	if err != nil {
