Recognise a relay that the peer's certificate check rejected

In TLS 1.3, a client completes its handshake and may write before the server has checked the client's certificate. A relay to a peer that rejects the certificate therefore ended with kind BackendLost, "may have run", although a server that sends such an alert has processed nothing of what the client wrote: connections are accepted only after the handshake. During a key rotation this lasts until the peer, too, has reloaded its key ring.

Only the alerts with which a server rejects a certificate count, so a failure after the handshake stays BackendLost. If the alert arrives after the write has failed, it takes precedence over the write's error.

--- a/internal/control/peer/peer_test.go
+++ b/internal/control/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -293,3 +294,32 @@
 	t.Log(kinds)
 	is.True(kinds[errkind.PeerDown] > 0)
 }
+
+// Guards against a relayed request that is reported as possibly run although
+// the peer rejected this process's certificate, as it does during a key rotation
+// until it has the new key. A peer serves requests only after the handshake.
+func TestRelayRejectedByPeerDidNotRun(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	addr, registry := serve(t, ServerOptions{Relay: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) })})
+	relay := NewRelayTransport(&Dialer{Identity: rotatedIdentity(t), Registry: metrics.NewRegistry()})
+	defer relay.Close()
+	const requests = 20
+	for range requests {
+		_, err := relay.Relay(t.Context(), addr, request(t, "POST", "x"))
+		is.True(errkind.Is(err, errkind.PeerUnauthorized) || errkind.Is(err, errkind.PeerDown)) // PeerDown if rejected before the write
+	}
+	eventually(t, "count of rejected handshakes", func() bool { return counterValue(registry, CounterUnauthorized) == requests })
+	is.Equal(runs.Load(), int64(0))
+}
+
+// rotatedIdentity returns the identity of a process that already signs with a new
+// key and still accepts the key of serve.
+func rotatedIdentity(t *testing.T) *peertls.Identity {
+	t.Helper()
+	ring, err := keyring.Parse("2:" + strings.Repeat("b2", 32) + ",1:" + strings.Repeat("a1", 32))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return peertls.New(func() *keyring.Ring { return ring }, time.Now)
+}
--- a/internal/control/peer/relay.go
+++ b/internal/control/peer/relay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/control/peertls"
 )
 
 // Limits of idle connections and of waits at the end of an exchange.
@@ -68,8 +69,8 @@
 }
 
 // Relay sends r to the peer at addr and returns the response, whose body the caller
-// must close. An error of kind PeerDown or PeerUnauthorized means that no byte of
-// the request was sent; BackendLost means that the request may have run. The end of
+// must close. An error of kind PeerDown or PeerUnauthorized means that the request
+// did not run; BackendLost means that it may have run. The end of
 // ctx ends the exchange, also while the body is read.
 func (t *RelayTransport) Relay(ctx context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
 	c, err := t.getConn(ctx, addr)
@@ -87,7 +88,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, errkind.Wrap(err, c.failureKind(writesBefore), "relay to "+addr.String())
+		return nil, errkind.Wrap(err, c.failureKind(err, writesBefore), "relay to "+addr.String())
 	}
 	onEnd := func(atEOF bool) {
 		t.putIdle(addr, c, atEOF && !resp.Close && requestFullyWritten(written) && stopClose())
@@ -117,14 +118,19 @@
 // and that would be counted as a write.
 func (c *relayConn) close() { _ = c.raw.Close() }
 
-// failureKind returns PeerDown if nothing has been written to the network since the
-// count of writes was writesBefore, and BackendLost otherwise. The connection must be
-// closed already.
-func (c *relayConn) failureKind(writesBefore int64) errkind.Kind {
-	if c.raw.writes.Load() == writesBefore {
+// failureKind returns the kind of err, with which an exchange failed: PeerDown if
+// nothing has been written to the network since the count of writes was
+// writesBefore, PeerUnauthorized if the peer rejected the certificate, and
+// BackendLost otherwise. The connection must be closed already.
+func (c *relayConn) failureKind(err error, writesBefore int64) errkind.Kind {
+	switch {
+	case c.raw.writes.Load() == writesBefore:
 		return errkind.PeerDown
+	case peertls.IsRejectionByPeer(err):
+		return errkind.PeerUnauthorized
+	default:
+		return errkind.BackendLost
 	}
-	return errkind.BackendLost
 }
 
 // awaitResponse reads the header of the response. If it returns one, the result of
@@ -146,6 +152,9 @@
 			written <- writeErr
 			return c.readResponse(r, nil)
 		}
+		if peertls.IsRejectionByPeer(err) { // tells more than the failed write that it caused
+			return nil, err
+		}
 	case <-time.After(earlyResponseTimeout):
 	}
 	return nil, writeErr
--- a/internal/control/peertls/peertls.go
+++ b/internal/control/peertls/peertls.go
@@ -15,6 +15,7 @@
 	"io"
 	"math/big"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -226,3 +227,28 @@
 	connEnded := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, context.Canceled)
 	return err != nil && !errors.As(err, &netErr) && !connEnded
 }
+
+// rejectionAlerts are the alerts with which a server rejects a client's certificate
+// (RFC 8446, section 6.2).
+var rejectionAlerts = []tls.AlertError{
+	42,  // bad_certificate
+	43,  // unsupported_certificate
+	44,  // certificate_revoked
+	45,  // certificate_expired
+	46,  // certificate_unknown
+	48,  // unknown_ca
+	49,  // access_denied
+	116, // certificate_required
+}
+
+// IsRejectionByPeer reports whether a client's connection failed because the server
+// rejected its certificate. In TLS 1.3, a client may write before it learns this; the
+// server has then processed nothing of what was written.
+func IsRejectionByPeer(err error) bool {
+	opErr, ok := errors.AsType[*net.OpError](err)
+	if !ok || opErr.Op != "remote error" {
+		return false
+	}
+	// The type of alerts that a peer sent is not exported.
+	return slices.ContainsFunc(rejectionAlerts, func(a tls.AlertError) bool { return opErr.Err.Error() == a.Error() })
+}
