End a peer call with its context while another call connects

Client.connect held a mutex while it dialled, so a second call of the same client waited for up to the 2 s of a handshake, whatever its context said. Node.Stop sends its last pull beside the pull that waits: with a peer that does not answer, its departure could outlast departureTimeout.

Calls wait for the connection on a channel and give up when their context ends.

--- a/internal/control/peer/client.go
+++ b/internal/control/peer/client.go
@@ -68,8 +68,9 @@
 // Client calls one peer over one connection. The first call opens the connection,
 // and the first call after a failure opens a new one. It is safe for concurrent use.
 type Client struct {
-	dialer *Dialer
-	addr   netip.AddrPort
+	dialer     *Dialer
+	addr       netip.AddrPort
+	connecting chan struct{} // holds one element while a call opens the connection
 
 	mu    sync.Mutex
 	conn  *jsonrpc2.Conn
@@ -78,7 +79,7 @@
 
 // NewClient returns a client of the peer at addr. It does not connect yet.
 func NewClient(dialer *Dialer, addr netip.AddrPort) *Client {
-	return &Client{dialer: dialer, addr: addr}
+	return &Client{dialer: dialer, addr: addr, connecting: make(chan struct{}, 1)}
 }
 
 // Pull asks the peer for changes. Its errors have the kinds PeerDown,
@@ -103,8 +104,13 @@
 	return c.call(ctx, methodStatus, req, v)
 }
 
-// Close closes the connection. A later call opens a new one.
-func (c *Client) Close() { c.discard(c.currentConn()) }
+// Close closes the connection, after waiting for a call that is opening it. A later
+// call opens a new one.
+func (c *Client) Close() {
+	c.connecting <- struct{}{}
+	defer func() { <-c.connecting }()
+	c.discard(c.currentConn())
+}
 
 func (c *Client) call(ctx context.Context, method string, params, result any) error {
 	conn, frameCodec, err := c.connect(ctx)
@@ -155,26 +161,41 @@
 	}
 }
 
+// connect returns the connection, and opens it if there is none. Only one call at a
+// time does so; the others wait for it until their ctx ends.
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, *codec, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil {
-		return c.conn, c.codec, nil
+	select {
+	case c.connecting <- struct{}{}:
+		defer func() { <-c.connecting }()
+	case <-ctx.Done():
+		return nil, nil, errkind.Wrap(ctx.Err(), errkind.PeerDown, "wait for the connection to "+c.addr.String())
+	}
+	if conn, frameCodec := c.current(); conn != nil {
+		return conn, frameCodec, nil
 	}
 	conn, err := c.dialer.dialTLS(ctx, c.addr, ProtocolRPC)
 	if err != nil {
 		return nil, nil, err
 	}
-	c.codec = &codec{}
-	stream := jsonrpc2.NewBufferedStream(newTimedConn(conn, 0, c.dialer.registry()), c.codec)
+	frameCodec := &codec{}
+	stream := jsonrpc2.NewBufferedStream(newTimedConn(conn, 0, c.dialer.registry()), frameCodec)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.codec = frameCodec
 	c.conn = jsonrpc2.NewConn(context.Background(), stream, rejectCalls{}, jsonrpc2.SetLogger(discardLogger))
 	return c.conn, c.codec, nil
 }
 
-func (c *Client) currentConn() *jsonrpc2.Conn {
+// current returns the connection and its codec, or nil if there is none.
+func (c *Client) current() (*jsonrpc2.Conn, *codec) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.conn
+	return c.conn, c.codec
+}
+
+func (c *Client) currentConn() *jsonrpc2.Conn {
+	conn, _ := c.current()
+	return conn
 }
 
 // discard closes conn. The next call opens a new connection unless conn has been
--- a/internal/control/peer/peer_test.go
+++ b/internal/control/peer/peer_test.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -323,3 +324,28 @@
 	}
 	return peertls.New(func() *keyring.Ring { return ring }, time.Now)
 }
+
+// Guards against a call that outlasts its context because another call of the
+// same client is opening the connection: a stopping process would wait for it.
+func TestCallEndsWhileAnotherConnects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := dialer(t, "a1")
+		d.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done() // the peer does not answer
+			return nil, ctx.Err()
+		}
+		c := NewClient(d, netip.MustParseAddrPort("127.0.0.1:1"))
+		var wg sync.WaitGroup
+		wg.Go(func() { _, _ = c.Pull(t.Context(), PullRequest{ID: "client"}) })
+		synctest.Wait()
+		const limit = 100 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		start := time.Now()
+		_, err := c.Pull(ctx, PullRequest{ID: "client"})
+		is.True(errkind.Is(err, errkind.PeerDown))
+		is.Equal(time.Since(start), limit)
+		wg.Wait()
+	})
+}
