Let the stand-in fabric fail open while no balancer answers its probe

The probes, the balancers and everything else of an embedded fleet run in one process. Short of CPU, the probes of all balancers time out together, and the fabric then drops every packet from callers for 0.5 to 4 s, while the balancers would forward them. Requests were cut off because a caller's last handshake packets fell into two such gaps: they were resent after 1.9 and 3.7 s, and the requests behind the handshake expired. Balancers and agents logged no drop then.

The fabric now tells a probe that is not answered in time from one that fails. While no balancer is live, it sends to those whose probes were not answered. A balancer that reports itself unhealthy, or refuses the connection, still gets no packets, and one that hangs gets none while another is live. The time limit is unchanged. The case that changes was a drop of every packet before, so no fault of a balancer is hidden: a dead one still loses what it is sent. The ledger counts these packets.

--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -6,6 +6,10 @@
 // The fabric opens one UDP socket for each pair of caller and service, so that a
 // balancer sees a distinct source address for each. All traffic stays on
 // 127.0.0.0/8.
+//
+// A balancer is live while its health endpoint answers 200. If no balancer is
+// live, the fabric fails open: it sends to the balancers whose probes timed out,
+// but not to those that reported themselves unhealthy or refused the connection.
 package fabric
 
 import (
@@ -52,9 +56,9 @@
 	running           sync.WaitGroup
 }
 
-// counters count dropped packets by reason; see Ledger.
+// counters count packets by reason; see Ledger.
 type counters struct {
-	noBalancer, lost, refusedCallers, stray, overflow atomic.Uint64
+	noBalancer, failedOpen, lost, refusedCallers, stray, overflow atomic.Uint64
 }
 
 // New returns a fabric that is not yet listening. It returns an error of kind
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -132,6 +132,69 @@
 	is.Equal(exchange(conn, service, 3)["a"], 3)
 }
 
+// startHangingHealth returns the URL of a health endpoint that never answers while
+// hangs is set, and answers 200 otherwise.
+func startHangingHealth(t *testing.T, hangs *atomic.Bool) string {
+	t.Helper()
+	health := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if hangs.Load() {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(health.Close)
+	return health.URL
+}
+
+// Guards against the loss of every packet while the probes of all balancers time
+// out, and against packets to a balancer whose probes time out while another one
+// answers.
+func TestUnansweredProbes(t *testing.T) {
+	is := is.New(t)
+	var aHangs, bHangs atomic.Bool
+	f, service := start(t, Options{Seed: 7, Balancers: []Balancer{
+		startEchoBalancer(t, "a", startHangingHealth(t, &aHangs)),
+		startEchoBalancer(t, "b", startHangingHealth(t, &bHangs)),
+	}})
+	conn := listen(t)
+	aHangs.Store(true)
+	time.Sleep(2*probeInterval + probeTimeout)
+	is.Equal(exchange(conn, service, 20), map[string]int{"b": 20})
+
+	bHangs.Store(true)
+	time.Sleep(2*probeInterval + probeTimeout)
+	got := exchange(conn, service, 40)
+	is.Equal(got["a"]+got["b"], 40)
+	is.True(got["a"] > 8 && got["b"] > 8)
+	l := f.Ledger()
+	is.Equal(l.NoBalancer, uint64(0))
+	is.Equal(l.FailedOpen, uint64(40))
+	is.True(!l.Balancers[0].Live && !l.Balancers[1].Live)
+
+	f.Remove("a")
+	is.Equal(exchange(conn, service, 20), map[string]int{"b": 20})
+}
+
+// Guards against packets to a balancer that reports itself unhealthy, or refuses
+// connections, because no other balancer answers its probe.
+func TestFailedProbeExcludesBalancer(t *testing.T) {
+	is := is.New(t)
+	var hangs atomic.Bool
+	hangs.Store(true)
+	unhealthy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer unhealthy.Close()
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	_, service := start(t, Options{Seed: 7, Balancers: []Balancer{
+		startEchoBalancer(t, "a", startHangingHealth(t, &hangs)),
+		startEchoBalancer(t, "b", unhealthy.URL),
+		startEchoBalancer(t, "c", closed.URL),
+	}})
+	time.Sleep(2*probeInterval + probeTimeout)
+	is.Equal(exchange(listen(t), service, 20), map[string]int{"a": 20})
+}
+
 // Guards against a delay or loss in the options that is not applied, in either
 // direction.
 func TestDelayAndLoss(t *testing.T) {
--- a/standin/fabric/ledger.go
+++ b/standin/fabric/ledger.go
@@ -9,7 +9,8 @@
 type Ledger struct {
 	Balancers      []BalancerLedger `json:"balancers"`       // ordered by ID
 	Callers        int              `json:"callers"`         // caller sockets open now
-	NoBalancer     uint64           `json:"no_balancer"`     // dropped because no balancer was live
+	NoBalancer     uint64           `json:"no_balancer"`     // dropped because no balancer was live and each had failed its probe
+	FailedOpen     uint64           `json:"failed_open"`     // sent to balancers whose probes were unanswered, because none was live
 	Lost           uint64           `json:"lost"`            // dropped by the injected random loss
 	RefusedCallers uint64           `json:"refused_callers"` // dropped because MaxCallers caller sockets were open
 	Stray          uint64           `json:"stray"`           // dropped because the sender is not a known balancer
@@ -30,6 +31,7 @@
 		Balancers:      f.pool.ledger(),
 		Callers:        int(f.openCallerSockets.Load()),
 		NoBalancer:     f.counts.noBalancer.Load(),
+		FailedOpen:     f.counts.failedOpen.Load(),
 		Lost:           f.counts.lost.Load(),
 		RefusedCallers: f.counts.refusedCallers.Load(),
 		Stray:          f.counts.stray.Load(),
@@ -42,7 +44,7 @@
 	defer p.mu.Unlock()
 	out := make([]BalancerLedger, 0, len(p.entries))
 	for _, e := range p.entries {
-		out = append(out, BalancerLedger{e.id, e.healthy && !e.removed, e.forwarded.Load(), e.returned.Load()})
+		out = append(out, BalancerLedger{e.id, e.isLive(), e.forwarded.Load(), e.returned.Load()})
 	}
 	slices.SortFunc(out, func(a, b BalancerLedger) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/standin/fabric/pool.go
+++ b/standin/fabric/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -28,15 +29,21 @@
 	id                  string
 	healthURL           string
 	addrs               []netip.AddrPort // by index of the service
-	healthy, removed    bool             // guarded by pool.mu
+	probe               probeResult      // guarded by pool.mu
+	removed             bool             // guarded by pool.mu
 	forwarded, returned *atomic.Uint64
 }
 
+// isLive reports whether the balancer is in use and passed its last probe. It is
+// called with pool.mu held.
+func (e *poolEntry) isLive() bool { return e.probe == probePassed && !e.removed }
+
 // snapshot is an immutable copy of the pool, which the packet loops read without
 // a lock.
 type snapshot struct {
-	live   []*poolEntry                  // healthy and not removed
-	byAddr map[netip.AddrPort]*poolEntry // also removed and unhealthy balancers
+	targets    []*poolEntry                  // balancers to send packets to
+	failedOpen bool                          // no balancer is live; probes of targets were unanswered
+	byAddr     map[netip.AddrPort]*poolEntry // also removed and unhealthy balancers
 }
 
 // pool holds the balancers and publishes a snapshot after each change.
@@ -57,7 +64,7 @@
 func (p *pool) add(b Balancer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := &poolEntry{id: b.ID, healthURL: b.HealthURL, healthy: true, forwarded: new(atomic.Uint64), returned: new(atomic.Uint64)}
+	e := &poolEntry{id: b.ID, healthURL: b.HealthURL, probe: probePassed, forwarded: new(atomic.Uint64), returned: new(atomic.Uint64)}
 	if old, ok := p.entries[b.ID]; ok {
 		e.forwarded, e.returned = old.forwarded, old.returned
 	}
@@ -79,30 +86,38 @@
 	p.publish()
 }
 
-func (p *pool) setHealthy(e *poolEntry, healthy bool) {
+func (p *pool) recordProbe(e *poolEntry, result probeResult) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e.healthy == healthy {
+	if e.probe == result {
 		return
 	}
-	e.healthy = healthy
+	e.probe = result
 	p.publish()
 }
 
-// publish stores a new snapshot. It is called with mu held. It sorts the live
-// balancers, so that a seed gives the same choices in every run.
+// publish stores a new snapshot. It is called with mu held.
 func (p *pool) publish() {
-	s := &snapshot{byAddr: make(map[netip.AddrPort]*poolEntry, len(p.byAddr))}
+	s := &snapshot{targets: p.withProbe(probePassed), byAddr: maps.Clone(p.byAddr)}
+	if len(s.targets) == 0 {
+		s.targets = p.withProbe(probeUnanswered)
+		s.failedOpen = len(s.targets) > 0
+	}
+	p.current.Store(s)
+}
+
+// withProbe returns the balancers that are not removed and whose last probe had
+// the given result. It is called with mu held. The order is by ID, so that a seed
+// gives the same choices in every run.
+func (p *pool) withProbe(result probeResult) []*poolEntry {
+	var out []*poolEntry
 	for _, e := range p.entries {
-		if e.healthy && !e.removed {
-			s.live = append(s.live, e)
+		if e.probe == result && !e.removed {
+			out = append(out, e)
 		}
 	}
-	slices.SortFunc(s.live, func(a, b *poolEntry) int { return cmp.Compare(a.id, b.id) })
-	for addr, e := range p.byAddr {
-		s.byAddr[addr] = e
-	}
-	p.current.Store(s)
+	slices.SortFunc(out, func(a, b *poolEntry) int { return cmp.Compare(a.id, b.id) })
+	return out
 }
 
 // probeTargets returns the balancers that have a health URL and are not removed.
--- a/standin/fabric/port.go
+++ b/standin/fabric/port.go
@@ -69,15 +69,18 @@
 		return
 	}
 	c.lastUsed.Store(time.Now().UnixNano())
-	live := l.fabric.pool.current.Load().live
-	if len(live) == 0 {
+	current := l.fabric.pool.current.Load()
+	if len(current.targets) == 0 {
 		l.fabric.counts.noBalancer.Add(1)
 		return
 	}
-	chosen := live[l.rand.IntN(len(live))]
+	chosen := current.targets[l.rand.IntN(len(current.targets))]
 	if l.fabric.drawLoss(l.rand) {
 		return
 	}
+	if current.failedOpen {
+		l.fabric.counts.failedOpen.Add(1)
+	}
 	chosen.forwarded.Add(1)
 	l.delayQueue.send(c.conn, chosen.addrs[l.serviceIndex], packet)
 }
--- a/standin/fabric/probe.go
+++ b/standin/fabric/probe.go
@@ -1,6 +1,8 @@
 package fabric
 
 import (
+	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -11,8 +13,16 @@
 	probeTimeout  = 200 * time.Millisecond
 )
 
-// probeLoop polls the health URL of each balancer. One failed probe marks a
-// balancer as unhealthy, one successful probe as healthy again.
+// probeResult is the result of one probe of a balancer.
+type probeResult uint8
+
+const (
+	probePassed     probeResult = iota // the health endpoint answered 200
+	probeFailed                        // it answered with another status, or the connection was refused or lost
+	probeUnanswered                    // it did not answer within probeTimeout
+)
+
+// probeLoop polls the health URL of each balancer. The last probe decides.
 func (f *Fabric) probeLoop() {
 	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{Proxy: nil}}
 	defer client.CloseIdleConnections()
@@ -31,16 +41,26 @@
 func (f *Fabric) probeAll(client *http.Client) {
 	var wg sync.WaitGroup
 	for _, e := range f.pool.probeTargets() {
-		wg.Go(func() { f.pool.setHealthy(e, isHealthy(client, e.healthURL)) })
+		wg.Go(func() { f.pool.recordProbe(e, probe(client, e.healthURL)) })
 	}
 	wg.Wait()
 }
 
-func isHealthy(client *http.Client, url string) bool {
+func probe(client *http.Client, url string) probeResult {
 	resp, err := client.Get(url)
 	if err != nil {
-		return false
+		return resultOfError(err)
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	if resp.StatusCode != http.StatusOK {
+		return probeFailed
+	}
+	return probePassed
+}
+
+func resultOfError(err error) probeResult {
+	if netErr, ok := errors.AsType[net.Error](err); ok && netErr.Timeout() {
+		return probeUnanswered
+	}
+	return probeFailed
 }
