Let the requests of a stand-in caller share one dial

Cause: a dial had the deadline of the request that started it, and the others waited for a lock. If a handshake took longer than a request, each waiting request started a dial of its own, with hardly any time left.

A dial now has a time limit of its own, as long as that of a request, and all requests wait for it until their own deadline. A request without a flow in time is recorded as not sent, as before.

Not mended: a fleet that stays short of CPU still misses deadlines, since packets take seconds.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -23,9 +23,9 @@
 	inFlight  chan struct{}
 	running   sync.WaitGroup
 
-	dialMu        sync.Mutex // held while a flow is opened
 	mu            sync.Mutex
 	current       *flow
+	dialing       *pendingDial       // nil while no flow is being opened
 	flows         map[*flow]struct{} // flows that have not ended
 	unusedTickets []string
 }
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -1,7 +1,9 @@
 package caller
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"testing"
@@ -245,6 +247,30 @@
 	is.True(got.RetriesDenied > 0)
 }
 
+// Guards against a dial for each request that waited for an earlier dial: when
+// handshakes take longer than requests, these dials add load and never succeed.
+func TestRequestsShareDial(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	silent := s.listen()
+	const requestTimeout, duration = 100 * time.Millisecond, 2 * time.Second
+	l, err := New(Options{
+		Services: []ServiceLoad{{Name: "a", Address: silent.LocalAddr().(*net.UDPAddr).AddrPort(), Callers: 1, Rate: 50}},
+		Seed:     5, Duration: duration, TLS: s.tls, RequestTimeout: requestTimeout,
+	})
+	is.NoErr(err)
+	l.Start(t.Context())
+	l.Wait()
+	got := l.Ledger()
+	is.Equal(countOutcomes(got), map[Outcome]int{NotSent: len(got.Requests)})
+	is.True(len(got.Requests) > 50)
+	const maxDials = int(duration/(requestTimeout+answerGrace)) + 2 // one may start at each end
+	is.True(got.DialFailures > 1 && got.DialFailures <= maxDials)
+	for _, r := range got.Requests {
+		is.True(r.Latency < duration)
+	}
+}
+
 // Guards against accepting an answer to another request.
 func TestWrongAnswers(t *testing.T) {
 	is := is.New(t)
--- a/standin/caller/flow.go
+++ b/standin/caller/flow.go
@@ -30,23 +30,68 @@
 	ended       chan struct{}
 }
 
-// acquireFlow returns the caller's current flow, and opens one if needed.
+// pendingDial is a dial that requests wait for. flow and err are set when done is
+// closed.
+type pendingDial struct {
+	done chan struct{}
+	flow *flow
+	err  error
+}
+
+// acquireFlow returns the caller's current flow, and opens one if needed. It waits
+// for a dial in progress at most until ctx ends, and starts another if that dial
+// fails.
 func (c *caller) acquireFlow(ctx context.Context) (*flow, error) {
-	if f := c.usableFlow(); f != nil {
-		return f, nil
+	for {
+		f, dial, started := c.flowOrDial()
+		if f != nil {
+			return f, nil
+		}
+		select {
+		case <-dial.done:
+			if dial.err == nil || started {
+				return dial.flow, dial.err
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
-	c.dialMu.Lock()
-	defer c.dialMu.Unlock()
+}
+
+// flowOrDial returns the current flow if it is usable. Otherwise it returns the dial
+// in progress, and whether this call started it.
+func (c *caller) flowOrDial() (f *flow, dial *pendingDial, started bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if f := c.usableFlow(); f != nil {
-		return f, nil
+		return f, nil, false
 	}
-	return c.dial(ctx)
+	if c.dialing != nil {
+		return nil, c.dialing, false
+	}
+	dial = &pendingDial{done: make(chan struct{})}
+	c.dialing = dial
+	c.running.Go(func() { c.runDial(dial) })
+	return nil, dial, true
 }
 
-// usableFlow returns the current flow, or nil if it takes no new requests.
-func (c *caller) usableFlow() *flow {
+// runDial opens a flow. The time limit is that of a request, but counted from the
+// start of the dial: with the deadlines of the waiting requests, a dial that takes
+// longer than a request would be followed by one for each request that waited, most
+// of them with hardly any time left.
+func (c *caller) runDial(dial *pendingDial) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.load.opts.RequestTimeout+answerGrace)
+	defer cancel()
+	dial.flow, dial.err = c.dial(ctx)
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.dialing = nil
+	c.mu.Unlock()
+	close(dial.done)
+}
+
+// usableFlow returns the current flow, or nil if it takes no new requests. It is
+// called with mu held.
+func (c *caller) usableFlow() *flow {
 	f := c.current
 	if f == nil || f.retired.Load() || f.conn.Context().Err() != nil {
 		return nil
