Name the right flows and the lost requests in the logs of sessions

The merge of the loads' ledgers added the growing number of flows to each ID, so that the log of a broken flow named flow 4 for flow 2. The new test fails on the code before. Requests refer to flows by index, so no verdict depended on it. A session that breaks a promise now also logs the first 20 requests whose answers were lost.

--- a/internal/testkit/session/observe_test.go
+++ b/internal/testkit/session/observe_test.go
@@ -221,6 +221,7 @@
 		return "none"
 	}
 	s.logBrokenFlows()
+	s.logLostRequests()
 	s.t.Errorf("promises broken: %s", out) // so that the test also fails with -update
 	return strings.Join(out, "; ")
 }
@@ -246,3 +247,23 @@
 		s.t.Logf("%s leaves at %v", leave.Backend, since(leave.Effective))
 	}
 }
+
+// maxLoggedRequests bounds the log when an overloaded machine loses hundreds of
+// requests.
+const maxLoggedRequests = 20
+
+// logLostRequests logs the first requests whose answers were lost, with their
+// flows. Times are relative to the start of the session.
+func (s *session) logLostRequests() {
+	logged := 0
+	for _, r := range s.ledger().Requests {
+		if r.Outcome != caller.Lost {
+			continue
+		}
+		if logged++; logged > maxLoggedRequests {
+			return
+		}
+		s.t.Logf("%s of %s lost: began %v, given up after %v, attempts %d, last on flow %d", r.Kind, r.Service,
+			r.At.Sub(s.startedAt).Round(time.Millisecond), r.Latency.Round(time.Millisecond), r.Attempts, r.Flow)
+	}
+}
--- a/internal/testkit/session/session_test.go
+++ b/internal/testkit/session/session_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/knapweedpier/knapweedpier/internal/embedded/fleet"
 	"github.com/knapweedpier/knapweedpier/internal/embedded/quickstart"
 	"github.com/knapweedpier/knapweedpier/internal/testkit/golden"
@@ -143,16 +145,25 @@
 	}
 }
 
-// ledger merges the ledgers of all loads and renumbers their flows.
+// ledger merges the ledgers of all loads.
 func (s *session) ledger() caller.Ledger {
-	var all caller.Ledger
+	var ledgers []caller.Ledger
 	for _, load := range s.loads {
-		l := load.Ledger()
+		ledgers = append(ledgers, load.Ledger())
+	}
+	return mergeLedgers(ledgers)
+}
+
+// mergeLedgers merges ledgers and renumbers their flows, so that a flow's ID
+// remains its index.
+func mergeLedgers(ledgers []caller.Ledger) caller.Ledger {
+	var all caller.Ledger
+	for _, l := range ledgers {
+		firstFlow := len(all.Flows)
 		for _, f := range l.Flows {
-			f.ID += len(all.Flows)
+			f.ID += firstFlow
 			all.Flows = append(all.Flows, f)
 		}
-		firstFlow := len(all.Flows) - len(l.Flows)
 		for _, r := range l.Requests {
 			if r.Flow != caller.NoFlow {
 				r.Flow += firstFlow
@@ -164,3 +175,24 @@
 	}
 	return all
 }
+
+// Guards against logs that name another flow than the one that broke: the IDs of
+// flows must stay the indices that requests refer to.
+func TestMergedFlowIDs(t *testing.T) {
+	is := is.New(t)
+	ledger := func(flows int) caller.Ledger {
+		var l caller.Ledger
+		for i := range flows {
+			l.Flows = append(l.Flows, caller.Flow{ID: i})
+			l.Requests = append(l.Requests, caller.Request{Flow: i}, caller.Request{Flow: caller.NoFlow})
+		}
+		return l
+	}
+	all := mergeLedgers([]caller.Ledger{ledger(3), ledger(2)})
+	for i, f := range all.Flows {
+		is.Equal(f.ID, i)
+		is.Equal(all.Requests[2*i].Flow, i)
+		is.Equal(all.Requests[2*i+1].Flow, caller.NoFlow)
+	}
+	is.Equal(len(all.Flows), 5)
+}
