--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
