--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -53,9 +53,9 @@
 }
 
 // writeHandover writes what the gate knows for the next process of the agent. member is
-// the revision of the agent's member, which announces the restart. From
-// now on the agent ignores all packets and messages, because the next process would
-// not know what they change. Callers and backend servers retransmit them.
+// the revision of the agent's member, which announces the restart. From now on the agent
+// ignores all packets and messages, because the next process would not know what they
+// change. Callers and backend servers retransmit them.
 func (a *Agent) writeHandover(member view.Revision) {
 	a.mu.Lock()
 	now := time.Now()
