Collect garbage before the memory limit of a process is reached

A process now reads its memory limit from its settings and sets the garbage collector's to 75% of it. The field may be missing.

--- a/cmd/knapweedpier-node/main.go
+++ b/cmd/knapweedpier-node/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -37,6 +38,11 @@
 // file with the settings in use: the file may change without a SIGHUP.
 const settingsCheckInterval = 5 * time.Second
 
+// memoryLimitShare is the share of the process's memory beyond which the garbage
+// collector runs more often. The rest is left for the C library, unread datagrams and
+// memory that is not returned yet.
+const memoryLimitShare = 0.75
+
 func main() {
 	var flags settings.Node
 	role := kong.Parse(&flags, kong.Name("knapweedpier-node")).Command()
@@ -64,6 +70,9 @@
 		logger.EmitError(event.SettingRefused, err, nil)
 		return err
 	}
+	if loaded.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(loaded.MemoryLimit)))
+	}
 	loaded.MetricsAddress = netip.AddrPortFrom(loaded.Address, flags.MetricsPort)
 	app := fx.New(
 		fx.NopLogger,
