--- a/internal/control/follow/changes.go
+++ b/internal/control/follow/changes.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// applyDelta applies d to the board, and logs the change if it made one. It reports whether the view then
-// is at the delta's revision or a later one.
+// applyDelta applies d to the board, and logs the change if it made one. It reports
+// whether the view then is at the delta's revision or a later one.
 func (f *Follower) applyDelta(d view.Delta) bool {
 	if !f.opts.Board.Apply(d) {
 		return f.opts.Board.View().Revision(d.Section) >= d.To
