Round the time since when a member is stored up

An agent writes into its member since when the store is known to hold it, and a later process waits for the rest of 2.5 s from then. The time was rounded down to milliseconds, so the wait was up to 1 ms too short. TestStoredTimeIsNotTooEarly fails without the change ('906.885µs before') and passes 20 of 20 runs with it.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -278,7 +278,8 @@
 	}
 	m.CreatedMS = a.createdMS
 	if a.stored && !a.storedSince.IsZero() {
-		m.StoredMS = a.storedSince.UnixMilli()
+		// Rounded up: rounded down, it would name a time before the store held the member.
+		m.StoredMS = a.storedSince.Add(time.Millisecond - 1).UnixMilli()
 	}
 	a.mu.Unlock()
 	revision, err := m.Revision, error(nil)
--- a/internal/control/follow/announce_test.go
+++ b/internal/control/follow/announce_test.go
@@ -274,3 +274,16 @@
 	board.Apply(view.Delta{Section: view.MembersSection, To: revision, Full: true, Members: []view.Member{foreign}})
 	eventually(t, "announced member restored", func() bool { return server.Member("agent-1") == wanted })
 }
+
+// Guards against an agent that waits too short after a restart, because its member names a
+// time before the store was known to hold it.
+func TestStoredTimeIsNotTooEarly(t *testing.T) {
+	server := newStore(t)
+	a, _ := newAnnouncer(t, server)
+	waitSynced(t, a.Set(agentMember))
+	eventually(t, "time of storage", func() bool { return storedMember(t, server).StoredMS > 0 })
+	since, _ := a.Stored("agent-1")
+	if stored := time.UnixMilli(storedMember(t, server).StoredMS); stored.Before(since) {
+		t.Errorf("the member names a time %v before", since.Sub(stored))
+	}
+}
