Close the flows of a failure domain that is out with a reason

The callers' ledger takes a flow's domain from its answers, so it could not tell where that flow ended and counted its requests as outside.

Cause in the product: the agent gave the end of its drain to http3's Shutdown, which then closes the remaining flows with no reason; closeFlows, which names it, found none left. So callers could not tell a failure domain that is out from a failure, and the agent did not count these flows as broken by domain-out. closeFlows also ran as soon as the drained flows had ended, and left flows that were opened after it open until their callers' idle timeout.

Change: drain leaves the remaining flows to closeFlows, which runs at the deadline and names the failure domain. The callers' ledger takes the domain of a flow without an answer from that reason.

The new test failed before ("" in place of the reason).

--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -118,16 +118,18 @@
 	// The error says that requests were still in progress; closeFlows below
 	// tells their callers.
 	_ = in.flows.drain(ctx)
+	<-ctx.Done() // flows that were opened meanwhile and relayed requests go on until then
 	if !a.isClosingAt(deadline) {
 		return // the failure domain is back already
 	}
-	in.flows.closeFlows("failure domain out", errkind.DomainOut)
-	<-ctx.Done() // relayed requests may go on until the same deadline
-	if a.isClosingAt(deadline) {
-		in.relayed.cancelAll()
-	}
+	in.flows.closeFlows(domainOutReason+a.opts.Domain, errkind.DomainOut)
+	in.relayed.cancelAll()
 }
 
+// domainOutReason begins the reason with which the flows of a failure domain that is
+// out are closed; the name of the failure domain follows.
+const domainOutReason = "failure domain out: "
+
 // isClosingAt reports whether the failure domain is still out and the given
 // deadline still applies to its flows.
 func (a *Agent) isClosingAt(deadline time.Time) bool {
--- a/pkg/agent/flowserver.go
+++ b/pkg/agent/flowserver.go
@@ -139,15 +139,26 @@
 }
 
 // drain ends the currently open flows gracefully: callers are told to open new
-// flows for new requests, and requests in progress go on until ctx ends. Flows
-// that are opened later are served as usual.
+// flows for new requests, and requests in progress go on. Flows that are opened
+// later are served as usual. When ctx ends first, drain returns an error of kind
+// DeadlineUnknown and leaves the remaining flows open, for closeFlows to close them
+// with a reason.
 func (f *flowServer) drain(ctx context.Context) error {
 	f.mu.Lock()
 	server := f.server
 	f.server = f.newServer()
 	f.undrainedFlows = false
 	f.mu.Unlock()
-	return errkind.Wrap(server.Shutdown(ctx), errkind.DeadlineUnknown, "graceful end of flows")
+	ended := make(chan error, 1)
+	// At the end of its context, Shutdown would close the flows without a reason.
+	go func() { ended <- server.Shutdown(context.WithoutCancel(ctx)) }()
+	var err error
+	select {
+	case err = <-ended:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	return errkind.Wrap(err, errkind.DeadlineUnknown, "graceful end of flows")
 }
 
 // hasUndrainedFlows reports whether a flow was opened since the last drain.
--- a/pkg/agent/path_test.go
+++ b/pkg/agent/path_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -364,3 +365,25 @@
 	}
 	p.is.True(err != nil) // the caller was told to open a new flow
 }
+
+// Guards against flows that are closed without a reason when a drain ends with
+// requests in progress: their callers can't tell a failure domain that is out from a
+// failure.
+func TestFlowsLeftAfterDrainAreClosedWithReason(t *testing.T) {
+	p := newTestDataPath(t, 1)
+	p.startBalancer("127.0.0.11")
+	defer p.stopBalancer("127.0.0.11")
+	client, conn := p.caller(t)
+	feed, err := client.Get("https://service.test/feed")
+	p.is.NoErr(err)
+	defer feed.Body.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	flows := p.agents[0].flows
+	p.is.True(errkind.Is(flows.drain(ctx), errkind.DeadlineUnknown))
+	flows.closeFlows("failure domain out: shawi", errkind.DomainOut)
+	<-conn.Context().Done()
+	var closed *quic.ApplicationError
+	p.is.True(errors.As(context.Cause(conn.Context()), &closed))
+	p.is.Equal(closed.ErrorMessage, "failure domain out: shawi")
+}
--- a/standin/caller/flow.go
+++ b/standin/caller/flow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -139,6 +140,9 @@
 	reason := f.endReason(cause)
 	c.load.recorder.updateFlow(f.id, func(r *Flow) {
 		r.EndedAt, r.Reason, r.GoAway = time.Now(), reason, f.goAway.Load()
+		if domain, ok := outDomain(cause); ok && r.Domain == "" {
+			r.Domain = domain
+		}
 		if reason.isBreak() {
 			r.Detail = cause.Error()
 		}
@@ -148,6 +152,20 @@
 	delete(c.flows, f)
 }
 
+// domainOutReason begins the reason with which an agent closes the flows of a failure
+// domain that is out; the name of the failure domain follows.
+const domainOutReason = "failure domain out: "
+
+// outDomain returns the failure domain that the far end names as out in the reason
+// for closing a flow.
+func outDomain(cause error) (domain string, ok bool) {
+	closed, isClosed := errors.AsType[*quic.ApplicationError](cause)
+	if !isClosed || !closed.Remote {
+		return "", false
+	}
+	return strings.CutPrefix(closed.ErrorMessage, domainOutReason)
+}
+
 func (f *flow) endReason(cause error) Reason {
 	if f.closing.Load() {
 		return CallerClosed
--- a/standin/caller/ledger.go
+++ b/standin/caller/ledger.go
@@ -93,7 +93,9 @@
 	MaxGap   time.Duration `json:"max_gap"` // longest time between two lines, in nanoseconds
 }
 
-// Flow is one QUIC connection. Backend and Domain are taken from its last answer.
+// Flow is one QUIC connection. Backend and Domain are taken from its last answer. The
+// Domain of a flow without an answer is the one that the far end named as out when it
+// closed the flow, if it did.
 type Flow struct {
 	ID       int       `json:"id"`
 	Caller   string    `json:"caller"`
