Confine a panic to the message whose handling caused it

Operators of similar systems saw one malformed message or unexpected error take a whole process down. That could happen here: nothing between the sockets and the decisions of packet flows recovered, so that a panic in the handling of any packet, message, report (but for net/http's own) or timer ended the balancer or agent.

Change: flownode handles each packet, message, view and timer within panics.Catch. A panic is logged with its stack (event 1008) and counted (flow_agent.panics, flow_balancer.panics). Since the decision may have left its state half changed, the agent's gate or the balancer's steerer is replaced by a new one that has the view and the last report and learns the rest from packets, which is what a restarted process would do; decoding changes no state. The two timer loops are one, Node.Every.

Ruled out: dropping only the state of the message's flow, since counts over all flows could be off as well.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -21,6 +21,7 @@
 	CertificateLoaded ID = 1005
 	ReloadFailed      ID = 1006
 	SettingsReloaded  ID = 1007
+	HandlerPanicked   ID = 1008
 )
 
 // Events of the control path.
@@ -103,6 +104,7 @@
 	{CertificateLoaded, log.InfoLevel, false, "certificate loaded", "None."},
 	{ReloadFailed, log.ErrorLevel, true, "reload failed, previous value stays in use", "Correct the file that the message names."},
 	{SettingsReloaded, log.InfoLevel, false, "settings reloaded", "None."},
+	{HandlerPanicked, log.ErrorLevel, true, "handling of a message or call panicked", "Report the stack: it is a fault of the program. Only that message or call was lost."},
 
 	{GenerationInForce, log.InfoLevel, false, "configuration generation in force", "None."},
 	{GenerationRefused, log.WarnLevel, true, "configuration generation refused", "Look for an object restored to an older state in the platform."},
--- a/internal/base/metrics/flows.go
+++ b/internal/base/metrics/flows.go
@@ -4,6 +4,7 @@
 // constants give the units.
 type FlowBalancer struct {
 	Openings, Packets, Searches Counter
+	Panics                      Counter
 	Resets, Drops               *KindCounter // packet kinds
 	Holders, ViewAge, Version   Gauge
 }
@@ -14,6 +15,7 @@
 		Openings: r.registerCounter(FlowBalancerOpenings),
 		Packets:  r.registerCounter(FlowBalancerPackets),
 		Searches: r.registerCounter(FlowBalancerSearches),
+		Panics:   r.registerCounter(FlowBalancerPanics),
 		Resets:   r.registerKindCounter(FlowBalancerResets, firstPacketKind, lastPacketKind),
 		Drops:    r.registerKindCounter(FlowBalancerDrops, firstPacketKind, lastPacketKind),
 		Holders:  r.registerGauge(FlowBalancerHolders),
@@ -26,7 +28,7 @@
 // give the units.
 type FlowAgent struct {
 	Openings, Bounced, Resets  Counter
-	Offered                    Counter
+	Offered, Panics            Counter
 	PassedOn                   *KindCounter // request and packet kinds
 	Drops                      *KindCounter // packet kinds
 	Flows, InProgress, Waiting Gauge
@@ -41,6 +43,7 @@
 		Bounced:    r.registerCounter(FlowAgentBounced),
 		Offered:    r.registerCounter(FlowAgentOffered),
 		Resets:     r.registerCounter(FlowAgentResets),
+		Panics:     r.registerCounter(FlowAgentPanics),
 		PassedOn:   r.registerKindCounter(FlowAgentPassedOn, firstRequestKind, lastPacketKind),
 		Drops:      r.registerKindCounter(FlowAgentDrops, firstPacketKind, lastPacketKind),
 		Flows:      r.registerGauge(FlowAgentFlows),
--- a/internal/base/metrics/names.go
+++ b/internal/base/metrics/names.go
@@ -39,6 +39,7 @@
 	FlowBalancerOpenings Name = "flow_balancer.openings"    // new flows sent to agents
 	FlowBalancerPackets  Name = "flow_balancer.packets"     // other packets sent to agents
 	FlowBalancerSearches Name = "flow_balancer.searches"    // packets of flows whose agent is not in the flow table
+	FlowBalancerPanics   Name = "flow_balancer.panics"      // messages whose handling panicked
 	FlowBalancerResets   Name = "flow_balancer.resets"      // flows reset, by error kind
 	FlowBalancerDrops    Name = "flow_balancer.drops"       // packets dropped, by error kind
 	FlowBalancerHolders  Name = "flow_balancer.holders"     // entries of the flow table: flows whose agent is known
@@ -50,6 +51,7 @@
 const (
 	FlowAgentOpenings   Name = "flow_agent.openings"      // new flows delivered to the backend server
 	FlowAgentPassedOn   Name = "flow_agent.passed_on"     // packets passed on or returned, by error kind
+	FlowAgentPanics     Name = "flow_agent.panics"        // messages whose handling panicked
 	FlowAgentBounced    Name = "flow_agent.bounced"       // packets that the backend server handed back
 	FlowAgentOffered    Name = "flow_agent.offered"       // packets of unknown flows that the backend server was offered
 	FlowAgentResets     Name = "flow_agent.resets"        // flows reset
--- a/internal/flowpath/flownode/loops.go
+++ b/internal/flowpath/flownode/loops.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/panics"
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
@@ -16,7 +18,7 @@
 		for {
 			select {
 			case <-changed:
-				apply()
+				_ = n.Protect(func() error { apply(); return nil })
 			case <-ctx.Done():
 				return
 			}
@@ -38,7 +40,7 @@
 				return
 			}
 			if err == nil {
-				err = handle(buffer[:size])
+				err = n.Protect(func() error { return handle(buffer[:size]) })
 			}
 			if err != nil {
 				n.LogRefused(err)
@@ -59,5 +61,35 @@
 	})
 }
 
+// Every calls f at an interval until the node stops.
+func (n *Node) Every(interval time.Duration, f func()) {
+	n.Go(func(ctx context.Context) {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				_ = n.Protect(func() error { f(); return nil })
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// Protect calls f and returns its error. If f panics, it logs the panic, has the state
+// replaced that f may have left half changed, and returns an error of kind Internal. A
+// panic while the state is replaced ends the process.
+func (n *Node) Protect(f func() error) error {
+	err := panics.Catch(f)
+	if stack, ok := panics.Stack(err); ok {
+		n.Logger.EmitError(event.HandlerPanicked, err, event.Fields{"stack": stack})
+		if n.onPanic != nil {
+			n.onPanic()
+		}
+	}
+	return err
+}
+
 // LogRefused logs a packet or message that couldn't be processed.
 func (n *Node) LogRefused(err error) { n.Logger.EmitError(event.PacketRefused, err, nil) }
--- a/internal/flowpath/flownode/node.go
+++ b/internal/flowpath/flownode/node.go
@@ -33,6 +33,7 @@
 	Announcer *follow.Announcer
 	Logger    *event.Logger
 
+	onPanic func()
 	ctx     context.Context
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
@@ -50,12 +51,15 @@
 	Logger *event.Logger
 
 	FirstStart bool // the whole system starts for the first time
+	// OnPanic is called after a handler has panicked, before the next message. It
+	// replaces the state that the handler may have left half changed.
+	OnPanic func()
 }
 
 // Start opens the listener for peers and starts following the view. Errors have
 // kind SettingInvalid.
 func Start(o Options) (*Node, error) {
-	n := &Node{Board: view.NewBoard(), Logger: o.Logger}
+	n := &Node{Board: view.NewBoard(), Logger: o.Logger, onPanic: o.OnPanic}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	l, err := n.Listen(o.Peer)
 	if err != nil {
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -74,13 +74,40 @@
 		registry:   registry,
 		metrics:    metrics.NewFlowAgent(registry),
 		reportable: make(chan struct{}),
-		gate: flowgate.New(flowgate.Options{
-			Self:     s.PacketAddress,
-			Service:  flowsteer.ServiceID(s.Service),
-			Limits:   backendLimits(s),
-			Learning: !s.FirstStart,
-			LearnFor: s.FlowLifetime,
-		}, time.Now()),
+		gate:       newGate(s, !s.FirstStart),
+	}
+}
+
+// newGate returns the gate of an agent that starts now. learning is set if its backend
+// server may hold flows from before.
+func newGate(s platform.Settings, learning bool) *flowgate.Gate {
+	return flowgate.New(flowgate.Options{
+		Self:     s.PacketAddress,
+		Service:  flowsteer.ServiceID(s.Service),
+		Limits:   backendLimits(s),
+		Learning: learning,
+		LearnFor: s.FlowLifetime,
+	}, time.Now())
+}
+
+// replaceGate replaces the gate after a panic, which may have left it half changed, by
+// one that knows what it would know after a restart of the process. The next packets of
+// open flows are offered to the backend server, as after a restart.
+func (a *Agent) replaceGate() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.metrics.Panics.Inc(1)
+	a.gate = newGate(a.settings, true)
+	a.applyView(a.node.Board.View())
+	if a.lastReport.Instance != "" {
+		// A new gate refuses no report.
+		_, _ = a.gate.Report(time.Now(), a.lastReport)
+	}
+	if a.backendLeft {
+		a.gate.RefuseNewFlows()
+	}
+	if a.restarting {
+		a.gate.PrepareStop()
 	}
 }
 
@@ -100,7 +127,7 @@
 	}
 	a.node, err = flownode.Start(flownode.Options{
 		Name: MemberName(s.Address), Domain: s.Domain, Role: view.AgentRole, Peer: s.PeerAddress, Seeds: s.Seeds, Store: a.store, Logger: a.logger,
-		FirstStart: s.FirstStart,
+		FirstStart: s.FirstStart, OnPanic: a.replaceGate,
 	})
 	if err != nil {
 		return err
@@ -115,7 +142,7 @@
 	if err := a.node.Serve(s.MetricsAddress, a.registry.TextHandler(a.updateGauges)); err != nil {
 		return err
 	}
-	a.node.FollowView(func() { a.applyView(a.node.Board.View()) })
+	a.node.FollowView(a.followView)
 	if s.FirstStart {
 		close(a.reportable)
 	} else {
@@ -123,7 +150,7 @@
 	}
 	a.node.ReadMessages(a.nodeSocket, a.handleMessage)
 	a.node.ReadPackets(a.backendSocket, a.handleBackendPacket)
-	a.node.Go(a.runTimers)
+	a.node.Every(timerInterval, a.tick)
 	a.logger.Emit(event.Started, event.Fields{"role": "agent", "name": s.Name, "domain": s.Domain, "service": s.Service, "first_start": s.FirstStart})
 	return nil
 }
@@ -178,10 +205,15 @@
 	return a.gate.InProgress() + a.gate.QueuedRequests()
 }
 
-// applyView passes the relevant parts of a new view to the gate.
-func (a *Agent) applyView(v view.View) {
+// followView applies the current view.
+func (a *Agent) followView() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.applyView(a.node.Board.View())
+}
+
+// applyView passes the relevant parts of a view to the gate. The caller holds the lock.
+func (a *Agent) applyView(v view.View) {
 	s := a.settings
 	a.gate.SetRoutes(v.Configuration.Routes)
 	a.gate.SetService(v.Configuration.Services[s.Service], v.Configuration.IdleTimeout)
@@ -228,30 +260,21 @@
 	a.updateRefusal(time.Now())
 }
 
-func (a *Agent) runTimers(ctx context.Context) {
-	ticker := time.NewTicker(timerInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			a.checkBackend()
-			a.mu.Lock()
-			if a.handedOver {
-				a.mu.Unlock()
-				return
-			}
-			now := time.Now()
-			for _, key := range a.gate.Tick(now) {
-				a.logger.Emit(event.RequestUnanswered, flowFields(key))
-			}
-			a.deliverQueued(now)
-			a.updateRefusal(now)
-			for _, action := range a.gate.PassOnUnanswered(now) {
-				a.sendMessage(action.To, action.Message)
-			}
-			a.mu.Unlock()
-		case <-ctx.Done():
-			return
-		}
+// tick runs the timers of the gate.
+func (a *Agent) tick() {
+	a.checkBackend()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.handedOver {
+		return
+	}
+	now := time.Now()
+	for _, key := range a.gate.Tick(now) {
+		a.logger.Emit(event.RequestUnanswered, flowFields(key))
+	}
+	a.deliverQueued(now)
+	a.updateRefusal(now)
+	for _, action := range a.gate.PassOnUnanswered(now) {
+		a.sendMessage(action.To, action.Message)
 	}
 }
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -146,3 +146,23 @@
 	is.NoErr(err)
 	is.True(!a.backendEnded())
 }
+
+// Guards against an agent that goes on with a half-changed gate after a panic, that forgets
+// the state of its backend server, and that denies the flows which the server holds.
+func TestGateIsReplacedAfterPanic(t *testing.T) {
+	is := is.New(t)
+	service := netip.MustParseAddrPort("198.18.0.1:8443")
+	a := New(platform.Settings{Service: "orders", FlowLifetime: time.Minute, FirstStart: true}, nil, event.Discard())
+	board := view.NewBoard()
+	a.node = &flownode.Node{Board: board, Announcer: follow.NewAnnouncer(nil, board, event.Discard()), Logger: event.Discard()}
+	_, err := a.applyReport(flowgate.Report{Instance: "i-1", Started: time.Now(), Sequence: 1, State: view.Leaving, Slots: 9})
+	is.NoErr(err)
+	a.gate = nil // what a panic left behind
+	a.replaceGate()
+	is.Equal(a.gate.Load(time.Now()).Slots, uint16(9))
+	is.True(a.gate.Leaving())
+	is.Equal(a.metrics.Panics.Count(), int64(1))
+	p := flow.Packet{From: netip.MustParseAddrPort("100.64.0.7:40001"), To: service, Flags: flow.Ack}
+	m := &hop.Message{Type: hop.Forward, Candidates: []netip.AddrPort{{}}, Packet: []byte("packet")}
+	is.Equal(a.gate.FromPeer(time.Now(), m, p).Verdict, flowgate.Deliver) // offered, not denied
+}
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -21,7 +21,11 @@
 		return err
 	}
 	<-a.reportable
-	stored, err := a.applyReport(r.Report)
+	var stored <-chan struct{}
+	err := a.node.Protect(func() (err error) {
+		stored, err = a.applyReport(r.Report)
+		return err
+	})
 	if err != nil {
 		a.logger.EmitError(event.ReportRefused, err, event.Fields{"instance": r.Instance, "sequence": r.Sequence})
 		return err
@@ -39,7 +43,7 @@
 	return nil
 }
 
-func (a *Agent) applyReport(r flowgate.Report) (<-chan struct{}, error) {
+func (a *Agent) applyReport(r flowgate.Report) (stored <-chan struct{}, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
@@ -99,6 +103,10 @@
 
 // BackendLeft implements platform.ReportReceiver.
 func (a *Agent) BackendLeft(instance string) error {
+	return a.node.Protect(func() error { return a.applyBackendLeft(instance) })
+}
+
+func (a *Agent) applyBackendLeft(instance string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.lastReport.Instance != instance && a.lastReport.Instance != "" {
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -101,7 +101,7 @@
 	name := MemberName(s.Address)
 	b.node, err = flownode.Start(flownode.Options{
 		Name: name, Domain: s.Domain, Role: view.BalancerRole, Peer: s.PeerAddress, Seeds: s.Seeds, Store: b.store, Logger: b.logger,
-		FirstStart: s.FirstStart,
+		FirstStart: s.FirstStart, OnPanic: b.replaceSteerer,
 	})
 	if err != nil {
 		return err
@@ -115,11 +115,21 @@
 	b.node.FollowView(b.applyView)
 	b.node.ReadPackets(b.callerSocket, b.handleCallerPacket)
 	b.node.ReadMessages(b.nodeSocket, b.handleMessage)
-	b.node.Go(b.runTimers)
+	b.node.Every(timerInterval, func() { b.tick(time.Now()) })
 	b.logger.Emit(event.Started, event.Fields{"role": "balancer", "name": s.Name, "domain": s.Domain, "first_start": s.FirstStart})
 	return nil
 }
 
+// replaceSteerer replaces the steerer after a panic, which may have left it half changed,
+// by one that knows what it would know after a restart of the process.
+func (b *Balancer) replaceSteerer() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.metrics.Panics.Inc(1)
+	b.steerer = flowsteer.New(b.settings.PeerAddress, b.settings.Domain)
+	b.updateView()
+}
+
 // MemberName returns the member name of the balancer at an address.
 func MemberName(address netip.Addr) string { return "balancer-" + address.String() }
 
@@ -271,19 +281,6 @@
 	return nil
 }
 
-func (b *Balancer) runTimers(ctx context.Context) {
-	ticker := time.NewTicker(timerInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			b.tick(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // tick runs the steerer's timers on the current view.
 func (b *Balancer) tick(now time.Time) {
 	b.mu.Lock()
--- a/pkg/flowbalancer/balancer_test.go
+++ b/pkg/flowbalancer/balancer_test.go
@@ -63,3 +63,24 @@
 	is.Equal(first.Verdict, flowsteer.Send)
 	is.Equal(len(first.Message.Candidates), 2)
 }
+
+// Guards against a balancer that goes on with a half-changed steerer after a panic, or with
+// one that has no view.
+func TestSteererIsReplacedAfterPanic(t *testing.T) {
+	is := is.New(t)
+	b := New(platform.Settings{PeerAddress: netip.MustParseAddrPort("127.0.0.1:7720"), Domain: "a"}, nil, event.Discard())
+	b.node = &flownode.Node{Board: view.NewBoard(), Logger: event.Discard()}
+	service := netip.MustParseAddrPort("198.18.0.1:8443")
+	route := view.Route{Address: service, Targets: []view.Target{{Service: "comptoir", Weight: 1}}}
+	agent := view.Member{Name: "agent-1", Role: view.AgentRole, Domain: "a", Address: netip.MustParseAddrPort("127.0.0.1:8172"), Service: "comptoir", Slots: 4, State: view.Ready}
+	b.node.Board.Apply(view.Delta{Section: view.ConfigurationSection, To: 1, Full: true, Configuration: &view.ConfigurationDelta{Version: 1, Routes: []view.Route{route}}})
+	b.node.Board.Apply(view.Delta{Section: view.EvacuationsSection, To: 1, Full: true})
+	b.node.Board.Apply(view.Delta{Section: view.MembersSection, To: 1, Full: true, Members: []view.Member{agent}})
+	b.steerer = nil // what a panic left behind
+	b.replaceSteerer()
+	opening := flow.Packet{From: netip.MustParseAddrPort("100.64.0.7:40001"), To: service, Flags: flow.Open}
+	action := b.steerer.FromCaller(time.Now(), opening, []byte("packet"))
+	is.Equal(action.Verdict, flowsteer.Send)
+	is.Equal(action.To, agent.Address)
+	is.Equal(b.metrics.Panics.Count(), int64(1))
+}
