--- a/internal/base/panics/panics_test.go
+++ b/internal/base/panics/panics_test.go
@@ -1,6 +1,7 @@
 package panics
 
 import (
+	"bytes"
 	"errors"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 func handleMalformed() error {
@@ -20,12 +22,13 @@
 // can't be found afterwards.
 func TestPanicBecomesError(t *testing.T) {
 	is := is.New(t)
-	err := Catch(handleMalformed)
-	is.True(errkind.Is(err, errkind.Internal))
-	stack, ok := Stack(err)
-	is.True(ok && strings.Contains(stack, "handleMalformed"))
+	var log bytes.Buffer
+	logger, err := event.New(&log, "json")
+	is.NoErr(err)
+	panicked, err := Handle(logger, handleMalformed)
+	is.True(panicked && errkind.Is(err, errkind.Internal))
+	is.True(strings.Contains(log.String(), "handleMalformed"))
 	plain := errors.New("plain")
-	is.Equal(Catch(func() error { return plain }), plain)
-	_, ok = Stack(plain)
-	is.True(!ok)
+	panicked, err = Handle(logger, func() error { return plain })
+	is.True(!panicked && err == plain)
 }
--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -8,6 +8,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/panics"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
@@ -173,7 +174,7 @@
 			}
 			continue
 		}
-		if err := a.reconcile(ctx); err != nil {
+		if _, err := panics.Handle(a.logger, func() error { return a.reconcile(ctx) }); err != nil {
 			if ctx.Err() == nil {
 				a.logger.EmitError(event.AnnouncementFailed, err, nil)
 			}
--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -8,6 +8,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/panics"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
@@ -112,7 +113,13 @@
 		}
 		return false
 	}
-	return f.applyResponse(requestedAt, response)
+	fresh := false
+	// The view changes as a whole or not at all, so a panic leaves none half changed.
+	panicked, _ := panics.Handle(f.opts.Logger, func() error {
+		fresh = f.applyResponse(requestedAt, response)
+		return nil
+	})
+	return fresh && !panicked
 }
 
 // applyResponse applies the deltas of a peer's response and confirms the view to which
--- a/internal/control/follow/process_test.go
+++ b/internal/control/follow/process_test.go
@@ -39,7 +39,7 @@
 	}
 	f := follow.New(opts)
 	runInBackground(t, func(ctx context.Context) {
-		go follow.Serve(ctx, l, p.board)
+		go follow.Serve(ctx, l, p.board, event.Discard())
 		f.Run(ctx)
 	})
 	return p
--- a/internal/control/follow/serve.go
+++ b/internal/control/follow/serve.go
@@ -8,6 +8,8 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/panics"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
@@ -15,8 +17,9 @@
 const maxPollTimeout = 5 * time.Second
 
 // Serve serves the view of board to the peers that connect to listener, until
-// listener is closed.
-func Serve(ctx context.Context, listener net.Listener, board *view.Board) {
+// listener is closed. A panic while a request is handled ends that request only and is
+// logged.
+func Serve(ctx context.Context, listener net.Listener, board *view.Board, logger *event.Logger) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -25,8 +28,12 @@
 		}
 		stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
 		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
-			func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-				return handle(ctx, board, r)
+			func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (response any, err error) {
+				_, err = panics.Handle(logger, func() (err error) {
+					response, err = handle(ctx, board, r)
+					return err
+				})
+				return response, err
 			},
 		)), jsonrpc2.SetLogger(discardLogger))
 	}
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/panics"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
@@ -49,15 +50,10 @@
 		if cursor == 0 {
 			cursor = f.opts.Board.View().Revision(s)
 		}
-		next, err := f.listOrWatch(ctx, s, cursor)
+		next, err := f.readSection(ctx, s, cursor)
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordStoreResult(err)
-		if errkind.Is(err, errkind.HistoryGone) {
-			next, err = f.listSection(ctx, s)
-			f.recordStoreResult(err)
-		}
 		if err != nil {
 			delay.Sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
@@ -67,6 +63,22 @@
 	}
 }
 
+// readSection lists or watches a section, lists it if the store no longer has the history
+// from the cursor on, and returns the next cursor. A panic counts as a failed call: the
+// view changes as a whole or not at all.
+func (f *Follower) readSection(ctx context.Context, s view.Section, cursor view.Revision) (next view.Revision, err error) {
+	_, err = panics.Handle(f.opts.Logger, func() (err error) {
+		next, err = f.listOrWatch(ctx, s, cursor)
+		f.recordStoreResult(err)
+		if errkind.Is(err, errkind.HistoryGone) {
+			next, err = f.listSection(ctx, s)
+			f.recordStoreResult(err)
+		}
+		return err
+	})
+	return next, err
+}
+
 // listOrWatch lists a section without a cursor, and watches it from the cursor
 // otherwise. It returns the next cursor.
 func (f *Follower) listOrWatch(ctx context.Context, s view.Section, cursor view.Revision) (view.Revision, error) {
--- a/internal/control/peer/peer_test.go
+++ b/internal/control/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -349,3 +350,47 @@
 		wg.Wait()
 	})
 }
+
+// Guards against a message of a peer that ends the process, is decoded beyond its size
+// limit, or fails with a kind that blames the network.
+func FuzzDecodeFrame(f *testing.F) {
+	f.Add(frame(`{"jsonrpc":"2.0","id":1,"method":"peer.pull","params":{"id":"b-1","inc":1,"seq":2,"cur":{"i":0,"p":0},"gen":0,"fresh":-1}}`))
+	f.Add([]byte{0x80, 0, 0, 2, 0xff, 0xff})
+	f.Add([]byte{0x7f, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var message struct {
+			Params *json.RawMessage `json:"params"`
+		}
+		err := decodeFrame(bufio.NewReader(bytes.NewReader(b)), &message)
+		if err != nil && errkind.Is(err, errkind.Internal) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Fatal(err)
+		}
+		if err != nil {
+			return
+		}
+		h := &rpcHandler{server: NewServer(ServerOptions{Pull: echo})}
+		if _, err := h.pull(t.Context(), message.Params); err != nil && !errkind.Is(err, errkind.PeerMalformed) {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a call whose handling panics and that ends the process, or leaves the
+// caller without a response.
+func TestPanicEndsOnlyItsCall(t *testing.T) {
+	is := is.New(t)
+	panics := true
+	addr, _ := serve(t, ServerOptions{Pull: func(ctx context.Context, req PullRequest) (PullResponse, error) {
+		if panics {
+			panics = false
+			panic("pull")
+		}
+		return echo(ctx, req)
+	}})
+	c := NewClient(dialer(t, "a1"), addr)
+	defer c.Close()
+	_, err := c.Pull(t.Context(), PullRequest{ID: "b-1"})
+	is.True(errkind.Is(err, errkind.PeerDown))
+	_, err = c.Pull(t.Context(), PullRequest{ID: "b-1"})
+	is.NoErr(err)
+}
--- a/internal/control/peer/server.go
+++ b/internal/control/peer/server.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	names "github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/panics"
 	"github.com/knapweedpier/knapweedpier/internal/control/peertls"
 )
 
@@ -200,7 +201,11 @@
 }
 
 func (h *rpcHandler) respond(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	result, err := h.call(ctx, req)
+	var result any
+	_, err := panics.Handle(h.server.opts.Logger, func() (err error) {
+		result, err = h.call(ctx, req)
+		return err
+	})
 	switch {
 	case errkind.Is(err, errkind.PeerMalformed):
 		h.closeMalformed(conn, err)
--- a/internal/flowpath/flownode/loops.go
+++ b/internal/flowpath/flownode/loops.go
@@ -81,12 +81,9 @@
 // replaced that f may have left half changed, and returns an error of kind Internal. A
 // panic while the state is replaced ends the process.
 func (n *Node) Protect(f func() error) error {
-	err := panics.Catch(f)
-	if stack, ok := panics.Stack(err); ok {
-		n.Logger.EmitError(event.HandlerPanicked, err, event.Fields{"stack": stack})
-		if n.onPanic != nil {
-			n.onPanic()
-		}
+	panicked, err := panics.Handle(n.Logger, f)
+	if panicked && n.onPanic != nil {
+		n.onPanic()
 	}
 	return err
 }
--- a/internal/flowpath/flownode/node.go
+++ b/internal/flowpath/flownode/node.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.Go(func(ctx context.Context) { follow.Serve(ctx, l, n.Board) })
+	n.Go(func(ctx context.Context) { follow.Serve(ctx, l, n.Board, o.Logger) })
 	n.Announcer = follow.NewAnnouncer(o.Store, n.Board, o.Logger)
 	n.Go(n.Announcer.Run)
 	var seeds []netip.AddrPort
--- a/pkg/agent/endpoint.go
+++ b/pkg/agent/endpoint.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/panics"
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 	"github.com/knapweedpier/knapweedpier/internal/requestpath/connid"
 	"github.com/knapweedpier/knapweedpier/internal/requestpath/placement"
@@ -122,13 +123,6 @@
 	e.done.Wait()
 }
 
-// PeerLoads returns the recent load reports of other agents of the service.
-func (e *Endpoint) PeerLoads() map[netip.AddrPort]tunnel.Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.placement.FreshLoads(time.Now())
-}
-
 // SendHello sends a hello with this agent's load.
 func (e *Endpoint) SendHello(to netip.AddrPort) {
 	if e.dropsPackets(time.Now()) {
@@ -161,7 +155,13 @@
 		if err != nil {
 			return // the socket was closed
 		}
-		e.receive(buf[:n], udp.Unmap(from))
+		panicked, _ := panics.Handle(e.logger, func() error {
+			e.receive(buf[:n], udp.Unmap(from))
+			return nil
+		})
+		if panicked {
+			e.replacePlacement()
+		}
 	}
 }
 
@@ -201,9 +201,7 @@
 	case tunnel.HelloAck:
 		e.balancers.recordHelloAck(now, from)
 	case tunnel.Hello:
-		e.mu.Lock()
-		e.placement.RecordLoad(now, from, h.Load)
-		e.mu.Unlock()
+		e.recordLoad(now, from, h.Load)
 	default:
 		e.recordDrop(errkind.TunnelMalformed)
 	}
@@ -236,9 +234,7 @@
 func (e *Endpoint) handleOpening(now time.Time, h *tunnel.Header, dcid, payload []byte) {
 	local := e.localState()
 	placementState := placement.LocalState{Load: local.Load, Full: local.Full, AcceptAll: local.AcceptAll}
-	e.mu.Lock()
-	verdict, next := e.placement.Decide(now, placementState, dcid, h.Hop)
-	e.mu.Unlock()
+	verdict, next := e.decidePlacement(now, placementState, dcid, h.Hop)
 	if verdict == placement.Accept {
 		e.deliverPacket(h.Caller, payload)
 		return
--- a/pkg/balancer/forwarder.go
+++ b/pkg/balancer/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/base/keyring"
 	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/panics"
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 	"github.com/knapweedpier/knapweedpier/internal/requestpath/connid"
 	"github.com/knapweedpier/knapweedpier/internal/requestpath/steering"
@@ -245,6 +246,12 @@
 	f.logger.EmitError(event.PacketDropped, errkind.New(kind, "packet dropped"), nil)
 }
 
+// protect calls handle and logs a panic, which ends the handling of one packet only.
+// Handling a packet changes nothing but counters and the times of contacts.
+func (f *Forwarder) protect(handle func()) {
+	_, _ = panics.Handle(f.logger, func() error { handle(); return nil })
+}
+
 // forwardLoop forwards callers' packets of one service to agents.
 func (f *Forwarder) forwardLoop(l *listener) {
 	buf := make([]byte, tunnel.MaxSize+udp.MaxDatagramBytes)
@@ -254,7 +261,7 @@
 		if err != nil {
 			return // the socket was closed
 		}
-		f.forward(l, buf[:tunnel.MaxSize+n], udp.Unmap(caller), &header)
+		f.protect(func() { f.forward(l, buf[:tunnel.MaxSize+n], udp.Unmap(caller), &header) })
 	}
 }
 
@@ -304,7 +311,7 @@
 		if err != nil {
 			return // the socket was closed
 		}
-		f.handleAgentPacket(socket, buf[:n], udp.Unmap(agent), &header)
+		f.protect(func() { f.handleAgentPacket(socket, buf[:n], udp.Unmap(agent), &header) })
 	}
 }
 
--- a/pkg/cli/flows_test.go
+++ b/pkg/cli/flows_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/platform"
@@ -36,7 +37,7 @@
 	for _, s := range view.Sections() {
 		board.Confirm(s, time.Now())
 	}
-	go follow.Serve(ctx, l, board)
+	go follow.Serve(ctx, l, board, event.Discard())
 	_, err = store.WriteMember(t.Context(), view.Member{
 		Name: "agent-1", Role: view.AgentRole, Address: peer, Peer: peer, Service: "comptoir", Slots: 9, State: view.Ready,
 	})
