Take no late packet of a former flow for one of a new flow

Operators of similar systems saw a late second copy of an answer on a connection that was in use again. On the packet path the ends check the sequence numbers, so that no caller reads it. But an agent took any packet of its backend server, while a flow was being opened, for proof that the server holds the flow.

Change: such a packet proves it only if it continues from the server's answer to the opening, within 16 packets of 1200 bytes, or if an earlier process of the agent may have seen the opening (the agent learns, or took the flow over).

The new test failed before in both cases (reset).

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -183,7 +183,8 @@
 	}
 	g.backend.noteOpening(now)
 	g.health.noteNewFlow(now)
-	g.flows.add(key, now).firstOpeningAt = now.Add(-p.Age)
+	f = g.flows.add(key, now)
+	f.firstOpeningAt, f.maybeOpen = now.Add(-p.Age), now.Before(g.backend.learnUntil)
 	delete(g.denied, key)
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, nil), Key: key, NotifyBalancer: m.Balancer}
 }
--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -750,3 +750,26 @@
 		})
 	}
 }
+
+// Guards against a late packet of a former flow that counts as one of a new flow from the
+// same address and port: the agent would take the new flow for open, answer its first
+// request before it arrives, and reset it when the backend server returns a packet, although
+// the caller may have opened it at another backend server.
+func TestLatePacketOfFormerFlowOpensNoFlow(t *testing.T) {
+	for name, answered := range map[string]bool{"before the answer to the opening": false, "after it": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := readyGate(t, false)
+			g.FromPeer(start, forward(self), openingPacket(1))
+			if answered {
+				g.FromBackend(start, backendPacket(1, orders, flow.Open|flow.Ack, 0))
+			}
+			late := backendPacket(1, orders, flow.Ack, 600)
+			late.Seq = 4_000_000_000
+			is.Equal(g.FromBackend(start, late).Verdict, ToCaller) // the ends check sequence numbers
+			bounced := dataPacket(1, orders, 101, 10)
+			bounced.Flags |= flow.Bounced
+			is.Equal(g.FromBackend(start, bounced).Verdict, Drop) // no reset
+		})
+	}
+}
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -21,6 +21,10 @@
 	// The backend server sends no data before that. The protocol doesn't state whether
 	// an opening counts as one.
 	maxFirstAckDistance = 1
+	// maxFlightBytes is the maximum distance from the sequence number of an answer to an
+	// opening to that of the first packet with which the backend server continues: it has at
+	// most 16 packets of 1200 bytes in flight.
+	maxFlightBytes = 16 * 1200
 	// idleMargin is added to the configured idle timeout before an open flow is
 	// removed.
 	idleMargin = 5 * time.Second
@@ -52,6 +56,7 @@
 	openingAnswered        bool           // the backend server answered the opening
 	backendSeq             uint32         // sequence number of that answer
 	adopted                bool           // the entry was made by a packet of the backend server
+	maybeOpen              bool           // an earlier process of the agent may have seen the flow being opened
 	takenOver              bool           // the entry is from an earlier process of the agent
 	callerEndSeq           uint32         // sequence number after the last data of the caller
 	callerAck              uint32         // the caller's last acknowledgement number
@@ -73,14 +78,24 @@
 // server holds the flow: the caller acknowledges its answer to the opening, or the
 // backend server sends something else than that answer. An opening and its answer
 // don't show it, because several backend servers may answer copies of an opening,
-// and the caller continues with one of them.
+// and the caller continues with one of them. Neither does a late packet of a former flow
+// whose address and port the caller uses again.
 func (f *entry) opens(p flow.Packet, s sender) bool {
 	if s == fromBackend {
-		return !p.Has(flow.Open) && !p.Has(flow.Reset)
+		return f.isContinuation(p.Seq) && !p.Has(flow.Open) && !p.Has(flow.Reset)
 	}
 	return f.openingAnswered && p.Ack-f.backendSeq <= maxFirstAckDistance
 }
 
+// isContinuation reports whether a packet of the backend server with sequence number seq
+// can belong to this flow, which is being opened.
+func (f *entry) isContinuation(seq uint32) bool {
+	if f.openingAnswered {
+		return seq-f.backendSeq <= maxFlightBytes
+	}
+	return f.adopted || f.maybeOpen
+}
+
 // lostEntry returns what is logged of a lost flow.
 func (f *entry) lostEntry(now time.Time) LostEntry {
 	return LostEntry{Age: now.Sub(f.openedAt), OpeningAnswered: f.openingAnswered, Adopted: f.adopted}
