Greet agents that leave a lookup unanswered

Cause: two hosts whose backend servers had left while the store was down are taken away without notice at 39.35 and 40.34 s (last log lines of their agents), and their members stay. Flows are reset when each agent has denied them or is dead, and an agent is dead 2 s after an unanswered hello. With 134 agents and 55 other balancers a balancer greets each only every 3.8 s, so that silence was noticed up to 6 s late.

Ruled out: the age of the view (revision 601 all along, 134 denials before 39.5 s, 132 and 2 dead after), announced restarts (none), lost packets.

Change: an agent that leaves a lookup unanswered for lookupAnswerTimeout is greeted at once, as one that leaves an opening unanswered already is. Only those are greeted that share a list with a silent one.

--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -73,8 +73,8 @@
 	return slices.ContainsFunc(as.all, func(a *agent) bool { return a.member.Domain == domain && !a.suspect })
 }
 
-// requestHello makes a hello due at once for an agent that left an opening
-// unanswered.
+// requestHello makes a hello due at once for an agent that left an opening or a
+// lookup unanswered.
 func (as *agentSet) requestHello(now time.Time, address netip.AddrPort) {
 	if a := as.byAddress[address]; a != nil && !a.unanswered && a.nextHello.After(now) {
 		a.nextHello = now
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -252,12 +252,26 @@
 			due = append(due, noHolderAction(Drop, l.packet))
 		case !l.isDue(now) || (l.deniedByAll && !(allDecided && s.viewFresh(l))) || l.retries >= maxLookupRetries:
 		default:
+			if l.retryAt.IsZero() {
+				s.greetUnanswered(now, l)
+			}
 			due = append(due, s.retryLookup(now, key, l)...)
 		}
 	}
 	return due
 }
 
+// greetUnanswered sends a hello to the agents that were asked and have not answered. A
+// flow can't be reset before it is decided whether they are dead, and in a large fleet
+// their next hello is seconds away.
+func (s *Steerer) greetUnanswered(now time.Time, l *lookup) {
+	for _, agent := range l.order[:l.next] {
+		if !l.answered(agent) {
+			s.agents.requestHello(now, agent)
+		}
+	}
+}
+
 // retryLookup asks the agents that have not denied a flow, in lists as short as
 // possible: an agent that is down keeps those behind it in its list from being asked,
 // and the answers of those before it from being known.
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -322,3 +322,57 @@
 		is.True(a.Verdict != Drop)
 	}
 }
+
+// answerAllBut lets every agent but one answer hellos and deny the flow of p, and returns
+// the number of resets. A list of candidates ends unanswered at the silent agent.
+func answerAllBut(s *Steerer, silent netip.AddrPort, at time.Time, p flow.Packet, due []Action) (resets int) {
+	for len(due) > 0 {
+		a := due[0]
+		due = due[1:]
+		switch {
+		case a.Verdict == Reset:
+			resets++
+		case a.Verdict != Send || slices.Contains(a.Message.Candidates, silent) || a.To == silent:
+		case a.Message.Type == hop.Hello:
+			s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: a.To})
+		default:
+			due = append(due, s.Declined(at, p, &a.Message)...)
+		}
+	}
+	return resets
+}
+
+// Guards against callers of lost flows that wait for seconds in a large fleet, whose
+// balancers greet each agent rarely: a host is taken away without notice, and its silence
+// delays the reset of every flow that may be there.
+func TestSilentAgentOfLargeFleetIsNoticedByLookups(t *testing.T) {
+	is := is.New(t)
+	const agents, retransmission = 200, 400 * time.Millisecond
+	s := newSteerer(testView(agents))
+	silent := agentAddress(7)
+	p := callerPacket(1, flow.Ack)
+	p.Length = 10
+	at := start
+	step := func(first ...Action) int {
+		at = at.Add(20 * time.Millisecond)
+		s.SetView(testView(agents), view.Confirmations{Members: at})
+		return answerAllBut(s, silent, at, p, append(first, s.Tick(at)...))
+	}
+	// All agents have answered a hello when the host is taken away.
+	s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: silent})
+	for range 5 {
+		step()
+		s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: silent})
+	}
+	asked, resets := at, 0
+	for sent := at; resets == 0 && at.Sub(asked) < 10*time.Second; {
+		if at.Sub(sent) < retransmission && at != asked {
+			resets += step()
+			continue
+		}
+		sent = at
+		resets += step(s.FromCaller(at, p, []byte("data")))
+	}
+	is.Equal(resets, 1)
+	is.True(at.Sub(asked) <= lookupAnswerTimeout+deadAfter+retransmission)
+}
