Hand over that a flow may be open

A flow that is being opened while its agent learns may have been opened through an earlier process. Since the mend of late packets of former flows this decides what a packet of the backend server proves, so the next process of the agent must know it as well. The flag takes a free bit of a handover's flow; earlier builds ignore it and write it as 0, which makes the next process wait for the server's answer to the opening or for the caller's next copy.

A first attempt set it for all flows that are taken over; flowgate's TestSuccessorDecidesAsItsPredecessor failed with it (a packet was delivered that the earlier process dropped).

--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -42,6 +42,7 @@
 	OpeningAnswered bool
 	BackendSeq      uint32 // valid if OpeningAnswered
 	Adopted         bool   // the first packet seen was one of the backend server
+	MaybeOpen       bool   // an earlier process may have seen the flow being opened
 	CallerAck       uint32
 	CallerSentData  bool
 	CallerEndSeq    uint32 // valid if CallerSentData
@@ -74,7 +75,7 @@
 	r := FlowRecord{
 		Key: key, Opened: f.state == stateOpen, Ended: f.state == stateEnded,
 		Age: now.Sub(f.openedAt), IdleFor: now.Sub(f.lastPacketAt),
-		OpeningAnswered: f.openingAnswered, BackendSeq: f.backendSeq, Adopted: f.adopted,
+		OpeningAnswered: f.openingAnswered, BackendSeq: f.backendSeq, Adopted: f.adopted, MaybeOpen: f.maybeOpen,
 		CallerAck: f.callerAck, CallerSentData: f.callerSentData, CallerEndSeq: f.callerEndSeq, CallerClosed: f.callerClosed,
 		BackendSentData: f.backendSentData, BackendEndSeq: f.backendEndSeq, BackendClosed: f.backendClosed,
 		BackendAcked: f.backendAcked, BackendAck: f.backendAck,
@@ -140,7 +141,7 @@
 	if !r.Adopted {
 		f.firstOpeningAt = now.Add(-r.OpeningAge)
 	}
-	f.openingAnswered, f.backendSeq, f.adopted = r.OpeningAnswered, r.BackendSeq, r.Adopted
+	f.openingAnswered, f.backendSeq, f.adopted, f.maybeOpen = r.OpeningAnswered, r.BackendSeq, r.Adopted, r.MaybeOpen
 	f.callerAck, f.callerSentData, f.callerEndSeq, f.callerClosed = r.CallerAck, r.CallerSentData, r.CallerEndSeq, r.CallerClosed
 	f.backendSentData, f.backendEndSeq, f.backendClosed = r.BackendSentData, r.BackendEndSeq, r.BackendClosed
 	f.backendAcked, f.backendAck = r.BackendAcked, r.BackendAck
