Discard second copies of answers of a backend server

Operators of similar systems saw a second copy of an answer, sent late on a connection that was in use again, reach the next caller.

Change: a connection with bytes after an answer is closed; an answer whose first byte comes before the first byte of its request is an error, with outcome unknown; requests carry Knapweedpier-Request-Id, and an answer that repeats another number is discarded with its connection. Only a backend server that repeats the header is protected against a copy that comes after the next request: nothing else in HTTP/1.1 tells the two apart.

On packet flows the ends check sequence numbers, and agents carry the bytes unchanged.

--- a/internal/requestpath/backendconn/conn.go
+++ b/internal/requestpath/backendconn/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -18,12 +20,20 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 
+	requests int // sent so far, only by the holder of the lease
+
 	// Guarded by the pool's lock.
 	firstAnswerAt time.Time // time of the first answer; zero before
 	idleSince     time.Time
 	current       *exchange // request in progress, nil while idle
 }
 
+// nextID returns the ID of the next request; see RequestIDHeader.
+func (c *conn) nextID() string {
+	c.requests++
+	return strconv.Itoa(c.requests)
+}
+
 func (c *conn) start(nc net.Conn) {
 	c.netConn = nc
 	c.reader = bufio.NewReader(nc)
@@ -50,10 +60,16 @@
 	if x == nil {
 		return false // closed, or data without a request
 	}
+	if err == nil && !x.began.Load() {
+		err = errors.New("the answer came before the request")
+	}
 	var resp *http.Response
 	if err == nil {
 		resp, err = readFinalAnswer(c.reader, x.req)
 	}
+	if err == nil {
+		err = x.checkID(resp)
+	}
 	if err != nil {
 		x.readFailed(err)
 		return false
@@ -61,6 +77,16 @@
 	return x.deliver(resp)
 }
 
+// checkID returns an error if the answer names another request than this one.
+func (x *exchange) checkID(resp *http.Response) error {
+	id := resp.Header.Get(RequestIDHeader)
+	resp.Header.Del(RequestIDHeader)
+	if id != "" && id != x.id {
+		return fmt.Errorf("answer to request %.20q instead of %s", id, x.id)
+	}
+	return nil
+}
+
 // readFinalAnswer reads an answer and skips interim (1xx) ones.
 func readFinalAnswer(in *bufio.Reader, req *http.Request) (*http.Response, error) {
 	for {
--- a/internal/requestpath/backendconn/exchange.go
+++ b/internal/requestpath/backendconn/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
@@ -52,12 +53,18 @@
 	OnRelease func(admission.Signal)
 }
 
+// RequestIDHeader carries a number that differs between the requests of a connection.
+// A backend server that repeats it in its answers is protected against late second copies
+// of them: an answer with another number is discarded with its connection.
+const RequestIDHeader = "Knapweedpier-Request-Id"
+
 // Do sends the request and returns the answer. The answer's body must be
 // closed. When ctx ends, the request is cancelled at the backend server and a
 // late answer is discarded with its connection. Errors are of type *Error.
 func (l *Lease) Do(ctx context.Context, call Call) (*http.Response, error) {
-	x := &exchange{ctx: ctx, conn: l.conn, req: call.Request, call: call, result: make(chan readResult, 1), reusable: make(chan bool, 1)}
+	x := &exchange{ctx: ctx, conn: l.conn, id: l.conn.nextID(), req: call.Request, call: call, result: make(chan readResult, 1), reusable: make(chan bool, 1)}
 	l.conn.setCurrent(x)
+	call.Request.Header.Set(RequestIDHeader, x.id)
 	x.stopWatchingCtx = context.AfterFunc(ctx, x.abandon)
 	if err := x.write(); err != nil {
 		return nil, x.endAfterWriteError(err)
@@ -75,12 +82,14 @@
 type exchange struct {
 	ctx             context.Context
 	conn            *conn
+	id              string // see RequestIDHeader
 	req             *http.Request
 	call            Call
 	stopWatchingCtx func() bool     // stops the call of abandon at the end of ctx
 	result          chan readResult // from the reader goroutine, at most one
 	reusable        chan bool       // to the reader goroutine: whether the connection is reusable
 	writer          firstByteWriter
+	began           atomic.Bool // the first byte was about to be sent
 
 	mu               sync.Mutex
 	phase            phase
@@ -104,7 +113,7 @@
 )
 
 func (x *exchange) write() error {
-	x.writer = firstByteWriter{w: x.conn.netConn, beforeFirstByte: x.call.BeforeFirstByte}
+	x.writer = firstByteWriter{w: x.conn.netConn, beforeFirstByte: x.call.BeforeFirstByte, began: &x.began}
 	x.conn.writer.Reset(&x.writer)
 	if err := x.req.Write(x.conn.writer); err != nil {
 		return err
@@ -286,6 +295,9 @@
 	x.stopWatchingCtx()
 	switch {
 	case complete && !abandoned:
+		// Bytes after the answer belong to no request: the next one would take them for
+		// its own answer.
+		x.closeAfterAnswer = x.closeAfterAnswer || x.conn.reader.Buffered() > 0
 		x.reusable <- x.returnConn()
 	case err != nil && !abandoned:
 		x.conn.netConn.Close()
@@ -337,6 +349,7 @@
 type firstByteWriter struct {
 	w               io.Writer
 	beforeFirstByte func() error
+	began           *atomic.Bool // set before the first byte is sent
 	sent            bool
 	failed          bool
 }
@@ -348,6 +361,7 @@
 			return 0, err
 		}
 	}
+	f.began.Store(true)
 	n, err := f.w.Write(p)
 	f.sent = f.sent || n > 0
 	f.failed = err != nil
