Log only the lost requests that a session counts

The log of a session showed the first 20 lost requests, most of them on flows of a failure domain that is out, which the check leaves out. It now leaves these out as well and says of each flow where and how it ended.

--- a/internal/testkit/session/observe_test.go
+++ b/internal/testkit/session/observe_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -253,11 +254,13 @@
 const maxLoggedRequests = 20
 
 // logLostRequests logs the first requests whose answers were lost, with their
-// flows. Times are relative to the start of the session.
+// flows, but for those on flows of failure domains that went out. Times are relative to
+// the start of the session.
 func (s *session) logLostRequests() {
 	logged := 0
-	for _, r := range s.ledger().Requests {
-		if r.Outcome != caller.Lost {
+	l := s.ledger()
+	for _, r := range l.Requests {
+		if r.Outcome != caller.Lost || r.Flow != caller.NoFlow && s.wentOut(l.Flows[r.Flow].Domain) {
 			continue
 		}
 		if logged++; logged > maxLoggedRequests {
@@ -265,5 +268,14 @@
 		}
 		s.t.Logf("%s of %s lost: began %v, given up after %v, attempts %d, last on flow %d", r.Kind, r.Service,
 			r.At.Sub(s.startedAt).Round(time.Millisecond), r.Latency.Round(time.Millisecond), r.Attempts, r.Flow)
+		if r.Flow != caller.NoFlow {
+			f := l.Flows[r.Flow]
+			s.t.Logf("  that flow: %s in %q, opened %v, %d answers, ended: %q %s", f.Caller, f.Domain, f.OpenedAt.Sub(s.startedAt).Round(time.Millisecond), f.Answers, f.Reason, f.Detail)
+		}
 	}
 }
+
+// wentOut reports whether a failure domain went out during the session.
+func (s *session) wentOut(domain string) bool {
+	return slices.ContainsFunc(s.domainOuts, func(out quickstart.DomainOut) bool { return out.Domain == domain })
+}
