Count suspensions of the machine in ages and leases

The steady clock stands still while a machine is suspended.

Change: package suspension gives the total time of suspension, the difference of the clocks since boot with and without it (CLOCK_BOOTTIME, CLOCK_MONOTONIC). The fence adds it to the gap between two observations. Confirmations of a view are earlier by the suspension since they were recorded, and responses confirm nothing later than what they would without a suspension during the call. A balancer reads the confirmations anew before it decides about a lookup that all agents denied.

Ruled out: the time of day, which jumps by seconds on some machines and would close leases and flows without cause.

--- /dev/null
+++ b/internal/base/suspension/suspension.go
@@ -0,0 +1,33 @@
+// Package suspension measures how long the machine was suspended. The steady clock, by
+// which the standard library measures durations, stands still meanwhile.
+package suspension
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// resolution is the shortest suspension that Total shows. It exceeds the time between two
+// readings of a clock.
+const resolution = 100 * time.Millisecond
+
+// Total returns how long the machine has been suspended since its start, rounded to
+// resolution; 0 if the system can't tell.
+func Total() time.Duration {
+	steady, err := read(unix.CLOCK_MONOTONIC)
+	if err != nil {
+		return 0
+	}
+	sinceBoot, err := read(unix.CLOCK_BOOTTIME)
+	if err != nil {
+		return 0
+	}
+	return (sinceBoot - steady).Round(resolution)
+}
+
+func read(clock int32) (time.Duration, error) {
+	var t unix.Timespec
+	err := unix.ClockGettime(clock, &t)
+	return time.Duration(t.Nano()), err
+}
--- a/internal/control/fence/fence.go
+++ b/internal/control/fence/fence.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/suspension"
 )
 
 // Intervals of the fence.
@@ -19,11 +20,14 @@
 // Fence closes when more than MaxGap passes between two observations that this
 // process runs, and stays closed until Renew. Each tick and each check is such an
 // observation, so a check detects a pause before any other goroutine has run
-// again. Times must come from one monotonic clock. A Fence is safe for concurrent
-// use.
+// again. Times must come from one monotonic clock; the time during which the machine was
+// suspended is added. A Fence is safe for concurrent use.
 type Fence struct {
+	suspended func() time.Duration // suspension.Total, but in tests
+
 	mu          sync.Mutex
 	last        time.Time
+	lastTotal   time.Duration // total suspension at last
 	gap         time.Duration // length of the pause that closed the fence, 0 while it is open
 	incarnation uint64
 }
@@ -31,7 +35,7 @@
 // New returns an open fence. The incarnation is the start time of the process in
 // Unix nanoseconds.
 func New(incarnation uint64, now time.Time) *Fence {
-	return &Fence{last: now, incarnation: incarnation}
+	return &Fence{suspended: suspension.Total, last: now, lastTotal: suspension.Total(), incarnation: incarnation}
 }
 
 // Tick notes that this process runs at now. It reports whether it closed the
@@ -45,12 +49,13 @@
 }
 
 func (f *Fence) observe(now time.Time) {
-	gap := now.Sub(f.last)
+	total := f.suspended()
+	gap := now.Sub(f.last) + total - f.lastTotal
 	if gap > MaxGap && f.gap == 0 {
 		f.gap = gap
 	}
 	if gap > 0 {
-		f.last = now
+		f.last, f.lastTotal = now, total
 	}
 }
 
@@ -95,6 +100,6 @@
 	defer f.mu.Unlock()
 	f.incarnation = max(f.incarnation+1, uint64(now.UnixNano()))
 	f.gap = 0
-	f.last = now
+	f.last, f.lastTotal = now, f.suspended()
 	return f.incarnation
 }
--- a/internal/control/fence/fence_test.go
+++ b/internal/control/fence/fence_test.go
@@ -65,3 +65,18 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a suspended machine whose processes go on with a lease that has lapsed
+// meanwhile, because the steady clock stood still.
+func TestSuspensionClosesTheFence(t *testing.T) {
+	is := is.New(t)
+	now, total := time.Unix(1000, 0), time.Duration(0)
+	f := New(1, now)
+	f.suspended, f.lastTotal = func() time.Duration { return total }, 0
+	total = MaxGap - time.Second
+	is.NoErr(f.Check(now.Add(TickInterval)))
+	total += MaxGap + time.Second
+	is.True(errkind.Is(f.Check(now.Add(2*TickInterval)), errkind.AgentFenced))
+	f.Renew(now.Add(3 * TickInterval))
+	is.NoErr(f.Check(now.Add(4 * TickInterval)))
+}
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -7,6 +7,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/panics"
+	"github.com/knapweedpier/knapweedpier/internal/base/suspension"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
@@ -86,11 +87,13 @@
 		return f.listSection(ctx, s)
 	}
 	wait := f.watchTimeout(s)
-	requestedAt := time.Now()
+	requestedAt, suspended := time.Now(), suspension.Total()
 	changes, revision, err := f.opts.Store.Watch(ctx, s, cursor, wait)
 	if err != nil {
 		return cursor, err
 	}
+	// The times that a response confirms are later by the suspension during the call.
+	requestedAt = requestedAt.Add(suspended - suspension.Total())
 	if len(changes) == 0 {
 		f.opts.Board.Confirm(s, unchangedUntil(requestedAt, time.Now(), wait))
 		return revision, nil
@@ -131,11 +134,12 @@
 // to watch it. Its errors have the kinds of Store; NotFound also means that no
 // configuration has been written yet.
 func (f *Follower) listSection(ctx context.Context, s view.Section) (view.Revision, error) {
-	requestedAt := time.Now()
+	requestedAt, suspended := time.Now(), suspension.Total()
 	changes, revision, err := f.opts.Store.List(ctx, s)
 	if err != nil {
 		return 0, err
 	}
+	requestedAt = requestedAt.Add(suspended - suspension.Total())
 	d := view.Delta{Section: s, To: revision, Full: true}
 	f.addChanges(&d, view.View{}, changes)
 	if s == view.ConfigurationSection && d.Configuration == nil {
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/blackboard"
+	"github.com/knapweedpier/knapweedpier/internal/base/suspension"
 )
 
 // maxRecentDeltas bounds the number of recent deltas of each section that are kept
@@ -24,12 +25,20 @@
 
 	mu           sync.Mutex
 	recentDeltas map[Section][]Delta
-	confirmedAt  map[Section]time.Time
+	confirmedAt  map[Section]confirmation
+	suspended    func() time.Duration // suspension.Total, but in tests
+}
+
+// confirmation is a time at which a section was known to be current, with the total
+// suspension of the machine when that was recorded.
+type confirmation struct {
+	at        time.Time
+	suspended time.Duration
 }
 
 // NewBoard returns a board with an empty view.
 func NewBoard() *Board {
-	return &Board{recentDeltas: map[Section][]Delta{}, confirmedAt: map[Section]time.Time{}}
+	return &Board{recentDeltas: map[Section][]Delta{}, confirmedAt: map[Section]confirmation{}, suspended: suspension.Total}
 }
 
 // View returns the current snapshot.
@@ -71,7 +80,7 @@
 func (b *Board) Snapshot() (View, Confirmations) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.view.Get(), Confirmations{Configuration: b.confirmedAt[ConfigurationSection], Members: b.confirmedAt[MembersSection]}
+	return b.view.Get(), Confirmations{Configuration: b.confirmation(ConfigurationSection), Members: b.confirmation(MembersSection)}
 }
 
 // Changes holds the deltas after some revisions, and the times at which the view to
@@ -86,7 +95,7 @@
 func (b *Board) ChangesSince(known map[Section]Revision) Changes {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := Changes{ConfirmedAt: b.oldestConfirmation(), MembersConfirmedAt: b.confirmedAt[MembersSection]}
+	c := Changes{ConfirmedAt: b.oldestConfirmation(), MembersConfirmedAt: b.confirmation(MembersSection)}
 	for _, s := range Sections() {
 		c.Deltas = append(c.Deltas, b.deltasSince(s, known[s])...)
 	}
@@ -115,9 +124,20 @@
 func (b *Board) Confirm(s Section, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if at.After(b.confirmedAt[s]) {
-		b.confirmedAt[s] = at
+	if at.After(b.confirmation(s)) {
+		b.confirmedAt[s] = confirmation{at, b.suspended()}
+	}
+}
+
+// confirmation returns when a section was last known to be current, earlier by the time
+// for which the machine was suspended since, because the steady clock lacks it; the zero
+// time if it never was. The caller holds the lock.
+func (b *Board) confirmation(s Section) time.Time {
+	c, ok := b.confirmedAt[s]
+	if !ok {
+		return time.Time{}
 	}
+	return c.at.Add(c.suspended - b.suspended())
 }
 
 // SetSource sets the process whose calls of the store keep the view current, "" for
@@ -156,7 +176,7 @@
 func (b *Board) oldestConfirmation() time.Time {
 	var oldest time.Time
 	for i, s := range Sections() {
-		at := b.confirmedAt[s]
+		at := b.confirmation(s)
 		if at.IsZero() {
 			return time.Time{}
 		}
--- a/internal/control/view/view_test.go
+++ b/internal/control/view/view_test.go
@@ -205,3 +205,21 @@
 		is.True(!c.ConfirmedAt.After(confirmedAt(latest)))
 	}
 }
+
+// Guards against a view that counts as current after the machine was suspended, because
+// the steady clock stood still: flows of agents that it lacks would be reset.
+func TestSuspensionAgesConfirmations(t *testing.T) {
+	is := is.New(t)
+	b := NewBoard()
+	total := time.Hour
+	b.suspended = func() time.Duration { return total }
+	now := time.Now()
+	b.Confirm(MembersSection, now)
+	total += 5 * time.Second
+	_, confirmed := b.Snapshot()
+	is.Equal(now.Sub(confirmed.Members), 5*time.Second)
+	is.Equal(now.Sub(b.ChangesSince(nil).MembersConfirmedAt), 5*time.Second)
+	b.Confirm(MembersSection, now.Add(time.Second)) // a response to a request since
+	_, confirmed = b.Snapshot()
+	is.Equal(confirmed.Members, now.Add(time.Second))
+}
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -276,6 +276,8 @@
 		if err != nil {
 			return err
 		}
+		// A flow is reset on the age of the view, which a suspension of the machine raises.
+		b.updateView()
 		b.executeAll(b.steerer.Declined(now, p, m))
 	}
 	return nil
