--- a/internal/operators/docpages/proofs_test.go
+++ b/internal/operators/docpages/proofs_test.go
@@ -20,6 +20,11 @@
 const (
 	promiseCount = 10
 	failureCount = 9
+	// similarFailureCount and similarFailureCells are the rows and cells of the table of
+	// failures of similar systems; its cell testsCell names the tests.
+	similarFailureCount = 6
+	similarFailureCells = 5
+	testsCell           = 3
 )
 
 var (
@@ -49,6 +54,14 @@
 		is.Equal(len(row), 1+failureCount)
 		checkProofs(t, page, row)
 	}
+	pairs, similar, found := strings.Cut(pairs, "\n## What went wrong for operators of similar systems\n")
+	is.True(found)
+	similarRows := tableRows(similar)
+	is.Equal(len(similarRows), similarFailureCount)
+	for _, row := range similarRows {
+		is.Equal(len(row), similarFailureCells)
+		checkProofs(t, page, []string{row[0], row[testsCell]})
+	}
 	for _, row := range tableRows(pairs) {
 		is.Equal(len(row), 2)
 		checkProofs(t, page, row)
