Bound the packets that wait for lookups of flows

A balancer kept up to 16 further packets for each of up to 4096 lookups, about 80 MB of packets, more than the weakest balancer's memory allows beside all else (123 MB). After a power cut callers of lost flows retransmit whole windows at once.

Change: at most 8192 further packets wait, about 10 MB; beyond that a further packet is dropped, as beyond 16 of one flow, and its caller retransmits it. Each lookup still keeps its own packet.

--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -40,9 +40,11 @@
 	// the view is sure to contain all agents with flows. A new agent accepts no
 	// flows for a longer time, flowgate.NewAgentDelay.
 	maxViewAge = 2 * time.Second
-	// maxLookups is the maximum number of concurrent lookups. Each keeps up to
-	// maxWaitingPackets packets in addition to its own.
+	// maxLookups is the maximum number of concurrent lookups. Each keeps a packet.
 	maxLookups = 4096
+	// maxAllWaitingPackets is the maximum number of further packets that all lookups keep
+	// together, about 10 MB.
+	maxAllWaitingPackets = 8192
 )
 
 // lookup is the search for the agent that holds a flow. The flow was open when
@@ -77,9 +79,10 @@
 			l.replacePacket(now, p, raw)
 			return Action{Verdict: Keep, Packet: p}
 		}
-		if len(l.waitingPackets) >= maxWaitingPackets {
+		if len(l.waitingPackets) >= maxWaitingPackets || s.waitingPackets >= maxAllWaitingPackets {
 			return noHolderAction(Drop, p)
 		}
+		s.waitingPackets++
 		l.waitingPackets = append(l.waitingPackets, slices.Clone(raw))
 		return Action{Verdict: Keep, Packet: p}
 	}
@@ -98,6 +101,14 @@
 	return a
 }
 
+// endLookup removes the lookup of a flow, if there is one, with its packets.
+func (s *Steerer) endLookup(key flow.Key) {
+	if l := s.lookups[key]; l != nil {
+		s.waitingPackets -= len(l.waitingPackets)
+		delete(s.lookups, key)
+	}
+}
+
 // callsForAnswer reports whether the end that holds a packet's flow answers it. An
 // agent that learns its flows by the answers of its backend server doesn't report
 // that it holds the flow of another packet.
@@ -147,7 +158,7 @@
 	case l.next < len(l.order):
 		return s.askNextAgents(now, l, maxListsPerRound, hop.MaxCandidates)
 	case len(l.unsure) > 0:
-		delete(s.lookups, key)
+		s.endLookup(key)
 		return []Action{noHolderAction(Drop, p)}
 	}
 	return []Action{s.resolveMissing(now, key, l)}
@@ -203,10 +214,10 @@
 	l.deniedByAll = true
 	switch {
 	case l.packet.Has(flow.Reset):
-		delete(s.lookups, key)
+		s.endLookup(key)
 		return noHolderAction(Drop, l.packet)
 	case s.viewFresh(l) && s.agents.allDecided() && s.agents.allListed(l.deniedBy):
-		delete(s.lookups, key)
+		s.endLookup(key)
 		return s.unresolved(Reset, now, l)
 	}
 	l.retryAt = now.Add(lookupRetryDelay)
@@ -248,7 +259,7 @@
 	for key, l := range s.lookups {
 		switch {
 		case now.Sub(l.startedAt) > lookupTimeout:
-			delete(s.lookups, key)
+			s.endLookup(key)
 			due = append(due, noHolderAction(Drop, l.packet))
 		case !l.isDue(now) || (l.deniedByAll && !(allDecided && s.viewFresh(l))) || l.retries >= maxLookupRetries:
 		default:
--- a/internal/flowpath/flowsteer/lookup_test.go
+++ b/internal/flowpath/flowsteer/lookup_test.go
@@ -376,3 +376,24 @@
 	is.Equal(resets, 1)
 	is.True(at.Sub(asked) <= lookupAnswerTimeout+deadAfter+retransmission)
 }
+
+// Guards against a balancer that runs out of memory after a power cut, when the callers of
+// thousands of lost flows retransmit whole windows of packets, and against one that keeps
+// no packets ever after.
+func TestPacketsThatWaitForLookupsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(3))
+	kept := 0
+	for port := 1; port <= 1000; port++ {
+		for range 1 + maxWaitingPackets {
+			if s.FromCaller(start, callerPacket(port, flow.Ack), []byte("data")).Verdict == Keep {
+				kept++
+			}
+		}
+	}
+	is.Equal(kept, maxAllWaitingPackets)
+	is.Equal(len(s.lookups), 1000)
+	s.Tick(start.Add(lookupTimeout + time.Millisecond))
+	is.Equal(len(s.lookups), 0)
+	is.Equal(s.waitingPackets, 0)
+}
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -67,6 +67,8 @@
 	flows       holders
 	openings    map[flow.Key]*opening
 	lookups     map[flow.Key]*lookup
+	// waitingPackets is the number of packets that wait for all lookups together.
+	waitingPackets int
 	// droppedRoutes are the routes that an earlier configuration had.
 	droppedRoutes map[netip.AddrPort]bool
 	// unroutedFlows are the flows of dropped routes, with the time of their first
@@ -193,7 +195,7 @@
 	if l == nil {
 		return nil
 	}
-	delete(s.lookups, m.Key)
+	s.endLookup(m.Key)
 	var due []Action
 	if l.unsent {
 		due = append(due, s.forwardToHolder(m.Agent, l.raw))
