Let processes that others don't poll call a lost store less often

The processes that others of their failure domain poll first notice that it is back, and the others hear of it from them.

Change: the pause after failed calls rises to 2 s, in place of 0.5 s, for a process with a complete view that is not one of those polled first. A process without a complete view calls as before.

--- a/internal/control/follow/poll_internal_test.go
+++ b/internal/control/follow/poll_internal_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -19,3 +20,29 @@
 	f.confirmFromPeer(time.Now(), ChangesResponse{HeldMS: 700})
 	is.True(!board.ConfirmedAt().After(time.Now()))
 }
+
+// Guards against hundreds of processes that call a store which is down twice a second each,
+// and against a failure domain in which none notices soon that it is back.
+func TestFewProcessesOfADomainCallALostStoreOften(t *testing.T) {
+	is := is.New(t)
+	const agents = 3 * followersPerUpstream
+	full := view.Delta{Section: view.MembersSection, To: 1, Full: true}
+	for i := range agents {
+		for _, domain := range []string{"a", "b"} {
+			full.Members = append(full.Members, view.Member{Name: fmt.Sprintf("agent-%s-%03d", domain, i), Role: view.AgentRole, Domain: domain})
+		}
+	}
+	often := 0
+	for i := range agents {
+		board := view.NewBoard()
+		f := New(Options{Name: fmt.Sprintf("agent-a-%03d", i), Role: view.AgentRole, Domain: "a", Board: board, Logger: event.Discard()})
+		board.Apply(full)
+		is.Equal(f.maxRetryDelay(), maxRetryDelay) // the view is incomplete
+		board.Apply(view.Delta{Section: view.ConfigurationSection, To: 1, Full: true, Configuration: &view.ConfigurationDelta{Version: 1}})
+		board.Apply(view.Delta{Section: view.EvacuationsSection, To: 1, Full: true})
+		if f.maxRetryDelay() == maxRetryDelay {
+			often++
+		}
+	}
+	is.Equal(often, 1+agents/followersPerUpstream)
+}
--- a/internal/control/follow/upstream.go
+++ b/internal/control/follow/upstream.go
@@ -58,6 +58,22 @@
 	return slices.Concat(upstreams[offset:firstCount], upstreams[:offset], upstreams[firstCount:])
 }
 
+// isPolledFirst reports whether this process is one of those that other processes of its
+// failure domain poll first.
+func (f *Follower) isPolledFirst(v view.View) bool {
+	before, domainSize := 0, 1
+	for _, m := range v.Members.ByName {
+		if m.Domain != f.opts.Domain || m.Name == f.opts.Name {
+			continue
+		}
+		domainSize++
+		if f.ranksAfter(m) {
+			before++
+		}
+	}
+	return before <= domainSize/followersPerUpstream
+}
+
 // isSeed reports whether this process is one of the seeds.
 func (f *Follower) isSeed() bool { return slices.Contains(f.opts.Seeds, f.opts.PeerAddress) }
 
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -28,6 +28,9 @@
 	// store. It doubles with each failure.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// maxFollowerRetryDelay replaces maxRetryDelay for a process that others don't poll
+	// first: those that they do poll notice sooner that the store is back.
+	maxFollowerRetryDelay = 2 * time.Second
 )
 
 // followStore keeps one section current from the store while the process follows
@@ -57,13 +60,22 @@
 		}
 		if err != nil {
 			delay.Sleep(ctx, retryDelay)
-			retryDelay = min(2*retryDelay, maxRetryDelay)
+			retryDelay = min(2*retryDelay, f.maxRetryDelay())
 			continue
 		}
 		cursor, retryDelay = next, minRetryDelay
 	}
 }
 
+// maxRetryDelay returns the longest pause after a failed call of the store. A process that
+// has no complete view needs the store itself.
+func (f *Follower) maxRetryDelay() time.Duration {
+	if v := f.opts.Board.View(); v.Complete() && !f.isPolledFirst(v) {
+		return maxFollowerRetryDelay
+	}
+	return maxRetryDelay
+}
+
 // readSection lists or watches a section, lists it if the store no longer has the history
 // from the cursor on, and returns the next cursor. A panic counts as a failed call: the
 // view changes as a whole or not at all.
