Count no refusal of a crowd as a failure of the backend server

Cause: a full queue delivers further requests beyond the slots, so that the server itself refuses what it can't queue. So the crowd took capacity away just when it was short.

Ruled out: resets and hangs (the failures are answers), slow servers.

Change: a 503 to a request that was delivered beyond the slots is no outcome. Within the slots it counts as before.

The new test failed before.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -272,7 +272,7 @@
 		a.Progress.AnswerStarted, a.Progress.AnswerTime = true, now.Sub(f.requestSeenAt)
 	}
 	if f.awaitsAnswer && (a.Progress.AnswerStarted || p.Has(flow.Reset)) {
-		g.recordAnswer(now, p.Has(flow.Reset), p.Status)
+		g.recordAnswer(now, f, p.Has(flow.Reset), p.Status)
 	}
 	g.flows.recordBackendPacket(now, f, p)
 	return a
--- a/internal/flowpath/flowgate/health.go
+++ b/internal/flowpath/flowgate/health.go
@@ -30,6 +30,8 @@
 	// firstServerError is the lowest HTTP status that reports a failure of the
 	// backend server.
 	firstServerError = 500
+	// unavailableStatus is the HTTP status with which a server refuses a request.
+	unavailableStatus = 503
 )
 
 // health detects a failing backend server from the outcomes of its requests,
@@ -84,8 +86,12 @@
 }
 
 // recordAnswer records the outcome of a request from the first packet that the
-// backend server sends for it.
-func (g *Gate) recordAnswer(now time.Time, reset bool, status int) {
+// backend server sends for it. A refusal of a request that was delivered beyond its slots
+// says nothing about its health: in a crowd, all servers refuse what they can't queue.
+func (g *Gate) recordAnswer(now time.Time, f *entry, reset bool, status int) {
+	if f.beyondSlots && status == unavailableStatus {
+		return
+	}
 	g.health.recordOutcome(now, !reset && status < firstServerError)
 }
 
--- a/internal/flowpath/flowgate/health_test.go
+++ b/internal/flowpath/flowgate/health_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
@@ -152,3 +153,37 @@
 		is.Equal(g.Load(now).Refusing, run > 1)
 	}
 }
+
+// Guards against servers that get almost no new flows in the crowd after a power cut,
+// because they refuse the requests that a full queue delivers beyond their slots.
+func TestRefusalsOfACrowdAreNoFailures(t *testing.T) {
+	for name, c := range map[string]struct {
+		beyondSlots int
+		kind        errkind.Kind
+	}{
+		"beyond the slots": {2 * minFailures, 0},
+		"within the slots": {0, errkind.BackendFailing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(t, time.Hour)
+			for port := 1; port <= backlogSize+c.beyondSlots; port++ {
+				s.arrive(port, feeds)
+			}
+			delivered := []int{1, 2, 3}
+			if c.beyondSlots > 0 {
+				delivered = nil
+				for _, d := range s.gate.Release(s.now) {
+					delivered = append(delivered, int(d.Key.Caller.Port()))
+				}
+				is.Equal(len(delivered), c.beyondSlots)
+			}
+			for _, port := range delivered {
+				refusal := backendPacket(port, feeds, flow.Ack, 100)
+				refusal.Status = unavailableStatus
+				s.gate.FromBackend(s.now, refusal)
+			}
+			is.Equal(s.gate.Refusal(s.now), c.kind)
+		})
+	}
+}
--- a/internal/flowpath/flowgate/queue.go
+++ b/internal/flowpath/flowgate/queue.go
@@ -190,7 +190,10 @@
 	g.queue.expire(now)
 	var out []Delivery
 	for len(g.queue.requests) > 0 && g.mayRelease() {
-		out = append(out, g.releaseNext(now)...)
+		beyondSlots := g.allSlotsTaken() && !g.queue.hasOffered()
+		next, deliveries := g.releaseNext(now)
+		next.beyondSlots = beyondSlots
+		out = append(out, deliveries...)
 	}
 	return out
 }
@@ -200,13 +203,15 @@
 func (g *Gate) ReleaseAll(now time.Time) []Delivery {
 	var out []Delivery
 	for len(g.queue.requests) > 0 {
-		out = append(out, g.releaseNext(now)...)
+		_, deliveries := g.releaseNext(now)
+		out = append(out, deliveries...)
 	}
 	return out
 }
 
-// releaseNext removes the request that goes first from the queue and returns its packets.
-func (g *Gate) releaseNext(now time.Time) []Delivery {
+// releaseNext removes the request that goes first from the queue and returns its flow and
+// its packets.
+func (g *Gate) releaseNext(now time.Time) (*entry, []Delivery) {
 	w := g.queue.next(now)
 	w.entry.queued = nil
 	if !w.entry.backendHasAll() {
@@ -216,7 +221,7 @@
 	for _, raw := range w.packets {
 		out = append(out, Delivery{Key: w.key, Raw: raw})
 	}
-	return out
+	return w.entry, out
 }
 
 // mayRelease reports whether a request may leave the queue.
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -69,6 +69,7 @@
 	requestSeenAt          time.Time      // when the request arrived
 	requestDeliveredAt     time.Time      // when the request was delivered
 	overdueCounted         bool           // the overdue answer was counted as a failure
+	beyondSlots            bool           // the request was delivered because the queue was full
 	queued                 *queuedRequest // the request of the flow that waits for a slot, if any
 	callerClosed           bool
 	backendClosed          bool
@@ -210,7 +211,7 @@
 	if f.awaitsAnswer || f.state != stateOpen {
 		return
 	}
-	f.awaitsAnswer, f.requestDeliveredAt, f.overdueCounted = true, now, false
+	f.awaitsAnswer, f.requestDeliveredAt, f.overdueCounted, f.beyondSlots = true, now, false, false
 	t.inProgress++
 }
 
