--- /dev/null
+++ b/internal/control/follow/announceview.go
@@ -0,0 +1,80 @@
+package follow
+
+import (
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+)
+
+// needsWrite reports whether the store may differ from the desired state and it is
+// known whether it holds the member.
+func (a *Announcer) needsWrite() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.hasDesired {
+		return false
+	}
+	members := a.board.View().Members
+	a.observeView(members, a.desired.Name)
+	m, ok := members.ByName[a.desired.Name]
+	stays := m.Revision == a.knownRevision && m.Revision != a.unansweredRemoval
+	if !a.synced && ok && stays && !a.withdrawn && announcesSame(m, a.desired) {
+		a.markSynced()
+	}
+	return (!a.synced || a.lacksStoredMS()) && (a.knownRevision > 0 || members.Revision > 0)
+}
+
+// lacksStoredMS reports whether the object is to be written once more, so that it tells a
+// later process of an agent that it isn't new. The caller holds the lock.
+func (a *Announcer) lacksStoredMS() bool {
+	return a.desired.Role == view.AgentRole && a.stored && !a.storedSince.IsZero() && a.storedMS == 0
+}
+
+// observeView takes over newer revisions of the member from the members of the view,
+// and notices that a member in the store was removed. The caller holds the lock.
+func (a *Announcer) observeView(members view.Members, name string) {
+	m, ok := members.ByName[name]
+	switch {
+	case ok && m.Revision > a.removedRevision:
+		if m.Revision > a.knownRevision {
+			a.knownRevision, a.storedMS = m.Revision, m.StoredMS
+			a.synced = false
+		}
+		if a.createdMS == 0 {
+			a.createdMS = m.CreatedMS
+		}
+		a.noteStored()
+	case a.synced && !a.withdrawn && members.Revision >= a.knownRevision:
+		// A write of an earlier process, or of another writer, has removed it.
+		a.noteRemoved(a.knownRevision)
+		a.synced = false
+	}
+}
+
+// noteRemoved records that the store no longer holds the member at the given
+// revision. The caller holds the lock.
+func (a *Announcer) noteRemoved(revision view.Revision) {
+	a.removedRevision = max(a.removedRevision, revision)
+	if a.knownRevision <= revision {
+		a.knownRevision = 0
+		a.createdMS, a.storedMS = 0, 0
+	}
+	a.noteMaybeNew()
+}
+
+// announcesSame reports whether a and b differ at most in what the announcer or the
+// store sets.
+func announcesSame(a, b view.Member) bool {
+	a.Revision, b.Revision = 0, 0
+	a.CreatedMS, b.CreatedMS = 0, 0
+	a.StoredMS, b.StoredMS = 0, 0
+	return a == b
+}
+
+// markSynced closes the waiters' channels: the store holds the desired state. The
+// caller holds the lock.
+func (a *Announcer) markSynced() {
+	a.synced = true
+	for _, done := range a.waiters {
+		close(done)
+	}
+	a.waiters = nil
+}
--- /dev/null
+++ b/internal/flowpath/flowsteer/lookupretry.go
@@ -0,0 +1,70 @@
+package flowsteer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
+)
+
+// retryLookups retries the lookups that were denied by all agents known or reached
+// at the time, and those that were not answered, and drops the packets of lookups
+// that timed out.
+func (s *Steerer) retryLookups(now time.Time) []Action {
+	if len(s.lookups) == 0 {
+		return nil
+	}
+	var due []Action
+	allDecided := s.agents.allDecided()
+	for key, l := range s.lookups {
+		switch {
+		case now.Sub(l.startedAt) > lookupTimeout:
+			s.endLookup(key)
+			due = append(due, noHolderAction(Drop, l.packet))
+		case !l.isDue(now) || (l.deniedByAll && !(allDecided && s.viewFresh(l))) || l.retries >= maxLookupRetries:
+		default:
+			if l.retryAt.IsZero() {
+				s.greetUnanswered(now, l)
+			}
+			due = append(due, s.retryLookup(now, key, l)...)
+		}
+	}
+	return due
+}
+
+// greetUnanswered sends a hello to the agents that were asked and have not answered. A
+// flow can't be reset before it is decided whether they are dead, and in a large fleet
+// their next hello is seconds away.
+func (s *Steerer) greetUnanswered(now time.Time, l *lookup) {
+	for _, agent := range l.order[:l.next] {
+		if !l.answered(agent) {
+			s.agents.requestHello(now, agent)
+		}
+	}
+}
+
+// retryLookup asks the agents that have not denied a flow, in lists as short as
+// possible: an agent that is down keeps those behind it in its list from being asked,
+// and the answers of those before it from being known.
+func (s *Steerer) retryLookup(now time.Time, key flow.Key, l *lookup) []Action {
+	undenied := slices.DeleteFunc(s.agents.rankForLookup(key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
+		return slices.Contains(l.deniedBy, agent)
+	})
+	if len(undenied) == 0 {
+		return []Action{s.resolveMissing(now, key, l)}
+	}
+	l.retries++
+	l.order, l.next, l.unsure = undenied, 0, nil
+	length := min((len(undenied)+maxShortLists-1)/maxShortLists, hop.MaxCandidates)
+	return s.askNextAgents(now, l, maxListsPerRound, length)
+}
+
+// isDue reports whether the lookup is due for a retry.
+func (l *lookup) isDue(now time.Time) bool {
+	if l.retryAt.IsZero() {
+		return now.Sub(l.lastSentAt) >= lookupAnswerTimeout
+	}
+	return !now.Before(l.retryAt)
+}
