--- a/internal/base/panics/panics_test.go
+++ b/internal/base/panics/panics_test.go
@@ -12,10 +12,12 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
-func handleMalformed() error {
-	var table map[string]int
-	table["x"]++
-	return nil
+// handleMalformed reads beyond the end of a message.
+func handleMalformed(message []byte) error {
+	if message[len(message)] == 0 {
+		return nil
+	}
+	return errors.New("not empty")
 }
 
 // Guards against a panic that ends the process, and against one whose place in the code
@@ -25,7 +27,7 @@
 	var log bytes.Buffer
 	logger, err := event.New(&log, "json")
 	is.NoErr(err)
-	panicked, err := Handle(logger, handleMalformed)
+	panicked, err := Handle(logger, func() error { return handleMalformed([]byte("x")) })
 	is.True(panicked && errkind.Is(err, errkind.Internal))
 	is.True(strings.Contains(log.String(), "handleMalformed"))
 	plain := errors.New("plain")
