--- a/internal/flowpath/flowgate/health.go
+++ b/internal/flowpath/flowgate/health.go
@@ -87,7 +87,7 @@
 
 // recordAnswer records the outcome of a request from the first packet that the
 // backend server sends for it. A refusal of a request that was delivered beyond its slots
-// says nothing about its health: in a crowd, all servers refuse what they can't queue.
+// shows no fault: under overload, each server refuses what it can't queue.
 func (g *Gate) recordAnswer(now time.Time, f *entry, reset bool, status int) {
 	if f.beyondSlots && status == unavailableStatus {
 		return
--- a/internal/flowpath/flowgate/health_test.go
+++ b/internal/flowpath/flowgate/health_test.go
@@ -154,9 +154,9 @@
 	}
 }
 
-// Guards against servers that get almost no new flows in the crowd after a power cut,
+// Guards against servers that get almost no new flows in the overload after a power cut,
 // because they refuse the requests that a full queue delivers beyond their slots.
-func TestRefusalsOfACrowdAreNoFailures(t *testing.T) {
+func TestRefusalsUnderOverloadAreNoFailures(t *testing.T) {
 	for name, c := range map[string]struct {
 		beyondSlots int
 		kind        errkind.Kind
--- a/internal/flowpath/flowsteer/lookupretry.go
+++ b/internal/flowpath/flowsteer/lookupretry.go
@@ -26,7 +26,7 @@
 		case !l.isDue(now) || (l.deniedByAll && !(allDecided && s.viewFresh(l))) || l.retries >= maxLookupRetries:
 		default:
 			if l.retryAt.IsZero() {
-				s.greetUnanswered(now, l)
+				s.requestUnansweredHellos(now, l)
 			}
 			due = append(due, s.retryLookup(now, key, l)...)
 		}
@@ -34,10 +34,10 @@
 	return due
 }
 
-// greetUnanswered sends a hello to the agents that were asked and have not answered. A
-// flow can't be reset before it is decided whether they are dead, and in a large fleet
-// their next hello is seconds away.
-func (s *Steerer) greetUnanswered(now time.Time, l *lookup) {
+// requestUnansweredHellos makes hellos due at once for the agents that have not answered a
+// lookup. A flow can't be reset before it is decided whether they are dead, and in a large
+// fleet their next hello is seconds away.
+func (s *Steerer) requestUnansweredHellos(now time.Time, l *lookup) {
 	for _, agent := range l.order[:l.next] {
 		if !l.answered(agent) {
 			s.agents.requestHello(now, agent)
