Log no lost store when a process stops, and mark times once

Since panics are confined in followStore, the result of a call that the stop of the process cancelled was recorded, so that each stop logged 1102 and withdrew the process as a source; it is dropped again. The three places that corrected a request's time for suspensions use suspension.Mark.

--- a/internal/base/suspension/suspension.go
+++ b/internal/base/suspension/suspension.go
@@ -31,3 +31,16 @@
 	err := unix.ClockGettime(clock, &t)
 	return time.Duration(t.Nano()), err
 }
+
+// Mark is a time by the steady clock that can be corrected for later suspensions.
+type Mark struct {
+	at    time.Time
+	total time.Duration // total suspension at that time
+}
+
+// Now returns the mark of the present time.
+func Now() Mark { return Mark{at: time.Now(), total: Total()} }
+
+// Time returns the time of the mark, earlier by the time for which the machine has been
+// suspended since. Its age by the steady clock is thus its true age.
+func (m Mark) Time() time.Time { return m.at.Add(m.total - Total()) }
--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -106,7 +106,7 @@
 // pollPeer sends one request to a peer, applies the response and reports whether the
 // peer's view is fresh and comes from another process that the store serves.
 func (f *Follower) pollPeer(ctx context.Context, conns *peerConns, peer netip.AddrPort) bool {
-	requestedAt, suspended := time.Now(), suspension.Total()
+	requested := suspension.Now()
 	response, err := conns.poll(ctx, peer, newChangesRequest(f.opts.Board.View(), pollTimeout))
 	if err != nil {
 		if ctx.Err() == nil {
@@ -114,11 +114,10 @@
 		}
 		return false
 	}
-	requestedAt = requestedAt.Add(suspended - suspension.Total())
 	fresh := false
 	// The view changes as a whole or not at all, so a panic leaves none half changed.
 	panicked, _ := panics.Handle(f.opts.Logger, func() error {
-		fresh = f.applyResponse(requestedAt, response)
+		fresh = f.applyResponse(requested.Time(), response)
 		return nil
 	})
 	return fresh && !panicked
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -82,6 +82,9 @@
 func (f *Follower) readSection(ctx context.Context, s view.Section, cursor view.Revision) (next view.Revision, err error) {
 	_, err = panics.Handle(f.opts.Logger, func() (err error) {
 		next, err = f.listOrWatch(ctx, s, cursor)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		f.recordStoreResult(err)
 		if errkind.Is(err, errkind.HistoryGone) {
 			next, err = f.listSection(ctx, s)
@@ -99,13 +102,12 @@
 		return f.listSection(ctx, s)
 	}
 	wait := f.watchTimeout(s)
-	requestedAt, suspended := time.Now(), suspension.Total()
+	requested := suspension.Now()
 	changes, revision, err := f.opts.Store.Watch(ctx, s, cursor, wait)
 	if err != nil {
 		return cursor, err
 	}
-	// The times that a response confirms are later by the suspension during the call.
-	requestedAt = requestedAt.Add(suspended - suspension.Total())
+	requestedAt := requested.Time()
 	if len(changes) == 0 {
 		f.opts.Board.Confirm(s, unchangedUntil(requestedAt, time.Now(), wait))
 		return revision, nil
@@ -146,18 +148,17 @@
 // to watch it. Its errors have the kinds of Store; NotFound also means that no
 // configuration has been written yet.
 func (f *Follower) listSection(ctx context.Context, s view.Section) (view.Revision, error) {
-	requestedAt, suspended := time.Now(), suspension.Total()
+	requested := suspension.Now()
 	changes, revision, err := f.opts.Store.List(ctx, s)
 	if err != nil {
 		return 0, err
 	}
-	requestedAt = requestedAt.Add(suspended - suspension.Total())
 	d := view.Delta{Section: s, To: revision, Full: true}
 	f.addChanges(&d, view.View{}, changes)
 	if s == view.ConfigurationSection && d.Configuration == nil {
 		return 0, errkind.New(errkind.NotFound, "no configuration in the store")
 	}
 	f.applyDelta(d)
-	f.opts.Board.Confirm(s, requestedAt)
+	f.opts.Board.Confirm(s, requested.Time())
 	return revision, nil
 }
