Bound the age of the view of each process that the store serves

The class: nothing bounded the age of the view of a process that the store serves. It called the store only once its peers had failed it, in the time that they took.

Change: a process calls the store once its own view is older than 2.5 s, whatever its peers do at that time; event 1117 shows that. A peer counts as fresh by its oldest section, not by its members alone. For that, views of healthy processes have to stay younger: all watches wait until their section is 1.2 s old (the configuration's and the evacuations' waited for 2.5 s, each from its begin), and peers hold a poll for 0.5 s (0.7 s). More calls of the store for it, and more polls.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -43,6 +43,7 @@
 	StoredObjectRefused ID = 1114
 	Announced           ID = 1115
 	ViewSourceChanged   ID = 1116
+	ViewOutdated        ID = 1117
 )
 
 // Events of packet flows, at balancers and agents.
@@ -123,6 +124,7 @@
 	{StoredObjectRefused, log.WarnLevel, true, "stored object refused", "Look for another writer of the object that the message names."},
 	{Announced, log.InfoLevel, false, "announcement stored", "None."},
 	{ViewSourceChanged, log.InfoLevel, false, "view source changed", "None, unless there is none for long: look for hosts that the store refuses."},
+	{ViewOutdated, log.InfoLevel, false, "view outdated, calling the platform", "None, unless it is frequent: look for peers that are frozen, or that the platform refuses."},
 
 	{PacketDropped, log.WarnLevel, true, "packet dropped", "See ERRORS.md for the kind."},
 	{TunnelReopened, log.WarnLevel, true, "tunnel socket reopened", "Look for a device that lost the UDP flow."},
--- /dev/null
+++ b/internal/control/follow/age.go
@@ -0,0 +1,51 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+)
+
+// maxViewAge is the age up to which a process relies on its peers to keep its view current.
+// It leaves time for a call of the store before a change must be in force everywhere, 3 s
+// after it was stored. Without faults a view stays younger: at most watchTimeout and
+// watchPause at the process that watches the store, and pollTimeout more at each process
+// between.
+const maxViewAge = 2500 * time.Millisecond
+
+// awaitOutdatedView waits for a while if a peer keeps the view current. It reports whether
+// the process is to call the store: because it follows no peer, or because its view is
+// older than maxViewAge. The latter doesn't depend on any response of a peer, and thus
+// bounds the age of the view of each process that the store serves.
+func (f *Follower) awaitOutdatedView(ctx context.Context) bool {
+	if !f.followsPeer.Load() {
+		return true
+	}
+	age := f.viewAge()
+	if age < maxViewAge {
+		delay.Sleep(ctx, min(maxViewAge-age, idlePollInterval))
+		return false
+	}
+	if f.followsPeer.Swap(false) {
+		f.opts.Logger.Emit(event.ViewOutdated, event.Fields{"age_ms": age.Milliseconds(), "source": f.opts.Board.Source()})
+	}
+	return true
+}
+
+// viewAge returns the age of the oldest section that was ever known to be current, and
+// maxViewAge if none was.
+func (f *Follower) viewAge() time.Duration {
+	age, known := time.Duration(0), false
+	for _, s := range view.Sections() {
+		if at := f.opts.Board.SectionConfirmedAt(s); !at.IsZero() {
+			age, known = max(age, time.Since(at)), true
+		}
+	}
+	if !known {
+		return maxViewAge
+	}
+	return age
+}
--- /dev/null
+++ b/internal/control/follow/age_test.go
@@ -0,0 +1,202 @@
+package follow_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
+)
+
+const (
+	// ageBound is the time within which a change must be in force (config_propagation_ms).
+	ageBound = 3 * time.Second
+	// contactTime is how long a host must have been without a fault for ageBound to hold.
+	contactTime = 4 * time.Second
+	// checkInterval is the time between two checks of all views.
+	checkInterval = 20 * time.Millisecond
+)
+
+// disruption is a fault of some hosts of a fleet from a time on.
+type disruption struct {
+	fault    fault
+	hosts    []int // indices of the hosts
+	at, ends time.Duration
+}
+
+// plan is a run of a fleet: its hosts, what they suffer, and when the configuration changes.
+type plan struct {
+	agents      []int // agents of each failure domain, beside one balancer
+	disruptions []disruption
+	changes     []time.Duration
+	length      time.Duration
+}
+
+// run plays the plan and returns the first violation: a view of a process in touch that is
+// older than ageBound or lacks a configuration that is. It returns "" if there is none.
+func (p plan) run(t *testing.T) (violation string) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		n := newFleet()
+		defer n.stop()
+		for d, agents := range p.agents {
+			domain := string(rune('a' + d))
+			for i := range agents {
+				n.addHost(view.AgentRole, domain, i)
+			}
+			n.addHost(view.BalancerRole, domain, 0)
+		}
+		hosts := n.sorted()
+		for _, h := range hosts {
+			h.start()
+		}
+		violation = p.play(n, hosts)
+	})
+	return violation
+}
+
+// play runs the disruptions and changes, and checks all views.
+func (p plan) play(n *fleet, hosts []*host) string {
+	const warmUp = 2 * time.Second // first views are not checked
+	time.Sleep(warmUp)
+	began := time.Now()
+	confirmedAt := []time.Duration{-warmUp} // of each version, from version 1 on
+	current := make([]fault, len(hosts))
+	for now := time.Duration(0); now < p.length; now = time.Since(began) {
+		for _, at := range p.changes {
+			if at > now-checkInterval && at <= now {
+				confirmedAt = append(confirmedAt, now)
+				n.setConfiguration(int64(len(confirmedAt)))
+			}
+		}
+		for i, h := range hosts {
+			if f := p.faultAt(i, now); f != current[i] {
+				current[i] = f
+				h.setFault(f)
+			}
+			if !p.inTouch(i, now) {
+				continue
+			}
+			if age := time.Since(h.board.ConfirmedAt()); age > ageBound {
+				return fmt.Sprintf("at %v the view of %s, in touch, is %v old", now, h.member.Name, age)
+			}
+			version := h.board.View().Configuration.Version
+			if next := int(version); next < len(confirmedAt) && now-confirmedAt[next] > ageBound {
+				return fmt.Sprintf("at %v %s, in touch, has version %d, but %d was confirmed at %v", now, h.member.Name, version, version+1, confirmedAt[next])
+			}
+		}
+		time.Sleep(checkInterval)
+	}
+	return ""
+}
+
+// faultAt returns the fault of a host at a time.
+func (p plan) faultAt(host int, at time.Duration) fault {
+	for _, d := range p.disruptions {
+		if d.at <= at && at < d.ends && slices.Contains(d.hosts, host) {
+			return d.fault
+		}
+	}
+	return noFault
+}
+
+// inTouch reports whether a host has had no fault for contactTime.
+func (p plan) inTouch(host int, at time.Duration) bool {
+	for _, d := range p.disruptions {
+		if d.at <= at && at < d.ends+contactTime && slices.Contains(d.hosts, host) {
+			return false
+		}
+	}
+	return true
+}
+
+// first returns the indices of the first n hosts.
+func first(n int) []int {
+	var list []int
+	for i := range n {
+		list = append(list, i)
+	}
+	return list
+}
+
+// Guards against a process that asks one peer after the other, each of which the store
+// turns away, before it calls the store, which would serve it (review/4).
+func TestPeersThatTheStoreTurnsAwayDelayNoChange(t *testing.T) {
+	is := is.New(t)
+	p := plan{agents: []int{13, 10}, length: 12 * time.Second, changes: []time.Duration{1050 * time.Millisecond}}
+	p.disruptions = []disruption{{fault: turnedAway, hosts: first(12), at: time.Second, ends: 10 * time.Second}}
+	is.Equal(p.run(t), "")
+}
+
+// Guards against a process in touch whose view grows old because of its peers: whatever
+// some of them suffer, each process that reaches the store must have every change in time.
+func TestViewOfAProcessInTouchIsNeverOld(t *testing.T) {
+	proptest.Check(t, func(t2 *rapid.T) {
+		p := drawPlan(t2)
+		if violation := p.run(t); violation != "" {
+			t2.Fatalf("%+v: %s", p, violation)
+		}
+	})
+}
+
+// drawPlan draws a fleet with up to four disruptions, each of several hosts, and with
+// changes at random times.
+func drawPlan(t *rapid.T) plan {
+	const latest = 10_000 // milliseconds
+	p := plan{agents: rapid.SliceOfN(rapid.IntRange(1, 9), 1, 2).Draw(t, "agents"), length: 18 * time.Second}
+	hosts := len(p.agents)
+	for _, n := range p.agents {
+		hosts += n
+	}
+	for range rapid.IntRange(1, 4).Draw(t, "disruptions") {
+		at := rapid.IntRange(0, latest).Draw(t, "at")
+		length := rapid.IntRange(50, 9000).Draw(t, "length")
+		p.disruptions = append(p.disruptions, disruption{
+			fault: fault(rapid.IntRange(int(turnedAway), int(stopped)).Draw(t, "fault")),
+			hosts: rapid.SliceOfNDistinct(rapid.IntRange(0, hosts-1), 1, hosts, rapid.ID).Draw(t, "hosts"),
+			at:    time.Duration(at) * time.Millisecond,
+			ends:  time.Duration(at+length) * time.Millisecond,
+		})
+	}
+	for range rapid.IntRange(1, 4).Draw(t, "changes") {
+		p.changes = append(p.changes, time.Duration(rapid.IntRange(0, latest).Draw(t, "change at"))*time.Millisecond)
+	}
+	slices.Sort(p.changes)
+	return p
+}
+
+// Guards against a store that each process of a large failure domain calls, because views
+// that pass through several processes count as old although nothing has failed.
+func TestFollowersOfHealthyPeersCallNoStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newFleet()
+		defer n.stop()
+		for i := range 60 {
+			n.addHost(view.AgentRole, "a", i)
+		}
+		hosts := n.sorted()
+		for _, h := range hosts {
+			h.start()
+		}
+		time.Sleep(10 * time.Second)
+		before := map[*host]int{}
+		for _, h := range hosts {
+			before[h] = h.callCount()
+		}
+		for i := range 40 {
+			time.Sleep(time.Duration(200+50*i) * time.Millisecond)
+			n.setConfiguration(int64(2 + i))
+		}
+		for _, h := range hosts[1:] {
+			is.Equal(h.callCount(), before[h]) // only the first process calls the store
+		}
+		is.True(hosts[0].callCount() > before[hosts[0]])
+	})
+}
--- /dev/null
+++ b/internal/control/follow/fleet_test.go
@@ -0,0 +1,307 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+)
+
+const (
+	// storeDelay is how long a call of the store in memory takes at least.
+	storeDelay = 4 * time.Millisecond
+	// silentCallTimeout is when a call without a response fails, after its wait.
+	silentCallTimeout = 800 * time.Millisecond
+)
+
+// fault is what one host of a fleet suffers.
+type fault int
+
+const (
+	noFault     fault = iota
+	turnedAway        // the store refuses its calls
+	cutOffStore       // its calls of the store get no response
+	silent            // it exchanges nothing with the store or with peers
+	stopped           // it refuses connections of peers, and its calls fail
+)
+
+var errRefused = errors.New("refused")
+
+// fleet is a set of followers that share a store and a network in memory. It runs inside
+// a bubble of synctest, so that it has a fake clock.
+type fleet struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	revision view.Revision
+	events   []storedChange
+	changed  chan struct{} // closed at the next change of the store
+	hosts    map[netip.AddrPort]*host
+}
+
+type storedChange struct {
+	section  view.Section
+	revision view.Revision
+	change   follow.Change
+}
+
+// host is a machine of a fleet with its process. It implements follow.Store and
+// net.Listener.
+type host struct {
+	fleet    *fleet
+	member   view.Member
+	board    *view.Board
+	incoming chan net.Conn
+	calls    int // of the store
+
+	fault     fault
+	faultOver chan struct{} // closed when the fault ends; nil without a fault
+}
+
+// newFleet returns a fleet with a configuration and no hosts.
+func newFleet() *fleet {
+	n := &fleet{changed: make(chan struct{}), revision: 1, hosts: map[netip.AddrPort]*host{}}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.setConfiguration(1)
+	return n
+}
+
+// stop ends all processes.
+func (n *fleet) stop() {
+	n.cancel()
+	n.wg.Wait()
+	synctest.Wait()
+}
+
+// addHost adds a host, and its member to the store. Its process does not run before start.
+func (n *fleet) addHost(role view.Role, domain string, number int) *host {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(len(n.hosts)), 1}), 7720)
+	h := &host{fleet: n, board: view.NewBoard(), incoming: make(chan net.Conn)}
+	h.member = view.Member{Name: fmt.Sprintf("%s-%s-%02d", role, domain, number), Role: role, Domain: domain, Address: address, Peer: address}
+	n.hosts[address] = h
+	n.put(view.MembersSection, follow.Change{Name: h.member.Name, Member: &h.member})
+	return h
+}
+
+// start runs the process of h until the fleet stops.
+func (h *host) start() {
+	f := follow.New(follow.Options{
+		Name: h.member.Name, PeerAddress: h.member.Peer, Domain: h.member.Domain, Role: h.member.Role,
+		Store: h, Board: h.board, Logger: event.Discard(), Dial: h.dial,
+	})
+	h.fleet.wg.Go(func() { follow.Serve(h.fleet.ctx, h, h.board, event.Discard()) })
+	h.fleet.wg.Go(func() { f.Run(h.fleet.ctx) })
+}
+
+// setConfiguration writes a configuration.
+func (n *fleet) setConfiguration(version int64) {
+	n.put(view.ConfigurationSection, follow.Change{Name: "main", Configuration: &view.Configuration{Version: version}})
+}
+
+// put writes an object of the store.
+func (n *fleet) put(s view.Section, c follow.Change) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.revision++
+	if c.Configuration != nil {
+		c.Configuration.Revision = n.revision
+	}
+	n.events = append(n.events, storedChange{section: s, revision: n.revision, change: c})
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// setFault starts or ends a fault of h.
+func (h *host) setFault(f fault) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	if h.faultOver != nil {
+		close(h.faultOver)
+		h.faultOver = nil
+	}
+	h.fault = f
+	if f != noFault {
+		h.faultOver = make(chan struct{})
+	}
+}
+
+// currentFault returns the fault of h and a channel that is closed at its end.
+func (h *host) currentFault() (fault, <-chan struct{}) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	return h.fault, h.faultOver
+}
+
+// callCount returns the number of calls of the store by h.
+func (h *host) callCount() int {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	return h.calls
+}
+
+// List implements follow.Store.
+func (h *host) List(ctx context.Context, s view.Section) ([]follow.Change, view.Revision, error) {
+	return h.Watch(ctx, s, 0, 0)
+}
+
+// Watch implements follow.Store.
+func (h *host) Watch(ctx context.Context, s view.Section, since view.Revision, wait time.Duration) ([]follow.Change, view.Revision, error) {
+	h.fleet.mu.Lock()
+	h.calls++
+	h.fleet.mu.Unlock()
+	if !sleep(ctx, storeDelay) {
+		return nil, 0, ctx.Err()
+	}
+	deadline := time.After(wait)
+	for {
+		changes, revision, changed := h.fleet.changesSince(s, since)
+		switch f, _ := h.currentFault(); {
+		case f == turnedAway || f == stopped:
+			return nil, 0, errkind.New(errkind.PlatformDown, "refused")
+		case f == cutOffStore || f == silent:
+			sleep(ctx, silentCallTimeout)
+			return nil, 0, errkind.New(errkind.PlatformDown, "no response")
+		case len(changes) > 0:
+			return changes, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// WriteMember implements follow.Store. Members are written by addHost.
+func (h *host) WriteMember(context.Context, view.Member) (view.Revision, error) {
+	return 0, errRefused
+}
+
+// DeleteMember implements follow.Store.
+func (h *host) DeleteMember(context.Context, string, view.Revision) error { return errRefused }
+
+// changesSince returns the changes of a section after a revision, the store's revision,
+// and a channel that is closed at the next change.
+func (n *fleet) changesSince(s view.Section, since view.Revision) ([]follow.Change, view.Revision, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var changes []follow.Change
+	for _, e := range n.events {
+		if e.section == s && e.revision > since {
+			changes = append(changes, e.change)
+		}
+	}
+	return changes, n.revision, n.changed
+}
+
+// dial connects h to a peer.
+func (h *host) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	peer := h.fleet.hosts[address]
+	if f, _ := peer.currentFault(); f == stopped {
+		return nil, errRefused
+	}
+	near, far := net.Pipe()
+	select {
+	case peer.incoming <- far:
+		return &link{Conn: near, ends: []*host{h, peer}, closed: make(chan struct{})}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Accept implements net.Listener.
+func (h *host) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.incoming:
+		return conn, nil
+	case <-h.fleet.ctx.Done():
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *host) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (h *host) Addr() net.Addr { return net.TCPAddrFromAddrPort(h.member.Peer) }
+
+// link is a connection between two hosts. While one of them is silent, requests are lost
+// and responses wait.
+type link struct {
+	net.Conn
+	ends      []*host
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// silence returns a channel that is closed when the silence of an end is over, and nil
+// without silence.
+func (l *link) silence() <-chan struct{} {
+	for _, h := range l.ends {
+		if f, over := h.currentFault(); f == silent {
+			return over
+		}
+	}
+	return nil
+}
+
+// Read implements net.Conn.
+func (l *link) Read(p []byte) (int, error) {
+	n, err := l.Conn.Read(p)
+	for over := l.silence(); over != nil; over = l.silence() {
+		select {
+		case <-over:
+		case <-l.closed:
+			return 0, net.ErrClosed
+		}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (l *link) Write(p []byte) (int, error) {
+	if l.silence() != nil {
+		return len(p), nil
+	}
+	return l.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (l *link) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Conn.Close()
+}
+
+// sleep waits for d, and reports whether ctx went on meanwhile.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// sorted returns the hosts of the fleet in the order of their names.
+func (n *fleet) sorted() []*host {
+	var list []*host
+	for _, h := range n.hosts {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b *host) int { return netip.AddrPort.Compare(a.member.Peer, b.member.Peer) })
+	return list
+}
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -60,6 +60,8 @@
 	// process polls the seeds before it calls the store, which delays no traffic
 	// because there is none yet.
 	FirstStart bool
+	// Dial opens connections to peers, by TCP if nil.
+	Dial DialFunc
 }
 
 // Follower keeps a board current from the store or from peers.
@@ -70,11 +72,16 @@
 }
 
 // New returns a follower, which does nothing before Run.
-func New(opts Options) *Follower { return &Follower{opts: opts} }
+func New(opts Options) *Follower {
+	if opts.Dial == nil {
+		opts.Dial = dialTCP
+	}
+	return &Follower{opts: opts}
+}
 
 // Run keeps the board current until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	conns := newPeerConns()
+	conns := newPeerConns(f.opts.Dial)
 	defer conns.closeAll()
 	if f.opts.FirstStart && !f.isSeed() {
 		f.pollSeeds(ctx, conns)
--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -61,12 +61,33 @@
 	return *r.MembersAgeMS
 }
 
+// knownAgeMS returns the age of the oldest section that was ever current, -1 if none was.
+// The configuration never was while none has been written.
+func (r ChangesResponse) knownAgeMS() int64 {
+	if r.AgeMS >= 0 {
+		return r.AgeMS
+	}
+	return r.membersAgeMS()
+}
+
+// DialFunc opens a connection to a peer, until ctx ends.
+type DialFunc func(ctx context.Context, peer netip.AddrPort) (net.Conn, error)
+
+// dialTCP is the DialFunc of processes outside tests.
+func dialTCP(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp4", peer.String())
+}
+
 // peerConns holds one open connection per peer. It is not safe for concurrent use.
 type peerConns struct {
+	dial   DialFunc
 	byAddr map[netip.AddrPort]*jsonrpc2.Conn
 }
 
-func newPeerConns() *peerConns { return &peerConns{byAddr: map[netip.AddrPort]*jsonrpc2.Conn{}} }
+func newPeerConns(dial DialFunc) *peerConns {
+	return &peerConns{dial: dial, byAddr: map[netip.AddrPort]*jsonrpc2.Conn{}}
+}
 
 func (p *peerConns) closeAll() {
 	for peer := range p.byAddr {
@@ -103,8 +124,9 @@
 	if c := p.byAddr[peer]; c != nil {
 		return c, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	netConn, err := dialer.DialContext(ctx, "tcp4", peer.String())
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	netConn, err := p.dial(dialCtx, peer)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -15,9 +15,7 @@
 
 const (
 	// pollTimeout is how long a peer holds a request while it has no changes.
-	pollTimeout = 700 * time.Millisecond
-	// maxPeerViewAge is the age of a peer's members up to which the peer is followed.
-	maxPeerViewAge = 3500 * time.Millisecond
+	pollTimeout = 500 * time.Millisecond
 	// idlePollInterval is the pause before a process without a fresh peer tries its
 	// peers again, and before one that follows a peer checks that it still does.
 	idlePollInterval = 300 * time.Millisecond
@@ -93,7 +91,7 @@
 	var wg sync.WaitGroup
 	for _, peer := range peers {
 		wg.Go(func() {
-			conns := newPeerConns()
+			conns := newPeerConns(f.opts.Dial)
 			defer conns.closeAll()
 			if f.pollPeer(ctx, conns, peer) && f.opts.Board.View().Complete() {
 				cancel()
@@ -131,8 +129,7 @@
 	for _, d := range response.Deltas {
 		applied = f.applyDelta(d) && applied
 	}
-	membersAgeMS := response.membersAgeMS()
-	if membersAgeMS < 0 || membersAgeMS > maxPeerViewAge.Milliseconds() {
+	if age := response.knownAgeMS(); age < 0 || age > maxViewAge.Milliseconds() {
 		return false
 	}
 	if response.Source == "" || response.Source == f.opts.Name {
--- a/internal/control/follow/read.go
+++ b/internal/control/follow/read.go
@@ -25,7 +25,7 @@
 // and its source. The peer is asked for the changes after v and does not hold
 // the request. Errors have the kind PeerDown.
 func ProbePeer(ctx context.Context, peer netip.AddrPort, v view.View) (age time.Duration, source string, err error) {
-	conns := newPeerConns()
+	conns := newPeerConns(dialTCP)
 	defer conns.closeAll()
 	response, err := conns.poll(ctx, peer, newChangesRequest(v, 0))
 	if err != nil {
--- a/internal/control/follow/serve_internal_test.go
+++ b/internal/control/follow/serve_internal_test.go
@@ -55,7 +55,7 @@
 	answered := make(chan error, followers)
 	for range followers {
 		go func() {
-			conns := newPeerConns()
+			conns := newPeerConns(dialTCP)
 			defer conns.closeAll()
 			_, err := conns.poll(ctx, l.Addr().(*net.TCPAddr).AddrPort(), ChangesRequest{WaitMS: 60_000})
 			answered <- err
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -12,15 +12,10 @@
 )
 
 const (
-	// The watch timeouts are how long the store holds a watch without changes.
-	// They bound how long it goes unnoticed that the store no longer serves a
-	// watch, and are shorter than the time within which a change must be in
-	// force.
-	configurationWatchTimeout = 2500 * time.Millisecond
-	evacuationsWatchTimeout   = 2500 * time.Millisecond
-	// A balancer resets no lost flow while its members are older than 2 s, so they
-	// are confirmed more often.
-	membersWatchTimeout = 1200 * time.Millisecond
+	// watchTimeout is how long the store holds a watch without changes, after the section
+	// was known to be current. It is part of the age of the view at all processes, and
+	// bounds how long it goes unnoticed that the store no longer serves a watch.
+	watchTimeout = 1200 * time.Millisecond
 	// watchPause is the pause between a watch that returned changes and the next
 	// watch, so that changes in quick succession cost one call.
 	watchPause = 300 * time.Millisecond
@@ -33,16 +28,14 @@
 	maxFollowerRetryDelay = 2 * time.Second
 )
 
-// followStore keeps one section current from the store while the process follows
-// no peer.
+// followStore keeps one section current from the store while no peer does.
 func (f *Follower) followStore(ctx context.Context, s view.Section) {
 	var cursor view.Revision
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
-		if f.followsPeer.Load() {
+		if !f.awaitOutdatedView(ctx) {
 			// Changes from peers make the cursor out of date.
 			cursor = 0
-			delay.Sleep(ctx, idlePollInterval)
 			continue
 		}
 		if f.storeLost.Load() && s != view.MembersSection {
@@ -101,7 +94,7 @@
 	if cursor == 0 {
 		return f.listSection(ctx, s)
 	}
-	wait := f.watchTimeout(s)
+	wait := f.watchWait(s)
 	requested := suspension.Now()
 	changes, revision, err := f.opts.Store.Watch(ctx, s, cursor, wait)
 	if err != nil {
@@ -129,19 +122,14 @@
 	return requestedAt
 }
 
-// watchTimeout returns how long the store may hold a watch of a section. While the
-// store is unavailable, it is to respond at once.
-func (f *Follower) watchTimeout(s view.Section) time.Duration {
+// watchWait returns how long the store may hold a watch of a section: for less time, the
+// older the section is. While the store is unavailable, it is to respond at once.
+func (f *Follower) watchWait(s view.Section) time.Duration {
 	if f.storeLost.Load() {
 		return 0
 	}
-	switch s {
-	case view.ConfigurationSection:
-		return configurationWatchTimeout
-	case view.EvacuationsSection:
-		return evacuationsWatchTimeout
-	}
-	return membersWatchTimeout
+	age := time.Since(f.opts.Board.SectionConfirmedAt(s))
+	return max(0, watchTimeout-age).Truncate(time.Millisecond) // the unit of the store
 }
 
 // listSection replaces a section by its listing and returns the cursor from which
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -164,6 +164,14 @@
 	return time.Since(at).Milliseconds()
 }
 
+// SectionConfirmedAt returns the time at which a section was last known to be current, the
+// zero time if it never was.
+func (b *Board) SectionConfirmedAt(s Section) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.confirmation(s)
+}
+
 // ConfirmedAt returns the time at which all sections were last known to be current,
 // the zero time if one never was.
 func (b *Board) ConfirmedAt() time.Time {
