Follow no process whose changes come through this one

Change: a response names the whole path of the view, from the process that calls the store to the responding one, in place of its source alone, and a process follows no peer whose path it is on. A change of the path ends held polls, as one of the source did. Peers of earlier versions send their source only, and are followed by the former rule. Event 1116 has the path.

Test: the first agent of a domain is turned away at 24 moments of a watch's 1.2 s, fake clock. With the former rule "[agent-a-00 agent-a-01] follow each other" for longer than a poll takes; none does now.

--- a/internal/control/follow/age_test.go
+++ b/internal/control/follow/age_test.go
@@ -10,13 +10,14 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
 const (
 	// ageBound is the time within which a change must be in force (config_propagation_ms).
 	ageBound = 3 * time.Second
+	// pollLimit is longer than the poll of a peer takes, with or without a response.
+	pollLimit = time.Second
 	// contactTime is how long a host must have been without a fault for ageBound to hold.
 	contactTime = 4 * time.Second
 	// checkInterval is the time between two checks of all views.
@@ -45,18 +46,7 @@
 	synctest.Test(t, func(*testing.T) {
 		n := newFleet()
 		defer n.stop()
-		for d, agents := range p.agents {
-			domain := string(rune('a' + d))
-			for i := range agents {
-				n.addHost(view.AgentRole, domain, i)
-			}
-			n.addHost(view.BalancerRole, domain, 0)
-		}
-		hosts := n.sorted()
-		for _, h := range hosts {
-			h.start()
-		}
-		violation = p.play(n, hosts)
+		violation = p.play(n, n.addDomains(p.agents))
 	})
 	return violation
 }
@@ -134,6 +124,53 @@
 	is.Equal(p.run(t), "")
 }
 
+// Guards against two processes that follow each other under the name of a source that
+// neither of them polls, and get no change meanwhile. It begins when the process that
+// watches the store for its failure domain loses it (review/5).
+func TestNoProcessesFollowEachOther(t *testing.T) {
+	for at := time.Duration(0); at < 1200*time.Millisecond; at += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			n := newFleet()
+			defer n.stop()
+			hosts := n.addDomains([]int{2, 2})
+			time.Sleep(4*time.Second + at)
+			hosts[0].setFault(turnedAway)
+			var cycleSince time.Time
+			for end := time.Now().Add(5500 * time.Millisecond); time.Now().Before(end); time.Sleep(checkInterval) {
+				members := cycle(hosts)
+				switch {
+				case members == nil:
+					cycleSince = time.Time{}
+				case cycleSince.IsZero():
+					cycleSince = time.Now()
+				case time.Since(cycleSince) > pollLimit:
+					t.Fatalf("the store turned a process away %v after a start: %v follow each other", at, members)
+				}
+			}
+		})
+	}
+}
+
+// cycle returns the names of processes that follow each other, nil if there are none.
+func cycle(hosts []*host) []string {
+	upstream := map[string]string{}
+	for _, h := range hosts {
+		if path := h.board.Path(); len(path) > 1 {
+			upstream[h.member.Name] = path[len(path)-2]
+		}
+	}
+	for name := range upstream {
+		followed := []string{name}
+		for next := upstream[name]; next != ""; next = upstream[next] {
+			if i := slices.Index(followed, next); i >= 0 {
+				return followed[i:]
+			}
+			followed = append(followed, next)
+		}
+	}
+	return nil
+}
+
 // Guards against a process in touch whose view grows old because of its peers: whatever
 // some of them suffer, each process that reaches the store must have every change in time.
 func TestViewOfAProcessInTouchIsNeverOld(t *testing.T) {
@@ -178,13 +215,7 @@
 		is := is.New(t)
 		n := newFleet()
 		defer n.stop()
-		for i := range 60 {
-			n.addHost(view.AgentRole, "a", i)
-		}
-		hosts := n.sorted()
-		for _, h := range hosts {
-			h.start()
-		}
+		hosts := n.addDomains([]int{59})
 		time.Sleep(10 * time.Second)
 		before := map[*host]int{}
 		for _, h := range hosts {
--- a/internal/control/follow/fleet_test.go
+++ b/internal/control/follow/fleet_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"testing/synctest"
 	"time"
@@ -66,8 +65,8 @@
 	incoming chan net.Conn
 	calls    int // of the store
 
-	fault     fault
-	faultOver chan struct{} // closed when the fault ends; nil without a fault
+	fault        fault
+	faultChanged chan struct{} // closed at the next change of fault
 }
 
 // newFleet returns a fleet with a configuration and no hosts.
@@ -85,10 +84,27 @@
 	synctest.Wait()
 }
 
+// addDomains adds failure domains, each with a balancer and some agents, and starts all
+// processes. It returns their hosts, the agents of each domain in the order of their rank.
+func (n *fleet) addDomains(agents []int) []*host {
+	var hosts []*host
+	for d, count := range agents {
+		domain := string(rune('a' + d))
+		for i := range count {
+			hosts = append(hosts, n.addHost(view.AgentRole, domain, i))
+		}
+		hosts = append(hosts, n.addHost(view.BalancerRole, domain, 0))
+	}
+	for _, h := range hosts {
+		h.start()
+	}
+	return hosts
+}
+
 // addHost adds a host, and its member to the store. Its process does not run before start.
 func (n *fleet) addHost(role view.Role, domain string, number int) *host {
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(len(n.hosts)), 1}), 7720)
-	h := &host{fleet: n, board: view.NewBoard(), incoming: make(chan net.Conn)}
+	h := &host{fleet: n, board: view.NewBoard(), incoming: make(chan net.Conn), faultChanged: make(chan struct{})}
 	h.member = view.Member{Name: fmt.Sprintf("%s-%s-%02d", role, domain, number), Role: role, Domain: domain, Address: address, Peer: address}
 	n.hosts[address] = h
 	n.put(view.MembersSection, follow.Change{Name: h.member.Name, Member: &h.member})
@@ -127,21 +143,16 @@
 func (h *host) setFault(f fault) {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	if h.faultOver != nil {
-		close(h.faultOver)
-		h.faultOver = nil
-	}
 	h.fault = f
-	if f != noFault {
-		h.faultOver = make(chan struct{})
-	}
+	close(h.faultChanged)
+	h.faultChanged = make(chan struct{})
 }
 
-// currentFault returns the fault of h and a channel that is closed at its end.
+// currentFault returns the fault of h and a channel that is closed when it changes.
 func (h *host) currentFault() (fault, <-chan struct{}) {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	return h.fault, h.faultOver
+	return h.fault, h.faultChanged
 }
 
 // callCount returns the number of calls of the store by h.
@@ -167,7 +178,8 @@
 	deadline := time.After(wait)
 	for {
 		changes, revision, changed := h.fleet.changesSince(s, since)
-		switch f, _ := h.currentFault(); {
+		f, faultChanged := h.currentFault()
+		switch {
 		case f == turnedAway || f == stopped:
 			return nil, 0, errkind.New(errkind.PlatformDown, "refused")
 		case f == cutOffStore || f == silent:
@@ -178,6 +190,7 @@
 		}
 		select {
 		case <-changed:
+		case <-faultChanged:
 		case <-deadline:
 			return nil, revision, nil
 		case <-ctx.Done():
@@ -248,12 +261,12 @@
 	closed    chan struct{}
 }
 
-// silence returns a channel that is closed when the silence of an end is over, and nil
-// without silence.
+// silence returns a channel that is closed when the fault of a silent end changes, and nil
+// if none is silent.
 func (l *link) silence() <-chan struct{} {
 	for _, h := range l.ends {
-		if f, over := h.currentFault(); f == silent {
-			return over
+		if f, changed := h.currentFault(); f == silent {
+			return changed
 		}
 	}
 	return nil
@@ -262,9 +275,9 @@
 // Read implements net.Conn.
 func (l *link) Read(p []byte) (int, error) {
 	n, err := l.Conn.Read(p)
-	for over := l.silence(); over != nil; over = l.silence() {
+	for changed := l.silence(); changed != nil; changed = l.silence() {
 		select {
-		case <-over:
+		case <-changed:
 		case <-l.closed:
 			return 0, net.ErrClosed
 		}
@@ -295,13 +308,3 @@
 		return false
 	}
 }
-
-// sorted returns the hosts of the fleet in the order of their names.
-func (n *fleet) sorted() []*host {
-	var list []*host
-	for _, h := range n.hosts {
-		list = append(list, h)
-	}
-	slices.SortFunc(list, func(a, b *host) int { return netip.AddrPort.Compare(a.member.Peer, b.member.Peer) })
-	return list
-}
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -96,11 +96,11 @@
 }
 
 // recordStoreResult records from the error of a call whether the store serves this
-// process, updates the source accordingly and logs changes.
+// process, updates the path accordingly and logs changes.
 func (f *Follower) recordStoreResult(err error) {
 	if err == nil || errkind.Is(err, errkind.HistoryGone) || errkind.Is(err, errkind.NotFound) {
 		if !f.followsPeer.Load() {
-			f.setSource(f.opts.Name)
+			f.setPath(f.opts.Name)
 		}
 		if f.storeLost.Swap(false) {
 			f.opts.Logger.Emit(event.PlatformBack, nil)
@@ -111,14 +111,14 @@
 		f.opts.Logger.EmitError(event.PlatformLost, err, nil)
 	}
 	if f.opts.Board.Source() == f.opts.Name {
-		f.setSource("")
+		f.setPath()
 	}
 }
 
-// setSource records the process whose calls of the store keep the view current,
-// "" for none, and logs a change.
-func (f *Follower) setSource(process string) {
-	if f.opts.Board.SetSource(process) {
-		f.opts.Logger.Emit(event.ViewSourceChanged, event.Fields{"source": process, "age_ms": f.opts.Board.AgeMS()})
+// setPath records the processes through which changes of the store reach this one, none
+// if no process that the store serves is known, and logs a change.
+func (f *Follower) setPath(path ...string) {
+	if f.opts.Board.SetPath(path...) {
+		f.opts.Logger.Emit(event.ViewSourceChanged, event.Fields{"source": f.opts.Board.Source(), "path": path, "age_ms": f.opts.Board.AgeMS()})
 	}
 }
--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -51,6 +51,18 @@
 	MembersAgeMS *int64 // age of the members; nil from peers of earlier versions
 	HeldMS       int64  // how long the peer held the request
 	Source       string // the process whose calls of the store keep the view current, "" for none
+	// Path names the processes through which changes reach the peer, Source first and the
+	// peer last; empty from peers of earlier versions.
+	Path []string `json:",omitempty"`
+}
+
+// path returns the processes through which changes reach the peer, as far as the response
+// names them; none if the peer has no source.
+func (r ChangesResponse) path() []string {
+	if len(r.Path) == 0 && r.Source != "" {
+		return []string{r.Source}
+	}
+	return r.Path
 }
 
 // membersAgeMS returns the age of the members.
--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,7 +44,7 @@
 			}
 		}
 		if !fresh && f.opts.Board.Source() != f.opts.Name {
-			f.setSource("")
+			f.setPath()
 		}
 		// A process whose calls of the store fail keeps calling it although a peer
 		// responds, because other processes may follow this one.
@@ -102,7 +103,7 @@
 }
 
 // pollPeer sends one request to a peer, applies the response and reports whether the
-// peer's view is fresh and comes from another process that the store serves.
+// peer's view is fresh and comes from a process that the store serves, not through this one.
 func (f *Follower) pollPeer(ctx context.Context, conns *peerConns, peer netip.AddrPort) bool {
 	requested := suspension.Now()
 	response, err := conns.poll(ctx, peer, newChangesRequest(f.opts.Board.View(), pollTimeout))
@@ -122,8 +123,8 @@
 }
 
 // applyResponse applies the deltas of a peer's response and confirms the view to which
-// they lead. It reports whether the peer's view is fresh and comes from another process
-// that the store serves.
+// they lead. It reports whether the peer's view is fresh and comes from a process that the
+// store serves, not through this one.
 func (f *Follower) applyResponse(requestedAt time.Time, response ChangesResponse) bool {
 	applied := true
 	for _, d := range response.Deltas {
@@ -132,12 +133,13 @@
 	if age := response.knownAgeMS(); age < 0 || age > maxViewAge.Milliseconds() {
 		return false
 	}
-	if response.Source == "" || response.Source == f.opts.Name {
-		// The peer has no source, or this process is its source. Two processes
-		// that follow each other would keep an old view.
+	path := response.path()
+	if len(path) == 0 || slices.Contains(path, f.opts.Name) {
+		// The peer has no source, or follows this process. Processes that follow each
+		// other would keep an old view.
 		return false
 	}
-	f.setSource(response.Source)
+	f.setPath(append(path, f.opts.Name)...)
 	if applied { // otherwise the view has changed since the request
 		f.confirmFromPeer(requestedAt, response)
 	}
--- a/internal/control/follow/serve.go
+++ b/internal/control/follow/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -110,25 +111,25 @@
 }
 
 // awaitChanges responds as soon as board is newer than the revisions of the request
-// or its source changes, and without changes after wait.
+// or the path of its changes, and without changes after wait.
 func awaitChanges(ctx context.Context, board *view.Board, req ChangesRequest, wait time.Duration) ChangesResponse {
 	changed, cancel := board.Subscribe()
 	defer cancel()
-	sourceChanged, cancelSourceChanged := board.SubscribeSource()
-	defer cancelSourceChanged()
+	pathChanged, cancelPathChanged := board.SubscribePath()
+	defer cancelPathChanged()
 	receivedAt := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	expired := false
-	for initialSource := board.Source(); ; {
+	for initialPath := board.Path(); ; {
 		changes := board.ChangesSince(req.Known)
-		// Followers learn of a change of the source, such as its loss, at once.
-		if len(changes.Deltas) > 0 || board.Source() != initialSource || expired {
+		// Followers learn of a change of the path, such as the loss of the source, at once.
+		if len(changes.Deltas) > 0 || !slices.Equal(board.Path(), initialPath) || expired {
 			return newChangesResponse(board, changes, receivedAt)
 		}
 		select {
 		case <-changed:
-		case <-sourceChanged:
+		case <-pathChanged:
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
@@ -148,6 +149,7 @@
 		MembersAgeMS: &membersAge,
 		HeldMS:       now.Sub(receivedAt).Milliseconds(),
 		Source:       board.Source(),
+		Path:         board.Path(),
 	}
 }
 
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,16 +13,16 @@
 // for peers with a slightly older view.
 const maxRecentDeltas = 64
 
-// Board holds the current view of a process, its recent deltas, its source and the
-// times at which its sections were known to be current. Subscribers are notified of
+// Board holds the current view of a process, its recent deltas, the path by which changes
+// reach it and the times at which its sections were known to be current. Subscribers are notified of
 // changes. It is safe for concurrent use.
 //
 // A confirmation says that the view that the board holds when it is recorded was
 // current at a time, so changes are applied before they are confirmed. A reader that
 // needs both takes them in one call.
 type Board struct {
-	view   blackboard.Entry[View]
-	source blackboard.Entry[string]
+	view blackboard.Entry[View]
+	path blackboard.Entry[[]string]
 
 	mu           sync.Mutex
 	recentDeltas map[Section][]Delta
@@ -140,19 +141,30 @@
 	return c.at.Add(c.suspended - b.suspended())
 }
 
-// SetSource sets the process whose calls of the store keep the view current, "" for
-// none. It reports whether that changed.
-func (b *Board) SetSource(process string) bool {
-	return b.source.Update(func(old string) (string, bool) { return process, process != old })
+// SetPath sets the names of the processes through which changes of the store reach this
+// one: first the one that calls the store, last this one. The path is empty if no process
+// that the store serves is known. SetPath reports whether that changed.
+func (b *Board) SetPath(path ...string) bool {
+	return b.path.Update(func(old []string) ([]string, bool) { return path, !slices.Equal(path, old) })
 }
 
+// Path returns the names of the processes through which changes reach this one; see
+// SetPath.
+func (b *Board) Path() []string { return b.path.Get() }
+
 // Source returns the process whose calls of the store keep the view current, "" for
 // none.
-func (b *Board) Source() string { return b.source.Get() }
+func (b *Board) Source() string {
+	path := b.Path()
+	if len(path) == 0 {
+		return ""
+	}
+	return path[0]
+}
 
-// SubscribeSource returns a channel that is notified of changes of the source, and a
-// function that ends the subscription.
-func (b *Board) SubscribeSource() (<-chan struct{}, func()) { return b.source.Subscribe() }
+// SubscribePath returns a channel that is notified of changes of the path, and a function
+// that ends the subscription.
+func (b *Board) SubscribePath() (<-chan struct{}, func()) { return b.path.Subscribe() }
 
 // AgeMS returns the milliseconds since all sections were last known to be current,
 // -1 if one never was.
--- a/pkg/cli/flows_test.go
+++ b/pkg/cli/flows_test.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	board := view.NewBoard()
-	board.SetSource("balancer-1")
+	board.SetPath("balancer-1")
 	for _, s := range view.Sections() {
 		board.Confirm(s, time.Now())
 	}
