Let a process that the requester can't follow hold its poll for 0.1 s

Nothing bounds that by rule (such a process isn't in touch), but its users expect what docs/platform.md says: "nothing: they ask peers".

Change: a request names the requesting process. A peer without a source, or whose path that process is on, holds it for at most 0.1 s, and still responds at once if its path changes. Requests of earlier versions name nobody; a peer without a source holds them for 0.1 s as well.

--- a/internal/control/follow/age_test.go
+++ b/internal/control/follow/age_test.go
@@ -124,6 +124,26 @@
 	is.Equal(p.run(t), "")
 }
 
+// Guards against a process that the store turns away and that gets a change late, because
+// many of its peers are turned away as well and each holds its poll.
+func TestTurnedAwayProcessesPassPeersWithoutSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newFleet()
+		defer n.stop()
+		hosts := n.addDomains([]int{13, 10})
+		time.Sleep(4 * time.Second)
+		for _, h := range hosts[:12] {
+			h.setFault(turnedAway)
+		}
+		n.setConfiguration(2)
+		time.Sleep(ageBound)
+		for _, h := range hosts {
+			is.Equal(h.board.View().Configuration.Version, int64(2))
+		}
+	})
+}
+
 // Guards against two processes that follow each other under the name of a source that
 // neither of them polls, and get no change meanwhile. It begins when the process that
 // watches the store for its failure domain loses it (review/5).
--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -31,6 +31,9 @@
 type ChangesRequest struct {
 	Known  map[view.Section]view.Revision
 	WaitMS int64 // how long to hold the request while there are no changes
+	// From is the name of the requesting process; empty from peers of earlier versions and
+	// from programs that follow no peer.
+	From string `json:",omitempty"`
 }
 
 // newChangesRequest returns a request for the changes after the revisions of v.
--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -106,7 +106,9 @@
 // peer's view is fresh and comes from a process that the store serves, not through this one.
 func (f *Follower) pollPeer(ctx context.Context, conns *peerConns, peer netip.AddrPort) bool {
 	requested := suspension.Now()
-	response, err := conns.poll(ctx, peer, newChangesRequest(f.opts.Board.View(), pollTimeout))
+	request := newChangesRequest(f.opts.Board.View(), pollTimeout)
+	request.From = f.opts.Name
+	response, err := conns.poll(ctx, peer, request)
 	if err != nil {
 		if ctx.Err() == nil {
 			f.opts.Logger.EmitError(event.PeerLost, err, event.Fields{"peer": peer.String()})
@@ -134,9 +136,7 @@
 		return false
 	}
 	path := response.path()
-	if len(path) == 0 || slices.Contains(path, f.opts.Name) {
-		// The peer has no source, or follows this process. Processes that follow each
-		// other would keep an old view.
+	if !isUsablePath(path, f.opts.Name) {
 		return false
 	}
 	f.setPath(append(path, f.opts.Name)...)
@@ -146,6 +146,13 @@
 	return true
 }
 
+// isUsablePath reports whether a process may follow a peer with this path: the peer has a
+// source, and doesn't itself follow the process. Processes that follow each other would
+// keep an old view.
+func isUsablePath(path []string, process string) bool {
+	return len(path) > 0 && !slices.Contains(path, process)
+}
+
 // confirmFromPeer records the ages of a peer's view. The peer sent them no sooner than
 // HeldMS after the request.
 func (f *Follower) confirmFromPeer(requestedAt time.Time, r ChangesResponse) {
--- a/internal/control/follow/serve.go
+++ b/internal/control/follow/serve.go
@@ -15,8 +15,13 @@
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
-// maxPollTimeout bounds how long a request is held, whatever it asks for.
-const maxPollTimeout = 5 * time.Second
+const (
+	// maxPollTimeout bounds how long a request is held, whatever it asks for.
+	maxPollTimeout = 5 * time.Second
+	// unusableWait bounds how long a request is held by a process that the requester can't
+	// follow, because it then polls the next one.
+	unusableWait = 100 * time.Millisecond
+)
 
 // Limits on responses.
 const (
@@ -117,11 +122,14 @@
 	defer cancel()
 	pathChanged, cancelPathChanged := board.SubscribePath()
 	defer cancelPathChanged()
+	initialPath := board.Path()
+	if !isUsablePath(initialPath, req.From) {
+		wait = min(wait, unusableWait)
+	}
 	receivedAt := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	expired := false
-	for initialPath := board.Path(); ; {
+	for expired := false; ; {
 		changes := board.ChangesSince(req.Known)
 		// Followers learn of a change of the path, such as the loss of the source, at once.
 		if len(changes.Deltas) > 0 || !slices.Equal(board.Path(), initialPath) || expired {
