Notice evacuations that an agent has never seen

The second is this one: an agent counts its backend server as maybe cold only if its own view showed the domain as evacuated before. A view that goes from before an evacuation to after it shows nothing: the watch drops an object that was created and deleted again, peers send the state of the section alone. Ruled out as a remedy: to count each new revision of the section, which would limit all warm servers whenever another domain is evacuated; and to count an old view, which would limit all of them while the store is down.

Change: a change of the section names the domains of which an evacuation ended, and the view has the revision of the last such end for each domain. A listing tells nothing of what ended before it, so it counts as one for all domains but the first view of a process. The agent's gate goes by that revision.

Tests: a process that reaches nobody during an evacuation knows afterwards that its domain's ended, and no other's; the gate keeps the cold rate after one that it never saw.

--- a/internal/control/follow/age_test.go
+++ b/internal/control/follow/age_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/testkit/proptest"
 )
 
@@ -191,6 +193,31 @@
 	return nil
 }
 
+// Guards against an agent that never gets to know of an evacuation that began and ended while
+// it reached nobody, and sends to a cold backend server at the full rate (review/3).
+func TestMissedEvacuationIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newFleet()
+		defer n.stop()
+		hosts := n.addDomains([]int{2, 2})
+		time.Sleep(4 * time.Second)
+		cut := hosts[1]
+		before := cut.board.View().Evacuations
+		cut.setFault(silent)
+		n.put(view.EvacuationsSection, follow.Change{Name: "a"})
+		time.Sleep(1900 * time.Millisecond)
+		n.put(view.EvacuationsSection, follow.Change{Name: "a", Deleted: true})
+		time.Sleep(500 * time.Millisecond)
+		cut.setFault(noFault)
+		time.Sleep(ageBound)
+		after := cut.board.View().Evacuations
+		is.Equal(len(after.Domains), 0)
+		is.True(after.LastEnd("a") > before.LastEnd("a"))
+		is.Equal(after.LastEnd("b"), before.LastEnd("b"))
+	})
+}
+
 // Guards against a process in touch whose view grows old because of its peers: whatever
 // some of them suffer, each process that reaches the store must have every change in time.
 func TestViewOfAProcessInTouchIsNeverOld(t *testing.T) {
--- a/internal/control/follow/changes.go
+++ b/internal/control/follow/changes.go
@@ -35,6 +35,7 @@
 		switch {
 		case d.Section == view.EvacuationsSection && c.Deleted:
 			delete(domains, c.Name)
+			d.Ended = append(d.Ended, c.Name)
 		case d.Section == view.EvacuationsSection:
 			domains[c.Name] = true
 		case c.Deleted:
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -72,8 +72,19 @@
 type Evacuations struct {
 	Revision Revision
 	Domains  map[string]bool
+	// ended holds, by failure domain, the revision at which the last end of an evacuation
+	// became known, for those that ended after listed.
+	ended map[string]Revision
+	// listed is the revision at which the section was last replaced as a whole, which tells
+	// nothing of the evacuations that ended before.
+	listed Revision
 }
 
+// LastEnd returns the revision at which it became known that an evacuation of a failure
+// domain has ended, or may have ended. It rises also if the view never showed that
+// evacuation.
+func (e Evacuations) LastEnd(domain string) Revision { return max(e.ended[domain], e.listed) }
+
 // Role is the kind of process that a member is.
 type Role string
 
@@ -163,6 +174,9 @@
 	Domains       []string            `json:",omitempty"` // EvacuationsSection: all failure domains that are taken out
 	Members       []Member            `json:",omitempty"` // new or changed
 	Gone          []string            `json:",omitempty"` // names of removed members
+	// Ended are the failure domains of which an evacuation ended after From, also one that
+	// began after From.
+	Ended []string `json:",omitempty"`
 }
 
 // ConfigurationDelta is the part of a configuration that changed.
@@ -199,10 +213,7 @@
 	case ConfigurationSection:
 		v.Configuration = v.Configuration.apply(d)
 	case EvacuationsSection:
-		v.Evacuations = Evacuations{Revision: d.To, Domains: map[string]bool{}}
-		for _, domain := range d.Domains {
-			v.Evacuations.Domains[domain] = true
-		}
+		v.Evacuations = v.Evacuations.apply(d)
 	case MembersSection:
 		v.Members = v.Members.apply(d)
 	default:
@@ -240,6 +251,27 @@
 	return next
 }
 
+func (e Evacuations) apply(d Delta) Evacuations {
+	next := Evacuations{Revision: d.To, Domains: map[string]bool{}, ended: map[string]Revision{}, listed: e.listed}
+	for _, domain := range d.Domains {
+		next.Domains[domain] = true
+	}
+	if d.Full {
+		next.listed = d.To
+		return next
+	}
+	maps.Copy(next.ended, e.ended)
+	for domain := range e.Domains {
+		if !next.Domains[domain] {
+			next.ended[domain] = d.To
+		}
+	}
+	for _, domain := range d.Ended {
+		next.ended[domain] = d.To
+	}
+	return next
+}
+
 func (m Members) apply(d Delta) Members {
 	next := Members{Revision: d.To, ByName: map[string]Member{}}
 	if !d.Full {
--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -44,8 +44,10 @@
 
 	memberStored            bool      // the store holds the agent's member, so that balancers can know it
 	unknownToBalancersUntil time.Time // some balancers may not know this new agent before then
+	evacuationKnown         bool      // the view has been applied
 	evacuated               bool      // the failure domain is evacuated
-	maybeCold               bool      // the backend server may have become cold since the last report
+	lastEvacuationEnd       view.Revision
+	maybeCold               bool // the backend server may have become cold since the last report
 	coldUntil               time.Time
 	tokens                  float64 // openings that a cold backend server may get now (token bucket)
 	refilledAt              time.Time
@@ -195,12 +197,13 @@
 	}
 }
 
-// SetEvacuated records whether the failure domain is evacuated. After an
-// evacuation the backend server may be cold, so it counts as cold until it
-// reports again.
-func (g *Gate) SetEvacuated(evacuated bool) {
-	if g.backend.evacuated && !evacuated {
-		g.backend.maybeCold = true
+// SetEvacuation records whether the failure domain is evacuated, and when the last end of an
+// evacuation became known. After an evacuation the backend server may be cold, so it counts
+// as cold until it reports again, also if the agent has never seen the evacuation.
+func (g *Gate) SetEvacuation(evacuated bool, lastEnd view.Revision) {
+	b := &g.backend
+	if b.evacuationKnown && lastEnd > b.lastEvacuationEnd {
+		b.maybeCold = true
 	}
-	g.backend.evacuated = evacuated
+	b.evacuationKnown, b.evacuated, b.lastEvacuationEnd = true, evacuated, lastEnd
 }
--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -97,7 +97,7 @@
 		kind   errkind.Kind
 	}{
 		{"leaving", func(g *Gate) { g.RefuseNewFlows() }, errkind.BackendLeaving},
-		{"evacuated", func(g *Gate) { g.SetEvacuated(true) }, errkind.DomainOut},
+		{"evacuated", func(g *Gate) { g.SetEvacuation(true, 0) }, errkind.DomainOut},
 		{"all flows taken", func(g *Gate) { g.SetService(view.Service{Name: "comptoir", MaxFlows: 1}, 0) }, errkind.ConnectionsFull},
 		{"other service", func(g *Gate) { g.service = 8 }, errkind.PacketWrongTarget},
 	}
@@ -579,14 +579,14 @@
 }
 
 // Guards against a cold backend server that gets more new flows than its cold rate
-// and burst allow. After a restart of the agent and after an evacuation the backend
-// server counts as cold until it reports.
+// and burst allow. After a restart of the agent and after an evacuation, also one that the
+// agent has never seen (review/3), the backend server counts as cold until it reports.
 func TestColdBackendStaysWithinItsRate(t *testing.T) {
 	const rate, burst = 6.0, 2.0
 	proptest.Check(t, func(t *rapid.T) {
 		g := newGate(false)
 		g.SetService(view.Service{Name: "comptoir", ColdPerSecond: rate}, 0)
-		switch rapid.IntRange(0, 2).Draw(t, "case") {
+		switch rapid.IntRange(0, 3).Draw(t, "case") {
 		case 0:
 			r := report(1)
 			r.ColdFor = time.Hour
@@ -595,14 +595,18 @@
 			g.RestoreAnnounced(Report{State: view.Ready, Slots: 2})
 		case 2:
 			_, _ = g.Report(start, report(1))
-			g.SetEvacuated(true)
-			g.SetEvacuated(false)
+			g.SetEvacuation(true, 1)
+			g.SetEvacuation(false, 2)
+		case 3:
+			g.SetEvacuation(false, 1)
+			_, _ = g.Report(start, report(1))
+			g.SetEvacuation(false, 2)
 		}
 		var delivered []time.Time
 		now := start
 		for port := range rapid.IntRange(1, 80).Draw(t, "openings") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "gap ms")) * time.Millisecond)
-			if g.FromPeer(now, forward(self, other), openingPacket(port+1)).Verdict == Deliver {
+			if g.FromPeer(now, forward(self), openingPacket(port+1)).Verdict == Deliver {
 				delivered = append(delivered, now)
 				g.FromBackend(now, backendPacket(port+1, orders, flow.Open|flow.Ack, 0))
 			}
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -604,7 +604,7 @@
 		p := newPath(t, 2, 3, 1000)
 		packet := opening(number)
 		for _, a := range p.list[1:] {
-			a.gate.SetEvacuated(true) // the others refuse, whatever their rank
+			a.gate.SetEvacuation(true, 0) // the others refuse, whatever their rank
 		}
 		p.send(0, packet)
 		key := packet.CallerKey()
--- a/internal/flowpath/flowsteer/pathrestart_test.go
+++ b/internal/flowpath/flowsteer/pathrestart_test.go
@@ -28,7 +28,7 @@
 	data := flow.Packet{From: packet.From, To: packet.To, Flags: flow.Ack, Seq: 1, Length: pathDataLength}
 	if behindFirstList {
 		for _, first := range p.newBalancer(0).FromCaller(p.now, data, nil).Message.Candidates {
-			p.agents[first].gate.SetEvacuated(true)
+			p.agents[first].gate.SetEvacuation(true, 0)
 		}
 	}
 	p.send(0, packet)
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -227,7 +227,7 @@
 		a.logger.Emit(id, event.Fields{"domain": s.Domain, "revision": v.Evacuations.Revision})
 	}
 	a.evacuated = evacuated
-	a.gate.SetEvacuated(evacuated)
+	a.gate.SetEvacuation(evacuated, v.Evacuations.LastEnd(s.Domain))
 	m, ok := v.Members.ByName[MemberName(s.Address)]
 	if ok && m.Service == s.Service && !s.FirstStart {
 		a.gate.RestoreAnnounced(flowgate.Report{State: m.State, Slots: m.Slots})
