Refuse the end of a backend server that isn't leaving

Cause: the agent compared the instance id alone, withdrew its member although it had open flows, and marked the run as leaving for good. Ruled out: to compare runs, as a DELETE names none; to ask the server's port, as a live server's and a closing one's may both answer.

An agent that has no report yet accepts it as before: the next report announces the member again.

Tests: TestLateEndOfAnEarlierRunIsRefused failed before.

--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
@@ -166,3 +167,26 @@
 	m := &hop.Message{Type: hop.Forward, Candidates: []netip.AddrPort{{}}, Packet: []byte("packet")}
 	is.Equal(a.gate.FromPeer(time.Now(), m, p).Verdict, flowgate.Deliver) // offered, not denied
 }
+
+// Guards against a member that is withdrawn, so that balancers reset the open flows of its
+// backend server, because the end of an earlier run under the same id is received after the
+// present run has registered (review/2).
+func TestLateEndOfAnEarlierRunIsRefused(t *testing.T) {
+	is := is.New(t)
+	a := New(platform.Settings{}, nil, event.Discard())
+	board := view.NewBoard()
+	a.node = &flownode.Node{Board: board, Announcer: follow.NewAnnouncer(nil, board, event.Discard()), Logger: event.Discard()}
+	report := func(run int64, sequence uint64, state view.State) {
+		_, err := a.applyReport(flowgate.Report{Instance: "i-1", Started: time.Unix(run, 0), Sequence: sequence, State: state, Slots: 9})
+		is.NoErr(err)
+	}
+	report(1, 1, view.Ready)
+	report(1, 2, view.Leaving)
+	report(2, 1, view.Ready)
+	is.True(errkind.Is(a.BackendLeft("i-1"), errkind.ReportStale))
+	is.True(!a.backendLeft)
+	is.True(!a.gate.Leaving())
+	report(2, 2, view.Leaving)
+	is.NoErr(a.BackendLeft("i-1"))
+	is.True(a.backendLeft)
+}
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -101,9 +101,14 @@
 	}
 }
 
-// BackendLeft implements platform.ReportReceiver.
+// BackendLeft implements platform.ReportReceiver. Its error has kind ReportStale if the
+// current run of the backend server isn't leaving.
 func (a *Agent) BackendLeft(instance string) error {
-	return a.node.Protect(func() error { return a.applyBackendLeft(instance) })
+	err := a.node.Protect(func() error { return a.applyBackendLeft(instance) })
+	if err != nil {
+		a.logger.EmitError(event.ReportRefused, err, event.Fields{"instance": instance})
+	}
+	return err
 }
 
 func (a *Agent) applyBackendLeft(instance string) error {
@@ -112,6 +117,11 @@
 	if a.lastReport.Instance != instance && a.lastReport.Instance != "" {
 		return nil
 	}
+	if a.lastReport.Instance != "" && !a.gate.Leaving() {
+		// A backend server reports that it is leaving before it does, so an earlier run
+		// under the same id has sent this.
+		return errkind.New(errkind.ReportStale, "the current run of the backend server isn't leaving")
+	}
 	a.backendLeft = true
 	a.gate.RefuseNewFlows()
 	a.node.Announcer.Withdraw(MemberName(a.settings.Address))
