Let a listing without a gap before it end no evacuation

Found by reading the diff: since each listing of the evacuations counted as the end of one, for all domains. A process that restarts lists them, and its followers take the listing over as a whole, as its revision is that of the store. So each restart of the process that a failure domain follows would have limited all its backend servers to the cold rate until their next reports, at services that have one.

Change: a listing counts so only if the evacuations were last known to be current more than 2.5 s before; those that the view itself shows as ended count always.

Tests: TestListingOfARestartedPeerEndsNoEvacuation fails without the change; TestListingAfterAGapMayEndAnEvacuation has a listing after 1 s and after 10 s.

--- a/internal/control/follow/age.go
+++ b/internal/control/follow/age.go
@@ -16,11 +16,11 @@
 // between.
 const maxViewAge = 2500 * time.Millisecond
 
-// awaitOutdatedView waits for a while if a peer keeps the view current. It reports whether
-// the process is to call the store: because it follows no peer, or because its view is
-// older than maxViewAge. The latter doesn't depend on any response of a peer, and thus
-// bounds the age of the view of each process that the store serves.
-func (f *Follower) awaitOutdatedView(ctx context.Context) bool {
+// needsStore reports whether the process is to call the store: because it follows no peer,
+// or because its view is older than maxViewAge. The latter doesn't depend on any response
+// of a peer, and thus bounds the age of the view of each process that the store serves.
+// Before it returns false, needsStore waits up to idlePollInterval.
+func (f *Follower) needsStore(ctx context.Context) bool {
 	if !f.followsPeer.Load() {
 		return true
 	}
--- a/internal/control/follow/age_test.go
+++ b/internal/control/follow/age_test.go
@@ -218,6 +218,27 @@
 	})
 }
 
+// Guards against backend servers of a whole failure domain that count as cold, although none
+// was evacuated, because the process that their agents follow has restarted and lists the
+// evacuations anew.
+func TestListingOfARestartedPeerEndsNoEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newFleet()
+		defer n.stop()
+		hosts := n.addDomains([]int{3})
+		time.Sleep(4 * time.Second)
+		before := hosts[2].board.View().Evacuations
+		n.setConfiguration(2) // the store's revision is now above that of the evacuations
+		restarted := hosts[0]
+		restarted.board.Apply(view.Delta{Section: view.EvacuationsSection, To: n.revision, Full: true})
+		time.Sleep(time.Second)
+		after := hosts[2].board.View().Evacuations
+		is.Equal(after.Revision, n.revision)
+		is.Equal(after.LastEnd("a"), before.LastEnd("a"))
+	})
+}
+
 // Guards against a process in touch whose view grows old because of its peers: whatever
 // some of them suffer, each process that reaches the store must have every change in time.
 func TestViewOfAProcessInTouchIsNeverOld(t *testing.T) {
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -33,7 +33,7 @@
 	var cursor view.Revision
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
-		if !f.awaitOutdatedView(ctx) {
+		if !f.needsStore(ctx) {
 			// Changes from peers make the cursor out of date.
 			cursor = 0
 			continue
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -14,8 +14,8 @@
 const maxRecentDeltas = 64
 
 // Board holds the current view of a process, its recent deltas, the path by which changes
-// reach it and the times at which its sections were known to be current. Subscribers are notified of
-// changes. It is safe for concurrent use.
+// reach it and the times at which its sections were known to be current. Subscribers are
+// notified of changes. It is safe for concurrent use.
 //
 // A confirmation says that the view that the board holds when it is recorded was
 // current at a time, so changes are applied before they are confirmed. A reader that
@@ -55,6 +55,7 @@
 	// the order in which they were applied.
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	d.followsGap = d.Full && time.Since(b.confirmation(d.Section)) > maxListingGap
 	applied := b.view.Update(func(v View) (View, bool) { return v.Apply(d) })
 	if !applied {
 		return false
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -68,23 +68,6 @@
 	IdleTimeout time.Duration
 }
 
-// Evacuations are the failure domains whose backend servers get no new flows.
-type Evacuations struct {
-	Revision Revision
-	Domains  map[string]bool
-	// ended holds, by failure domain, the revision at which the last end of an evacuation
-	// became known, for those that ended after listed.
-	ended map[string]Revision
-	// listed is the revision at which the section was last replaced as a whole, which tells
-	// nothing of the evacuations that ended before.
-	listed Revision
-}
-
-// LastEnd returns the revision at which it became known that an evacuation of a failure
-// domain has ended, or may have ended. It rises also if the view never showed that
-// evacuation.
-func (e Evacuations) LastEnd(domain string) Revision { return max(e.ended[domain], e.listed) }
-
 // Role is the kind of process that a member is.
 type Role string
 
@@ -177,6 +160,8 @@
 	// Ended are the failure domains of which an evacuation ended after From, also one that
 	// began after From.
 	Ended []string `json:",omitempty"`
+	// followsGap is set on a full delta if the section wasn't known to be current shortly before.
+	followsGap bool
 }
 
 // ConfigurationDelta is the part of a configuration that changed.
@@ -251,27 +236,6 @@
 	return next
 }
 
-func (e Evacuations) apply(d Delta) Evacuations {
-	next := Evacuations{Revision: d.To, Domains: map[string]bool{}, ended: map[string]Revision{}, listed: e.listed}
-	for _, domain := range d.Domains {
-		next.Domains[domain] = true
-	}
-	if d.Full {
-		next.listed = d.To
-		return next
-	}
-	maps.Copy(next.ended, e.ended)
-	for domain := range e.Domains {
-		if !next.Domains[domain] {
-			next.ended[domain] = d.To
-		}
-	}
-	for _, domain := range d.Ended {
-		next.ended[domain] = d.To
-	}
-	return next
-}
-
 func (m Members) apply(d Delta) Members {
 	next := Members{Revision: d.To, ByName: map[string]Member{}}
 	if !d.Full {
--- a/internal/control/view/view_test.go
+++ b/internal/control/view/view_test.go
@@ -223,3 +223,20 @@
 	_, confirmed = b.Snapshot()
 	is.Equal(confirmed.Members, now.Add(time.Second))
 }
+
+// Guards against an agent that misses an evacuation because the history of it is gone: only a
+// listing reaches the agent, a while after its view was last known to be current.
+func TestListingAfterAGapMayEndAnEvacuation(t *testing.T) {
+	for _, c := range []struct {
+		gap   time.Duration
+		rises bool
+	}{{time.Second, false}, {10 * time.Second, true}} {
+		is := is.New(t)
+		board := NewBoard()
+		board.Apply(Delta{Section: EvacuationsSection, To: 1, Full: true})
+		board.Confirm(EvacuationsSection, time.Now().Add(-c.gap))
+		before := board.View().Evacuations.LastEnd("a")
+		board.Apply(Delta{Section: EvacuationsSection, To: 9, Full: true})
+		is.Equal(board.View().Evacuations.LastEnd("a") > before, c.rises)
+	}
+}
