--- a/internal/control/follow/fleet_test.go
+++ b/internal/control/follow/fleet_test.go
@@ -30,6 +30,7 @@
 	noFault     fault = iota
 	turnedAway        // the store refuses its calls
 	cutOffStore       // its calls of the store get no response
+	watchless         // the store forgets its watches, and lists as before
 	silent            // it exchanges nothing with the store or with peers
 	stopped           // it refuses connections of peers, and its calls fail
 )
@@ -182,7 +183,7 @@
 		switch {
 		case f == turnedAway || f == stopped:
 			return nil, 0, errkind.New(errkind.PlatformDown, "refused")
-		case f == cutOffStore || f == silent:
+		case f == cutOffStore || f == silent || f == watchless && since > 0:
 			sleep(ctx, silentCallTimeout)
 			return nil, 0, errkind.New(errkind.PlatformDown, "no response")
 		case len(changes) > 0:
