--- a/internal/control/follow/age_test.go
+++ b/internal/control/follow/age_test.go
@@ -46,15 +46,15 @@
 func (p plan) run(t *testing.T) (violation string) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		n := newFleet()
-		defer n.stop()
-		violation = p.play(n, n.addDomains(p.agents))
+		fl := newFleet()
+		defer fl.stop()
+		violation = p.play(fl, fl.addDomains(p.agents))
 	})
 	return violation
 }
 
 // play runs the disruptions and changes, and checks all views.
-func (p plan) play(n *fleet, hosts []*host) string {
+func (p plan) play(fl *fleet, hosts []*host) string {
 	const warmUp = 2 * time.Second // first views are not checked
 	time.Sleep(warmUp)
 	began := time.Now()
@@ -64,7 +64,7 @@
 		for _, at := range p.changes {
 			if at > now-checkInterval && at <= now {
 				confirmedAt = append(confirmedAt, now)
-				n.setConfiguration(int64(len(confirmedAt)))
+				fl.setConfiguration(int64(len(confirmedAt)))
 			}
 		}
 		for i, h := range hosts {
@@ -72,15 +72,8 @@
 				current[i] = f
 				h.setFault(f)
 			}
-			if !p.inTouch(i, now) {
-				continue
-			}
-			if age := time.Since(h.board.ConfirmedAt()); age > ageBound {
-				return fmt.Sprintf("at %v the view of %s, in touch, is %v old", now, h.member.Name, age)
-			}
-			version := h.board.View().Configuration.Version
-			if next := int(version); next < len(confirmedAt) && now-confirmedAt[next] > ageBound {
-				return fmt.Sprintf("at %v %s, in touch, has version %d, but %d was confirmed at %v", now, h.member.Name, version, version+1, confirmedAt[next])
+			if violation := h.checkView(now, confirmedAt); p.inTouch(i, now) && violation != "" {
+				return violation
 			}
 		}
 		time.Sleep(checkInterval)
@@ -88,6 +81,19 @@
 	return ""
 }
 
+// checkView describes how the view of h is older than ageBound, "" if it isn't. confirmedAt
+// has the time at which the store confirmed each version, from version 1 on.
+func (h *host) checkView(now time.Duration, confirmedAt []time.Duration) string {
+	if age := time.Since(h.board.ConfirmedAt()); age > ageBound {
+		return fmt.Sprintf("at %v the view of %s, in touch, is %v old", now, h.member.Name, age)
+	}
+	version := h.board.View().Configuration.Version
+	if next := int(version); next < len(confirmedAt) && now-confirmedAt[next] > ageBound {
+		return fmt.Sprintf("at %v %s, in touch, has version %d, but %d was confirmed at %v", now, h.member.Name, version, version+1, confirmedAt[next])
+	}
+	return ""
+}
+
 // faultAt returns the fault of a host at a time.
 func (p plan) faultAt(host int, at time.Duration) fault {
 	for _, d := range p.disruptions {
@@ -108,8 +114,8 @@
 	return true
 }
 
-// first returns the indices of the first n hosts.
-func first(n int) []int {
+// firstIndices returns the indices of the first n hosts.
+func firstIndices(n int) []int {
 	var list []int
 	for i := range n {
 		list = append(list, i)
@@ -122,7 +128,7 @@
 func TestPeersThatTheStoreTurnsAwayDelayNoChange(t *testing.T) {
 	is := is.New(t)
 	p := plan{agents: []int{13, 10}, length: 12 * time.Second, changes: []time.Duration{1050 * time.Millisecond}}
-	p.disruptions = []disruption{{fault: turnedAway, hosts: first(12), at: time.Second, ends: 10 * time.Second}}
+	p.disruptions = []disruption{{fault: turnedAway, hosts: firstIndices(12), at: time.Second, ends: 10 * time.Second}}
 	is.Equal(p.run(t), "")
 }
 
@@ -131,14 +137,14 @@
 func TestTurnedAwayProcessesPassPeersWithoutSource(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := newFleet()
-		defer n.stop()
-		hosts := n.addDomains([]int{13, 10})
+		fl := newFleet()
+		defer fl.stop()
+		hosts := fl.addDomains([]int{13, 10})
 		time.Sleep(4 * time.Second)
 		for _, h := range hosts[:12] {
 			h.setFault(turnedAway)
 		}
-		n.setConfiguration(2)
+		fl.setConfiguration(2)
 		time.Sleep(ageBound)
 		for _, h := range hosts {
 			is.Equal(h.board.View().Configuration.Version, int64(2))
@@ -152,9 +158,9 @@
 func TestNoProcessesFollowEachOther(t *testing.T) {
 	for at := time.Duration(0); at < 1200*time.Millisecond; at += 50 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
-			n := newFleet()
-			defer n.stop()
-			hosts := n.addDomains([]int{2, 2})
+			fl := newFleet()
+			defer fl.stop()
+			hosts := fl.addDomains([]int{2, 2})
 			time.Sleep(4*time.Second + at)
 			hosts[0].setFault(turnedAway)
 			var cycleSince time.Time
@@ -198,16 +204,16 @@
 func TestMissedEvacuationIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := newFleet()
-		defer n.stop()
-		hosts := n.addDomains([]int{2, 2})
+		fl := newFleet()
+		defer fl.stop()
+		hosts := fl.addDomains([]int{2, 2})
 		time.Sleep(4 * time.Second)
 		cut := hosts[1]
 		before := cut.board.View().Evacuations
 		cut.setFault(silent)
-		n.put(view.EvacuationsSection, follow.Change{Name: "a"})
+		fl.put(view.EvacuationsSection, follow.Change{Name: "a"})
 		time.Sleep(1900 * time.Millisecond)
-		n.put(view.EvacuationsSection, follow.Change{Name: "a", Deleted: true})
+		fl.put(view.EvacuationsSection, follow.Change{Name: "a", Deleted: true})
 		time.Sleep(500 * time.Millisecond)
 		cut.setFault(noFault)
 		time.Sleep(ageBound)
@@ -224,17 +230,17 @@
 func TestListingOfARestartedPeerEndsNoEvacuation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := newFleet()
-		defer n.stop()
-		hosts := n.addDomains([]int{3})
+		fl := newFleet()
+		defer fl.stop()
+		hosts := fl.addDomains([]int{3})
 		time.Sleep(4 * time.Second)
 		before := hosts[2].board.View().Evacuations
-		n.setConfiguration(2) // the store's revision is now above that of the evacuations
+		fl.setConfiguration(2) // the store's revision is now above that of the evacuations
 		restarted := hosts[0]
-		restarted.board.Apply(view.Delta{Section: view.EvacuationsSection, To: n.revision, Full: true})
+		restarted.board.Apply(view.Delta{Section: view.EvacuationsSection, To: fl.revision, Full: true})
 		time.Sleep(time.Second)
 		after := hosts[2].board.View().Evacuations
-		is.Equal(after.Revision, n.revision)
+		is.Equal(after.Revision, fl.revision)
 		is.Equal(after.LastEnd("a"), before.LastEnd("a"))
 	})
 }
@@ -281,9 +287,9 @@
 func TestFollowersOfHealthyPeersCallNoStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := newFleet()
-		defer n.stop()
-		hosts := n.addDomains([]int{59})
+		fl := newFleet()
+		defer fl.stop()
+		hosts := fl.addDomains([]int{59})
 		time.Sleep(10 * time.Second)
 		before := map[*host]int{}
 		for _, h := range hosts {
@@ -291,7 +297,7 @@
 		}
 		for i := range 40 {
 			time.Sleep(time.Duration(200+50*i) * time.Millisecond)
-			n.setConfiguration(int64(2 + i))
+			fl.setConfiguration(int64(2 + i))
 		}
 		for _, h := range hosts[1:] {
 			is.Equal(h.callCount(), before[h]) // only the first process calls the store
--- a/internal/control/follow/fleet_test.go
+++ b/internal/control/follow/fleet_test.go
@@ -72,29 +72,29 @@
 
 // newFleet returns a fleet with a configuration and no hosts.
 func newFleet() *fleet {
-	n := &fleet{changed: make(chan struct{}), revision: 1, hosts: map[netip.AddrPort]*host{}}
-	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.setConfiguration(1)
-	return n
+	fl := &fleet{changed: make(chan struct{}), revision: 1, hosts: map[netip.AddrPort]*host{}}
+	fl.ctx, fl.cancel = context.WithCancel(context.Background())
+	fl.setConfiguration(1)
+	return fl
 }
 
 // stop ends all processes.
-func (n *fleet) stop() {
-	n.cancel()
-	n.wg.Wait()
+func (fl *fleet) stop() {
+	fl.cancel()
+	fl.wg.Wait()
 	synctest.Wait()
 }
 
 // addDomains adds failure domains, each with a balancer and some agents, and starts all
 // processes. It returns their hosts, the agents of each domain in the order of their rank.
-func (n *fleet) addDomains(agents []int) []*host {
+func (fl *fleet) addDomains(agents []int) []*host {
 	var hosts []*host
 	for d, count := range agents {
 		domain := string(rune('a' + d))
 		for i := range count {
-			hosts = append(hosts, n.addHost(view.AgentRole, domain, i))
+			hosts = append(hosts, fl.addHost(view.AgentRole, domain, i))
 		}
-		hosts = append(hosts, n.addHost(view.BalancerRole, domain, 0))
+		hosts = append(hosts, fl.addHost(view.BalancerRole, domain, 0))
 	}
 	for _, h := range hosts {
 		h.start()
@@ -103,12 +103,12 @@
 }
 
 // addHost adds a host, and its member to the store. Its process does not run before start.
-func (n *fleet) addHost(role view.Role, domain string, number int) *host {
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(len(n.hosts)), 1}), 7720)
-	h := &host{fleet: n, board: view.NewBoard(), incoming: make(chan net.Conn), faultChanged: make(chan struct{})}
+func (fl *fleet) addHost(role view.Role, domain string, number int) *host {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(len(fl.hosts)), 1}), 7720)
+	h := &host{fleet: fl, board: view.NewBoard(), incoming: make(chan net.Conn), faultChanged: make(chan struct{})}
 	h.member = view.Member{Name: fmt.Sprintf("%s-%s-%02d", role, domain, number), Role: role, Domain: domain, Address: address, Peer: address}
-	n.hosts[address] = h
-	n.put(view.MembersSection, follow.Change{Name: h.member.Name, Member: &h.member})
+	fl.hosts[address] = h
+	fl.put(view.MembersSection, follow.Change{Name: h.member.Name, Member: &h.member})
 	return h
 }
 
@@ -123,21 +123,21 @@
 }
 
 // setConfiguration writes a configuration.
-func (n *fleet) setConfiguration(version int64) {
-	n.put(view.ConfigurationSection, follow.Change{Name: "main", Configuration: &view.Configuration{Version: version}})
+func (fl *fleet) setConfiguration(version int64) {
+	fl.put(view.ConfigurationSection, follow.Change{Name: "main", Configuration: &view.Configuration{Version: version}})
 }
 
 // put writes an object of the store.
-func (n *fleet) put(s view.Section, c follow.Change) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.revision++
+func (fl *fleet) put(s view.Section, c follow.Change) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.revision++
 	if c.Configuration != nil {
-		c.Configuration.Revision = n.revision
+		c.Configuration.Revision = fl.revision
 	}
-	n.events = append(n.events, storedChange{section: s, revision: n.revision, change: c})
-	close(n.changed)
-	n.changed = make(chan struct{})
+	fl.events = append(fl.events, storedChange{section: s, revision: fl.revision, change: c})
+	close(fl.changed)
+	fl.changed = make(chan struct{})
 }
 
 // setFault starts or ends a fault of h.
@@ -210,16 +210,16 @@
 
 // changesSince returns the changes of a section after a revision, the store's revision,
 // and a channel that is closed at the next change.
-func (n *fleet) changesSince(s view.Section, since view.Revision) ([]follow.Change, view.Revision, <-chan struct{}) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+func (fl *fleet) changesSince(s view.Section, since view.Revision) ([]follow.Change, view.Revision, <-chan struct{}) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	var changes []follow.Change
-	for _, e := range n.events {
+	for _, e := range fl.events {
 		if e.section == s && e.revision > since {
 			changes = append(changes, e.change)
 		}
 	}
-	return changes, n.revision, n.changed
+	return changes, fl.revision, fl.changed
 }
 
 // dial connects h to a peer.
