--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -74,8 +74,8 @@
 	return maxRetryDelay
 }
 
-// isFollowedByNobody reports whether others don't know this process yet, or poll it only if
-// those before it fail.
+// isFollowedByNobody reports whether this process isn't announced yet, or is polled only if
+// those ranked before it fail.
 func (f *Follower) isFollowedByNobody() bool {
 	v := f.opts.Board.View()
 	_, announced := v.Members.ByName[f.opts.Name]
