--- a/cmd/knapweedpier-node/main.go
+++ b/cmd/knapweedpier-node/main.go
@@ -74,6 +74,10 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(loaded.MemoryLimit)))
 	}
 	loaded.MetricsAddress = netip.AddrPortFrom(loaded.Address, flags.MetricsPort)
+	if loaded.BindHost, err = flags.BindAddress(); err != nil {
+		logger.EmitError(event.SettingRefused, err, nil)
+		return err
+	}
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(loaded, logger),
@@ -101,14 +105,14 @@
 // watchSettings reads the settings file after each SIGHUP and every
 // settingsCheckInterval, and passes changed settings to the daemon, until
 // stopped is closed. If the file can't be read, it logs the error and the
-// settings in use stay. The metrics address never changes while the process
+// settings in use stay. What the flags give never changes while the process
 // runs.
 func watchSettings(path string, inUse platform.Settings, d daemon, logger *event.Logger, stopped <-chan struct{}) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
-	metrics := inUse.MetricsAddress
+	metrics, bindHost := inUse.MetricsAddress, inUse.BindHost
 	for {
 		select {
 		case <-signals:
@@ -121,7 +125,7 @@
 			logger.EmitError(event.ReloadFailed, err, nil)
 			continue
 		}
-		next.MetricsAddress = metrics
+		next.MetricsAddress, next.BindHost = metrics, bindHost
 		if reflect.DeepEqual(next, inUse) {
 			continue
 		}
--- a/internal/base/settings/check.go
+++ b/internal/base/settings/check.go
@@ -17,7 +17,7 @@
 func (b *Balancer) Check() error {
 	var faults Faults
 	b.Common.check(&faults)
-	b.checkBindHost(&faults)
+	checkBindHost(&faults, b.BindHost)
 	checkTunnelListen(&faults, b.TunnelListen)
 	return faults.asError()
 }
@@ -122,14 +122,14 @@
 
 // checkBindHost refuses the unspecified IP: responses could leave with a source
 // address that callers did not send to.
-func (b *Balancer) checkBindHost(faults *Faults) {
-	if b.BindHost == "" {
+func checkBindHost(faults *Faults, host string) {
+	if host == "" {
 		return
 	}
-	ip, err := netip.ParseAddr(b.BindHost)
+	ip, err := netip.ParseAddr(host)
 	switch {
 	case err != nil || !ip.Is4():
-		faults.add("bind-host", "%q: expected an IPv4 address", b.BindHost)
+		faults.add("bind-host", "%q: expected an IPv4 address", host)
 	case ip.IsUnspecified() || ip.IsMulticast():
 		faults.add("bind-host", "%s: expected one address of this host", ip)
 	}
--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -142,3 +142,18 @@
 	is.NoErr(err)
 	golden.Compare(t, filepath.Join("..", "..", "..", "docs", "SETTINGS.md"), page, *update)
 }
+
+// Guards against a node that binds an IP at which nobody reaches it.
+func TestNodeRefusesBindHost(t *testing.T) {
+	is := is.New(t)
+	for _, host := range []string{"::1", "0.0.0.0", "localhost", "224.0.0.1"} {
+		_, err := (&Node{BindHost: host}).BindAddress()
+		is.True(errkind.Is(err, errkind.SettingInvalid)) // refuses the host
+	}
+	bind, err := (&Node{BindHost: "127.0.0.7"}).BindAddress()
+	is.NoErr(err)
+	is.Equal(bind.String(), "127.0.0.7")
+	bind, err = (&Node{}).BindAddress()
+	is.NoErr(err)
+	is.True(!bind.IsValid())
+}
--- a/internal/flowpath/flownode/node.go
+++ b/internal/flowpath/flownode/node.go
@@ -33,6 +33,7 @@
 	Announcer *follow.Announcer
 	Logger    *event.Logger
 
+	bind    func(netip.AddrPort) netip.AddrPort
 	onPanic func()
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -45,8 +46,9 @@
 	Name   string
 	Domain string
 	Role   view.Role
-	Peer   netip.AddrPort // address of the TCP server for peers
-	Seeds  []netip.Addr   // addresses of hosts that run other nodes
+	Peer   netip.AddrPort                      // address of the TCP server for peers
+	Bind   func(netip.AddrPort) netip.AddrPort // the address to bind for one that others reach; nil for the same
+	Seeds  []netip.Addr                        // addresses of hosts that run other nodes
 	Store  follow.Store
 	Logger *event.Logger
 
@@ -59,7 +61,7 @@
 // Start opens the listener for peers and starts following the view. Errors have
 // kind SettingInvalid.
 func Start(o Options) (*Node, error) {
-	n := &Node{Board: view.NewBoard(), Logger: o.Logger, onPanic: o.OnPanic}
+	n := &Node{Board: view.NewBoard(), Logger: o.Logger, onPanic: o.OnPanic, bind: o.Bind}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	l, err := n.Listen(o.Peer)
 	if err != nil {
@@ -85,9 +87,12 @@
 	n.loops.Go(func() { loop(n.ctx) })
 }
 
-// Listen opens a TCP listener that is closed when the node stops. Errors have
-// kind SettingInvalid.
+// Listen opens a TCP listener for an address at which others reach this node. It is closed
+// when the node stops. Errors have kind SettingInvalid.
 func (n *Node) Listen(address netip.AddrPort) (net.Listener, error) {
+	if n.bind != nil {
+		address = n.bind(address)
+	}
 	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.SettingInvalid, "listen on TCP "+address.String())
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -120,14 +120,14 @@
 func (a *Agent) Start(context.Context) error {
 	s := a.settings
 	var err error
-	if a.nodeSocket, err = udp.Listen(s.PacketAddress); err != nil {
+	if a.nodeSocket, err = udp.Listen(s.Bind(s.PacketAddress)); err != nil {
 		return err
 	}
-	if a.backendSocket, err = udp.Listen(s.BackendPacketAddress); err != nil {
+	if a.backendSocket, err = udp.Listen(s.Bind(s.BackendPacketAddress)); err != nil {
 		return err
 	}
 	a.node, err = flownode.Start(flownode.Options{
-		Name: MemberName(s.Address), Domain: s.Domain, Role: view.AgentRole, Peer: s.PeerAddress, Seeds: s.Seeds, Store: a.store, Logger: a.logger,
+		Name: MemberName(s.Address), Domain: s.Domain, Role: view.AgentRole, Peer: s.PeerAddress, Bind: s.Bind, Seeds: s.Seeds, Store: a.store, Logger: a.logger,
 		FirstStart: s.FirstStart, OnPanic: a.replaceGate,
 	})
 	if err != nil {
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -90,15 +90,15 @@
 func (b *Balancer) Start(context.Context) error {
 	s := b.settings
 	var err error
-	if b.callerSocket, err = udp.Listen(s.PacketAddress); err != nil {
+	if b.callerSocket, err = udp.Listen(s.Bind(s.PacketAddress)); err != nil {
 		return err
 	}
-	if b.nodeSocket, err = udp.Listen(s.PeerAddress); err != nil {
+	if b.nodeSocket, err = udp.Listen(s.Bind(s.PeerAddress)); err != nil {
 		return err
 	}
 	name := MemberName(s.Address)
 	b.node, err = flownode.Start(flownode.Options{
-		Name: name, Domain: s.Domain, Role: view.BalancerRole, Peer: s.PeerAddress, Seeds: s.Seeds, Store: b.store, Logger: b.logger,
+		Name: name, Domain: s.Domain, Role: view.BalancerRole, Peer: s.PeerAddress, Bind: s.Bind, Seeds: s.Seeds, Store: b.store, Logger: b.logger,
 		FirstStart: s.FirstStart, OnPanic: b.replaceSteerer,
 	})
 	if err != nil {
