--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -166,15 +166,15 @@
 	return n
 }
 
-// deadCount returns the number of dead agents.
-func (as *agentSet) deadCount() int {
-	n := 0
+// dead returns the dead agents.
+func (as *agentSet) dead() []DeadAgent {
+	var list []DeadAgent
 	for _, a := range as.all {
 		if as.isDead(a) {
-			n++
+			list = append(list, DeadAgent{Name: a.member.Name, Silence: as.clock - a.unansweredSince, Restarting: a.member.Restarting})
 		}
 	}
-	return n
+	return list
 }
 
 // isLost reports whether the agent at an address is dead or is no longer in the
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -230,8 +230,9 @@
 	a.Lookup = LookupResult{
 		Members:    s.view.Members.Revision,
 		ViewAge:    l.startedAt.Sub(s.confirmedAt.Members),
+		Duration:   now.Sub(l.startedAt),
 		Denied:     len(l.deniedBy),
-		DeadAgents: s.agents.deadCount(),
+		DeadAgents: s.agents.dead(),
 	}
 	return a
 }
--- a/internal/flowpath/flowsteer/opening.go
+++ b/internal/flowpath/flowsteer/opening.go
@@ -28,7 +28,8 @@
 
 // opening is a new flow whose agent has not answered yet.
 type opening struct {
-	packet     []byte
+	packet     flow.Packet
+	raw        []byte // the encoding of packet
 	service    string
 	remaining  []netip.AddrPort // candidates that were not tried yet
 	unanswered []netip.AddrPort // first agents of the lists that were sent and not declined
@@ -58,7 +59,7 @@
 			s.flows.remove(key) // of an earlier flow of the caller's port
 		}
 	}
-	o := &opening{packet: slices.Clone(raw), service: service, remaining: candidates, sentAt: sentAt}
+	o := &opening{packet: p, raw: slices.Clone(raw), service: service, remaining: candidates, sentAt: sentAt}
 	if earlier != nil {
 		o.unanswered, o.sentAt = earlier.unanswered, earlier.sentAt
 	}
@@ -89,8 +90,8 @@
 	o.remaining = o.remaining[1:]
 	o.unanswered = append(o.unanswered, o.lastAsked)
 	s.agents.countPlaced(o.lastAsked)
-	a := s.forward(list, ServiceID(o.service), true, o.packet)
-	a.Service = o.service
+	a := s.forward(list, ServiceID(o.service), true, o.raw)
+	a.Service, a.Packet = o.service, o.packet
 	return a
 }
 
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -43,7 +43,7 @@
 	Verdict Verdict
 	To      netip.AddrPort
 	Message hop.Message
-	Packet  flow.Packet  // Reset: the packet that is answered
+	Packet  flow.Packet  // Reset: the packet that is answered; Send of Service: the opening
 	Kind    errkind.Kind // Reset, Drop, Keep: why; 0 for Keep while agents are being asked
 	Service string       // the service that the packet was meant for, if known
 	Lookup  LookupResult // Reset, Keep of kind PacketNoHolder: what the lookup found
@@ -53,8 +53,16 @@
 type LookupResult struct {
 	Members    view.Revision // revision of the members in the view
 	ViewAge    time.Duration // age of the view at the start of the lookup
+	Duration   time.Duration // since the start of the lookup
 	Denied     int           // number of agents that denied the flow
-	DeadAgents int           // number of agents that were not asked because they count as dead
+	DeadAgents []DeadAgent   // agents that were not asked because they count as dead
+}
+
+// DeadAgent is an agent that counts as dead, for logs.
+type DeadAgent struct {
+	Name       string
+	Silence    time.Duration // since the oldest unanswered hello, by the running time of this balancer
+	Restarting bool          // its member says that its process restarts
 }
 
 // Steerer makes the decisions of one balancer. It is not safe for concurrent use.
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -621,7 +621,7 @@
 					heard = heard || a.To == lossy
 					s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: a.To})
 				}
-				is.Equal(s.agents.deadCount(), 0) // no hello or one or two are unanswered
+				is.Equal(len(s.agents.dead()), 0) // no hello or one or two are unanswered
 			}
 			is.Equal(lost, c.lost)
 		})
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -97,6 +97,9 @@
 		err = a.applyHandover(h)
 	}
 	fields := event.Fields{"flows": len(h.Flows), "learn_ms": h.LearnFor.Milliseconds(), "ms": time.Since(began).Milliseconds()}
+	if !h.Written.IsZero() {
+		fields["age_ms"], fields["member"] = time.Since(h.Written).Milliseconds(), h.Member
+	}
 	if err != nil {
 		a.logger.EmitError(event.HandoverTakenOver, err, fields)
 		return
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -226,9 +226,7 @@
 	action := b.steerer.FromCaller(now, p, raw)
 	b.countPacket(p, action)
 	if p.Opening() && action.Verdict == flowsteer.Send {
-		b.logger.Emit(event.FlowOffered, event.Fields{
-			"flow": p.From.String(), "to": p.To.String(), "copy": p.Ack, "service": action.Service, "agent": action.To.String(),
-		})
+		b.logOpening(p, action, false)
 	}
 	b.execute(action)
 	return nil
@@ -262,7 +260,7 @@
 		}
 		// A flow is reset on the age of the view, which a suspension of the machine raises.
 		b.updateView()
-		b.executeAll(b.steerer.Declined(now, p, m))
+		b.executeRepeats(b.steerer.Declined(now, p, m))
 	}
 	return nil
 }
@@ -272,7 +270,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateView()
-	b.executeAll(b.steerer.Tick(now))
+	b.executeRepeats(b.steerer.Tick(now))
 	b.updateIsolation()
 }
 
