--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -47,13 +47,13 @@
 	// been removed. An older view may still contain it.
 	removedRevision view.Revision
 
-	stored            bool          // the member is known to be in the store
-	storedSince       time.Time     // see Stored
-	createdMS         int64         // Member.CreatedMS of the object
-	storedMS          int64         // Member.StoredMS of the object
-	unansweredRemoval view.Revision // a removal at this revision may still take effect
-	maybeNew          bool          // this process may have created or removed the member
-	storedChanged     bool          // OnStored is to be called
+	stored         bool          // the member is known to be in the store
+	storedSince    time.Time     // see Stored
+	createdMS      int64         // Member.CreatedMS of the object
+	storedMS       int64         // Member.StoredMS of the object
+	unansweredCall view.Revision // a write or removal at this revision may still take effect
+	maybeNew       bool          // this process may have created or removed the member
+	storedChanged  bool          // OnStored is to be called
 }
 
 // NewAnnouncer returns an announcer that writes nothing before the first call of
@@ -198,7 +198,7 @@
 		a.noteMaybeNew()
 		a.createdMS = time.Now().UnixMilli()
 	}
-	if !withdrawn && m.Revision > 0 && m.Revision == a.unansweredRemoval {
+	if !withdrawn && m.Revision > 0 && m.Revision == a.unansweredCall {
 		// A write that changes nothing would leave the revision as it is.
 		a.createdMS = time.Now().UnixMilli()
 	}
@@ -226,8 +226,8 @@
 		return nil
 	}
 	if err != nil {
-		if withdrawn {
-			a.unansweredRemoval = m.Revision
+		if !errkind.Is(err, errkind.PlatformLimited) {
+			a.unansweredCall = m.Revision
 		}
 		return err
 	}
--- a/internal/control/follow/announce_removal_test.go
+++ b/internal/control/follow/announce_removal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -82,6 +83,48 @@
 	}
 }
 
+// Guards against an agent that is silent while its member doesn't say that it restarts: the
+// write before, which says that it is back, has no answer, the view still holds the member of
+// the restart before, which counts as announced again, and the write takes effect later.
+func TestSetInvalidatesUnansweredWrite(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	var late view.Member
+	stored := agentMember
+	stored.Restarting, stored.Revision, stored.StoredMS = true, 5, time.Now().Add(-time.Minute).UnixMilli()
+	execute := func(m view.Member) (view.Revision, error) {
+		if m.Revision != stored.Revision {
+			return stored.Revision, errkind.New(errkind.VersionConflict, "another revision")
+		}
+		if m != stored {
+			stored = m
+			stored.Revision++
+		}
+		return stored.Revision, nil
+	}
+	unanswered := make(chan struct{})
+	a := startAnnouncer(t, &writeStore{write: func(m view.Member) (view.Revision, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if late.Name == "" {
+			late = m
+			close(unanswered)
+			return 0, errkind.New(errkind.PlatformDown, "no answer")
+		}
+		return execute(m)
+	}}, stored)
+	a.Set(agentMember) // the first report after the restart
+	<-unanswered
+	again := agentMember
+	again.Restarting = true
+	waitSynced(t, a.Set(again))
+	mu.Lock()
+	defer mu.Unlock()
+	_, _ = execute(late)
+	is.True(stored.Restarting)
+	is.Equal(a.Revision(), stored.Revision)
+}
+
 // Guards against an announcer that calls the store without pause, or takes its
 // member for stored, while the view still holds the member that was deleted.
 func TestDeletedMemberInAnOldView(t *testing.T) {
--- a/internal/control/follow/announceview.go
+++ b/internal/control/follow/announceview.go
@@ -15,7 +15,7 @@
 	members := a.board.View().Members
 	a.observeView(members, a.desired.Name)
 	m, ok := members.ByName[a.desired.Name]
-	stays := m.Revision == a.knownRevision && m.Revision != a.unansweredRemoval
+	stays := m.Revision == a.knownRevision && m.Revision != a.unansweredCall
 	if !a.synced && ok && stays && !a.withdrawn && announcesSame(m, a.desired) {
 		a.markSynced()
 	}
