--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -40,6 +40,7 @@
 	all                []*agent
 	balancers          map[netip.AddrPort]*contact // of other failure domains only
 	otherDomainReached bool                        // a balancer of another failure domain has answered
+	confirmedAt        time.Time                   // when the members of the view were current at the latest
 	// clock is how long this balancer has run without stalls. Silence is measured by it.
 	clock    time.Duration
 	lastTick time.Time
@@ -176,7 +177,7 @@
 // recordLoad records that a node answered, and the load that an agent sent.
 func (as *agentSet) recordLoad(now time.Time, address netip.AddrPort, load hop.Load) {
 	if b := as.balancers[address]; b != nil {
-		b.unanswered, b.suspect = false, false
+		b.noteAnswer()
 		as.otherDomainReached = true
 	}
 	a := as.byAddress[address]
@@ -185,7 +186,7 @@
 	}
 	a.load, a.heardAt, a.placedSinceHeard = load, now, 0
 	a.restarted = a.member.Restarting && !load.Stopping
-	a.unanswered, a.suspect = false, false
+	a.noteAnswer()
 }
 
 // expireRefusals ends the refusals of agents that have not repeated them.
--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -27,6 +27,10 @@
 	// as dead and the flows that it may hold are reset. Callers' deadlines are not
 	// longer.
 	deadAfter = 2 * time.Second
+	// sureSilence is how long an agent must have left hellos unanswered at a moment to
+	// have been silent at that moment, and not only to have missed one of them: at least
+	// two were sent.
+	sureSilence = 2 * minSuspectHelloInterval
 	// restartTimeout replaces deadAfter for an agent that announced that its process
 	// restarts while its backend server runs on. It exceeds the time that a process
 	// takes to start on a slow, busy host.
@@ -46,21 +50,29 @@
 	member          view.Member
 	unanswered      bool          // a hello is unanswered
 	unansweredSince time.Duration // unanswered: when the oldest such hello was sent, on the clock of the agentSet
+	silentAt        time.Time     // unanswered: when the node was sure to be silent, zero until then
 	nextHello       time.Time
 	suspect         bool
 }
 
+// noteAnswer records that the node has answered.
+func (c *contact) noteAnswer() {
+	c.unanswered, c.suspect, c.silentAt = false, false, time.Time{}
+}
+
 // isDead reports whether an agent counts as dead: it has left hellos unanswered
 // for long while another host of its failure domain answers. A failure domain in
 // which no host answers may be cut off from this balancer only. While many agents are
-// suspect, silence proves nothing about any of them.
+// suspect, silence proves nothing about any of them. Neither does it while the view is
+// older than the silence: an agent announces its restart before it stops answering, so only
+// a later view is sure to contain the announcement.
 func (as *agentSet) isDead(a *agent) bool {
 	timeout := deadAfter
 	if a.member.Restarting {
 		timeout = restartTimeout
 	}
 	silent := a.suspect && as.clock-a.unansweredSince > timeout
-	return silent && as.domainAnswers(a.member.Domain) && !as.manySuspect()
+	return silent && as.confirmedAt.After(a.silentAt) && as.domainAnswers(a.member.Domain) && !as.manySuspect()
 }
 
 // domainAnswers reports whether any host of a failure domain answers hellos.
@@ -139,9 +151,16 @@
 // markSuspect marks the node as suspect if it left a hello unanswered. The next hello
 // is then due at once.
 func (c *contact) markSuspect(now time.Time, clock time.Duration) {
-	if c.unanswered && !c.suspect && clock-c.unansweredSince > suspectAfter {
+	if !c.unanswered {
+		return
+	}
+	silence := clock - c.unansweredSince
+	if !c.suspect && silence > suspectAfter {
 		c.suspect, c.nextHello = true, now
 	}
+	if c.silentAt.IsZero() && silence > sureSilence {
+		c.silentAt = now
+	}
 }
 
 // allDecided reports whether each agent either answers or is dead.
--- a/internal/flowpath/flowsteer/restart_test.go
+++ b/internal/flowpath/flowsteer/restart_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
+// timerStep is the time between two calls of Tick in tests that need its real period.
+const timerStep = 20 * time.Millisecond
+
 // Guards against an agent that is back after its restart but is asked for its flows
 // after all others until the store has spread its next write: agents that learn offer
 // packets of these flows to their backend servers before.
@@ -125,3 +130,55 @@
 	}
 	is.Equal(last[0].Verdict, Reset)
 }
+
+// denyByOthers makes all agents but one answer hellos and deny the flow of p. A list of
+// candidates that contains that agent has no answer. It returns the number of resets.
+func denyByOthers(s *Steerer, at time.Time, due []Action, silent netip.AddrPort, p flow.Packet) int {
+	resets := 0
+	for len(due) > 0 {
+		a := due[0]
+		due = due[1:]
+		switch {
+		case a.Verdict == Reset:
+			resets++
+		case a.Verdict != Send:
+		case a.Message.Type == hop.Hello && a.To != silent:
+			s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: a.To})
+		case a.Message.Type == hop.Forward && !slices.Contains(a.Message.Candidates, silent):
+			due = append(due, s.Declined(at, p, &a.Message)...)
+		}
+	}
+	return resets
+}
+
+// Guards against the reset of a flow whose agent restarts and has announced that: the view
+// was current when the lookup started, as it was 1.9 s old, but older than the
+// announcement, so the agent counted as dead after 2 s. The first hello may be lost by
+// itself, before the announcement.
+func TestSilenceThatTheViewMayNotExplain(t *testing.T) {
+	const lookupAt = 1900 * time.Millisecond
+	for confirmedAfter, want := range map[time.Duration]int{0: 0, minSuspectHelloInterval: 0, time.Second: 1} {
+		t.Run(confirmedAfter.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := newSteerer(testView(20))
+			p := callerPacket(1, flow.Ack)
+			p.Length = 10
+			silent := s.FromCaller(start, p, nil).To
+			clear(s.lookups)
+			for at := start.Add(-3 * time.Second); at.Before(start); at = at.Add(timerStep) {
+				denyByOthers(s, at, s.Tick(at), netip.AddrPort{}, p)
+			}
+			s.agents.byAddress[silent].nextHello = start
+			resets := 0
+			for at := start; at.Before(start.Add(3 * time.Second)); at = at.Add(timerStep) {
+				s.SetView(s.view, view.Confirmations{Members: start.Add(min(at.Sub(start), confirmedAfter))})
+				due := s.Tick(at)
+				if at.Equal(start.Add(lookupAt)) {
+					due = append(due, s.FromCaller(at, p, []byte("data")))
+				}
+				resets += denyByOthers(s, at, due, silent, p)
+			}
+			is.Equal(resets, want)
+		})
+	}
+}
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -105,7 +105,7 @@
 func (s *Steerer) SetView(v view.View, confirmedAt view.Confirmations) {
 	agentsChanged := v.Members.Revision != s.view.Members.Revision || v.Evacuations.Revision != s.view.Evacuations.Revision
 	s.recordDroppedRoutes(v.Configuration)
-	s.view, s.confirmedAt = v, confirmedAt
+	s.view, s.confirmedAt, s.agents.confirmedAt = v, confirmedAt, confirmedAt.Members
 	if agentsChanged {
 		s.agents.setView(v, s.domain)
 	}
