--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -179,7 +179,8 @@
 // RefuseNewFlows makes the gate accept no new flows from now on.
 func (g *Gate) RefuseNewFlows() { g.backend.report.State = view.Leaving }
 
-// PrepareStop makes the gate accept no new flows and report that the process ends.
+// PrepareStop makes the gate accept no new flows and report that the process ends while the
+// backend server runs on.
 func (g *Gate) PrepareStop() {
 	g.RefuseNewFlows()
 	g.stopping = true
--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -84,6 +84,11 @@
 // acceptsNewFlows reports whether new flows may go to the agent.
 func (a *agent) acceptsNewFlows() bool { return !a.evacuated && a.member.State == view.Ready }
 
+// isRestarting reports whether the agent has announced that its process ends while its
+// backend server runs on: in the store, which the view may lag behind, or by its last
+// message, which may be lost.
+func (a *agent) isRestarting() bool { return a.member.Restarting || a.load.Stopping }
+
 // maybeAway reports whether the agent may leave messages unanswered: it has done so
 // lately, or its process restarts. Its member still says so after the restart, until the
 // agent writes it again.
@@ -116,10 +121,11 @@
 }
 
 // refusalRank is the sort key of agents by whether they are expected to accept a
-// new flow: 0 if so, 1 if the agent refuses, 2 if it may leave the opening unanswered.
+// new flow: 0 if so, 1 if the agent refuses, 2 if it may leave the opening unanswered, now
+// or soon.
 func (a *agent) refusalRank() int {
 	switch {
-	case a.maybeAway():
+	case a.maybeAway() || a.load.Stopping:
 		return 2
 	case a.load.Refusing:
 		return 1
--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -68,7 +68,7 @@
 // a later view is sure to contain the announcement.
 func (as *agentSet) isDead(a *agent) bool {
 	timeout := deadAfter
-	if a.member.Restarting {
+	if a.isRestarting() {
 		timeout = restartTimeout
 	}
 	silent := a.suspect && as.clock-a.unansweredSince > timeout
@@ -190,7 +190,7 @@
 	var list []DeadAgent
 	for _, a := range as.all {
 		if as.isDead(a) {
-			list = append(list, DeadAgent{Name: a.member.Name, Silence: as.clock - a.unansweredSince, Restarting: a.member.Restarting})
+			list = append(list, DeadAgent{Name: a.member.Name, Silence: as.clock - a.unansweredSince, Restarting: a.isRestarting()})
 		}
 	}
 	return list
--- a/internal/flowpath/flowsteer/restart_test.go
+++ b/internal/flowpath/flowsteer/restart_test.go
@@ -182,3 +182,46 @@
 		})
 	}
 }
+
+// Guards against the reset of a flow whose agent restarts as planned for longer than 2 s
+// while the store doesn't answer, so that no view announces the restart: the agent's last
+// message does. Once its next process has answered, 2 s of silence count again.
+func TestRestartThatOnlyTheAgentAnnounced(t *testing.T) {
+	const restart = 4 * time.Second
+	for name, nextAnswered := range map[string]bool{"restarts": false, "next process has answered": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSteerer(testView(20))
+			p := callerPacket(1, flow.Ack)
+			p.Length = 10
+			silent := s.FromCaller(start, p, nil).To
+			s.Placed(start, placed(p, silent, hop.Load{}))
+			s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: silent, Load: hop.Load{Refusing: true, Stopping: true}})
+			if nextAnswered {
+				s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: silent})
+			}
+			resets := 0
+			for at := start; at.Before(start.Add(restart)); at = at.Add(timerStep) {
+				s.SetView(s.view, view.Confirmations{Members: at})
+				due := s.Tick(at)
+				if at.Sub(start)%(200*time.Millisecond) == 0 {
+					due = append(due, s.FromCaller(at, p, []byte("data")))
+				}
+				resets += denyByOthers(s, at, due, silent, p)
+			}
+			is.Equal(resets > 0, nextAnswered)
+		})
+	}
+}
+
+// Guards against an opening that waits for an agent which is about to fall silent, because
+// its refusal is more than 1 s old: it is tried after an agent that refuses.
+func TestStoppingAgentIsTriedLast(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(2))
+	s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(0), Load: hop.Load{Stopping: true}})
+	s.HelloAck(start, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(1), Load: hop.Load{Refusing: true}})
+	for port := range 20 {
+		is.Equal(s.FromCaller(start, callerPacket(port+1, flow.Open), nil).To, agentAddress(1))
+	}
+}
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -62,7 +62,7 @@
 type DeadAgent struct {
 	Name       string
 	Silence    time.Duration // since the oldest unanswered hello, by the running time of this balancer
-	Restarting bool          // its member says that its process restarts
+	Restarting bool          // it has announced that its process restarts
 }
 
 // Steerer makes the decisions of one balancer. It is not safe for concurrent use.
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -51,7 +51,7 @@
 	InProgress uint16 // requests whose answer has not started
 	Slots      uint16 // maximum number of requests that the backend server processes concurrently
 	Refusing   bool   // currently accepts no new flows, or only a few
-	Stopping   bool   // the process ends soon
+	Stopping   bool   // the process ends soon, and the backend server runs on
 }
 
 // Message is one datagram between a balancer and an agent, or between two
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -156,8 +156,8 @@
 	return nil
 }
 
-// Stop refuses new flows, announces whether the backend server runs on, waits up
-// to drainTimeout for requests that are queued or in progress, hands the flows over to
+// Stop refuses new flows, announces whether the backend server runs on, also to the
+// balancers directly, as the store may not answer in time, waits up to drainTimeout for requests that are queued or in progress, hands the flows over to
 // the next process if the backend server runs on and the store answers, and then stops
 // the agent.
 func (a *Agent) Stop(context.Context) error {
@@ -166,7 +166,7 @@
 		a.withdrawMember()
 	}
 	a.mu.Lock()
-	a.gate.PrepareStop()
+	a.gate.RefuseNewFlows()
 	a.mu.Unlock()
 	var announced view.Revision
 	if !ended {
@@ -177,6 +177,7 @@
 		time.Sleep(drainCheckInterval)
 	}
 	a.deliverAllQueued()
+	a.notifyRestart()
 	if announced > 0 {
 		a.writeHandover(announced)
 	}
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// notifyRestart sends the agent's load to all balancers if it says that the process ends
+// while the backend server runs on. It is called when the process begins to stop and just
+// before it falls silent, because messages are lost at times.
+func (a *Agent) notifyRestart() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if a.gate.Load(now).Stopping {
+		a.notifyBalancers(now)
+	}
+}
+
 // handleBackendPacket handles a packet from the backend server.
 func (a *Agent) handleBackendPacket(raw []byte) error {
 	p, err := platform.DecodePacket(raw)
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -78,7 +78,7 @@
 }
 
 // announceRestart announces that this process stops while the backend server runs
-// on, and returns the revision of the member with the announcement, 0 if the store isn't
+// on, to the balancers and in the store, and returns the revision of the member with the announcement, 0 if the store isn't
 // known to hold it. Without a report in this process, the member is as an earlier one left
 // it.
 func (a *Agent) announceRestart() view.Revision {
@@ -86,6 +86,8 @@
 		return 0
 	}
 	a.mu.Lock()
+	a.gate.PrepareStop()
+	a.notifyBalancers(time.Now())
 	if a.lastReport.Instance == "" {
 		a.mu.Unlock()
 		return 0
