--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -55,6 +55,7 @@
 	gate        *flowgate.Gate
 	lastReport  flowgate.Report
 	backendLeft bool         // the backend server reported that it has ended
+	endRefused  bool         // its end was refused as stale, and no report has come since
 	restarting  bool         // the process stops while the backend server runs on
 	handedOver  bool         // the flows were exported for the next process; see writeHandover
 	evacuated   bool         // the failure domain is evacuated
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -190,3 +190,45 @@
 	is.NoErr(a.BackendLeft("i-1"))
 	is.True(a.backendLeft)
 }
+
+// Guards against a member that is withdrawn, so that balancers reset the open flows of its
+// backend server, because the end of an earlier run is received by an agent that has
+// restarted and has no report of the present run yet, and against a member that stays after
+// the true end of a backend server, which the agent took for that.
+func TestLateEndBeforeFirstReport(t *testing.T) {
+	for name, c := range map[string]struct {
+		announced view.State // by the earlier process of the agent
+		running   bool
+		accepted  bool
+		ended     bool
+	}{
+		"unknown state":   {running: true},
+		"ready":           {announced: view.Ready, running: true},
+		"ready and ended": {announced: view.Ready, ended: true},
+		"leaving":         {announced: view.Leaving, running: true, accepted: true, ended: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			if !c.running {
+				is.NoErr(listener.Close())
+			}
+			a := New(platform.Settings{BackendAddress: listener.Addr().(*net.TCPAddr).AddrPort()}, nil, event.Discard())
+			board := view.NewBoard()
+			a.node = &flownode.Node{Board: board, Announcer: follow.NewAnnouncer(nil, board, event.Discard()), Logger: event.Discard()}
+			if c.announced != "" {
+				a.gate.RestoreAnnounced(flowgate.Report{State: c.announced, Slots: 9})
+			}
+			err = a.BackendLeft("i-of-an-earlier-run")
+			is.Equal(err == nil, c.accepted)
+			is.Equal(errkind.Is(err, errkind.ReportStale), !c.accepted)
+			is.Equal(a.backendLeft, c.accepted)
+			is.Equal(a.backendEnded(), c.ended)
+			_, err = a.applyReport(flowgate.Report{Instance: "i-1", Started: time.Now(), Sequence: 1, State: view.Ready, Slots: 9})
+			is.NoErr(err)
+			is.True(!a.backendEnded())
+		})
+	}
+}
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -58,7 +58,7 @@
 		})
 	}
 	a.lastReport = r
-	a.backendLeft = false
+	a.backendLeft, a.endRefused = false, false
 	if len(lost) > 0 {
 		a.logger.Emit(event.FlowsLost, event.Fields{"instance": r.Instance, "flows": len(lost)})
 	}
@@ -104,7 +104,7 @@
 }
 
 // BackendLeft implements platform.ReportReceiver. Its error has kind ReportStale if the
-// current run of the backend server isn't leaving.
+// current run of the backend server isn't known to be leaving.
 func (a *Agent) BackendLeft(instance string) error {
 	err := a.node.Protect(func() error { return a.applyBackendLeft(instance) })
 	if err != nil {
@@ -119,10 +119,11 @@
 	if a.lastReport.Instance != instance && a.lastReport.Instance != "" {
 		return nil
 	}
-	if a.lastReport.Instance != "" && !a.gate.Leaving() {
-		// A backend server reports that it is leaving before it does, so an earlier run
-		// under the same id has sent this.
-		return errkind.New(errkind.ReportStale, "the current run of the backend server isn't leaving")
+	if !a.gate.Leaving() {
+		// A backend server reports that it is leaving before it does, and a member says so
+		// to a later process of the agent, so an earlier run has sent this.
+		a.endRefused = true
+		return errkind.New(errkind.ReportStale, "the current run of the backend server isn't known to be leaving")
 	}
 	a.backendLeft = true
 	a.gate.RefuseNewFlows()
@@ -134,11 +135,12 @@
 
 // backendEnded reports whether the backend server has ended, so that this stop is
 // not a mere restart of the agent. It has ended if it reported so, if it
-// is down, or if it is leaving and accepts no more connections.
+// is down, or if it accepts no more connections while it is leaving or after an end that
+// was refused.
 func (a *Agent) backendEnded() bool {
 	a.mu.Lock()
 	ended := a.backendLeft || a.gate.BackendVanished()
-	leaving := a.gate.Leaving()
+	leaving := a.gate.Leaving() || a.endRefused
 	a.mu.Unlock()
 	if ended || !leaving {
 		return ended
