--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -38,6 +38,7 @@
 // backend holds what the gate knows about its backend server.
 type backend struct {
 	limits     Limits
+	closed     bool // see StopAccepting
 	stateKnown bool // report.State was reported, or was announced by an earlier process of this agent
 	reportedAt time.Time
 	report     Report
@@ -103,7 +104,7 @@
 	switch {
 	case !b.stateKnown:
 		return errkind.BackendDown
-	case b.report.State != view.Ready:
+	case b.closed || b.report.State != view.Ready:
 		return errkind.BackendLeaving
 	case b.evacuated:
 		return errkind.DomainOut
@@ -176,13 +177,18 @@
 	g.backend.memberStored, g.backend.unknownToBalancersUntil = stored, since.Add(NewAgentDelay)
 }
 
-// RefuseNewFlows makes the gate accept no new flows from now on.
+// StopAccepting makes the gate accept no new flows from now on, whatever the backend server
+// reports.
+func (g *Gate) StopAccepting() { g.backend.closed = true }
+
+// RefuseNewFlows makes the gate accept no new flows from now on, as if the backend server had
+// reported that it is leaving.
 func (g *Gate) RefuseNewFlows() { g.backend.report.State = view.Leaving }
 
 // PrepareStop makes the gate accept no new flows and report that the process ends while the
 // backend server runs on.
 func (g *Gate) PrepareStop() {
-	g.RefuseNewFlows()
+	g.StopAccepting()
 	g.stopping = true
 }
 
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -167,7 +167,7 @@
 		a.withdrawMember()
 	}
 	a.mu.Lock()
-	a.gate.RefuseNewFlows()
+	a.gate.StopAccepting()
 	a.mu.Unlock()
 	var announced view.Revision
 	if !ended {
--- a/pkg/flowagent/stop_test.go
+++ b/pkg/flowagent/stop_test.go
@@ -13,10 +13,14 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
+// loopback lets the system choose a port.
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
 // unavailableStore is a store that refuses all calls.
 type unavailableStore struct{ Store }
 
@@ -53,11 +57,23 @@
 	}
 }
 
+// startAgent starts an agent on loopback beside a backend server.
+func startAgent(t *testing.T, backend netip.AddrPort) *Agent {
+	t.Helper()
+	a := New(platform.Settings{
+		Address: loopback.Addr(), PacketAddress: loopback, BackendPacketAddress: loopback, ProbeAddress: loopback, ReportAddress: loopback,
+		PeerAddress: loopback, MetricsAddress: loopback, BackendAddress: backend, FirstStart: true,
+	}, unavailableStore{}, event.Discard())
+	if err := a.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
 // Guards against balancers that take a restarting agent for dead after 2 s, because the
 // store answers its announcement late or no report has come yet, and against balancers that
 // wait for an agent whose backend server has ended.
 func TestStopNotifiesBalancers(t *testing.T) {
-	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	for name, running := range map[string]bool{"running": true, "ended": false} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -67,11 +83,7 @@
 			balancer, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
 			is.NoErr(err)
 			defer balancer.Close()
-			a := New(platform.Settings{
-				Address: loopback.Addr(), PacketAddress: loopback, BackendPacketAddress: loopback, ProbeAddress: loopback, ReportAddress: loopback,
-				PeerAddress: loopback, MetricsAddress: loopback, BackendAddress: backend.Addr().(*net.TCPAddr).AddrPort(), FirstStart: true,
-			}, unavailableStore{}, event.Discard())
-			is.NoErr(a.Start(t.Context()))
+			a := startAgent(t, backend.Addr().(*net.TCPAddr).AddrPort())
 			a.node.Board.Apply(view.Delta{Section: view.MembersSection, To: 1, Full: true, Members: []view.Member{
 				{Name: "balancer-1", Role: view.BalancerRole, Address: balancer.LocalAddr().(*net.UDPAddr).AddrPort()},
 			}})
@@ -95,3 +107,30 @@
 		})
 	}
 }
+
+// Guards against a stopping agent that takes its own refusal of new flows for the state of
+// its backend server: it withdraws the member on the late end of an earlier run, and accepts
+// new flows again with the first report.
+func TestReportsWhileTheAgentStops(t *testing.T) {
+	for name, reportedBefore := range map[string]bool{"report before": true, "first report": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			backend, err := net.Listen("tcp4", loopback.String())
+			is.NoErr(err)
+			defer backend.Close()
+			a := startAgent(t, backend.Addr().(*net.TCPAddr).AddrPort())
+			report := func(sequence uint64) {
+				_, err := a.applyReport(flowgate.Report{Instance: "i-1", Started: time.Unix(1, 0), Sequence: sequence, State: view.Ready, Slots: 9})
+				is.NoErr(err)
+			}
+			if reportedBefore {
+				report(1)
+			}
+			is.NoErr(a.Stop(t.Context()))
+			is.True(errkind.Is(a.applyBackendLeft("i-1"), errkind.ReportStale))
+			is.True(!a.backendLeft)
+			report(2)
+			is.Equal(a.gate.Refusal(time.Now()), errkind.BackendLeaving)
+		})
+	}
+}
