--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -194,6 +194,18 @@
 	g.backend.coldPerSecond, g.backend.maxFlows = s.ColdPerSecond, s.MaxFlows
 	if idle > 0 {
 		g.backend.idleTimeout = idle
+		g.backend.endLearningBy(g.started.Add(idle + idleMargin))
+	}
+}
+
+// endLearningBy ends learning at a time at the latest. Each flow of which the agent has seen
+// no packet since its start has then been idle for longer than flows may be.
+func (b *backend) endLearningBy(end time.Time) {
+	if end.Before(b.learnUntil) {
+		b.learnUntil = end
+	}
+	if end.Before(b.learnUntilBefore) {
+		b.learnUntilBefore = end
 	}
 }
 
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
@@ -163,3 +164,21 @@
 	g.Release(start.Add(300 * time.Millisecond))
 	is.Equal(g.InProgress(), 0)
 }
+
+// Guards against packets of other servers' flows that an agent offers to its backend server
+// for a whole flow lifetime after a restart: a flow of which it has seen nothing for longer
+// than the idle timeout has ended.
+func TestLearningEndsWithTheIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	const idle = 15 * time.Second
+	offers := func(g *Gate, now time.Time) bool {
+		m := forward(self, other)
+		m.ReportHolder = true
+		return g.FromPeer(now, m, dataPacket(1, orders, 910, 10)).Verdict == Deliver
+	}
+	g := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute}, start)
+	is.True(offers(g, start.Add(idle+idleMargin))) // the idle timeout isn't known yet
+	g.SetService(view.Service{Name: "comptoir"}, idle)
+	is.True(offers(g, start.Add(idle+idleMargin-time.Millisecond)))
+	is.True(!offers(g, start.Add(idle+idleMargin)))
+}
