--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -41,8 +41,9 @@
 	balancers          map[netip.AddrPort]*contact // of other failure domains only
 	otherDomainReached bool                        // a balancer of another failure domain has answered
 	// clock is how long this balancer has run without stalls. Silence is measured by it.
-	clock    time.Duration
-	lastTick time.Time
+	clock        time.Duration
+	lastTick     time.Time
+	stallEndedAt time.Time // when the first Tick after the last stall came, zero if there was none
 }
 
 func newAgentSet() agentSet {
--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -117,9 +117,23 @@
 	if !as.lastTick.IsZero() {
 		as.clock += min(now.Sub(as.lastTick), maxTickGap)
 	}
+	if as.isStalled(now) {
+		as.stallEndedAt = now
+	}
 	as.lastTick = now
 }
 
+// isStalled reports whether Tick is overdue, so that datagrams may have lain unread as
+// long.
+func (as *agentSet) isStalled(now time.Time) bool {
+	return !as.lastTick.IsZero() && now.Sub(as.lastTick) > maxTickGap
+}
+
+// stalledWithin reports whether this balancer has stalled within the given time.
+func (as *agentSet) stalledWithin(now time.Time, d time.Duration) bool {
+	return as.isStalled(now) || (!as.stallEndedAt.IsZero() && now.Sub(as.stallEndedAt) < d)
+}
+
 // contacts returns all nodes to which the balancer sends hellos.
 func (as *agentSet) contacts() iter.Seq[*contact] {
 	return func(yield func(*contact) bool) {
--- a/internal/flowpath/flowsteer/opening.go
+++ b/internal/flowpath/flowsteer/opening.go
@@ -64,7 +64,7 @@
 		o.unanswered, o.sentAt = earlier.unanswered, earlier.sentAt
 	}
 	if len(candidates) == 0 {
-		return rejectOpening(now.Sub(o.sentAt), p, errkind.PacketNoAgent, service)
+		return s.rejectOpening(now, o.sentAt, p, errkind.PacketNoAgent, service)
 	}
 	if len(s.openings) < maxOpenings {
 		s.openings[key] = o
@@ -73,11 +73,12 @@
 }
 
 // rejectOpening returns the action for an opening that can't be served and whose caller
-// sent it the given time ago. Once the caller may have sent copies, the flow is not
-// reset: another balancer may have opened it by one of them.
-func rejectOpening(age time.Duration, p flow.Packet, kind errkind.Kind, service string) Action {
+// sent it at sentAt or, if this balancer has stalled, earlier: the opening then lay unread.
+// Once the caller may have sent copies, the flow is not reset: another balancer may have
+// opened it by one of them.
+func (s *Steerer) rejectOpening(now, sentAt time.Time, p flow.Packet, kind errkind.Kind, service string) Action {
 	a := Action{Verdict: Reset, Kind: kind, Packet: p, Service: service}
-	if age >= openingCopyDelay {
+	if now.Sub(sentAt) >= openingCopyDelay || s.agents.stalledWithin(now, openingCopyDelay) {
 		a.Verdict = Drop
 	}
 	return a
@@ -140,5 +141,5 @@
 		return Action{Verdict: Drop, Kind: errkind.PacketNoAgent, Packet: p, Service: o.service}
 	}
 	delete(s.openings, key)
-	return rejectOpening(now.Sub(o.sentAt), p, errkind.PacketNoAgent, o.service)
+	return s.rejectOpening(now, o.sentAt, p, errkind.PacketNoAgent, o.service)
 }
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -137,7 +137,7 @@
 	case s.view.Configuration.Revision == 0:
 		return Action{Verdict: Drop, Kind: errkind.PacketNoRoute, Packet: p}
 	case p.Opening() && !ok:
-		return rejectOpening(p.Age, p, errkind.PacketNoRoute, "")
+		return s.rejectOpening(now, now.Add(-p.Age), p, errkind.PacketNoRoute, "")
 	case p.Opening():
 		return s.openFlow(now, key, p, raw, route)
 	case !ok && !p.Has(flow.Reset) && s.lostRoute(now, key):
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -696,3 +696,26 @@
 	// All nodes get one at the start and another as soon as they are suspect.
 	is.True(hellos <= 2*(agents+1)+seconds*helloRate*11/10)
 }
+
+// Guards against the reset of an open flow: a balancer without processor time reads the
+// first opening late, and by then a copy through another balancer has opened the flow.
+func TestOpeningReadAfterAStallIsNotReset(t *testing.T) {
+	is := is.New(t)
+	resumed := start.Add(time.Second)
+	reject := func(s *Steerer, at time.Time) Verdict {
+		is.Equal(s.FromCaller(at, callerPacket(1, flow.Open), []byte("data")).Kind, errkind.PacketNoAgent)
+		return s.FromCaller(at, callerPacket(1, flow.Open), []byte("data")).Verdict
+	}
+	s := newSteerer(testView(0))
+	s.Tick(start)
+	is.Equal(reject(s, start.Add(maxTickGap)), Reset)
+	is.Equal(reject(s, resumed), Drop) // the timers run next
+	s.Tick(resumed)
+	is.Equal(reject(s, resumed), Drop) // other packets lie unread before it
+	for at := resumed; !at.After(resumed.Add(openingCopyDelay)); at = at.Add(maxTickGap) {
+		s.Tick(at)
+	}
+	is.Equal(reject(s, resumed.Add(openingCopyDelay)), Reset)
+	delete(s.view.Configuration.Routes, route)
+	is.Equal(s.FromCaller(resumed.Add(time.Second), callerPacket(1, flow.Open), nil).Verdict, Drop) // no route yet
+}
