--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -42,8 +42,9 @@
 	otherDomainReached bool                        // a balancer of another failure domain has answered
 	confirmedAt        time.Time                   // when the members of the view were current at the latest
 	// clock is how long this balancer has run without stalls. Silence is measured by it.
-	clock    time.Duration
-	lastTick time.Time
+	clock        time.Duration
+	lastTick     time.Time
+	stallEndedAt time.Time // when the first Tick after the last stall came, zero if there was none
 }
 
 func newAgentSet() agentSet {
