--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -54,13 +54,16 @@
 	mu          sync.Mutex
 	gate        *flowgate.Gate
 	lastReport  flowgate.Report
-	backendLeft bool         // the backend server reported that it has ended
-	endRefused  bool         // its end was refused as stale, and no report has come since
-	restarting  bool         // the process stops while the backend server runs on
-	handedOver  bool         // the flows were exported for the next process; see writeHandover
-	evacuated   bool         // the failure domain is evacuated
-	refusal     errkind.Kind // why the agent accepts no new flows, or only a few; 0 if it accepts all
-	buffer      []byte
+	backendLeft bool // the backend server reported that it has ended
+	endRefused  bool // its end was refused as stale, and no report has come since
+	restarting  bool // the process stops while the backend server runs on
+	handedOver  bool // the flows were exported for the next process; see writeHandover
+	evacuated   bool // the failure domain is evacuated
+	// takenOverMember is the revision of the member to which the handover belongs that this
+	// process has taken over, 0 if it has taken none over.
+	takenOverMember view.Revision
+	refusal         errkind.Kind // why the agent accepts no new flows, or only a few; 0 if it accepts all
+	buffer          []byte
 
 	balancers []netip.AddrPort // all balancers in the view
 }
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -147,5 +147,9 @@
 	case age > maxCompleteAge:
 		h.LearnFor = a.settings.FlowLifetime
 	}
-	return a.gate.TakeOver(now, h.Handover)
+	if err := a.gate.TakeOver(now, h.Handover); err != nil {
+		return err
+	}
+	a.takenOverMember = h.Member
+	return nil
 }
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -77,10 +77,11 @@
 	})
 }
 
-// announceRestart announces that this process stops while the backend server runs
-// on, to the balancers and in the store, and returns the revision of the member with the announcement, 0 if the store isn't
-// known to hold it. Without a report in this process, the member is as an earlier one left
-// it.
+// announceRestart announces that this process stops while the backend server runs on, to
+// the balancers and in the store, and returns the revision of the member with the
+// announcement, 0 if the store isn't known to hold it. Without a report in this process, the
+// member is as an earlier one left it: it announces a restart if this process took a handover
+// over.
 func (a *Agent) announceRestart() view.Revision {
 	if a.backendRefusesConns() {
 		return 0
@@ -88,11 +89,11 @@
 	a.mu.Lock()
 	a.gate.PrepareStop()
 	a.notifyBalancers(time.Now())
+	a.restarting = a.lastReport.Instance != "" || a.takenOverMember > 0
 	if a.lastReport.Instance == "" {
-		a.mu.Unlock()
-		return 0
+		defer a.mu.Unlock()
+		return a.takenOverMember
 	}
-	a.restarting = true
 	stored := a.announceMember()
 	a.mu.Unlock()
 	select {
