--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -135,14 +135,14 @@
 	if age := response.knownAgeMS(); age < 0 || age > maxViewAge.Milliseconds() {
 		return false
 	}
+	if applied { // otherwise the view has changed since the request
+		f.confirmFromPeer(requestedAt, response)
+	}
 	path := response.path()
 	if !isUsablePath(path, f.opts.Name) {
 		return false
 	}
 	f.setPath(append(path, f.opts.Name)...)
-	if applied { // otherwise the view has changed since the request
-		f.confirmFromPeer(requestedAt, response)
-	}
 	return true
 }
 
--- a/internal/control/follow/poll_internal_test.go
+++ b/internal/control/follow/poll_internal_test.go
@@ -46,3 +46,19 @@
 	}
 	is.Equal(often, 1+agents/followersPerUpstream)
 }
+
+// Guards against a process that, while the store is down, can't rely on a peer's view of a
+// second ago because the peer has lost the store as well.
+func TestPeerWithoutASourceConfirmsButIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	board := view.NewBoard()
+	f := New(Options{Name: "agent-1", Board: board, Logger: event.Discard()})
+	now := time.Now()
+	age := int64(1000)
+	is.True(!f.applyResponse(now, ChangesResponse{
+		AgeMS: age, MembersAgeMS: &age, Deltas: []view.Delta{{Section: view.MembersSection, To: 7, Full: true}},
+	}))
+	is.Equal(board.SectionConfirmedAt(view.MembersSection), now.Add(-time.Second))
+	is.Equal(board.View().Members.Revision, view.Revision(7))
+	is.Equal(len(board.Path()), 0)
+}
