--- a/cmd/knapweedpier-node/main.go
+++ b/cmd/knapweedpier-node/main.go
@@ -93,7 +93,11 @@
 			go watchSettings(path, loaded, d, logger, stopped)
 		}),
 	)
-	if err := app.Start(ctx); err != nil {
+	// A signal doesn't interrupt the start: fx would end the process without stopping the
+	// daemon in order.
+	startCtx, cancelStart := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancelStart()
+	if err := app.Start(startCtx); err != nil {
 		return errkind.Wrap(err, errkind.Of(err), "start")
 	}
 	<-ctx.Done()
