--- a/internal/base/errkind/errkind.go
+++ b/internal/base/errkind/errkind.go
@@ -52,6 +52,7 @@
 	RelayNotPossible Kind = 117 // a relayed request cannot be relayed again
 	BackendFailing   Kind = 118 // the backend server fails too many of its requests
 	AgentNew         Kind = 119 // not all balancers have learnt of the agent yet
+	HandoverPending  Kind = 120 // a handover of an earlier process, which lacks new flows, may still be used
 )
 
 // Packet kinds: malformed or unauthenticated input on the data path.
@@ -147,6 +148,7 @@
 	{RelayNotPossible, "relay-not-possible", http.StatusServiceUnavailable, OutcomeNotRun, defaultRetryAfter, ExitFailure, "A relayed request found no room and is not relayed again."},
 	{BackendFailing, "backend-failing", http.StatusServiceUnavailable, OutcomeNotRun, defaultRetryAfter, ExitFailure, "The backend server fails too many of its requests and gets few new flows."},
 	{AgentNew, "agent-new", http.StatusServiceUnavailable, OutcomeNotRun, defaultRetryAfter, ExitFailure, "Not all balancers know the agent yet; it takes no new flows."},
+	{HandoverPending, "handover-pending", http.StatusServiceUnavailable, OutcomeNotRun, defaultRetryAfter, ExitFailure, "A handover of an earlier process, which lacks new flows, may still be used by a later one; the agent takes no new flows."},
 
 	{PacketMalformed, "packet-malformed", 0, "", 0, ExitFailure, "A datagram is not a QUIC packet."},
 	{PacketUnsteerable, "packet-unsteerable", 0, "", 0, ExitFailure, "A packet's connection ID fails its tag."},
--- a/internal/base/suspension/suspension.go
+++ b/internal/base/suspension/suspension.go
@@ -1,5 +1,5 @@
-// Package suspension measures how long the machine was suspended. The steady clock, by
-// which the standard library measures durations, stands still meanwhile.
+// Package suspension measures times that include those for which the machine was suspended.
+// The steady clock, by which the standard library measures durations, stands still meanwhile.
 package suspension
 
 import (
@@ -26,6 +26,17 @@
 	return (sinceBoot - steady).Round(resolution)
 }
 
+// SinceBoot returns the time since the start of the machine, which includes suspensions. It
+// is the same for all processes of the machine and isn't stepped like the time of day; 0 if
+// the system can't tell.
+func SinceBoot() time.Duration {
+	sinceBoot, err := read(unix.CLOCK_BOOTTIME)
+	if err != nil {
+		return 0
+	}
+	return sinceBoot
+}
+
 func read(clock int32) (time.Duration, error) {
 	var t unix.Timespec
 	err := unix.ClockGettime(clock, &t)
--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -30,6 +30,8 @@
 	// result of Stored. It may be nil and must be set before the first call of
 	// Set or Stored. It may call all methods.
 	OnStored func()
+	// OnAnswered is called after the store has answered a write, under the same conditions.
+	OnAnswered func()
 
 	store  Store
 	board  *view.Board
@@ -53,6 +55,7 @@
 	storedMS          int64         // Member.StoredMS of the object
 	unansweredRemoval view.Revision // a removal at this revision may still take effect
 	maybeNew          bool          // this process may have created or removed the member
+	acknowledged      view.Member   // see Acknowledged
 	storedChanged     bool          // OnStored is to be called
 }
 
@@ -97,6 +100,14 @@
 	return a.knownRevision
 }
 
+// Acknowledged returns the member in the last write whose answer this process got; the zero
+// value if there was none.
+func (a *Announcer) Acknowledged() view.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.acknowledged
+}
+
 // noteStored records that the store holds the member. The caller holds the lock.
 func (a *Announcer) noteStored() {
 	if a.stored || a.withdrawn {
@@ -183,6 +194,9 @@
 			continue
 		}
 		retryDelay = minRetryDelay
+		if a.OnAnswered != nil {
+			a.OnAnswered()
+		}
 	}
 }
 
@@ -236,6 +250,7 @@
 	} else {
 		a.noteStored()
 		a.knownRevision, a.storedMS = max(a.knownRevision, revision), m.StoredMS
+		a.acknowledged = m
 	}
 	if withdrawn == a.withdrawn && (withdrawn || announcesSame(m, a.desired)) {
 		a.markSynced()
--- a/internal/control/follow/announce_test.go
+++ b/internal/control/follow/announce_test.go
@@ -290,3 +290,27 @@
 
 // ceilMS returns a time in Unix milliseconds, rounded up.
 func ceilMS(t time.Time) int64 { return t.Add(time.Millisecond - 1).UnixMilli() }
+
+// Guards against a member that counts as acknowledged because an old view shows the same
+// one, although the store holds another.
+func TestOnlyAnswersAcknowledgeAMember(t *testing.T) {
+	is := is.New(t)
+	server := newStore(t)
+	write := func(m view.Member) {
+		spec, err := json.Marshal(m)
+		is.NoErr(err)
+		server.PutMember(m.Name, string(spec))
+	}
+	write(agentMember)
+	a, _ := newAnnouncer(t, server)
+	restarting := agentMember
+	restarting.Restarting = true
+	write(restarting) // not in the view
+	waitSynced(t, a.Set(agentMember))
+	is.Equal(a.Acknowledged(), view.Member{})
+	leaving := agentMember
+	leaving.State = view.Leaving
+	waitSynced(t, a.Set(leaving))
+	is.Equal(a.Acknowledged().State, view.Leaving)
+	is.True(!a.Acknowledged().Restarting)
+}
--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -42,6 +42,7 @@
 	reportedAt time.Time
 	report     Report
 
+	handoverPending         bool      // see Options.HandoverPending
 	memberStored            bool      // the store holds the agent's member, so that balancers can know it
 	unknownToBalancersUntil time.Time // some balancers may not know this new agent before then
 	evacuationKnown         bool      // the view has been applied
@@ -109,6 +110,8 @@
 		return errkind.DomainOut
 	case !b.memberStored || now.Before(b.unknownToBalancersUntil):
 		return errkind.AgentNew
+	case b.handoverPending:
+		return errkind.HandoverPending
 	case b.maxFlows > 0 && flows >= b.maxFlows:
 		return errkind.ConnectionsFull
 	case b.reportsStopped(now) || b.isUnresponsive(now):
@@ -176,6 +179,9 @@
 	g.backend.memberStored, g.backend.unknownToBalancersUntil = stored, since.Add(NewAgentDelay)
 }
 
+// SettleHandover ends the refusal of new flows because of Options.HandoverPending.
+func (g *Gate) SettleHandover() { g.backend.handoverPending = false }
+
 // RefuseNewFlows makes the gate accept no new flows from now on.
 func (g *Gate) RefuseNewFlows() { g.backend.report.State = view.Leaving }
 
--- a/internal/flowpath/flowgate/frombackend.go
+++ b/internal/flowpath/flowgate/frombackend.go
@@ -35,7 +35,7 @@
 		g.flows.open(f)
 		f.openedAt = now // an earlier run may have got the opening
 	}
-	if f.adopted && f.state == stateOpen && now.Before(g.backend.learnUntil) {
+	if f.adopted && f.state == stateOpen && g.mayHold(now, key) {
 		a.NotifyBalancer = g.nextBalancerLookingFor(key)
 	}
 	switch {
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -5,6 +5,7 @@
 package flowgate
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -79,6 +80,10 @@
 	denied   map[flow.Key]struct{} // flows that the backend server doesn't hold, learned from offers
 	stopping bool
 	sweptAt  time.Time
+
+	// maybeOpened holds the flows that were being opened when the handover was written, and
+	// until when their packets are offered to the backend server.
+	maybeOpened map[flow.Key]time.Time
 }
 
 // Options holds the fixed settings of a gate.
@@ -91,6 +96,10 @@
 	// LearnFor.
 	Learning bool
 	LearnFor time.Duration
+	// HandoverPending is set if a later process may still use a handover of a process
+	// before this one as complete, and so deny flows that are opened here. The gate then
+	// accepts no new flows before SettleHandover.
+	HandoverPending bool
 	// Replaces is set if the gate replaces another one of the same process.
 	Replaces bool
 }
@@ -106,7 +115,10 @@
 		flows:    newTable(),
 		offers:   map[uint32]offer{},
 		denied:   map[flow.Key]struct{}{},
+
+		maybeOpened: map[flow.Key]time.Time{},
 	}
+	g.backend.handoverPending = o.HandoverPending
 	if o.Learning {
 		g.backend.learnUntil = now.Add(o.LearnFor)
 	}
@@ -251,6 +263,7 @@
 			delete(g.offers, mark)
 		}
 	}
+	maps.DeleteFunc(g.maybeOpened, func(_ flow.Key, until time.Time) bool { return !now.Before(until) })
 	return g.flows.sweep(now, g.backend.idleTimeout)
 }
 
--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -27,7 +27,10 @@
 	// LearnFor is how much longer the backend server may hold flows that are not
 	// in Flows, 0 if Flows is complete.
 	LearnFor time.Duration
-	Flows    []FlowRecord
+	// MayBeStale is set if a process between may have passed packets of the flows. It has
+	// opened none, but those that were being opened may be open.
+	MayBeStale bool
+	Flows      []FlowRecord
 }
 
 // FlowRecord is one flow of a handover. Times are durations before the handover,
@@ -66,6 +69,11 @@
 			h.Flows = append(h.Flows, f.record(key, now))
 		}
 	}
+	for key := range g.maybeOpened {
+		if g.flows.get(key) == nil {
+			h.Flows = append(h.Flows, FlowRecord{Key: key, IdleFor: openingTimeout})
+		}
+	}
 	return h
 }
 
@@ -105,7 +113,11 @@
 		return errkind.New(errkind.HandoverUnusable, "handover is of another run of the backend server")
 	}
 	for i := range h.Flows {
-		g.flows.takeOver(now, &h.Flows[i])
+		r := &h.Flows[i]
+		g.flows.takeOver(now, r)
+		if h.MayBeStale && !r.Opened && !r.Ended {
+			g.maybeOpened[r.Key] = g.backend.learnUntil
+		}
 	}
 	if learnUntil := now.Add(h.LearnFor); learnUntil.Before(g.backend.learnUntil) {
 		g.backend.learnUntilBefore, g.backend.learnUntil = g.backend.learnUntil, learnUntil
--- a/internal/flowpath/flowgate/handover_test.go
+++ b/internal/flowpath/flowgate/handover_test.go
@@ -255,3 +255,80 @@
 	is.NoErr(err)
 	is.Equal(next.FromPeer(now.Add(2*time.Second), forward(self, other), dataPacket(1, feeds, 900, 10)).Verdict, Deliver)
 }
+
+// Guards against new flows at a process whose successor may deny them, because it may use a
+// handover of the process before. Flows that are open are served meanwhile.
+func TestNoNewFlowsWhileAHandoverIsPending(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute, HandoverPending: true}, start)
+	g.SetMemberStored(time.Time{}, true)
+	_, err := g.Report(start, report(1))
+	is.NoErr(err)
+	a := g.FromPeer(start, forward(self, other), openingPacket(1))
+	is.Equal(a.Verdict, PassOn)
+	is.Equal(a.To, other)
+	is.Equal(a.Kind, errkind.HandoverPending)
+	is.Equal(g.FromPeer(start, forward(self, other), dataPacket(2, orders, 101, 10)).Verdict, Deliver)
+	g.SettleHandover()
+	is.Equal(g.FromPeer(start, forward(self, other), openingPacket(1)).Verdict, Deliver)
+}
+
+// Guards against the denial of a flow that was being opened when the handover was written,
+// and has passed packets through another process since. That process left no handover.
+func TestFlowOpenedAfterAStaleHandoverIsNotDenied(t *testing.T) {
+	for name, answered := range map[string]bool{"answered before": true, "answered since": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := readyGate(t, false)
+			g.FromPeer(start, forward(self), openingPacket(1))
+			if answered {
+				g.FromBackend(start, backendPacket(1, orders, flow.Open|flow.Ack, 0))
+			}
+			now := start.Add(2 * time.Second)
+			h := g.Handover(start)
+			h.MayBeStale = true
+			next := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute}, now)
+			is.NoErr(next.TakeOver(now, h))
+			progressed := ackPacket(1, 9000, 10)
+			for _, g := range []*Gate{next, staleSuccessor(t, next, now)} {
+				// The entry of the opening has expired, that of the flow hasn't.
+				g.Tick(now.Add(openingTimeout))
+				is.Equal(g.FromPeer(now, forward(self, other), dataPacket(2, orders, 101, 10)).Verdict, PassOn)
+				is.Equal(g.FromPeer(now, forward(self, other), progressed).Verdict, Deliver)
+				is.Equal(g.FromBackend(now, backendPacket(1, orders, flow.Ack, 10)).Verdict, ToCaller)
+				is.Equal(g.OpenFlows(), 1)
+			}
+		})
+	}
+}
+
+// staleSuccessor returns the gate of the process after the next one of g's agent.
+func staleSuccessor(t *testing.T, g *Gate, now time.Time) *Gate {
+	t.Helper()
+	h := g.Handover(now)
+	h.MayBeStale = true
+	next := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute}, now)
+	if err := next.TakeOver(now, h); err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// Guards against packets of a flow that are offered again and again to a backend server that
+// the caller did not choose.
+func TestFlowOfAStaleHandoverIsOfferedOnce(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	g.FromPeer(start, forward(self), openingPacket(1))
+	next := staleSuccessor(t, g, start)
+	a := next.FromPeer(start, forward(self, other), ackPacket(1, 9000, 10))
+	is.Equal(a.Verdict, Deliver)
+	bounced := ackPacket(1, 9000, 10)
+	bounced.Flags |= flow.Bounced
+	bounced.Mark = a.Mark
+	is.Equal(next.FromBackend(start, bounced).Verdict, PassOn)
+	for range 2 {
+		is.Equal(next.FromPeer(start, forward(self, other), ackPacket(1, 9000, 10)).Verdict, PassOn)
+		next.Tick(start.Add(time.Second))
+	}
+}
--- a/internal/flowpath/flowgate/offer.go
+++ b/internal/flowpath/flowgate/offer.go
@@ -47,7 +47,7 @@
 // must not get many packets of a flow.
 func (g *Gate) unknownFlow(now time.Time, m *hop.Message, key flow.Key) Action {
 	_, denied := g.denied[key]
-	if denied || !now.Before(g.backend.learnUntil) || g.backend.isDown() {
+	if denied || !g.mayHold(now, key) || g.backend.isDown() {
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
 	if m.KnownOnly {
@@ -58,6 +58,12 @@
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, slices.Clone(m.Packet)), Key: key, LookupFrom: m.Balancer}
 }
 
+// mayHold reports whether the backend server may hold a flow that this agent doesn't know:
+// the agent learns, or the flow was being opened when an earlier process handed over.
+func (g *Gate) mayHold(now time.Time, key flow.Key) bool {
+	return now.Before(g.backend.learnUntil) || now.Before(g.maybeOpened[key])
+}
+
 // ConnAttemptDue reports whether a connection attempt is to show whether the backend
 // server is down, because it has sent nothing for long since packets were offered to
 // it; see RecordConnAttempt.
@@ -139,6 +145,7 @@
 // noteDenied records that the backend server doesn't hold a flow. It can only come to
 // hold it by an opening.
 func (g *Gate) noteDenied(key flow.Key) {
+	delete(g.maybeOpened, key)
 	if len(g.denied) < maxDenied {
 		g.denied[key] = struct{}{}
 	}
@@ -149,7 +156,7 @@
 // says that the flow ended here, for example one that was opened at another backend
 // server in the end.
 func (g *Gate) resetOfUnknownFlow(now time.Time, key flow.Key) Action {
-	if !now.Before(g.backend.learnUntil) {
+	if !g.mayHold(now, key) {
 		return Action{Verdict: Drop, Kind: errkind.PacketNoHolder, Key: key}
 	}
 	for mark, o := range g.offers {
--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -40,6 +40,7 @@
 	b.coldUntil = now.Add(r.ColdFor)
 	if g.sawWholeRun(r.Started) {
 		b.learnUntil = time.Time{}
+		clear(g.maybeOpened)
 	}
 	if !newRun {
 		return nil, nil
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -54,10 +54,11 @@
 	mu          sync.Mutex
 	gate        *flowgate.Gate
 	lastReport  flowgate.Report
-	backendLeft bool         // the backend server reported that it has ended
-	restarting  bool         // the process stops while the backend server runs on
-	handedOver  bool         // the flows were exported for the next process; see writeHandover
-	evacuated   bool         // the failure domain is evacuated
+	backendLeft bool // the backend server reported that it has ended
+	restarting  bool // the process stops while the backend server runs on
+	handedOver  bool // the flows were exported for the next process; see writeHandover
+	evacuated   bool // the failure domain is evacuated
+	settlement  settlement
 	refusal     errkind.Kind // why the agent accepts no new flows, or only a few; 0 if it accepts all
 	buffer      []byte
 
@@ -67,6 +68,7 @@
 // New returns an agent that is not started.
 func New(s platform.Settings, store Store, logger *event.Logger) *Agent {
 	registry := metrics.New()
+	now := time.Now()
 	return &Agent{
 		settings:   s,
 		store:      store,
@@ -74,7 +76,8 @@
 		registry:   registry,
 		metrics:    metrics.NewFlowAgent(registry),
 		reportable: make(chan struct{}),
-		gate:       flowgate.New(gateOptions(s), time.Now()),
+		gate:       flowgate.New(gateOptions(s), now),
+		settlement: settlement{startedAt: now, settled: s.FirstStart},
 	}
 }
 
@@ -86,6 +89,8 @@
 		Limits:   backendLimits(s),
 		Learning: !s.FirstStart,
 		LearnFor: s.FlowLifetime,
+
+		HandoverPending: !s.FirstStart,
 	}
 }
 
@@ -97,7 +102,7 @@
 	defer a.mu.Unlock()
 	a.metrics.Panics.Inc(1)
 	options := gateOptions(a.settings)
-	options.Learning, options.Replaces = true, true
+	options.Learning, options.Replaces, options.HandoverPending = true, true, !a.settlement.settled
 	a.gate = flowgate.New(options, time.Now())
 	a.applyView(a.node.Board.View())
 	if a.lastReport.Instance != "" {
@@ -133,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	a.node.Announcer.OnStored = a.onMemberStored
+	a.node.Announcer.OnStored, a.node.Announcer.OnAnswered = a.onMemberStored, a.onMemberStored
 	if err := a.node.Serve(s.ReportAddress, platform.ReportHandler(a)); err != nil {
 		return err
 	}
@@ -233,6 +238,7 @@
 		a.gate.RestoreAnnounced(flowgate.Report{State: m.State, Slots: m.Slots})
 	}
 	a.updateMemberStored()
+	a.updateSettlement(time.Now())
 	firstBalancers := len(a.balancers) == 0
 	a.balancers = a.balancers[:0]
 	for _, m := range v.Members.ByName {
@@ -253,11 +259,12 @@
 }
 
 // onMemberStored is called when the announcer has learned whether the store holds
-// this agent's member.
+// this agent's member, and when the store has answered a write of it.
 func (a *Agent) onMemberStored() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.updateMemberStored()
+	a.updateSettlement(time.Now())
 	a.updateRefusal(time.Now())
 }
 
@@ -274,6 +281,7 @@
 		a.logger.Emit(event.RequestUnanswered, flowFields(key))
 	}
 	a.deliverQueued(now)
+	a.updateSettlement(now)
 	a.updateRefusal(now)
 	for _, action := range a.gate.PassOnUnanswered(now) {
 		a.sendMessage(action.To, action.Message)
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -7,6 +7,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/suspension"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/platform"
@@ -24,12 +25,15 @@
 	// takeOverWait is how long an agent leaves packets unread until the handover is
 	// taken over. A request that is offered before can't be told from its copies.
 	takeOverWait = 150 * time.Millisecond
-	// maxHandoverAge is the maximum age at which a handover is used, and
-	// maxCompleteAge that at which it ends learning: an older one may have been left by a
-	// process before the last, if it could not be deleted. Both are measured by the clock
-	// of the machine, which may be off by seconds.
+	// maxHandoverAge is the maximum age at which a handover is used. It is measured by the
+	// clock of the machine, which may be off by seconds.
 	maxHandoverAge = 10 * time.Second
+	// maxCompleteAge is the maximum age at which a handover ends learning: an older one may
+	// lack flows that a process between has accepted; see settlement.
 	maxCompleteAge = 3 * time.Second
+	// minStaleAge is the minimum age of a handover that was written by a process before the
+	// last one: two processes have started since.
+	minStaleAge = 100 * time.Millisecond
 )
 
 // Store is the platform's object store.
@@ -50,6 +54,9 @@
 	// VersionConflict, PeerMalformed, HandoverUnusable or, if there is no handover,
 	// NotFound.
 	TakeHandover(ctx context.Context, name string) (platform.Handover, error)
+	// RestartAnnounced reports whether the member of the agent called name announces a
+	// restart. Errors have kind PlatformDown, PlatformLimited or PeerMalformed.
+	RestartAnnounced(ctx context.Context, name string) (bool, error)
 }
 
 // writeHandover writes what the gate knows for the next process of the agent. member is
@@ -60,7 +67,9 @@
 	a.mu.Lock()
 	now := time.Now()
 	a.handedOver = true
-	h := platform.Handover{Handover: a.gate.Handover(now), Written: now, Service: a.settings.Service, Member: member}
+	h := platform.Handover{
+		Handover: a.gate.Handover(now), Written: now, SinceBoot: suspension.SinceBoot(), Service: a.settings.Service, Member: member,
+	}
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverWriteTimeout)
 	defer cancel()
@@ -81,6 +90,9 @@
 	a.node.Go(func(ctx context.Context) {
 		defer close(done)
 		a.takeOver(ctx)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.updateSettlement(time.Now())
 	})
 	select {
 	case <-done:
@@ -93,8 +105,9 @@
 func (a *Agent) takeOver(ctx context.Context) {
 	began := time.Now()
 	h, err := a.takeHandover(ctx)
+	a.settleAfterTakeOver(ctx, err)
 	if err == nil {
-		err = a.applyHandover(h)
+		err = a.applyHandover(&h)
 	}
 	fields := event.Fields{"flows": len(h.Flows), "learn_ms": h.LearnFor.Milliseconds(), "ms": time.Since(began).Milliseconds()}
 	if err != nil {
@@ -131,18 +144,28 @@
 	return a.restarting
 }
 
-// applyHandover passes a handover to the gate. Errors have kind HandoverUnusable.
-func (a *Agent) applyHandover(h platform.Handover) error {
+// applyHandover passes a handover to the gate, as one that is not complete unless it is
+// recent. Errors have kind HandoverUnusable.
+func (a *Agent) applyHandover(h *platform.Handover) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	sinceBoot := suspension.SinceBoot()
 	switch age := now.Sub(h.Written).Abs(); {
 	case h.Service != a.settings.Service:
 		return errkind.Errorf(errkind.HandoverUnusable, "handover is of service %s", h.Service)
 	case age > maxHandoverAge:
 		return errkind.Errorf(errkind.HandoverUnusable, "handover was written %v from now", age)
-	case age > maxCompleteAge:
+	case age > maxCompleteAge || !isRecent(h, sinceBoot):
 		h.LearnFor = a.settings.FlowLifetime
 	}
+	h.MayBeStale = sinceBoot-h.SinceBoot >= minStaleAge
 	return a.gate.TakeOver(now, h.Handover)
 }
+
+// isRecent reports whether a handover is at most maxCompleteAge old by the time since the
+// start of the machine, which the time of day may be off from in both directions.
+func isRecent(h *platform.Handover, sinceBoot time.Duration) bool {
+	age := sinceBoot - h.SinceBoot
+	return h.SinceBoot > 0 && age >= 0 && age <= maxCompleteAge
+}
--- a/pkg/flowagent/handover_test.go
+++ b/pkg/flowagent/handover_test.go
@@ -21,8 +21,9 @@
 // handoverStore is a store that counts calls and answers them with errors of a kind.
 type handoverStore struct {
 	Store
-	kind  errkind.Kind
-	calls int
+	kind        errkind.Kind
+	calls       int
+	memberReads int
 }
 
 func (s *handoverStore) WriteHandover(context.Context, string, platform.Handover) error {
@@ -35,6 +36,11 @@
 	return platform.Handover{}, errkind.New(s.kind, "take")
 }
 
+func (s *handoverStore) RestartAnnounced(context.Context, string) (bool, error) {
+	s.memberReads++
+	return true, nil
+}
+
 // Guards against a flow that only the process knows which has handed over its flows and
 // stops.
 func TestNothingIsProcessedAfterTheHandover(t *testing.T) {
@@ -58,9 +64,11 @@
 func TestHandoverIsTriedTwiceAtMost(t *testing.T) {
 	for kind, calls := range map[errkind.Kind]int{errkind.PlatformDown: 2, errkind.NotFound: 1} {
 		is := is.New(t)
+		memberReads := 2 - calls // only an answer that there is none leads to another call
 		store := &handoverStore{kind: kind}
 		a := New(platform.Settings{FlowLifetime: time.Minute}, store, event.Discard())
 		a.takeOver(t.Context())
 		is.Equal(store.calls, calls)
+		is.Equal(store.memberReads, memberReads)
 	}
 }
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -70,11 +70,16 @@
 
 // announceMember announces the member by the last report. The caller holds the lock.
 func (a *Agent) announceMember() <-chan struct{} {
-	s, r := a.settings, a.lastReport
-	return a.node.Announcer.Set(view.Member{
+	return a.node.Announcer.Set(a.member(a.lastReport.State, a.lastReport.Slots))
+}
+
+// member returns the member of the agent. The caller holds the lock.
+func (a *Agent) member(state view.State, slots int) view.Member {
+	s := a.settings
+	return view.Member{
 		Name: MemberName(s.Address), Role: view.AgentRole, Domain: s.Domain, Address: s.PacketAddress, Peer: s.PeerAddress,
-		Service: s.Service, Slots: r.Slots, State: r.State, Restarting: a.restarting,
-	})
+		Service: s.Service, Slots: slots, State: state, Restarting: a.restarting,
+	}
 }
 
 // announceRestart announces that this process stops while the backend server runs
--- /dev/null
+++ b/pkg/flowagent/settlement.go
@@ -0,0 +1,113 @@
+package flowagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+)
+
+const (
+	// peerViewDelay is how long an agent that the store doesn't answer waits before it
+	// relies on a view that was current shortly before it started. An announcement of an
+	// earlier process has reached the peers by then: they pause watches for 300 ms.
+	peerViewDelay = 400 * time.Millisecond
+	// maxPeerViewAge is the maximum age of that view.
+	maxPeerViewAge = 2500 * time.Millisecond
+	// ageResolution is the resolution of the ages that peers send.
+	ageResolution = time.Millisecond
+)
+
+// settlement is what a process has found out about handovers of earlier processes of its
+// agent. While a later process may use one of them as complete, this process accepts no new
+// flows: the later one would deny them.
+//
+// A handover names the revision of a member that announces a restart, and is used only
+// while the store holds that revision. It can't be used any more once it was taken over, or
+// once the store has held a member without such an announcement after the start of this
+// process. The store may execute the creation of a handover late, so that finding none
+// proves nothing.
+type settlement struct {
+	startedAt     time.Time // start of this process
+	settled       bool      // no handover of an earlier process can be used any more
+	takeOverEnded bool      // all tries to take a handover over have ended
+	storeSilent   bool      // they ended without an answer of the store
+	announced     bool      // the member was announced anew because of the settlement
+}
+
+// isExcludedBy reports whether a view proves that no handover can be used, or whether so
+// much time has passed that none counts as complete. Without the store the proof is weaker:
+// a restarted agent must serve although the store is down, and a wrong view needs a store
+// that answered the earlier process, but neither the peers shortly before nor this process.
+func (s *settlement) isExcludedBy(now time.Time, restartAnnounced bool, confirmedAt time.Time) bool {
+	switch {
+	case now.Sub(s.startedAt) >= maxCompleteAge:
+		return true
+	case restartAnnounced || confirmedAt.IsZero():
+		return false
+	case confirmedAt.Sub(s.startedAt) > ageResolution:
+		return true
+	}
+	return s.storeSilent && now.Sub(s.startedAt) >= peerViewDelay && s.startedAt.Sub(confirmedAt) <= maxPeerViewAge
+}
+
+// settle ends the refusal of new flows because of handovers of earlier processes. The
+// caller holds the lock.
+func (a *Agent) settle(now time.Time) {
+	if a.settlement.settled {
+		return
+	}
+	a.settlement.settled = true
+	a.gate.SettleHandover()
+	a.updateRefusal(now)
+}
+
+// updateSettlement settles handovers if the view, the time or the answer to a write allow
+// it. Otherwise it announces that the agent runs, once that can't spoil the handover that
+// is being taken over. The caller holds the lock.
+func (a *Agent) updateSettlement(now time.Time) {
+	if a.settlement.settled {
+		return
+	}
+	name := MemberName(a.settings.Address)
+	v, confirmed := a.node.Board.Snapshot()
+	member, listed := v.Members.ByName[name]
+	acknowledged := a.node.Announcer.Acknowledged()
+	written := acknowledged.Name == name && !acknowledged.Restarting
+	if written || a.settlement.isExcludedBy(now, listed && member.Restarting, confirmed.Members) {
+		a.settle(now)
+		return
+	}
+	noReport := a.lastReport.Instance == "" && !a.backendLeft && !a.restarting
+	due := a.settlement.takeOverEnded && !a.settlement.announced
+	if due && noReport && listed && member.Service == a.settings.Service {
+		a.settlement.announced = true
+		a.node.Announcer.Set(a.member(member.State, member.Slots))
+	}
+}
+
+// settleAfterTakeOver records how the tries to take a handover over have ended.
+func (a *Agent) settleAfterTakeOver(ctx context.Context, err error) {
+	settled, silent := a.noHandoverLeft(ctx, err)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settlement.takeOverEnded, a.settlement.storeSilent = true, silent
+	if settled {
+		a.settle(time.Now())
+	}
+}
+
+// noHandoverLeft reports whether the store has shown that no handover of an earlier process
+// can be used any more, from the error of the take-over, and whether it has not answered.
+func (a *Agent) noHandoverLeft(ctx context.Context, err error) (settled, silent bool) {
+	if err == nil {
+		return true, false
+	}
+	if !errkind.Is(err, errkind.NotFound) && !errkind.Is(err, errkind.HandoverUnusable) {
+		return false, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
+	defer cancel()
+	announced, err := a.store.RestartAnnounced(ctx, MemberName(a.settings.Address))
+	return err == nil && !announced, err != nil
+}
