--- a/internal/control/follow/fleet_test.go
+++ b/internal/control/follow/fleet_test.go
@@ -176,7 +176,7 @@
 	if !sleep(ctx, storeDelay) {
 		return nil, 0, ctx.Err()
 	}
-	deadline := time.After(wait)
+	deadline := after(wait)
 	for {
 		changes, revision, changed := h.fleet.changesSince(s, since)
 		f, faultChanged := h.currentFault()
@@ -303,9 +303,23 @@
 // sleep waits for d, and reports whether ctx went on meanwhile.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
-	case <-time.After(d):
+	case <-after(d):
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
+
+// after is time.After without a timer if d is not positive: the channel is ready at once.
+//
+// A timer of a bubble that is created or received from when it is already due runs on that
+// goroutine. All timers of a bubble share one context of the race detector, which crashes
+// when two goroutines use it at a time (Go 1.26).
+func after(d time.Duration) <-chan time.Time {
+	if d > 0 {
+		return time.After(d)
+	}
+	ready := make(chan time.Time, 1)
+	ready <- time.Now()
+	return ready
+}
