--- a/internal/base/delay/delay.go
+++ b/internal/base/delay/delay.go
@@ -10,6 +10,9 @@
 // Sleep waits until d has passed or ctx ends. It returns true after d, and false
 // if ctx ended first.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
