--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -62,9 +62,9 @@
 
 // isDead reports whether an agent counts as dead: it has left hellos unanswered
 // for long while another host of its failure domain answers. A failure domain in
-// which no host answers may be cut off from this balancer only. While many agents are
-// suspect, silence proves nothing about any of them. Neither does it while the view is
-// older than the silence: an agent announces its restart before it stops answering, so only
+// which no host answers may be cut off from this balancer only. Silence during a fault of
+// this balancer's own proves nothing about any agent; see updateOwnFault. Neither does it
+// while the view is older than the silence: an agent announces its restart before it stops answering, so only
 // a later view is sure to contain the announcement.
 func (as *agentSet) isDead(a *agent) bool {
 	timeout := deadAfter
@@ -72,7 +72,22 @@
 		timeout = restartTimeout
 	}
 	silent := a.suspect && as.clock-a.unansweredSince > timeout
-	return silent && as.confirmedAt.After(a.silentAt) && as.domainAnswers(a.member.Domain) && !as.manySuspect()
+	ownFault := as.ownFault || as.manySuspect()
+	return silent && as.confirmedAt.After(a.silentAt) && as.domainAnswers(a.member.Domain) && !ownFault
+}
+
+// updateOwnFault records whether many agents are suspect, so that the fault is probably this
+// balancer's own. When it ends, answers come in one after the other: all silence is
+// measured anew, because an agent that answers late may not have been silent at all.
+func (as *agentSet) updateOwnFault() {
+	ended := as.ownFault && !as.manySuspect()
+	as.ownFault = as.manySuspect()
+	if !ended {
+		return
+	}
+	for c := range as.contacts() {
+		c.unansweredSince, c.silentAt = as.clock, time.Time{}
+	}
 }
 
 // domainAnswers reports whether any host of a failure domain answers hellos.
@@ -105,6 +120,7 @@
 			suspects++
 		}
 	}
+	as.updateOwnFault()
 	interval := max(minHelloInterval, time.Duration(len(as.all)+len(as.balancers))*time.Second/helloRate)
 	suspectInterval := max(minSuspectHelloInterval, time.Duration(suspects)*time.Second/helloRate)
 	var due []netip.AddrPort
--- /dev/null
+++ b/internal/flowpath/flowsteer/contact_test.go
@@ -0,0 +1,71 @@
+package flowsteer
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
+)
+
+// Guards against FLOW, first half: a balancer whose link was full, or that got no processor
+// time, receives answers again one after the other. Once three quarters of the agents have
+// answered, the rest must not count as dead for a silence that was the balancer's own
+// fault: it resets the flows that they hold.
+func TestAgentsThatAnswerLastAfterAnOwnFaultAreNotDead(t *testing.T) {
+	is := is.New(t)
+	const agents, answering, fault = 12, 9, 4 * time.Second
+	silent := []netip.AddrPort{agentAddress(9), agentAddress(10), agentAddress(11)}
+	s := newSteerer(testView(agents))
+	p := callerPacket(1, flow.Ack)
+	p.Length = 10
+	at := start
+	tick := func(answering int) []Action {
+		at = at.Add(timerStep)
+		s.SetView(s.view, view.Confirmations{Members: at})
+		due := s.Tick(at)
+		for i := range answering {
+			s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
+		}
+		return due
+	}
+	for at.Before(start.Add(time.Second)) {
+		tick(agents)
+	}
+	for range fault / timerStep {
+		tick(0)
+	}
+	ended := at
+	for reset := false; !reset && at.Sub(ended) < 2*fault; {
+		due := tick(answering)
+		if s.lookups[p.CallerKey()] == nil {
+			due = append(due, s.FromCaller(at, p, []byte("data")))
+		}
+		reset = isReset(s, at, p, due, silent)
+	}
+	is.True(at.Sub(ended) > deadAfter)
+	is.True(at.Sub(ended) <= deadAfter+time.Second)
+}
+
+// isReset lets all agents but the silent ones deny the flow of p, and reports whether the flow
+// is reset. A list of candidates that contains a silent agent has no answer.
+func isReset(s *Steerer, at time.Time, p flow.Packet, due []Action, silent []netip.AddrPort) bool {
+	for len(due) > 0 {
+		a := due[0]
+		due = due[1:]
+		isSilent := func(agent netip.AddrPort) bool { return slices.Contains(silent, agent) }
+		switch {
+		case a.Verdict == Reset:
+			return true
+		case a.Verdict != Send || a.Message.Type != hop.Forward || slices.ContainsFunc(a.Message.Candidates, isSilent):
+		default:
+			due = append(due, s.Declined(at, p, &a.Message)...)
+		}
+	}
+	return false
+}
