--- a/internal/flowpath/flowgate/offer.go
+++ b/internal/flowpath/flowgate/offer.go
@@ -39,7 +39,7 @@
 
 // isOffered reports whether a packet belongs to a lookup in which agents that don't know
 // its flow offer it to their backend servers.
-func isOffered(m *hop.Message) bool { return m.ReportHolder && !m.KnownOnly }
+func isOffered(m *hop.Message) bool { return m.Offered || (m.ReportHolder && !m.KnownOnly) }
 
 // unknownFlow decides about a packet of a flow that this agent doesn't know. While
 // the agent learns, its backend server may hold the flow. The packet is not offered to
--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -154,6 +154,18 @@
 	return addresses(ranked)
 }
 
+// likelyHolders returns the agents to which balancers send the opening of a flow first, but
+// for those that are dead.
+func (as *agentSet) likelyHolders(hash uint64, targets []view.Target) []netip.AddrPort {
+	var list []*agent
+	for _, t := range targets {
+		list = append(list, as.byService[t.Service]...)
+	}
+	ranked := rankByHash(list, hash)
+	ranked = slices.DeleteFunc(ranked[:min(len(ranked), leastLoadedChoices)], func(a *agent) bool { return as.isDead(a) })
+	return addresses(ranked)
+}
+
 // rankByHash orders agents by rendezvous hashing with their slots as weights.
 func rankByHash(list []*agent, hash uint64) []*agent {
 	nodes := make([]rendezvous.Node, len(list))
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -22,7 +22,7 @@
 	// maxLookupRetries is the maximum number of times that a lookup is retried.
 	maxLookupRetries = 4
 	// offeringRetry is the retry from which on agents that may hold a flow without knowing
-	// it offer its packet although others have not answered. Those may be down.
+	// it offer its packet although others, which hardly hold it, have not answered.
 	offeringRetry = 2
 	// maxListsPerRound is the maximum number of candidate lists that are sent at a
 	// time after the first list, which usually contains the holder.
@@ -50,18 +50,19 @@
 // lookup is the search for the agent that holds a flow. The flow was open when
 // the packet was sent, so an agent that denied it needn't be asked again. The agents of
 // the first list, which usually contains the holder, are first asked whether they know
-// the flow. Only when none does, those that may hold it without knowing it offer the
-// packet to their backend servers, and so do the agents that are asked after them. An
-// acknowledgement is never offered: its loss is made good by a retransmission, and nothing
-// shows which backend server took it.
+// the flow. When none does, those that may hold it without knowing it offer the packet to
+// their backend servers. Until all agents have answered, offerBudget limits how many do, and
+// none does before all likely holders have.
+// An acknowledgement is never offered: its loss is made good by a retransmission, and
+// nothing shows which backend server took it.
 type lookup struct {
 	order          []netip.AddrPort // agents to ask, in this order
 	next           int              // index in order of the first agent that was not asked
 	deniedBy       []netip.AddrPort // agents that don't hold the flow
 	unsure         []netip.AddrPort // agents that don't know the flow but may hold it
+	likely         []netip.AddrPort // agents to which the opening of the flow went first
 	packet         flow.Packet
 	raw            []byte   // the encoding of packet
-	offered        bool     // agents were asked to offer the packet
 	unsent         bool     // packet replaced an earlier one and was not sent yet
 	waitingPackets [][]byte // further packets of the flow
 	startedAt      time.Time
@@ -89,16 +90,15 @@
 	if len(s.lookups) >= maxLookups {
 		return noHolderAction(Drop, p)
 	}
-	l := &lookup{packet: p, raw: slices.Clone(raw), startedAt: now, order: s.agents.rankForLookup(key.Hash(), s.targets(p.To))}
+	l := &lookup{packet: p, raw: slices.Clone(raw), startedAt: now}
+	l.order, l.likely = s.agents.rankForLookup(key.Hash(), s.targets(p.To)), s.agents.likelyHolders(key.Hash(), s.targets(p.To))
 	if len(l.order) == 0 {
 		return noHolderAction(Drop, p)
 	}
 	s.lookups[key] = l
 	list := l.order[:min(len(l.order), hop.MaxCandidates)]
 	l.next, l.lastSentAt = len(list), now
-	a := s.forward(list, 0, true, l.raw)
-	a.Message.KnownOnly = true
-	return a
+	return s.askForKnowledge(now, key, list, l)
 }
 
 // endLookup removes the lookup of a flow, if there is one, with its packets.
@@ -123,7 +123,7 @@
 
 // askNextAgents sends the packet of a lookup to the agents that were not asked yet, in
 // up to the given number of candidate lists of the given length.
-func (s *Steerer) askNextAgents(now time.Time, l *lookup, lists, length int) []Action {
+func (s *Steerer) askNextAgents(now time.Time, key flow.Key, l *lookup, lists, length int) []Action {
 	l.lastSentAt, l.retryAt, l.unsent = now, time.Time{}, false
 	var due []Action
 	for range lists {
@@ -132,15 +132,21 @@
 		}
 		list := l.order[l.next:min(len(l.order), l.next+length)]
 		l.next += len(list)
-		a := s.forward(list, 0, true, l.raw)
-		a.Message.KnownOnly = !l.mayBeOffered()
-		due = append(due, a)
+		due = append(due, s.askForKnowledge(now, key, list, l))
 	}
 	return due
 }
 
+// askForKnowledge sends the packet of a lookup to agents that deliver it only if they know
+// its flow.
+func (s *Steerer) askForKnowledge(now time.Time, key flow.Key, list []netip.AddrPort, l *lookup) Action {
+	a := s.forward(list, 0, true, l.raw)
+	a.Message.KnownOnly, a.Message.Offered = true, s.offers.left(now, key) < offerBudget
+	return a
+}
+
 // recordDenial records the agents that don't hold a flow, and asks further ones
-// when all that were asked have denied it.
+// when all that were asked have denied it or are unsure.
 func (s *Steerer) recordDenial(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) []Action {
 	l := s.lookups[key]
 	if l == nil {
@@ -150,13 +156,17 @@
 		return []Action{noHolderAction(Drop, p)}
 	}
 	l.recordAnswers(m)
+	allAnswered := !slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !l.answered(agent) })
+	if (allAnswered || l.retries >= offeringRetry) && l.likelyAnswered() {
+		if offers := s.offerToUnsure(now, key, l, allAnswered && l.next == len(l.order)); len(offers) > 0 {
+			return offers
+		}
+	}
 	switch {
-	case slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !l.answered(agent) }):
+	case !allAnswered:
 		return nil
-	case len(l.unsure) > 0 && callsForAnswer(l.packet):
-		return s.offerToUnsure(now, l)
 	case l.next < len(l.order):
-		return s.askNextAgents(now, l, maxListsPerRound, hop.MaxCandidates)
+		return s.askNextAgents(now, key, l, maxListsPerRound, hop.MaxCandidates)
 	case len(l.unsure) > 0:
 		s.endLookup(key)
 		return []Action{noHolderAction(Drop, p)}
@@ -164,24 +174,43 @@
 	return []Action{s.resolveMissing(now, key, l)}
 }
 
-// mayBeOffered reports whether agents that are asked next offer the packet if they may
-// hold the flow without knowing it. Unless agents learn, asking whether they know it
-// suffices.
-func (l *lookup) mayBeOffered() bool {
-	return callsForAnswer(l.packet) && (l.offered || l.retries >= offeringRetry)
-}
-
-// offerToUnsure sends the packet of a lookup to the agents that may hold the flow without
-// knowing it, which offer it to their backend servers.
-func (s *Steerer) offerToUnsure(now time.Time, l *lookup) []Action {
+// offerToUnsure sends the packet of a lookup to agents that may hold the flow without
+// knowing it, which offer it to their backend servers: to all of them if one must hold it,
+// because all agents have answered, and otherwise to as many as the budget leaves.
+func (s *Steerer) offerToUnsure(now time.Time, key flow.Key, l *lookup, all bool) []Action {
+	if !callsForAnswer(l.packet) {
+		return nil
+	}
+	count := len(l.unsure)
+	if !all {
+		count = min(count, s.offers.left(now, key))
+	}
+	if count == 0 {
+		return nil
+	}
+	s.offers.spend(now, key, count)
+	offering := l.firstUnsure(count)
 	var due []Action
-	for list := range slices.Chunk(l.unsure, hop.MaxCandidates) {
+	for list := range slices.Chunk(offering, hop.MaxCandidates) {
 		due = append(due, s.forward(list, 0, true, l.raw))
 	}
-	l.unsure, l.lastSentAt, l.unsent, l.offered = nil, now, false, true
+	l.unsure = slices.DeleteFunc(l.unsure, func(agent netip.AddrPort) bool { return slices.Contains(offering, agent) })
+	l.lastSentAt, l.unsent = now, false
 	return due
 }
 
+// firstUnsure returns some of the agents that are unsure, those first that most likely hold
+// the flow.
+func (l *lookup) firstUnsure(count int) []netip.AddrPort {
+	var first []netip.AddrPort
+	for _, agent := range l.order {
+		if len(first) < count && slices.Contains(l.unsure, agent) {
+			first = append(first, agent)
+		}
+	}
+	return first
+}
+
 // recordAnswers records what the agents of a declined list know of the flow. One that
 // is unsure although it was asked to offer the packet has not answered.
 func (l *lookup) recordAnswers(m *hop.Message) {
@@ -202,6 +231,12 @@
 	return slices.Contains(l.deniedBy, agent) || slices.Contains(l.unsure, agent)
 }
 
+// likelyAnswered reports whether all agents that most likely hold the flow have answered.
+// Until then offers would most likely go to others while the flow's own agent is away.
+func (l *lookup) likelyAnswered() bool {
+	return !slices.ContainsFunc(l.likely, func(agent netip.AddrPort) bool { return !l.answered(agent) })
+}
+
 func (s *Steerer) targets(address netip.AddrPort) []view.Target {
 	return s.view.Configuration.Routes[address].Targets
 }
--- a/internal/flowpath/flowsteer/lookupretry.go
+++ b/internal/flowpath/flowsteer/lookupretry.go
@@ -57,8 +57,9 @@
 	}
 	l.retries++
 	l.order, l.next, l.unsure = undenied, 0, nil
+	l.likely = s.agents.likelyHolders(key.Hash(), s.targets(l.packet.To))
 	length := min((len(undenied)+maxShortLists-1)/maxShortLists, hop.MaxCandidates)
-	return s.askNextAgents(now, l, maxListsPerRound, length)
+	return s.askNextAgents(now, key, l, maxListsPerRound, length)
 }
 
 // isDue reports whether the lookup is due for a retry.
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -56,6 +56,7 @@
 	delivered map[flow.Key]*pathAgent // the agent whose backend server accepted the last packet
 	lost      func(what string) bool  // reports whether a message is lost, nil if none are
 	gaveUp    map[flow.Key]bool       // a reset reached the caller before an answer
+	away      netip.AddrPort          // agent that gets no messages, the zero AddrPort for none
 }
 
 // answer is the answer to an opening with which the caller continues: the first
@@ -284,6 +285,9 @@
 		p.reset(action.Packet.CallerKey())
 	case action.Verdict != flowsteer.Send:
 	case action.Message.Type == hop.Hello:
+		if action.To == p.away {
+			return
+		}
 		a := p.agents[action.To]
 		s.HelloAck(p.now, &hop.Message{Type: hop.HelloAck, Agent: a.address, Load: a.gate.Load(p.now)})
 	default:
@@ -292,6 +296,9 @@
 }
 
 func (p *path) toAgent(to netip.AddrPort, m hop.Message) {
+	if to == p.away {
+		return
+	}
 	a := p.agents[to]
 	p.fromAgent(a, m.Packet, a.gate.FromPeer(p.now, &m, p.decode(m.Packet)))
 }
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -75,6 +75,7 @@
 	flows       holders
 	openings    map[flow.Key]*opening
 	lookups     map[flow.Key]*lookup
+	offers      offerLimiter
 	// waitingPackets is the number of packets that wait for all lookups together.
 	waitingPackets int
 	// droppedRoutes are the routes that an earlier configuration had.
@@ -94,6 +95,7 @@
 		flows:    newHolders(),
 		openings: map[flow.Key]*opening{},
 		lookups:  map[flow.Key]*lookup{},
+		offers:   newOfferLimiter(),
 
 		droppedRoutes: map[netip.AddrPort]bool{},
 		unroutedFlows: map[flow.Key]time.Time{},
@@ -258,6 +260,7 @@
 	for _, agent := range s.agents.dueHellos(now) {
 		due = append(due, Action{Verdict: Send, To: agent, Message: hop.Message{Type: hop.Hello, Balancer: s.self}})
 	}
+	s.offers.expire(now)
 	return append(due, s.retryLookups(now)...)
 }
 
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -34,6 +34,7 @@
 	lastRoundFlag    = 2
 	knownOnlyFlag    = 4
 	openingFlag      = 8
+	offeredFlag      = 16
 	fixedHeaderLen   = 20
 	loadLen          = 8
 	keyLen           = 2 * endpoint.Size
@@ -62,6 +63,7 @@
 	LastRound    bool   // all candidates were tried: the agent at Position accepts the flow even if it is busy
 	KnownOnly    bool   // agents don't offer the packet of an unknown flow to their backend server; see Unsure
 	Opening      bool   // Placed: the flow's opening was delivered, which other agents may have done too
+	Offered      bool   // the packet, or an earlier one of its flow, was offered to backend servers that may not hold the flow
 	Unsure       uint8  // bit i is set if the agent at index i of Candidates may hold the flow without knowing it
 	Position     uint8  // index in Candidates of the agent that gets the message
 	LeastLoaded  uint8  // 1 + the index of the least loaded agent that passed the flow on, 0 if none did
@@ -90,6 +92,9 @@
 	if m.Opening {
 		flags |= openingFlag
 	}
+	if m.Offered {
+		flags |= offeredFlag
+	}
 	b = append(b, magic, byte(m.Type), flags, m.Position, byte(len(m.Candidates)), m.LeastLoaded, m.Unsure, 0)
 	b = binary.BigEndian.AppendUint32(b, m.Service)
 	b = endpoint.Append(b, m.Balancer)
@@ -123,6 +128,7 @@
 		LastRound:    b[2]&lastRoundFlag != 0,
 		KnownOnly:    b[2]&knownOnlyFlag != 0,
 		Opening:      b[2]&openingFlag != 0,
+		Offered:      b[2]&offeredFlag != 0,
 		Unsure:       b[6],
 		Position:     b[3],
 		LeastLoaded:  b[5],
--- a/internal/flowpath/hop/hop_test.go
+++ b/internal/flowpath/hop/hop_test.go
@@ -31,6 +31,7 @@
 		m.Service, m.ReportHolder = rapid.Uint32().Draw(t, "service"), rapid.Bool().Draw(t, "ask")
 		m.LastRound, m.LeastLoaded, m.LeastLoad = rapid.Bool().Draw(t, "final"), uint8(rapid.IntRange(0, len(m.Candidates)).Draw(t, "best")), rapid.Uint16().Draw(t, "best load")
 		m.KnownOnly, m.Unsure = rapid.Bool().Draw(t, "known only"), rapid.Byte().Draw(t, "unsure")
+		m.Offered = rapid.Bool().Draw(t, "offered")
 		m.Packet = rapid.SliceOf(rapid.Byte()).Draw(t, "packet")
 	case Placed:
 		m.Opening = rapid.Bool().Draw(t, "opening")
