--- a/cmd/knapweedpier-node/main.go
+++ b/cmd/knapweedpier-node/main.go
@@ -44,17 +44,22 @@
 const memoryLimitShare = 0.75
 
 func main() {
+	// Before anything else: a signal that isn't caught ends the process at once.
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var flags settings.Node
 	role := kong.Parse(&flags, kong.Name("knapweedpier-node")).Command()
-	if err := run(role, flags); err != nil {
+	if err := run(ctx, hangups, role, flags); err != nil {
 		fmt.Fprintln(os.Stderr, "knapweedpier-node:", err)
 		os.Exit(errkind.ExitCode(err))
 	}
 }
 
-func run(role string, flags settings.Node) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
+// run runs the daemon of a role until ctx ends. It reads the settings again at each signal
+// of hangups.
+func run(ctx context.Context, hangups <-chan os.Signal, role string, flags settings.Node) error {
 	output := event.NewAsyncWriter(os.Stdout)
 	defer output.Close()
 	logger, err := event.New(output, flags.LogFormat)
@@ -90,7 +95,7 @@
 		fx.Invoke(func(lc fx.Lifecycle, d daemon, store *platform.Store) {
 			lc.Append(fx.StopHook(store.Close))
 			lc.Append(fx.StartStopHook(d.Start, d.Stop))
-			go watchSettings(path, loaded, d, logger, stopped)
+			go watchSettings(hangups, path, loaded, d, logger, stopped)
 		}),
 	)
 	// A signal doesn't interrupt the start: fx would end the process without stopping the
@@ -106,20 +111,18 @@
 	return app.Stop(stopCtx)
 }
 
-// watchSettings reads the settings file after each SIGHUP and every
+// watchSettings reads the settings file after each signal of hangups and every
 // settingsCheckInterval, and passes changed settings to the daemon, until
 // stopped is closed. If the file can't be read, it logs the error and the
 // settings in use stay. What the flags give never changes while the process
 // runs.
-func watchSettings(path string, inUse platform.Settings, d daemon, logger *event.Logger, stopped <-chan struct{}) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func watchSettings(hangups <-chan os.Signal, path string, inUse platform.Settings, d daemon, logger *event.Logger, stopped <-chan struct{}) {
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
 	metrics, bindHost := inUse.MetricsAddress, inUse.BindHost
 	for {
 		select {
-		case <-signals:
+		case <-hangups:
 		case <-ticker.C:
 		case <-stopped:
 			return
