--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -15,10 +15,8 @@
 	helloRate = 50
 	// minHelloInterval is the minimum time between two hellos to a node.
 	minHelloInterval = 250 * time.Millisecond
-	// minSuspectHelloInterval is the minimum time between two hellos to a suspect node.
-	// An agent gets at least three before it counts as dead, since datagrams are lost
-	// at times. It gets fewer if many agents are suspect, because flows are not reset
-	// then and the balancer may be overloaded.
+	// minSuspectHelloInterval is the minimum time between two hellos to a suspect node. It
+	// is longer if many nodes are suspect, because the balancer may be overloaded then.
 	minSuspectHelloInterval = minHelloInterval
 	// suspectAfter is how long a node may leave a hello unanswered before it is
 	// suspect.
@@ -27,6 +25,9 @@
 	// as dead and the flows that it may hold are reset. Callers' deadlines are not
 	// longer.
 	deadAfter = 2 * time.Second
+	// minDeathHellos is the minimum number of hellos that an agent has left unanswered when
+	// it counts as dead, since datagrams are lost at times.
+	minDeathHellos = 3
 	// sureSilence is how long an agent must have left hellos unanswered at a moment to
 	// have been silent at that moment, and not only to have missed one of them: at least
 	// two were sent.
@@ -50,6 +51,7 @@
 	member          view.Member
 	unanswered      bool          // a hello is unanswered
 	unansweredSince time.Duration // unanswered: when the oldest such hello was sent, on the clock of the agentSet
+	unansweredCount int           // unanswered: number of hellos sent since then
 	silentAt        time.Time     // unanswered: when the node was sure to be silent, zero until then
 	nextHello       time.Time
 	suspect         bool
@@ -57,7 +59,13 @@
 
 // noteAnswer records that the node has answered.
 func (c *contact) noteAnswer() {
-	c.unanswered, c.suspect, c.silentAt = false, false, time.Time{}
+	c.suspect = false
+	c.forgetHellos()
+}
+
+// forgetHellos makes the node's silence begin with the next hello.
+func (c *contact) forgetHellos() {
+	c.unanswered, c.unansweredCount, c.silentAt = false, 0, time.Time{}
 }
 
 // isDead reports whether an agent counts as dead: it has left hellos unanswered
@@ -71,7 +79,7 @@
 	if a.isRestarting() {
 		timeout = restartTimeout
 	}
-	silent := a.suspect && as.clock-a.unansweredSince > timeout
+	silent := a.suspect && a.unansweredCount >= minDeathHellos && as.clock-a.unansweredSince > timeout
 	ownFault := as.ownFault || as.manySuspect()
 	return silent && as.confirmedAt.After(a.silentAt) && as.domainAnswers(a.member.Domain) && !ownFault
 }
@@ -86,7 +94,10 @@
 		return
 	}
 	for c := range as.contacts() {
-		c.unansweredSince, c.silentAt = as.clock, time.Time{}
+		c.forgetHellos()
+		if c.suspect {
+			c.nextHello = as.lastTick
+		}
 	}
 }
 
@@ -136,6 +147,7 @@
 		if !c.unanswered {
 			c.unanswered, c.unansweredSince = true, as.clock
 		}
+		c.unansweredCount++
 	}
 	return due
 }
--- a/internal/flowpath/flowsteer/contact_test.go
+++ b/internal/flowpath/flowsteer/contact_test.go
@@ -1,6 +1,7 @@
 package flowsteer
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -69,3 +70,43 @@
 	}
 	return false
 }
+
+// Guards against agents that count as dead without a hello since the fault of the balancer's
+// own ended: in a large fleet, the next hello was due later than 2 s. Busy agents are known to
+// answer by other messages, the idle ones by their answers to hellos only.
+func TestSilentAgentsGetHellosAfterAnOwnFault(t *testing.T) {
+	const agents, busy, balancers = 136, 102, 39
+	for _, fault := range []time.Duration{3 * time.Second, 7 * time.Second} {
+		v := testView(agents)
+		for i := range balancers {
+			name := fmt.Sprintf("balancer-%d", i)
+			v.Members.ByName[name] = view.Member{Name: name, Role: view.BalancerRole, Domain: "b", Address: balancerOf(i)}
+		}
+		s := newSteerer(v)
+		at := start
+		play := func(d time.Duration, cutOff bool) {
+			for end := at.Add(d); at.Before(end); {
+				at = at.Add(timerStep)
+				s.SetView(v, view.Confirmations{Members: at})
+				for _, a := range s.Tick(at) {
+					if !cutOff {
+						s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: a.To})
+					}
+				}
+				for i := 0; i < busy && !cutOff; i++ {
+					s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)})
+				}
+				if dead := s.agents.dead(); len(dead) > 0 {
+					t.Fatalf("fault of %v: %d agents that answer every hello count as dead", fault, len(dead))
+				}
+			}
+		}
+		play(5*time.Second, false)
+		play(fault, true)
+		play(6*time.Second, false)
+	}
+}
+
+func balancerOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 1, byte(i)}), 7720)
+}
