--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -211,9 +211,20 @@
 }
 
 // manySuspect reports whether more than maxSuspectShare of the agents are suspect. Then
-// the fault is probably the balancer's own, such as a full link.
+// the fault is probably the balancer's own, such as a full link. Agents that have announced a
+// restart are left out: their silence is no sign of such a fault.
 func (as *agentSet) manySuspect() bool {
-	return float64(as.suspectCount()) > maxSuspectShare*float64(len(as.all))
+	suspects, agents := 0, 0
+	for _, a := range as.all {
+		if a.isRestarting() {
+			continue
+		}
+		agents++
+		if a.suspect {
+			suspects++
+		}
+	}
+	return float64(suspects) > maxSuspectShare*float64(agents)
 }
 
 // suspectCount returns the number of suspect agents.
--- a/internal/flowpath/flowsteer/contact_test.go
+++ b/internal/flowpath/flowsteer/contact_test.go
@@ -110,3 +110,31 @@
 func balancerOf(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 1, byte(i)}), 7720)
 }
+
+// Guards against callers of a dead host's flows that get no reset while agents restart as
+// planned in waves: each wave looked like a fault of the balancer's own, at whose end silence
+// is measured anew.
+func TestDeadHostIsNoticedBesidePlannedRestarts(t *testing.T) {
+	is := is.New(t)
+	const agents, waveInterval, away = 12, 1500 * time.Millisecond, 600 * time.Millisecond
+	s := newSteerer(testView(agents))
+	at, deadAt := start, time.Duration(0)
+	for at.Before(start.Add(10*time.Second)) && deadAt == 0 {
+		at = at.Add(timerStep)
+		s.SetView(s.view, view.Confirmations{Members: at})
+		restarting := at.Sub(start)%waveInterval < away
+		for i := range agents - 1 { // the last one is dead
+			m := hop.Message{Type: hop.HelloAck, Agent: agentAddress(i)}
+			m.Load.Stopping = i < 3 && restarting
+			if i >= 3 || !restarting || at.Sub(start)%waveInterval < timerStep {
+				s.HelloAck(at, &m)
+			}
+		}
+		s.Tick(at)
+		if len(s.agents.dead()) > 0 {
+			deadAt = at.Sub(start)
+		}
+	}
+	is.True(deadAt > deadAfter)
+	is.True(deadAt < 2*deadAfter)
+}
