--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -49,7 +49,8 @@
 	nodeSocket    udp.Socket // messages from and to balancers and agents
 	backendSocket udp.Socket // packets from and to the backend server
 
-	reportable chan struct{} // closed as soon as reports may be applied
+	reportable    chan struct{} // closed as soon as reports may be applied
+	takeOverEnded chan struct{} // closed when all tries to take a handover over have ended
 
 	mu          sync.Mutex
 	gate        *flowgate.Gate
@@ -80,8 +81,10 @@
 		registry:   registry,
 		metrics:    metrics.NewFlowAgent(registry),
 		reportable: make(chan struct{}),
-		gate:       flowgate.New(gateOptions(s), now),
-		settlement: settlement{startedAt: now, settled: s.FirstStart},
+
+		takeOverEnded: make(chan struct{}),
+		gate:          flowgate.New(gateOptions(s), now),
+		settlement:    settlement{startedAt: now, settled: s.FirstStart},
 	}
 }
 
@@ -155,6 +158,7 @@
 	a.node.FollowView(a.followView)
 	if s.FirstStart {
 		close(a.reportable)
+		close(a.takeOverEnded)
 	} else {
 		a.startTakeOver()
 	}
@@ -166,9 +170,9 @@
 }
 
 // Stop refuses new flows, announces whether the backend server runs on, also to the
-// balancers directly, as the store may not answer in time, waits up to drainTimeout for requests that are queued or in progress, hands the flows over to
-// the next process if the backend server runs on and the store answers, and then stops
-// the agent.
+// balancers directly, as the store may not answer in time, waits up to drainTimeout for
+// requests that are queued or in progress, hands the flows over to the next process if the
+// backend server runs on and the store answers, and then stops the agent.
 func (a *Agent) Stop(context.Context) error {
 	ended := a.backendEnded()
 	if ended {
@@ -177,6 +181,7 @@
 	a.mu.Lock()
 	a.gate.StopAccepting()
 	a.mu.Unlock()
+	a.awaitTakeOver(maxTakeOverTime)
 	var announced view.Revision
 	if !ended {
 		announced = a.announceRestart()
@@ -188,7 +193,7 @@
 	a.deliverAllQueued()
 	a.notifyRestart()
 	if announced > 0 {
-		a.writeHandover(announced)
+		a.writeHandover(a.latestAnnouncement(announced))
 	}
 	a.node.Stop()
 	a.logger.Emit(event.Stopped, nil)
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -59,15 +59,11 @@
 	return m.Revision + 10, nil
 }
 
-// Guards against balancers that take a restarting agent for dead, and against
-// agents that announce a restart although their backend server is gone.
-func TestStopAnnouncesRestart(t *testing.T) {
-	is := is.New(t)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.NoErr(err)
-	defer listener.Close()
-	store := memberStore{written: make(chan view.Member, 10)}
-	a := New(platform.Settings{BackendAddress: listener.Addr().(*net.TCPAddr).AddrPort()}, store, event.Discard())
+// newAnnouncingAgent returns an agent that writes its member, and nothing else. The store
+// holds no members.
+func newAnnouncingAgent(t *testing.T, backend netip.AddrPort, store memberStore) *Agent {
+	t.Helper()
+	a := New(platform.Settings{BackendAddress: backend}, store, event.Discard())
 	board := view.NewBoard()
 	board.Apply(view.Delta{Section: view.MembersSection, To: 1, Full: true})
 	a.node = &flownode.Node{Board: board, Announcer: follow.NewAnnouncer(store, board, event.Discard()), Logger: event.Discard()}
@@ -77,10 +73,40 @@
 		defer close(ended)
 		a.node.Announcer.Run(ctx)
 	}()
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		<-ended
-	}()
+	})
+	return a
+}
+
+// Guards against a handover that isn't used because a report changed the member after the
+// announcement of the restart, to which the handover belongs otherwise.
+func TestHandoverBelongsToTheLatestAnnouncement(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	const takenOver = 5
+	a := newAnnouncingAgent(t, listener.Addr().(*net.TCPAddr).AddrPort(), memberStore{written: make(chan view.Member, 10)})
+	a.takenOverMember = takenOver
+	is.Equal(a.announceRestart(), view.Revision(takenOver))
+	is.Equal(a.latestAnnouncement(takenOver), view.Revision(takenOver)) // no report meanwhile
+	_, err = a.applyReport(flowgate.Report{Instance: "i-1", Started: time.Unix(1, 0), Sequence: 1, State: view.Leaving, Slots: 9})
+	is.NoErr(err)
+	is.True(a.latestAnnouncement(takenOver) > takenOver)
+	is.Equal(a.latestAnnouncement(takenOver), a.node.Announcer.Revision())
+}
+
+// Guards against balancers that take a restarting agent for dead, and against
+// agents that announce a restart although their backend server is gone.
+func TestStopAnnouncesRestart(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	store := memberStore{written: make(chan view.Member, 10)}
+	a := newAnnouncingAgent(t, listener.Addr().(*net.TCPAddr).AddrPort(), store)
 	a.announceRestart()
 	is.Equal(len(store.written), 0) // no report yet
 	report := func(sequence uint64) {
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -22,6 +22,9 @@
 	takeOverTimeout    = 650 * time.Millisecond
 	takeOverRetryDelay = 200 * time.Millisecond
 	maxTakeOverTries   = 2
+	// maxTakeOverTime is how long a stopping agent, which still passes packets, waits for
+	// the tries to end. A handover that it has deleted would be lost otherwise.
+	maxTakeOverTime = maxTakeOverTries*takeOverTimeout + takeOverRetryDelay
 	// takeOverWait is how long an agent leaves packets unread until the handover is
 	// taken over. A request that is offered before can't be told from its copies.
 	takeOverWait = 150 * time.Millisecond
@@ -86,17 +89,21 @@
 // Until then no report is applied, because it makes the agent write its member anew.
 func (a *Agent) startTakeOver() {
 	defer close(a.reportable)
-	done := make(chan struct{})
 	a.node.Go(func(ctx context.Context) {
-		defer close(done)
+		defer close(a.takeOverEnded)
 		a.takeOver(ctx)
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.updateSettlement(time.Now())
 	})
+	a.awaitTakeOver(takeOverWait)
+}
+
+// awaitTakeOver waits until all tries to take a handover over have ended, up to limit.
+func (a *Agent) awaitTakeOver(limit time.Duration) {
 	select {
-	case <-done:
-	case <-time.After(takeOverWait):
+	case <-a.takeOverEnded:
+	case <-time.After(limit):
 	}
 }
 
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -84,9 +84,9 @@
 
 // announceRestart announces that this process stops while the backend server runs on, to
 // the balancers and in the store, and returns the revision of the member with the
-// announcement, 0 if the store isn't known to hold it. Without a report in this process, the
-// member is as an earlier one left it: it announces a restart if this process took a handover
-// over.
+// announcement to which a handover may belong, 0 for none. Without a report in this process,
+// the member is as an earlier one left it: it announces a restart if this process took a
+// handover over. If it didn't, no handover can name the run of the backend server.
 func (a *Agent) announceRestart() view.Revision {
 	if a.backendRefusesConns() {
 		return 0
@@ -94,19 +94,46 @@
 	a.mu.Lock()
 	a.gate.PrepareStop()
 	a.notifyBalancers(time.Now())
-	a.restarting = a.lastReport.Instance != "" || a.takenOverMember > 0
-	if a.lastReport.Instance == "" {
-		defer a.mu.Unlock()
-		return a.takenOverMember
+	reported, takenOver := a.lastReport.Instance != "", a.takenOverMember
+	listed, isListed := a.node.Board.View().Members.ByName[MemberName(a.settings.Address)]
+	a.restarting = reported || takenOver > 0 || isListed
+	var stored <-chan struct{}
+	switch {
+	case reported:
+		stored = a.announceMember()
+	case takenOver == 0 && isListed:
+		stored = a.node.Announcer.Set(a.member(listed.State, listed.Slots))
 	}
-	stored := a.announceMember()
 	a.mu.Unlock()
+	if stored == nil {
+		return takenOver
+	}
 	select {
 	case <-stored:
-		return a.node.Announcer.Revision()
 	case <-time.After(storeTimeout):
 		return 0
 	}
+	if !reported {
+		return 0
+	}
+	return a.node.Announcer.Revision()
+}
+
+// latestAnnouncement returns the revision of the member that announces the restart, after
+// the one of announceRestart: a report meanwhile may have changed the member.
+func (a *Agent) latestAnnouncement(announced view.Revision) view.Revision {
+	a.mu.Lock()
+	if a.lastReport.Instance == "" {
+		a.mu.Unlock()
+		return announced
+	}
+	stored := a.announceMember() // writes nothing if the store holds it
+	a.mu.Unlock()
+	select {
+	case <-stored:
+	case <-time.After(storeTimeout):
+	}
+	return max(announced, a.node.Announcer.Revision())
 }
 
 // BackendLeft implements platform.ReportReceiver. Its error has kind ReportStale if the
