--- a/internal/flowpath/flowsteer/agents.go
+++ b/internal/flowpath/flowsteer/agents.go
@@ -40,7 +40,8 @@
 	all                []*agent
 	balancers          map[netip.AddrPort]*contact // of other failure domains only
 	otherDomainReached bool                        // a balancer of another failure domain has answered
-	ownFault           bool                        // see updateOwnFault
+	ownFault           bool                        // see updateFaults
+	pathFaults         map[string]bool             // by failure domain; see updateFaults
 	confirmedAt        time.Time                   // when the members of the view were current at the latest
 	// clock is how long this balancer has run without stalls. Silence is measured by it.
 	clock        time.Duration
--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -68,11 +68,19 @@
 	c.unanswered, c.unansweredCount, c.silentAt = false, 0, time.Time{}
 }
 
+// restartSilence makes the node's silence begin anew. If it is suspect, a hello is due now.
+func (c *contact) restartSilence(now time.Time) {
+	c.forgetHellos()
+	if c.suspect {
+		c.nextHello = now
+	}
+}
+
 // isDead reports whether an agent counts as dead: it has left hellos unanswered
 // for long while another host of its failure domain answers. A failure domain in
 // which no host answers may be cut off from this balancer only. Silence during a fault of
-// this balancer's own proves nothing about any agent; see updateOwnFault. Neither does it
-// while the view is older than the silence: an agent announces its restart before it stops answering, so only
+// this balancer's own, or of its path to the failure domain, proves nothing; see
+// updateFaults. Neither does it while the view is older than the silence: an agent announces its restart before it stops answering, so only
 // a later view is sure to contain the announcement.
 func (as *agentSet) isDead(a *agent) bool {
 	timeout := deadAfter
@@ -80,25 +88,32 @@
 		timeout = restartTimeout
 	}
 	silent := a.suspect && a.unansweredCount >= minDeathHellos && as.clock-a.unansweredSince > timeout
-	ownFault := as.ownFault || as.manySuspect()
-	return silent && as.confirmedAt.After(a.silentAt) && as.domainAnswers(a.member.Domain) && !ownFault
+	if !silent || !as.confirmedAt.After(a.silentAt) || !as.domainAnswers(a.member.Domain) {
+		return false
+	}
+	return !as.ownFault && !as.pathFaults[a.member.Domain] && !as.manySuspect() && !as.mostSuspect(a.member.Domain)
 }
 
-// updateOwnFault records whether many agents are suspect, so that the fault is probably this
-// balancer's own. When it ends, answers come in one after the other: all silence is
-// measured anew, because an agent that answers late may not have been silent at all.
-func (as *agentSet) updateOwnFault() {
-	ended := as.ownFault && !as.manySuspect()
+// updateFaults records whether so many agents are suspect that the fault is probably this
+// balancer's own, or that of its path to a failure domain. When it ends, answers come in one
+// after the other: silence is measured anew, because an agent that answers late may not have
+// been silent at all.
+func (as *agentSet) updateFaults() {
+	ownEnded := as.ownFault && !as.manySuspect()
 	as.ownFault = as.manySuspect()
-	if !ended {
-		return
+	pathFaults := map[string]bool{}
+	for _, a := range as.all {
+		domain := a.member.Domain
+		if _, ok := pathFaults[domain]; !ok {
+			pathFaults[domain] = as.mostSuspect(domain)
+		}
 	}
 	for c := range as.contacts() {
-		c.forgetHellos()
-		if c.suspect {
-			c.nextHello = as.lastTick
+		if domain := c.member.Domain; ownEnded || (as.pathFaults[domain] && !pathFaults[domain]) {
+			c.restartSilence(as.lastTick)
 		}
 	}
+	as.pathFaults = pathFaults
 }
 
 // domainAnswers reports whether any host of a failure domain answers hellos.
@@ -131,7 +146,7 @@
 			suspects++
 		}
 	}
-	as.updateOwnFault()
+	as.updateFaults()
 	interval := max(minHelloInterval, time.Duration(len(as.all)+len(as.balancers))*time.Second/helloRate)
 	suspectInterval := max(minSuspectHelloInterval, time.Duration(suspects)*time.Second/helloRate)
 	var due []netip.AddrPort
@@ -214,9 +229,22 @@
 // the fault is probably the balancer's own, such as a full link. Agents that have announced a
 // restart are left out: their silence is no sign of such a fault.
 func (as *agentSet) manySuspect() bool {
-	suspects, agents := 0, 0
+	suspects, agents := as.countSuspects(func(*agent) bool { return true })
+	return float64(suspects) > maxSuspectShare*float64(agents)
+}
+
+// mostSuspect reports whether more than half of the agents of a failure domain are suspect,
+// and not only one. Then the fault is probably that of the path to it.
+func (as *agentSet) mostSuspect(domain string) bool {
+	suspects, agents := as.countSuspects(func(a *agent) bool { return a.member.Domain == domain })
+	return suspects > 1 && 2*suspects > agents
+}
+
+// countSuspects returns the number of suspects and of all among the agents that are included
+// and have not announced a restart.
+func (as *agentSet) countSuspects(isIncluded func(*agent) bool) (suspects, agents int) {
 	for _, a := range as.all {
-		if a.isRestarting() {
+		if a.isRestarting() || !isIncluded(a) {
 			continue
 		}
 		agents++
@@ -224,7 +252,7 @@
 			suspects++
 		}
 	}
-	return float64(suspects) > maxSuspectShare*float64(agents)
+	return suspects, agents
 }
 
 // suspectCount returns the number of suspect agents.
--- a/internal/flowpath/flowsteer/contact_test.go
+++ b/internal/flowpath/flowsteer/contact_test.go
@@ -138,3 +138,35 @@
 	is.True(deadAt > deadAfter)
 	is.True(deadAt < 2*deadAfter)
 }
+
+// Guards against agents of a failure domain that count as dead because the path to it was cut:
+// when it heals, one of them answers, and the silence of the others was that of the path.
+func TestDomainThatHealsIsNotDead(t *testing.T) {
+	const agents, domains = 40, 5
+	v := testView(agents)
+	for i := range agents {
+		name := fmt.Sprintf("agent-%d", i)
+		m := v.Members.ByName[name]
+		m.Domain = fmt.Sprintf("domain-%d", i%domains)
+		v.Members.ByName[name] = m
+	}
+	s := newSteerer(v)
+	at := start
+	play := func(d time.Duration, isCut bool) {
+		for end := at.Add(d); at.Before(end); {
+			at = at.Add(timerStep)
+			s.SetView(v, view.Confirmations{Members: at})
+			for _, a := range s.Tick(at) {
+				if agent := s.agents.byAddress[a.To]; agent == nil || !isCut || agent.member.Domain != "domain-1" {
+					s.HelloAck(at, &hop.Message{Type: hop.HelloAck, Agent: a.To})
+				}
+				if dead := s.agents.dead(); len(dead) > 0 {
+					t.Fatalf("%d agents beyond the cut path count as dead", len(dead))
+				}
+			}
+		}
+	}
+	play(5*time.Second, false)
+	play(6*time.Second, true)
+	play(3*time.Second, false)
+}
