--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -51,8 +51,7 @@
 // the packet was sent, so an agent that denied it needn't be asked again. The agents of
 // the first list, which usually contains the holder, are first asked whether they know
 // the flow. When none does, those that may hold it without knowing it offer the packet to
-// their backend servers. Until all agents have answered, offerBudget limits how many do, and
-// none does before all likely holders have.
+// their backend servers; see offersAllowed.
 // An acknowledgement is never offered: its loss is made good by a retransmission, and
 // nothing shows which backend server took it.
 type lookup struct {
@@ -60,7 +59,7 @@
 	next           int              // index in order of the first agent that was not asked
 	deniedBy       []netip.AddrPort // agents that don't hold the flow
 	unsure         []netip.AddrPort // agents that don't know the flow but may hold it
-	likely         []netip.AddrPort // agents to which the opening of the flow went first
+	likely         []netip.AddrPort // agents to which the opening of the flow went first, the likeliest holder first
 	packet         flow.Packet
 	raw            []byte   // the encoding of packet
 	unsent         bool     // packet replaced an earlier one and was not sent yet
@@ -156,9 +155,9 @@
 		return []Action{noHolderAction(Drop, p)}
 	}
 	l.recordAnswers(m)
-	allAnswered := !slices.ContainsFunc(l.order[:l.next], func(agent netip.AddrPort) bool { return !l.answered(agent) })
-	if (allAnswered || l.retries >= offeringRetry) && l.likelyAnswered() {
-		if offers := s.offerToUnsure(now, key, l, allAnswered && l.next == len(l.order)); len(offers) > 0 {
+	allAnswered := !slices.ContainsFunc(l.order[:l.next], l.isUnanswered)
+	if allAnswered || l.retries >= offeringRetry {
+		if offers := s.offerToUnsure(now, key, l, s.offersAllowed(now, key, l)); len(offers) > 0 {
 			return offers
 		}
 	}
@@ -174,18 +173,31 @@
 	return []Action{s.resolveMissing(now, key, l)}
 }
 
-// offerToUnsure sends the packet of a lookup to agents that may hold the flow without
-// knowing it, which offer it to their backend servers: to all of them if one must hold it,
-// because all agents have answered, and otherwise to as many as the budget leaves.
-func (s *Steerer) offerToUnsure(now time.Time, key flow.Key, l *lookup, all bool) []Action {
-	if !callsForAnswer(l.packet) {
-		return nil
+// offersAllowed returns how many of the agents that may hold a flow without knowing it may
+// offer its packet: all if all agents have answered, because one of them holds it then, and
+// otherwise as many as the budget leaves. While a likely holder has not answered, only a
+// likelier one may.
+func (s *Steerer) offersAllowed(now time.Time, key flow.Key, l *lookup) int {
+	if l.next == len(l.order) && !slices.ContainsFunc(l.order, l.isUnanswered) {
+		return len(l.unsure)
 	}
-	count := len(l.unsure)
-	if !all {
-		count = min(count, s.offers.left(now, key))
+	left := s.offers.left(now, key)
+	for _, agent := range l.likely {
+		switch {
+		case slices.Contains(l.unsure, agent) && slices.ContainsFunc(l.likely, l.isUnanswered):
+			return min(left, 1)
+		case l.isUnanswered(agent):
+			return 0
+		}
 	}
-	if count == 0 {
+	return left
+}
+
+// offerToUnsure sends the packet of a lookup to agents that may hold the flow without
+// knowing it, at most count of them, which offer it to their backend servers.
+func (s *Steerer) offerToUnsure(now time.Time, key flow.Key, l *lookup, count int) []Action {
+	count = min(count, len(l.unsure))
+	if count == 0 || !callsForAnswer(l.packet) {
 		return nil
 	}
 	s.offers.spend(now, key, count)
@@ -203,8 +215,8 @@
 // the flow.
 func (l *lookup) firstUnsure(count int) []netip.AddrPort {
 	var first []netip.AddrPort
-	for _, agent := range l.order {
-		if len(first) < count && slices.Contains(l.unsure, agent) {
+	for _, agent := range slices.Concat(l.likely, l.order) {
+		if len(first) < count && slices.Contains(l.unsure, agent) && !slices.Contains(first, agent) {
 			first = append(first, agent)
 		}
 	}
@@ -231,11 +243,8 @@
 	return slices.Contains(l.deniedBy, agent) || slices.Contains(l.unsure, agent)
 }
 
-// likelyAnswered reports whether all agents that most likely hold the flow have answered.
-// Until then offers would most likely go to others while the flow's own agent is away.
-func (l *lookup) likelyAnswered() bool {
-	return !slices.ContainsFunc(l.likely, func(agent netip.AddrPort) bool { return !l.answered(agent) })
-}
+// isUnanswered is the opposite of answered.
+func (l *lookup) isUnanswered(agent netip.AddrPort) bool { return !l.answered(agent) }
 
 func (s *Steerer) targets(address netip.AddrPort) []view.Target {
 	return s.view.Configuration.Routes[address].Targets
--- a/internal/flowpath/flowsteer/offers.go
+++ b/internal/flowpath/flowsteer/offers.go
@@ -10,9 +10,10 @@
 	// offerBudget is the maximum number of agents that offer packets of a flow to their
 	// backend servers within offerWindow, while an agent that hasn't answered may hold it.
 	// That one may be away or busy. A flow counts as misdirected when other backend
-	// servers get three of its packets within offerWindow and its own gets none.
+	// servers get three of its packets within 2 s and its own gets none.
 	offerBudget = 2
-	offerWindow = 2 * time.Second
+	// offerWindow leaves time for an offer that is delivered late.
+	offerWindow = 2500 * time.Millisecond
 	// maxOfferRecords is the maximum number of flows whose offers are remembered. Others
 	// are not offered before all agents have answered.
 	maxOfferRecords = maxLookups
