--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -86,45 +86,6 @@
 	maybeOpened map[flow.Key]time.Time
 }
 
-// Options holds the fixed settings of a gate.
-type Options struct {
-	Self    netip.AddrPort // address at which this agent receives messages
-	Service uint32
-	Limits  Limits
-	// Learning is set if the backend server may hold flows from before the start
-	// of this process. Packets of unknown flows are then offered to it for
-	// LearnFor.
-	Learning bool
-	LearnFor time.Duration
-	// HandoverPending is set if a later process may still use a handover of a process
-	// before this one as complete, and so deny flows that are opened here. The gate then
-	// accepts no new flows before SettleHandover.
-	HandoverPending bool
-	// Replaces is set if the gate replaces another one of the same process.
-	Replaces bool
-}
-
-// New returns a gate for an agent that starts at now.
-func New(o Options, now time.Time) *Gate {
-	g := &Gate{
-		self:     o.Self,
-		service:  o.Service,
-		started:  now,
-		replaces: o.Replaces,
-		backend:  newBackend(o.Limits, now),
-		flows:    newTable(),
-		offers:   map[uint32]offer{},
-		denied:   map[flow.Key]struct{}{},
-
-		maybeOpened: map[flow.Key]time.Time{},
-	}
-	g.backend.handoverPending = o.HandoverPending
-	if o.Learning {
-		g.backend.learnUntil = now.Add(o.LearnFor)
-	}
-	return g
-}
-
 // FromPeer decides about a caller's packet that a balancer or another agent
 // forwarded.
 func (g *Gate) FromPeer(now time.Time, m *hop.Message, p flow.Packet) Action {
