--- a/internal/control/follow/announce_test.go
+++ b/internal/control/follow/announce_test.go
@@ -99,9 +99,18 @@
 	server := newStore(t)
 	oldBoard := view.NewBoard()
 	applyListing(t, server, oldBoard)
-	// expect checks whether the member counts as stored before Set, and as new.
-	expect := func(a *follow.Announcer, m view.Member, storedBefore, isNew bool) {
+	// expect runs an announcer whose board is nil for the members in the store now. It checks
+	// whether the member counts as stored before Set, and as new. The announcer has ended
+	// when it returns: the board of one that runs on never shows a later object, whose times
+	// it would replace with its own.
+	expect := func(board *view.Board, m view.Member, storedBefore, isNew bool) {
 		t.Helper()
+		if board == nil {
+			board = view.NewBoard()
+			applyListing(t, server, board)
+		}
+		a := follow.NewAnnouncer(connect(t, server.Address()), board, event.Discard())
+		defer runInBackground(t, a.Run)()
 		var changes atomic.Int64
 		a.OnStored = func() { changes.Add(1) }
 		began := time.Now()
@@ -117,12 +126,10 @@
 		eventually(t, "OnStored", func() bool { return changes.Load() == 1 })
 		check("after Set", true)
 	}
-	a, _ := newAnnouncer(t, server)
-	expect(a, agentMember, false, true)
+	expect(nil, agentMember, false, true)
 	// The previous process was killed before the member came into the view.
-	expect(runAnnouncer(t, connect(t, server.Address()), oldBoard), agentMember, false, true)
-	restarted, _ := newAnnouncer(t, server)
-	expect(restarted, agentMember, true, true)
+	expect(oldBoard, agentMember, false, true)
+	expect(nil, agentMember, true, true)
 
 	leaving := agentMember
 	leaving.State = view.Leaving
@@ -137,8 +144,7 @@
 		}
 		server.PutMember("agent-1", string(spec))
 		for _, m := range []view.Member{agentMember, leaving, agentMember} {
-			restarted, _ = newAnnouncer(t, server)
-			expect(restarted, m, true, false)
+			expect(nil, m, true, false)
 			var stored view.Member
 			if err := json.Unmarshal([]byte(server.Member("agent-1")), &stored); err != nil || stored.CreatedMS != createdMS {
 				t.Errorf("the member was created at %d, not %d: %v", stored.CreatedMS, createdMS, err)
--- a/internal/control/follow/process_test.go
+++ b/internal/control/follow/process_test.go
@@ -105,9 +105,9 @@
 // address returns the address of a listener.
 func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
 
-// runInBackground calls run. At the end of the test it ends the context and waits
-// until run has returned.
-func runInBackground(t *testing.T, run func(context.Context)) {
+// runInBackground calls run. The returned function ends the context and waits until run
+// has returned. It is called at the end of the test at the latest.
+func runInBackground(t *testing.T, run func(context.Context)) func() {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -115,10 +115,12 @@
 		defer close(done)
 		run(ctx)
 	}()
-	t.Cleanup(func() {
+	stop := func() {
 		cancel()
 		<-done
-	})
+	}
+	t.Cleanup(stop)
+	return stop
 }
 
 // eventually waits until ok returns true and fails the test after waitLimit.
