--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -180,8 +180,8 @@
 	g.backend.memberStored, g.backend.unknownToBalancersUntil = stored, since.Add(NewAgentDelay)
 }
 
-// SettleHandover ends the refusal of new flows because of Options.HandoverPending.
-func (g *Gate) SettleHandover() { g.backend.handoverPending = false }
+// EndHandoverPending ends the refusal of new flows because of Options.HandoverPending.
+func (g *Gate) EndHandoverPending() { g.backend.handoverPending = false }
 
 // StopAccepting makes the gate accept no new flows from now on, whatever the backend server
 // reports.
--- a/internal/flowpath/flowgate/handover_test.go
+++ b/internal/flowpath/flowgate/handover_test.go
@@ -269,7 +269,7 @@
 	is.Equal(a.To, other)
 	is.Equal(a.Kind, errkind.HandoverPending)
 	is.Equal(g.FromPeer(start, forward(self, other), dataPacket(2, orders, 101, 10)).Verdict, Deliver)
-	g.SettleHandover()
+	g.EndHandoverPending()
 	is.Equal(g.FromPeer(start, forward(self, other), openingPacket(1)).Verdict, Deliver)
 }
 
--- a/internal/flowpath/flowgate/options.go
+++ b/internal/flowpath/flowgate/options.go
@@ -19,7 +19,7 @@
 	LearnFor time.Duration
 	// HandoverPending is set if a later process may still use a handover of a process
 	// before this one as complete, and so deny flows that are opened here. The gate then
-	// accepts no new flows before SettleHandover.
+	// accepts no new flows before EndHandoverPending.
 	HandoverPending bool
 	// Replaces is set if the gate replaces another one of the same process.
 	Replaces bool
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -200,7 +200,7 @@
 	if count == 0 || !callsForAnswer(l.packet) {
 		return nil
 	}
-	s.offers.spend(now, key, count)
+	s.offers.record(now, key, count)
 	offering := l.firstUnsure(count)
 	var due []Action
 	for list := range slices.Chunk(offering, hop.MaxCandidates) {
--- a/internal/flowpath/flowsteer/offers.go
+++ b/internal/flowpath/flowsteer/offers.go
@@ -44,9 +44,9 @@
 	return max(offerBudget-r.count, 0)
 }
 
-// spend records that agents were asked to offer a packet of a flow. The window begins anew
+// record records that agents were asked to offer a packet of a flow. The window begins anew
 // with each, so that no two overlap.
-func (o *offerLimiter) spend(now time.Time, key flow.Key, count int) {
+func (o *offerLimiter) record(now time.Time, key flow.Key, count int) {
 	r, ok := o.records[key]
 	if !ok && len(o.records) >= maxOfferRecords {
 		return
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -52,15 +52,15 @@
 	reportable    chan struct{} // closed as soon as reports may be applied
 	takeOverEnded chan struct{} // closed when all tries to take a handover over have ended
 
-	mu          sync.Mutex
-	gate        *flowgate.Gate
-	lastReport  flowgate.Report
-	backendLeft bool // the backend server reported that it has ended
-	endRefused  bool // its end was refused as stale, and no report has come since
-	restarting  bool // the process stops while the backend server runs on
-	handedOver  bool // the flows were exported for the next process; see writeHandover
-	evacuated   bool // the failure domain is evacuated
-	settlement  settlement
+	mu               sync.Mutex
+	gate             *flowgate.Gate
+	lastReport       flowgate.Report
+	backendLeft      bool // the backend server reported that it has ended
+	endRefused       bool // its end was refused as stale, and no report has come since
+	restarting       bool // the process stops while the backend server runs on
+	handedOver       bool // the flows were exported for the next process; see writeHandover
+	evacuated        bool // the failure domain is evacuated
+	earlierHandovers earlierHandovers
 	// takenOverMember is the revision of the member to which the handover belongs that this
 	// process has taken over, 0 if it has taken none over.
 	takenOverMember view.Revision
@@ -82,9 +82,9 @@
 		metrics:    metrics.NewFlowAgent(registry),
 		reportable: make(chan struct{}),
 
-		takeOverEnded: make(chan struct{}),
-		gate:          flowgate.New(gateOptions(s), now),
-		settlement:    settlement{startedAt: now, settled: s.FirstStart},
+		takeOverEnded:    make(chan struct{}),
+		gate:             flowgate.New(gateOptions(s), now),
+		earlierHandovers: earlierHandovers{startedAt: now, ruledOut: s.FirstStart},
 	}
 }
 
@@ -109,7 +109,7 @@
 	defer a.mu.Unlock()
 	a.metrics.Panics.Inc(1)
 	options := gateOptions(a.settings)
-	options.Learning, options.Replaces, options.HandoverPending = true, true, !a.settlement.settled
+	options.Learning, options.Replaces, options.HandoverPending = true, true, !a.earlierHandovers.ruledOut
 	a.gate = flowgate.New(options, time.Now())
 	a.applyView(a.node.Board.View())
 	if a.lastReport.Instance != "" {
@@ -248,7 +248,7 @@
 		a.gate.RestoreAnnounced(flowgate.Report{State: m.State, Slots: m.Slots})
 	}
 	a.updateMemberStored()
-	a.updateSettlement(time.Now())
+	a.checkEarlierHandovers(time.Now())
 	firstBalancers := len(a.balancers) == 0
 	a.balancers = a.balancers[:0]
 	for _, m := range v.Members.ByName {
@@ -274,7 +274,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.updateMemberStored()
-	a.updateSettlement(time.Now())
+	a.checkEarlierHandovers(time.Now())
 	a.updateRefusal(time.Now())
 }
 
@@ -291,7 +291,7 @@
 		a.logger.Emit(event.RequestUnanswered, flowFields(key))
 	}
 	a.deliverQueued(now)
-	a.updateSettlement(now)
+	a.checkEarlierHandovers(now)
 	a.updateRefusal(now)
 	for _, action := range a.gate.PassOnUnanswered(now) {
 		a.sendMessage(action.To, action.Message)
--- a/pkg/flowagent/settlement.go
+++ b/pkg/flowagent/earlierhandovers.go
@@ -18,7 +18,7 @@
 	ageResolution = time.Millisecond
 )
 
-// settlement is what a process has found out about handovers of earlier processes of its
+// earlierHandovers is what a process has found out about handovers of earlier processes of its
 // agent. While a later process may use one of them as complete, this process accepts no new
 // flows: the later one would deny them.
 //
@@ -27,46 +27,46 @@
 // once the store has held a member without such an announcement after the start of this
 // process. The store may execute the creation of a handover late, so that finding none
 // proves nothing.
-type settlement struct {
+type earlierHandovers struct {
 	startedAt     time.Time // start of this process
-	settled       bool      // no handover of an earlier process can be used any more
+	ruledOut      bool      // no handover of an earlier process can be used any more
 	takeOverEnded bool      // all tries to take a handover over have ended
 	storeSilent   bool      // they ended without an answer of the store
-	announced     bool      // the member was announced anew because of the settlement
+	announced     bool      // the member was announced anew because of them
 }
 
 // isExcludedBy reports whether a view proves that no handover can be used, or whether so
 // much time has passed that none counts as complete. Without the store the proof is weaker:
 // a restarted agent must serve although the store is down, and a wrong view needs a store
 // that answered the earlier process, but neither the peers shortly before nor this process.
-func (s *settlement) isExcludedBy(now time.Time, restartAnnounced bool, confirmedAt time.Time) bool {
+func (h *earlierHandovers) isExcludedBy(now time.Time, restartAnnounced bool, confirmedAt time.Time) bool {
 	switch {
-	case now.Sub(s.startedAt) >= maxCompleteAge:
+	case now.Sub(h.startedAt) >= maxCompleteAge:
 		return true
 	case restartAnnounced || confirmedAt.IsZero():
 		return false
-	case confirmedAt.Sub(s.startedAt) > ageResolution:
+	case confirmedAt.Sub(h.startedAt) > ageResolution:
 		return true
 	}
-	return s.storeSilent && now.Sub(s.startedAt) >= peerViewDelay && s.startedAt.Sub(confirmedAt) <= maxPeerViewAge
+	return h.storeSilent && now.Sub(h.startedAt) >= peerViewDelay && h.startedAt.Sub(confirmedAt) <= maxPeerViewAge
 }
 
-// settle ends the refusal of new flows because of handovers of earlier processes. The
+// ruleOutHandovers ends the refusal of new flows because of handovers of earlier processes. The
 // caller holds the lock.
-func (a *Agent) settle(now time.Time) {
-	if a.settlement.settled {
+func (a *Agent) ruleOutHandovers(now time.Time) {
+	if a.earlierHandovers.ruledOut {
 		return
 	}
-	a.settlement.settled = true
-	a.gate.SettleHandover()
+	a.earlierHandovers.ruledOut = true
+	a.gate.EndHandoverPending()
 	a.updateRefusal(now)
 }
 
-// updateSettlement settles handovers if the view, the time or the answer to a write allow
-// it. Otherwise it announces that the agent runs, once that can't spoil the handover that
-// is being taken over. The caller holds the lock.
-func (a *Agent) updateSettlement(now time.Time) {
-	if a.settlement.settled {
+// checkEarlierHandovers rules earlier handovers out if the view, the time or the answer to a
+// write allow it. Otherwise it announces that the agent runs, once that can't spoil the
+// handover that is being taken over. The caller holds the lock.
+func (a *Agent) checkEarlierHandovers(now time.Time) {
+	if a.earlierHandovers.ruledOut {
 		return
 	}
 	name := MemberName(a.settings.Address)
@@ -74,32 +74,32 @@
 	member, listed := v.Members.ByName[name]
 	acknowledged := a.node.Announcer.Acknowledged()
 	written := acknowledged.Name == name && !acknowledged.Restarting
-	if written || a.settlement.isExcludedBy(now, listed && member.Restarting, confirmed.Members) {
-		a.settle(now)
+	if written || a.earlierHandovers.isExcludedBy(now, listed && member.Restarting, confirmed.Members) {
+		a.ruleOutHandovers(now)
 		return
 	}
 	noReport := a.lastReport.Instance == "" && !a.backendLeft && !a.restarting
-	due := a.settlement.takeOverEnded && !a.settlement.announced
+	due := a.earlierHandovers.takeOverEnded && !a.earlierHandovers.announced
 	if due && noReport && listed && member.Service == a.settings.Service {
-		a.settlement.announced = true
+		a.earlierHandovers.announced = true
 		a.node.Announcer.Set(a.member(member.State, member.Slots))
 	}
 }
 
-// settleAfterTakeOver records how the tries to take a handover over have ended.
-func (a *Agent) settleAfterTakeOver(ctx context.Context, err error) {
-	settled, silent := a.noHandoverLeft(ctx, err)
+// recordTakeOverEnd records how the tries to take a handover over have ended.
+func (a *Agent) recordTakeOverEnd(ctx context.Context, err error) {
+	ruledOut, silent := a.noHandoverLeft(ctx, err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.settlement.takeOverEnded, a.settlement.storeSilent = true, silent
-	if settled {
-		a.settle(time.Now())
+	a.earlierHandovers.takeOverEnded, a.earlierHandovers.storeSilent = true, silent
+	if ruledOut {
+		a.ruleOutHandovers(time.Now())
 	}
 }
 
 // noHandoverLeft reports whether the store has shown that no handover of an earlier process
 // can be used any more, from the error of the take-over, and whether it has not answered.
-func (a *Agent) noHandoverLeft(ctx context.Context, err error) (settled, silent bool) {
+func (a *Agent) noHandoverLeft(ctx context.Context, err error) (ruledOut, silent bool) {
 	if err == nil {
 		return true, false
 	}
--- a/pkg/flowagent/settlement_test.go
+++ b/pkg/flowagent/earlierhandovers_test.go
@@ -35,7 +35,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := settlement{startedAt: started, storeSilent: c.silent}
+			s := earlierHandovers{startedAt: started, storeSilent: c.silent}
 			var confirmedAt time.Time
 			if c.confirmedAt != 0 {
 				confirmedAt = started.Add(c.confirmedAt)
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -32,7 +32,7 @@
 	// clock of the machine, which may be off by seconds.
 	maxHandoverAge = 10 * time.Second
 	// maxCompleteAge is the maximum age at which a handover ends learning: an older one may
-	// lack flows that a process between has accepted; see settlement.
+	// lack flows that a process between has accepted; see earlierHandovers.
 	maxCompleteAge = 3 * time.Second
 	// minStaleAge is the minimum age of a handover that was written by a process before the
 	// last one: two processes have started since.
@@ -94,7 +94,7 @@
 		a.takeOver(ctx)
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.updateSettlement(time.Now())
+		a.checkEarlierHandovers(time.Now())
 	})
 	a.awaitTakeOver(takeOverWait)
 }
@@ -112,7 +112,7 @@
 func (a *Agent) takeOver(ctx context.Context) {
 	began := time.Now()
 	h, err := a.takeHandover(ctx)
-	a.settleAfterTakeOver(ctx, err)
+	a.recordTakeOverEnd(ctx, err)
 	if err == nil {
 		err = a.applyHandover(&h)
 	}
