Give the steerer the rate of its balancer's link

Metrics and the link budget need to tell first messages from repeated ones, and the budget left for these. This adds the fields and methods that other packages use, Options, Action.Repeated and Steerer.RetryBudget, without effect so far. The tests change by the constructor's argument only.

--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -127,7 +127,7 @@
 }
 
 func (p *path) newBalancer(i int) *flowsteer.Steerer {
-	s := flowsteer.New(balancerAddress(i), "a")
+	s := flowsteer.New(balancerAddress(i), "a", flowsteer.Options{})
 	s.SetView(p.viewOf(i), view.Confirmations{Members: p.now})
 	return s
 }
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -46,7 +46,10 @@
 	Packet  flow.Packet  // Reset: the packet that is answered; Send of Service: the opening
 	Kind    errkind.Kind // Reset, Drop, Keep: why; 0 for Keep while agents are being asked
 	Service string       // the service that the packet was meant for, if known
-	Lookup  LookupResult // Reset, Keep of kind PacketNoHolder: what the lookup found
+	// Repeated is set for a Send on the balancer's own account whose packet, or query for
+	// the packet, went to agents before. A copy that a caller sends is no repeat.
+	Repeated bool
+	Lookup   LookupResult // Reset, Keep of kind PacketNoHolder: what the lookup found
 }
 
 // LookupResult is what a balancer knew when no agent held a flow, for logs.
@@ -69,6 +72,7 @@
 type Steerer struct {
 	self        netip.AddrPort
 	domain      string
+	options     Options
 	view        view.View
 	confirmedAt view.Confirmations
 	agents      agentSet
@@ -87,10 +91,11 @@
 
 // New returns a steerer for a balancer of a failure domain, whose address for
 // messages of other nodes is self.
-func New(self netip.AddrPort, domain string) *Steerer {
+func New(self netip.AddrPort, domain string, o Options) *Steerer {
 	return &Steerer{
 		self:     self,
 		domain:   domain,
+		options:  o,
 		agents:   newAgentSet(),
 		flows:    newHolders(),
 		openings: map[flow.Key]*opening{},
@@ -264,6 +269,10 @@
 	return append(due, s.retryLookups(now)...)
 }
 
+// RetryBudget returns the bytes that the balancer may spend now on messages that it repeats
+// by its timers, 0 if they are not limited.
+func (s *Steerer) RetryBudget() int64 { return 0 }
+
 // CachedFlows returns the number of flows whose agent is cached.
 func (s *Steerer) CachedFlows() int { return s.flows.len() }
 
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -49,7 +49,7 @@
 
 // newSteerer returns a steerer of failure domain a whose view is current at start.
 func newSteerer(v view.View) *Steerer {
-	s := New(self, "a")
+	s := New(self, "a", Options{})
 	s.SetView(v, view.Confirmations{Members: start})
 	return s
 }
@@ -184,7 +184,7 @@
 	p := callerPacket(1, flow.Open)
 	p.To = netip.MustParseAddrPort("198.18.9.9:1")
 	is.Equal(newSteerer(testView(3)).FromCaller(start, p, nil).Verdict, Reset)
-	is.Equal(New(self, "a").FromCaller(start, p, nil).Verdict, Drop)
+	is.Equal(New(self, "a", Options{}).FromCaller(start, p, nil).Verdict, Drop)
 }
 
 // Guards against the reset of a flow that another balancer opened by a newer
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -81,7 +81,7 @@
 		logger:   logger,
 		registry: registry,
 		metrics:  metrics.NewFlowBalancer(registry),
-		steerer:  flowsteer.New(s.PeerAddress, s.Domain),
+		steerer:  flowsteer.New(s.PeerAddress, s.Domain, flowsteer.Options{LinkRate: s.LinkRate}),
 	}
 }
 
@@ -124,7 +124,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.metrics.Panics.Inc(1)
-	b.steerer = flowsteer.New(b.settings.PeerAddress, b.settings.Domain)
+	b.steerer = flowsteer.New(b.settings.PeerAddress, b.settings.Domain, flowsteer.Options{LinkRate: b.settings.LinkRate})
 	b.updateView()
 }
 
