Let agents answer queries that carry only a packet's header

A balancer that looks for the agent of a flow sends the whole packet, up to 1,236 bytes, with each list of candidates. The header is enough for the answer: agents decide by the flow's key and, for a flow that is being opened, by the acknowledgement number.

A query is a Forward that asks for the holder and for knowledge only, with a flag of its own. An agent that holds the flow notifies the balancer and delivers nothing; any other passes the query on and is unsure where it would be with the packet. Sending an empty packet in place of the flag was ruled out: it would look like an acknowledgement to backend servers and to the request accounting.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -30,6 +30,7 @@
 	PassOn                      // Message goes to To: another agent, or the balancer
 	Reset                       // is dropped, and the caller gets a reset
 	Drop
+	Notify // only NotifyBalancer gets a message: the packet is a query for its flow, which this agent holds
 )
 
 // Action is the decision about one packet.
@@ -87,10 +88,11 @@
 }
 
 // FromPeer decides about a caller's packet that a balancer or another agent
-// forwarded.
+// forwarded. A query carries only the header p, and changes nothing but what p shows about a
+// flow that is being opened.
 func (g *Gate) FromPeer(now time.Time, m *hop.Message, p flow.Packet) Action {
 	key := p.CallerKey()
-	if p.Has(flow.Open | flow.Ack) {
+	if p.Has(flow.Open|flow.Ack) || (m.Query && p.Opening()) {
 		return Action{Verdict: Drop, Kind: errkind.PacketForged, Key: key}
 	}
 	if p.Opening() {
@@ -119,6 +121,10 @@
 		a.Verdict, a.Packet, a.Kind, a.Lost = Reset, p, errkind.PacketFlowLost, f.lostEntry(now)
 		return a
 	}
+	if m.Query {
+		a.Verdict = Notify
+		return a
+	}
 	a.Progress.RequestStarted = f.queued == nil && !f.awaitsAnswer && f.state == stateOpen && g.flows.isNewRequestData(f, p)
 	if a.Progress.RequestStarted {
 		f.requestSeenAt = now
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -35,6 +35,7 @@
 	knownOnlyFlag    = 4
 	openingFlag      = 8
 	offeredFlag      = 16
+	queryFlag        = 32
 	fixedHeaderLen   = 20
 	loadLen          = 8
 	keyLen           = 2 * endpoint.Size
@@ -42,6 +43,9 @@
 	helloAckLen      = fixedHeaderLen + endpoint.Size + loadLen
 )
 
+// datagramOverhead is the length of the IP and UDP headers of a datagram.
+const datagramOverhead = 28
+
 // MaxHeader is the maximum length in bytes of the header before a forwarded
 // packet.
 const MaxHeader = fixedHeaderLen + MaxCandidates*endpoint.Size
@@ -64,6 +68,7 @@
 	KnownOnly    bool   // agents don't offer the packet of an unknown flow to their backend server; see Unsure
 	Opening      bool   // Placed: the flow's opening was delivered, which other agents may have done too
 	Offered      bool   // the packet, or an earlier one of its flow, was offered to backend servers that may not hold the flow
+	Query        bool   // Forward, Declined: Packet is only the header of the caller's packet, and no agent delivers it
 	Unsure       uint8  // bit i is set if the agent at index i of Candidates may hold the flow without knowing it
 	Position     uint8  // index in Candidates of the agent that gets the message
 	LeastLoaded  uint8  // 1 + the index of the least loaded agent that passed the flow on, 0 if none did
@@ -95,6 +100,9 @@
 	if m.Offered {
 		flags |= offeredFlag
 	}
+	if m.Query {
+		flags |= queryFlag
+	}
 	b = append(b, magic, byte(m.Type), flags, m.Position, byte(len(m.Candidates)), m.LeastLoaded, m.Unsure, 0)
 	b = binary.BigEndian.AppendUint32(b, m.Service)
 	b = endpoint.Append(b, m.Balancer)
@@ -129,6 +137,7 @@
 		KnownOnly:    b[2]&knownOnlyFlag != 0,
 		Opening:      b[2]&openingFlag != 0,
 		Offered:      b[2]&offeredFlag != 0,
+		Query:        b[2]&queryFlag != 0,
 		Unsure:       b[6],
 		Position:     b[3],
 		LeastLoaded:  b[5],
@@ -175,6 +184,9 @@
 	if count > MaxCandidates || len(b) < end || int(m.Position) >= max(count, 1) || int(m.LeastLoaded) > count {
 		return errkind.New(errkind.TunnelMalformed, "candidate list, position and datagram length are inconsistent")
 	}
+	if m.Query && !(m.ReportHolder && m.KnownOnly) {
+		return errkind.New(errkind.TunnelMalformed, "query doesn't ask for the holder, or asks for the offer of a packet that it lacks")
+	}
 	for i := range count {
 		m.Candidates = append(m.Candidates, endpoint.Get(b[fixedHeaderLen+i*endpoint.Size:]))
 	}
@@ -182,6 +194,12 @@
 	return nil
 }
 
+// ForwardSize returns the length on the link of a Forward with a number of candidates and a
+// packet of the given length.
+func ForwardSize(candidates, packetLen int) int {
+	return datagramOverhead + fixedHeaderLen + candidates*endpoint.Size + packetLen
+}
+
 func appendLoad(b []byte, l Load) []byte {
 	b = binary.BigEndian.AppendUint16(b, l.Flows)
 	b = binary.BigEndian.AppendUint16(b, l.InProgress)
--- a/internal/flowpath/hop/hop_test.go
+++ b/internal/flowpath/hop/hop_test.go
@@ -32,6 +32,7 @@
 		m.LastRound, m.LeastLoaded, m.LeastLoad = rapid.Bool().Draw(t, "final"), uint8(rapid.IntRange(0, len(m.Candidates)).Draw(t, "best")), rapid.Uint16().Draw(t, "best load")
 		m.KnownOnly, m.Unsure = rapid.Bool().Draw(t, "known only"), rapid.Byte().Draw(t, "unsure")
 		m.Offered = rapid.Bool().Draw(t, "offered")
+		m.Query = m.ReportHolder && m.KnownOnly && rapid.Bool().Draw(t, "query")
 		m.Packet = rapid.SliceOf(rapid.Byte()).Draw(t, "packet")
 	case Placed:
 		m.Opening = rapid.Bool().Draw(t, "opening")
@@ -60,12 +61,21 @@
 	})
 }
 
+// Guards against agents that offer a header without its data to their backend servers.
+func TestQueryAsksForKnowledgeOnly(t *testing.T) {
+	is := is.New(t)
+	for _, m := range []Message{{Type: Forward, Query: true, ReportHolder: true}, {Type: Forward, Query: true, KnownOnly: true}} {
+		is.True(errkind.Is(Decode(m.Append(nil), &Message{}), errkind.TunnelMalformed))
+	}
+}
+
 // Guards against a header that is longer than MaxHeader, which callers use to
 // reserve space before a forwarded packet.
 func TestForwardHeaderFitsMaxHeader(t *testing.T) {
 	is := is.New(t)
 	m := Message{Type: Forward, Candidates: make([]netip.AddrPort, MaxCandidates)}
 	is.Equal(len(m.Append(nil)), MaxHeader)
+	is.Equal(ForwardSize(MaxCandidates, 36), 132) // a query or an opening, with the IP and UDP headers
 }
 
 // Guards against a panic or a wrong error kind on datagrams that no node sent.
@@ -73,6 +83,8 @@
 	placed := Message{Type: Placed}
 	f.Add(placed.Append(nil))
 	f.Add([]byte{magic, byte(Forward), 0, 7, 9})
+	query := Message{Type: Forward, Query: true, ReportHolder: true, KnownOnly: true, Candidates: make([]netip.AddrPort, 2), Packet: make([]byte, 36)}
+	f.Add(query.Append(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var m Message
 		if err := Decode(b, &m); err != nil && !errkind.Is(err, errkind.TunnelMalformed) {
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
@@ -48,6 +49,54 @@
 	}
 }
 
+// listen opens a socket on a free port.
+func listen(t *testing.T) udp.Socket {
+	t.Helper()
+	socket, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+// Guards against an agent that refuses a query as malformed because it lacks the data, that
+// delivers it, or that denies a flow which it may hold without knowing it.
+func TestQueryIsAnsweredAndNotDelivered(t *testing.T) {
+	is := is.New(t)
+	balancer, backend := listen(t), listen(t)
+	a := New(platform.Settings{BackendAddress: udp.LocalAddress(backend), FlowLifetime: time.Minute}, nil, event.Discard())
+	a.nodeSocket, a.backendSocket = listen(t), listen(t)
+	key := flow.Key{Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Service: netip.MustParseAddrPort("198.18.0.1:8443")}
+	ask := func() (answer hop.Message) {
+		header := platform.AppendReset(nil, flow.Key{Caller: key.Service, Service: key.Caller}, 7)
+		header[20], header[30] = 4, 4 // 1,024 bytes of data, which were cut off, and an acknowledgement
+		is.NoErr(a.handleMessage(&hop.Message{
+			Type: hop.Forward, Query: true, ReportHolder: true, KnownOnly: true,
+			Balancer: udp.LocalAddress(balancer), Candidates: []netip.AddrPort{{}}, Packet: header,
+		}))
+		buffer := make([]byte, udp.MaxDatagramBytes)
+		n, _, err := balancer.ReadFromUDPAddrPort(buffer)
+		is.NoErr(err)
+		is.NoErr(hop.Decode(buffer[:n], &answer))
+		return answer
+	}
+	unknown := ask()
+	is.Equal(unknown.Type, hop.Declined)
+	is.True(unknown.Query)
+	is.Equal(unknown.Unsure, uint8(1))
+	is.Equal(len(unknown.Packet), platform.HeaderBytes)
+	for range 2 { // shows that the backend server holds the flow
+		a.gate.FromBackend(time.Now(), flow.Packet{From: key.Service, To: key.Caller, Flags: flow.Ack, Length: 10})
+	}
+	known := ask()
+	is.Equal(known.Type, hop.Placed)
+	is.Equal(known.Key, key)
+	is.NoErr(backend.(*net.UDPConn).SetReadDeadline(time.Now().Add(20 * time.Millisecond)))
+	_, _, err := backend.ReadFromUDPAddrPort(make([]byte, udp.MaxDatagramBytes))
+	is.True(err != nil) // nothing was delivered
+}
+
 // memberStore is a store that sends the members that are written to a channel.
 type memberStore struct {
 	Store
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -25,7 +25,11 @@
 	case hop.Hello:
 		a.sendMessage(m.Balancer, a.helloAck(now))
 	case hop.Forward:
-		p, err := platform.DecodePacket(m.Packet)
+		decode := platform.DecodePacket
+		if m.Query {
+			decode = platform.DecodeHeader
+		}
+		p, err := decode(m.Packet)
 		if err != nil {
 			return err
 		}
