Limit the openings that a narrow balancer repeats by its timer

After a burst a balancer with a link of 10 Mbit/s sent 600 kB of repeated openings in 2 s: each opening went to a further agent every 80 ms, because the answers were lost on the saturated link.

A copy of the caller asks the next candidate whatever the budget. An opening that isn't repeated any more is forgotten after openingRetention, and its agent gets one hello and not one with each timer. A budget in messages was ruled out, since the sizes of what will spend it differ. Wide balancers repeat as before.

--- a/internal/flowpath/flowsteer/opening.go
+++ b/internal/flowpath/flowsteer/opening.go
@@ -35,7 +35,10 @@
 	unanswered []netip.AddrPort // first agents of the lists that were sent and not declined
 	lastAsked  netip.AddrPort
 	askedAt    time.Time
-	sentAt     time.Time // when the caller sent the opening
+	// repeated is set if the opening was repeated by the timer since the caller's last copy.
+	repeated bool
+	overdue  bool      // the last list was not answered within placementTimeout
+	sentAt   time.Time // when the caller sent the opening
 }
 
 // openFlow sends an opening to the candidates for its flow. A copy of an opening
@@ -48,6 +51,7 @@
 		earlier.sentAt = sentAt
 	}
 	if earlier != nil && len(earlier.remaining) > 0 {
+		earlier.repeated = false
 		return s.askNext(now, earlier)
 	}
 	service := s.chooseService(key, route)
@@ -84,10 +88,44 @@
 	return a
 }
 
+// retryOpenings repeats the openings that were not answered. A balancer with a narrow link
+// repeats each once before the next copy of its caller, and only within the retry budget:
+// the caller's copies come soon, and the link is probably saturated.
+func (s *Steerer) retryOpenings(now time.Time) []Action {
+	narrow := s.options.narrow()
+	var due []Action
+	for key, o := range s.openings {
+		if now.Sub(o.askedAt) < placementTimeout {
+			continue
+		}
+		if !o.overdue || !narrow {
+			s.agents.requestHello(now, o.lastAsked)
+		}
+		o.overdue = true
+		switch {
+		case (len(o.remaining) == 0 || narrow) && now.Sub(o.askedAt) >= openingRetention:
+			delete(s.openings, key) // the next copy from the caller starts over
+		case len(o.remaining) == 0 || (narrow && o.repeated):
+		case s.budget.spend(now, hop.ForwardSize(min(len(o.remaining), hop.MaxCandidates), len(o.raw))):
+			o.repeated = true
+			due = append(due, s.askAgain(now, o))
+		}
+	}
+	return due
+}
+
+// askAgain sends an opening that no caller's packet repeats to the candidates that were not
+// tried yet.
+func (s *Steerer) askAgain(now time.Time, o *opening) Action {
+	a := s.askNext(now, o)
+	a.Repeated = true
+	return a
+}
+
 // askNext sends an opening to the candidates that were not tried yet.
 func (s *Steerer) askNext(now time.Time, o *opening) Action {
 	list := o.remaining[:min(len(o.remaining), hop.MaxCandidates)]
-	o.lastAsked, o.askedAt = list[0], now
+	o.lastAsked, o.askedAt, o.overdue = list[0], now, false
 	o.remaining = o.remaining[1:]
 	o.unanswered = append(o.unanswered, o.lastAsked)
 	s.agents.countPlaced(o.lastAsked)
@@ -134,7 +172,7 @@
 	o.unanswered = slices.Delete(o.unanswered, list, list+1)
 	if len(o.remaining) >= hop.MaxCandidates {
 		o.remaining = o.remaining[hop.MaxCandidates-1:]
-		return s.askNext(now, o)
+		return s.askAgain(now, o)
 	}
 	o.remaining = nil // the declined list ended with the last of them
 	if len(o.unanswered) > 0 {
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -73,6 +73,7 @@
 	self        netip.AddrPort
 	domain      string
 	options     Options
+	budget      retryBudget
 	view        view.View
 	confirmedAt view.Confirmations
 	agents      agentSet
@@ -96,6 +97,7 @@
 		self:     self,
 		domain:   domain,
 		options:  o,
+		budget:   newRetryBudget(o),
 		agents:   newAgentSet(),
 		flows:    newHolders(),
 		openings: map[flow.Key]*opening{},
@@ -200,6 +202,7 @@
 // ends no lookup.
 func (s *Steerer) Placed(now time.Time, m *hop.Message) []Action {
 	s.agents.recordLoad(now, m.Agent, m.Load)
+	s.budget.earnAnswer()
 	delete(s.openings, m.Key)
 	l := s.lookups[m.Key]
 	_, known := s.flows.get(m.Key, now)
@@ -229,6 +232,7 @@
 // Declined decides about a packet whose flow no listed candidate holds or accepts.
 func (s *Steerer) Declined(now time.Time, p flow.Packet, m *hop.Message) []Action {
 	key := p.CallerKey()
+	s.budget.earnAnswer()
 	if p.Opening() {
 		return []Action{s.declinedOpening(now, key, p, m)}
 	}
@@ -237,31 +241,22 @@
 	}
 	// The packet was sent to the cached agent, which doesn't hold the flow.
 	holder, known := s.flows.get(key, now)
+	var a Action
 	if known && !slices.Contains(m.Candidates, holder) {
-		return []Action{s.forwardToHolder(holder, m.Packet)}
+		a = s.forwardToHolder(holder, m.Packet)
+	} else {
+		s.flows.remove(key)
+		a = s.findHolder(now, key, p, m.Packet)
 	}
-	s.flows.remove(key)
-	return []Action{s.findHolder(now, key, p, m.Packet)}
+	a.Repeated = a.Verdict == Send && !a.Message.Query
+	return []Action{a}
 }
 
 // Tick returns the actions that are due: retries of unanswered openings and of
 // lookups, and hellos.
 func (s *Steerer) Tick(now time.Time) []Action {
-	var due []Action
-	for key, o := range s.openings {
-		if now.Sub(o.askedAt) < placementTimeout {
-			continue
-		}
-		s.agents.requestHello(now, o.lastAsked)
-		if len(o.remaining) == 0 {
-			// The next copy from the caller starts over.
-			if now.Sub(o.askedAt) >= openingRetention {
-				delete(s.openings, key)
-			}
-			continue
-		}
-		due = append(due, s.askNext(now, o))
-	}
+	s.budget.refill(now)
+	due := s.retryOpenings(now)
 	for _, agent := range s.agents.dueHellos(now) {
 		due = append(due, Action{Verdict: Send, To: agent, Message: hop.Message{Type: hop.Hello, Balancer: s.self}})
 	}
@@ -271,7 +266,7 @@
 
 // RetryBudget returns the bytes that the balancer may spend now on messages that it repeats
 // by its timers, 0 if they are not limited.
-func (s *Steerer) RetryBudget() int64 { return 0 }
+func (s *Steerer) RetryBudget() int64 { return int64(s.budget.left) }
 
 // CachedFlows returns the number of flows whose agent is cached.
 func (s *Steerer) CachedFlows() int { return s.flows.len() }
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -43,8 +43,8 @@
 	helloAckLen      = fixedHeaderLen + endpoint.Size + loadLen
 )
 
-// datagramOverhead is the length of the IP and UDP headers of a datagram.
-const datagramOverhead = 28
+// DatagramOverhead is the length of the IP and UDP headers of a datagram.
+const DatagramOverhead = 28
 
 // MaxHeader is the maximum length in bytes of the header before a forwarded
 // packet.
@@ -197,7 +197,7 @@
 // ForwardSize returns the length on the link of a Forward with a number of candidates and a
 // packet of the given length.
 func ForwardSize(candidates, packetLen int) int {
-	return datagramOverhead + fixedHeaderLen + candidates*endpoint.Size + packetLen
+	return DatagramOverhead + fixedHeaderLen + candidates*endpoint.Size + packetLen
 }
 
 func appendLoad(b []byte, l Load) []byte {
