--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -1,6 +1,7 @@
 package flowsteer
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"time"
@@ -52,6 +53,8 @@
 // the first list, which usually contains the holder, are first asked whether they know
 // the flow. When none does, those that may hold it without knowing it offer the packet to
 // their backend servers; see offersAllowed.
+// A balancer with a narrow link asks by queries for a packet with data, and forwards it to the
+// agent that holds the flow.
 // An acknowledgement is never offered: its loss is made good by a retransmission, and
 // nothing shows which backend server took it.
 type lookup struct {
@@ -61,11 +64,16 @@
 	unsure         []netip.AddrPort // agents that don't know the flow but may hold it
 	likely         []netip.AddrPort // agents to which the opening of the flow went first, the likeliest holder first
 	packet         flow.Packet
-	raw            []byte   // the encoding of packet
-	unsent         bool     // packet replaced an earlier one and was not sent yet
-	waitingPackets [][]byte // further packets of the flow
+	raw            []byte           // the encoding of packet
+	query          bool             // agents are asked by the header of packet; see Options.narrow
+	asked          bool             // agents were asked for packet
+	unsent         bool             // packet was not sent yet or, if agents are asked by queries, only offered
+	replaced       bool             // packet replaced an earlier one and agents were not asked for it yet
+	offeredTo      []netip.AddrPort // agents that were asked to offer packet
+	waitingPackets [][]byte         // further packets of the flow
 	startedAt      time.Time
 	lastSentAt     time.Time // when agents were asked last
+	overdue        bool      // hellos were requested since because agents have not answered in time
 	retries        int       // rounds sent after the first lookup
 	deniedByAll    bool      // all agents have denied the flow once
 	retryAt        time.Time // when to retry, zero while answers are awaited
@@ -76,7 +84,10 @@
 func (s *Steerer) findHolder(now time.Time, key flow.Key, p flow.Packet, raw []byte) Action {
 	if l := s.lookups[key]; l != nil {
 		if !callsForAnswer(l.packet) && callsForAnswer(p) {
-			l.replacePacket(now, p, raw)
+			l.replacePacket(now, p, raw, s.asksByQuery(p))
+			return Action{Verdict: Keep, Packet: p}
+		}
+		if l.query && l.keeps(raw) {
 			return Action{Verdict: Keep, Packet: p}
 		}
 		if len(l.waitingPackets) >= maxWaitingPackets || s.waitingPackets >= maxAllWaitingPackets {
@@ -90,6 +101,8 @@
 		return noHolderAction(Drop, p)
 	}
 	l := &lookup{packet: p, raw: slices.Clone(raw), startedAt: now}
+	l.query = s.asksByQuery(p)
+	l.unsent = l.query // until the holder is known
 	l.order, l.likely = s.agents.rankForLookup(key.Hash(), s.targets(p.To)), s.agents.likelyHolders(key.Hash(), s.targets(p.To))
 	if len(l.order) == 0 {
 		return noHolderAction(Drop, p)
@@ -108,6 +121,15 @@
 	}
 }
 
+// asksByQuery reports whether agents are asked for the flow of a packet by its header: the
+// data then passes a narrow link of this balancer once, when the holder is known.
+func (s *Steerer) asksByQuery(p flow.Packet) bool { return s.options.narrow() && p.Length > 0 }
+
+// keeps reports whether a packet is kept already. Its caller has retransmitted it.
+func (l *lookup) keeps(raw []byte) bool {
+	return bytes.Equal(l.raw, raw) || slices.ContainsFunc(l.waitingPackets, func(kept []byte) bool { return bytes.Equal(kept, raw) })
+}
+
 // callsForAnswer reports whether the end that holds a packet's flow answers it. An
 // agent that learns its flows by the answers of its backend server doesn't report
 // that it holds the flow of another packet.
@@ -115,15 +137,17 @@
 
 // replacePacket makes the lookup send another packet of its flow, with the next
 // timer. The earlier denials still hold.
-func (l *lookup) replacePacket(now time.Time, p flow.Packet, raw []byte) {
-	l.packet, l.raw, l.unsent = p, slices.Clone(raw), true
+func (l *lookup) replacePacket(now time.Time, p flow.Packet, raw []byte, query bool) {
+	l.query = query
+	l.packet, l.raw, l.unsent, l.replaced, l.asked = p, slices.Clone(raw), true, true, false
 	l.startedAt, l.retryAt, l.retries = now, now, 0
 }
 
 // askNextAgents sends the packet of a lookup to the agents that were not asked yet, in
 // up to the given number of candidate lists of the given length.
 func (s *Steerer) askNextAgents(now time.Time, key flow.Key, l *lookup, lists, length int) []Action {
-	l.lastSentAt, l.retryAt, l.unsent = now, time.Time{}, false
+	l.lastSentAt, l.retryAt, l.unsent, l.replaced = now, time.Time{}, l.query, false
+	l.overdue = false
 	var due []Action
 	for range lists {
 		if l.next == len(l.order) {
@@ -136,14 +160,21 @@
 	return due
 }
 
-// askForKnowledge sends the packet of a lookup to agents that deliver it only if they know
+// askForKnowledge sends the packet of a lookup, or a query for it, to agents that deliver it only if they know
 // its flow.
 func (s *Steerer) askForKnowledge(now time.Time, key flow.Key, list []netip.AddrPort, l *lookup) Action {
 	a := s.forward(list, 0, true, l.raw)
-	a.Message.KnownOnly, a.Message.Offered = true, s.offers.left(now, key) < offerBudget
+	a.Message.KnownOnly, a.Message.Query, a.Message.Offered = true, l.query, s.wasOffered(now, key)
+	a.Repeated, l.asked = l.asked, true
 	return a
 }
 
+// wasOffered reports whether agents were lately asked to offer packets of a flow to backend
+// servers that may not hold it.
+func (s *Steerer) wasOffered(now time.Time, key flow.Key) bool {
+	return s.offers.left(now, key) < offerBudget
+}
+
 // recordDenial records the agents that don't hold a flow, and asks further ones
 // when all that were asked have denied it or are unsure.
 func (s *Steerer) recordDenial(now time.Time, key flow.Key, p flow.Packet, m *hop.Message) []Action {
@@ -204,10 +235,13 @@
 	offering := l.firstUnsure(count)
 	var due []Action
 	for list := range slices.Chunk(offering, hop.MaxCandidates) {
-		due = append(due, s.forward(list, 0, true, l.raw))
+		a := s.forward(list, 0, true, l.raw)
+		a.Repeated = !l.unsent || len(l.offeredTo) > 0
+		l.offeredTo = append(l.offeredTo, list...)
+		due = append(due, a)
 	}
 	l.unsure = slices.DeleteFunc(l.unsure, func(agent netip.AddrPort) bool { return slices.Contains(offering, agent) })
-	l.lastSentAt, l.unsent = now, false
+	l.lastSentAt, l.unsent = now, l.query
 	return due
 }
 
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -57,6 +57,7 @@
 	lost      func(what string) bool  // reports whether a message is lost, nil if none are
 	gaveUp    map[flow.Key]bool       // a reset reached the caller before an answer
 	away      netip.AddrPort          // agent that gets no messages, the zero AddrPort for none
+	linkRate  float64                 // of balancers that start from now on
 }
 
 // answer is the answer to an opening with which the caller continues: the first
@@ -127,11 +128,19 @@
 }
 
 func (p *path) newBalancer(i int) *flowsteer.Steerer {
-	s := flowsteer.New(balancerAddress(i), "a", flowsteer.Options{})
+	s := flowsteer.New(balancerAddress(i), "a", flowsteer.Options{LinkRate: p.linkRate})
 	s.SetView(p.viewOf(i), view.Confirmations{Members: p.now})
 	return s
 }
 
+// drawLinkRates restarts the balancers, some of which may have a narrow link.
+func (p *path) drawLinkRates(t *rapid.T) {
+	for i := range p.balancers {
+		p.linkRate = rapid.SampledFrom([]float64{0, 1.25e6}).Draw(t, "link rate")
+		p.balancers[i] = p.newBalancer(i)
+	}
+}
+
 // viewOf returns the view of a balancer.
 func (p *path) viewOf(balancer int) view.View {
 	v := p.view
@@ -310,7 +319,7 @@
 	case flowgate.Deliver:
 		p.notify(a, action)
 		p.toBackend(a, raw, action.Mark)
-	case flowgate.Hold:
+	case flowgate.Hold, flowgate.Notify:
 		p.notify(a, action)
 	case flowgate.PassOn:
 		action.Message.Packet = raw
@@ -452,6 +461,7 @@
 func TestOpenFlowsSurviveRestartsAndLeaves(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
 		p := newPath(t, 3, rapid.IntRange(2, 12).Draw(t, "agents"), 1<<28)
+		p.drawLinkRates(t)
 		var keys []flow.Key
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			p.now = p.now.Add(pathStep)
@@ -494,6 +504,7 @@
 		// No two numbers differ by the length of a packet's data.
 		distance := rapid.SampledFrom([]uint32{2 * pathDataLength, 1000, 1 << 28}).Draw(t, "distance of sequence numbers")
 		p := newPath(t, 3, rapid.IntRange(2, 6).Draw(t, "agents"), distance)
+		p.drawLinkRates(t)
 		p.lost = func(what string) bool { return rapid.IntRange(0, 3).Draw(t, "lost "+what) == 0 }
 		var keys []flow.Key
 		openedAt := map[flow.Key]time.Time{}
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -215,12 +215,16 @@
 	}
 	s.endLookup(m.Key)
 	var due []Action
-	if l.unsent {
+	if l.unsent && !slices.Contains(l.offeredTo, m.Agent) {
 		due = append(due, s.forwardToHolder(m.Agent, l.raw))
+		due[0].Repeated = len(l.offeredTo) > 0
 	}
 	for _, raw := range l.waitingPackets {
 		due = append(due, s.forwardToHolder(m.Agent, raw))
 	}
+	for i := range due {
+		due[i].Message.Offered = l.query && s.wasOffered(now, m.Key)
+	}
 	return due
 }
 
--- a/pkg/flowbalancer/actions.go
+++ b/pkg/flowbalancer/actions.go
@@ -40,6 +40,9 @@
 func (b *Balancer) execute(action flowsteer.Action) {
 	switch action.Verdict {
 	case flowsteer.Send:
+		if action.Message.Query {
+			action.Message.Packet = platform.CutToHeader(action.Message.Packet)
+		}
 		b.buffer = action.Message.Append(b.buffer[:0])
 		b.writeBuffer(b.nodeSocket, action.To)
 	case flowsteer.Reset:
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -254,7 +254,11 @@
 	case hop.HelloAck:
 		b.steerer.HelloAck(now, m)
 	case hop.Declined:
-		p, err := platform.DecodePacket(m.Packet)
+		decode := platform.DecodePacket
+		if m.Query {
+			decode = platform.DecodeHeader
+		}
+		p, err := decode(m.Packet)
 		if err != nil {
 			return err
 		}
