Keep open flows while their callers may still send a request

An agent removed an open flow 5 s after the idle timeout without a packet. Uploads may take 8 s, and a saturated link of a balancer loses their packets for as long: the flow isn't idle for its caller, but no agent holds it any more, and the first packet that passes is answered with a reset. The margin is now the timeout of the route if that is longer; learning after a restart ends by the same margin. Routes with timeouts up to 5 s are handled as before.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -207,10 +207,19 @@
 	g.backend.coldPerSecond, g.backend.maxFlows = s.ColdPerSecond, s.MaxFlows
 	if idle > 0 {
 		g.backend.idleTimeout = idle
-		g.backend.endLearningBy(g.started.Add(idle + idleMargin))
+		g.backend.endLearningBy(g.started.Add(idle + idleMargin(g.longestTimeout())))
 	}
 }
 
+// longestTimeout returns the longest timeout of a route's requests, 0 without routes.
+func (g *Gate) longestTimeout() time.Duration {
+	longest := time.Duration(0)
+	for _, r := range g.routes {
+		longest = max(longest, r.Timeout)
+	}
+	return longest
+}
+
 // endLearningBy ends learning at a time at the latest. Each flow of which the agent has seen
 // no packet since its start has then been idle for longer than flows may be.
 func (b *backend) endLearningBy(end time.Time) {
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -231,7 +231,7 @@
 		}
 	}
 	maps.DeleteFunc(g.maybeOpened, func(_ flow.Key, until time.Time) bool { return !now.Before(until) })
-	return g.flows.sweep(now, g.backend.idleTimeout)
+	return g.flows.sweep(now, g.backend.idleTimeout, g.routes)
 }
 
 // Load returns the load that the agent reports to balancers.
--- a/internal/flowpath/flowgate/handover_test.go
+++ b/internal/flowpath/flowgate/handover_test.go
@@ -99,7 +99,7 @@
 				t.Fatalf("verdict about %+v: %v, before the handover %v", p, got, want)
 			}
 			for _, gate := range []*Gate{g, next} {
-				gate.flows.sweep(now, g.backend.idleTimeout)
+				gate.flows.sweep(now, g.backend.idleTimeout, nil)
 				gate.Release(now)
 			}
 			if nothingQueued && (g.InProgress() != next.InProgress() || g.OpenFlows() != next.OpenFlows()) {
@@ -207,7 +207,7 @@
 // flows which it has not learned yet.
 func TestHandoverOfALearningAgentIsNotComplete(t *testing.T) {
 	is := is.New(t)
-	g := readyGate(t, true) // learns for the idle timeout and idleMargin, 20 s
+	g := readyGate(t, true) // learns for the idle timeout and minIdleMargin, 20 s
 	now := start.Add(5 * time.Second)
 	next := successor(t, g, now)
 	unknown := func(now time.Time) Verdict {
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -177,8 +177,23 @@
 		return g.FromPeer(now, m, dataPacket(1, orders, 910, 10)).Verdict == Deliver
 	}
 	g := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute}, start)
-	is.True(offers(g, start.Add(idle+idleMargin))) // the idle timeout isn't known yet
+	is.True(offers(g, start.Add(idle+minIdleMargin))) // the idle timeout isn't known yet
 	g.SetService(view.Service{Name: "comptoir"}, idle)
-	is.True(offers(g, start.Add(idle+idleMargin-time.Millisecond)))
-	is.True(!offers(g, start.Add(idle+idleMargin)))
+	is.True(offers(g, start.Add(idle+minIdleMargin-time.Millisecond)))
+	is.True(!offers(g, start.Add(idle+minIdleMargin)))
+}
+
+// Guards against a flow that its agent forgets, so that balancers reset it, while its caller
+// still sends a request: a saturated link loses the packets for as long as the request lasts.
+func TestFlowOutlivesRequestWhosePacketsAreLost(t *testing.T) {
+	const idle, timeout = 4 * time.Second, 8 * time.Second
+	for _, sinceLastPacket := range []time.Duration{idle + minIdleMargin + time.Second, idle + timeout - time.Second} {
+		is := is.New(t)
+		g := readyGate(t, false)
+		g.SetRoutes(map[netip.AddrPort]view.Route{orders: {Address: orders, Timeout: timeout}})
+		g.SetService(view.Service{Name: "comptoir", MaxFlows: 100}, idle)
+		establishFlow(g, start, 1, orders)
+		g.Tick(start.Add(sinceLastPacket))
+		is.Equal(g.FromPeer(start.Add(sinceLastPacket), forward(self), dataPacket(1, orders, 101, 10)).Verdict, Deliver)
+	}
 }
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -1,8 +1,10 @@
 package flowgate
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
@@ -25,9 +27,9 @@
 	// opening to that of the first packet with which the backend server continues: it has at
 	// most 16 packets of 1200 bytes in flight.
 	maxFlightBytes = 16 * 1200
-	// idleMargin is added to the configured idle timeout before an open flow is
-	// removed.
-	idleMargin = 5 * time.Second
+	// minIdleMargin is the minimum time that is added to the configured idle timeout before
+	// an open flow is removed; see idleMargin.
+	minIdleMargin = 5 * time.Second
 )
 
 // flowState is the state of a flow at its agent.
@@ -266,22 +268,30 @@
 // sweep removes flows whose retention has expired, and stops counting requests
 // that have waited for an answer for longer than defaultTimeout. It returns the flows
 // of those requests.
-func (t *table) sweep(now time.Time, idle time.Duration) []flow.Key {
+func (t *table) sweep(now time.Time, idle time.Duration, routes map[netip.AddrPort]view.Route) []flow.Key {
 	var unanswered []flow.Key
 	for key, f := range t.entries {
 		if f.awaitsAnswer && now.Sub(f.requestDeliveredAt) > defaultTimeout {
 			t.endRequest(f)
 			unanswered = append(unanswered, key)
 		}
-		if now.Sub(f.lastPacketAt) > f.retention(idle) {
+		if now.Sub(f.lastPacketAt) > f.retention(idle+idleMargin(routes[key.Service].Timeout)) {
 			t.remove(key)
 		}
 	}
 	return unanswered
 }
 
-// retention returns how long a flow is kept after its last packet.
-func (f *entry) retention(idle time.Duration) time.Duration {
+// idleMargin returns the time that is added to the idle timeout. At the end of that timeout a
+// caller may still send a request, and retransmit it until the request's timeout. While a link
+// loses its packets, the agent sees none of them, although the flow isn't idle.
+func idleMargin(requestTimeout time.Duration) time.Duration {
+	return max(minIdleMargin, requestTimeout)
+}
+
+// retention returns how long a flow is kept after its last packet; open is that of an open
+// flow.
+func (f *entry) retention(open time.Duration) time.Duration {
 	switch f.state {
 	case stateOpening:
 		return openingTimeout
@@ -290,5 +300,5 @@
 	case stateLost:
 		return lostRetention
 	}
-	return idle + idleMargin
+	return open
 }
