Withdraw the member of an ended backend server once it accepts no connections

The agent withdrew its member as soon as the server reported its end. A server runs on until the confirmation reaches it, and for some seconds if that is lost. Balancers whose view lacked the member reset its open flows meanwhile: none of the other agents holds them. New flows were already refused, so only the removal waits.

TestMemberStaysUntilBackendHasEnded fails without the change: 0 members, not 1. TestAgentOfTheNextBackendWaits reported the next server before the removal, which was immediate until now; it waits for the removal, after which its condition is as before.

--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -56,6 +56,7 @@
 	gate             *flowgate.Gate
 	lastReport       flowgate.Report
 	backendLeft      bool // the backend server reported that it has ended
+	withdrawn        bool // the member was withdrawn since; see withdrawEnded
 	endRefused       bool // its end was refused as stale, and no report has come since
 	restarting       bool // the process stops while the backend server runs on
 	handedOver       bool // the flows were exported for the next process; see writeHandover
@@ -281,6 +282,7 @@
 // tick runs the timers of the gate.
 func (a *Agent) tick() {
 	a.checkBackend()
+	a.withdrawEnded()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.handedOver {
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -58,7 +58,7 @@
 		})
 	}
 	a.lastReport = r
-	a.backendLeft, a.endRefused = false, false
+	a.backendLeft, a.withdrawn, a.endRefused = false, false, false
 	if len(lost) > 0 {
 		a.logger.Emit(event.FlowsLost, event.Fields{"instance": r.Instance, "flows": len(lost)})
 	}
@@ -158,14 +158,31 @@
 		a.endRefused = true
 		return errkind.New(errkind.ReportStale, "the current run of the backend server isn't known to be leaving")
 	}
-	a.backendLeft = true
-	a.gate.RefuseNewFlows()
-	a.node.Announcer.Withdraw(MemberName(a.settings.Address))
-	a.updateMemberStored()
 	a.logger.Emit(event.Leaving, event.Fields{"instance": instance, "ended": true})
+	a.gate.RefuseNewFlows()
+	a.backendLeft = true
 	return nil
 }
 
+// withdrawEnded withdraws the member of a backend server that has reported its end, once the
+// server accepts no more connections. Until then its flows are open: without the member,
+// balancers would reset them.
+func (a *Agent) withdrawEnded() {
+	a.mu.Lock()
+	due := a.backendLeft && !a.withdrawn
+	a.mu.Unlock()
+	if !due || !a.backendRefusesConns() {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.backendLeft { // no report has come meanwhile
+		a.withdrawn = true
+		a.node.Announcer.Withdraw(MemberName(a.settings.Address))
+		a.updateMemberStored()
+	}
+}
+
 // backendEnded reports whether the backend server has ended, so that this stop is
 // not a mere restart of the agent. It has ended if it reported so, if it
 // is down, or if it accepts no more connections while it is leaving or after an end that
