Add the interface of the link budget

A balancer with a narrow link has to reject new flows before its link is saturated. This commit defines the public methods, so that the balancer and the tests with a modelled link can be written against them. Every method admits everything; only the counts are kept. A method for each kind of packet was ruled out: flow.Packet already tells openings, data and closes apart.

--- /dev/null
+++ b/internal/flowpath/linkbudget/linkbudget.go
@@ -0,0 +1,151 @@
+// Package linkbudget decides which new flows a balancer with a narrow link admits, and
+// which packets it drops when it sends more than the link carries. It counts what the
+// balancer receives and sends. It must not depend on sockets, clocks or goroutines.
+package linkbudget
+
+import (
+	"container/list"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+)
+
+const (
+	// NarrowBelow is the rate in bytes per second from which a link is not narrow
+	// (100 Mbit/s). The budget decides nothing for such a link.
+	NarrowBelow = 100e6 / 8
+	// HeaderBytes is the length of the IP and UDP headers of a datagram.
+	HeaderBytes = 28
+)
+
+// Kind is what a sent datagram is for.
+type Kind uint8
+
+// The kinds of sent datagrams.
+const (
+	Forward Kind = iota // a caller's packet, to the agent that holds its flow
+	Opening             // a caller's opening, to agents that may take it
+	Lookup              // to agents that may hold a flow
+	Offer               // to agents that offer the packet to their backend servers
+	Control             // hellos, answers to them and resets
+	Kinds               // the number of kinds
+)
+
+// String returns the name of k in metrics.
+func (k Kind) String() string {
+	return [Kinds]string{"forward", "opening", "lookup", "offer", "control"}[k]
+}
+
+// Reason is why an opening is refused.
+type Reason uint8
+
+// The reasons.
+const (
+	WorkExceedsAllowance Reason = iota // the flow's route is heavy, and its allowance is used up
+	TimeoutUnreachable                 // the flow's data would arrive after the route's timeout
+	Reasons                            // the number of reasons
+)
+
+// String returns the name of r in metrics and log lines.
+func (r Reason) String() string {
+	return [Reasons]string{"work-exceeds-allowance", "timeout-unreachable"}[r]
+}
+
+// Options holds what a budget needs to know of its link.
+type Options struct {
+	BytesPerSecond float64 // rate of the link in each direction, 0 if unknown
+}
+
+// Count is a number of datagrams and of the bytes that they take on the link.
+type Count struct{ Messages, Bytes int64 }
+
+func (c *Count) add(bytes int) {
+	c.Messages++
+	c.Bytes += int64(bytes + HeaderBytes)
+}
+
+// Snapshot is what a budget has counted since the start of the process.
+type Snapshot struct {
+	Received Count           // callers' packets
+	Sent     [Kinds][2]Count // by kind; at index 1 those that were repeated
+	Refused  [Reasons]int64  // openings
+	Shed     Count           // callers' packets that were dropped because the link was full
+}
+
+// Budget makes the decisions for one link. It is not safe for concurrent use.
+type Budget struct {
+	rate   float64 // bytes per second
+	counts Snapshot
+
+	flows   map[flow.Key]*list.Element
+	order   *list.List // the tracked flows (*trackedFlow), in the order of their openings
+	routes  map[netip.AddrPort]*routeWork
+	refused map[flow.Key]time.Time
+}
+
+// New returns a budget for a link.
+func New(o Options) *Budget {
+	b := &Budget{rate: o.BytesPerSecond}
+	if math.IsNaN(b.rate) || math.IsInf(b.rate, 0) || b.rate < 0 {
+		b.rate = 0
+	}
+	b.flows, b.order = map[flow.Key]*list.Element{}, list.New()
+	b.routes, b.refused = map[netip.AddrPort]*routeWork{}, map[flow.Key]time.Time{}
+	return b
+}
+
+// Fresh returns a budget that has learned nothing but the rate of the link and keeps the
+// counts of b. It replaces b after a panic, which may have left it half changed.
+func (b *Budget) Fresh() *Budget {
+	fresh := New(Options{BytesPerSecond: b.rate})
+	fresh.counts = b.counts
+	return fresh
+}
+
+// Enabled reports whether the link is narrow. Otherwise the budget only counts.
+func (b *Budget) Enabled() bool { return b.rate > 0 && b.rate < NarrowBelow }
+
+// Rate returns the rate of the link in bytes per second, 0 if unknown. It is the
+// configured one, or a greater one that was received.
+func (b *Budget) Rate() float64 { return b.rate }
+
+// Snapshot returns the counts.
+func (b *Budget) Snapshot() Snapshot { return b.counts }
+
+// Received counts a caller's packet of the given length.
+func (b *Budget) Received(now time.Time, p flow.Packet, bytes int) {
+	b.counts.Received.add(bytes)
+}
+
+// Sent counts a sent datagram of the given length. repeated says that the balancer has
+// sent the same to any node before.
+func (b *Budget) Sent(now time.Time, kind Kind, bytes int, repeated bool) {
+	index := 0
+	if repeated {
+		index = 1
+	}
+	b.counts.Sent[kind][index].add(bytes)
+}
+
+// AdmitOpening decides about the first opening (age 0) of a flow. It tracks the flow if it
+// is admitted. A refused one has not been sent to any agent: the caller of this method
+// resets the flow.
+func (b *Budget) AdmitOpening(now time.Time, key flow.Key, route view.Route) (admitted bool, reason Reason) {
+	return true, 0
+}
+
+// RefusedCopy reports whether an opening is a copy of one that was refused shortly before.
+// It must be dropped.
+func (b *Budget) RefusedCopy(now time.Time, key flow.Key) bool { return false }
+
+// ShedPacket reports whether a caller's packet must be dropped because the link is full. The
+// caller retransmits it.
+func (b *Budget) ShedPacket(now time.Time, p flow.Packet, bytes int) bool { return false }
+
+// Tick runs the timers. It must be called every 20 ms: openings are admitted after a
+// stall. It reports whether the received rate has replaced the configured one since the
+// last call.
+func (b *Budget) Tick(now time.Time) (rateRaised bool) { return false }
