Decide on the admission of new flows to a narrow link

A burst of uploads saturates a link of 10 Mbit/s, and what is then lost is repeated, so that the link stays saturated. The package learns how many bytes the flows of each route send, and rejects openings whose work the link can't carry in time.

Differences from the formula of the specification, with the failures that were seen without them in the tests by load pattern: - A flow that has been silent for 1 s has no outstanding work. Callers that keep flows open after an upload smaller than the mean otherwise had 213 openings rejected in 20 s at 70% of the link. - A flow that isn't heavy waits only for other flows that aren't heavy. Otherwise a balancer that starts in the middle of a burst, when all flows in progress count as background, rejected small requests for their timeout. Early counting of open flows in the decaying sums was ruled out: the mean of a burst would rise above the work of its flows. They are summed anew each 20 ms.

--- /dev/null
+++ b/internal/flowpath/linkbudget/admission.go
@@ -0,0 +1,236 @@
+package linkbudget
+
+import (
+	"math"
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+)
+
+const (
+	// maxFlows is the maximum number of tracked flows. Others are admitted and count as
+	// background.
+	maxFlows = 16384
+	// maxRoutes is the maximum number of routes whose work is learned. Flows of others are
+	// admitted and count as background.
+	maxRoutes = 4096
+	// trackTime is the age up to which a flow counts as work. An older one counts as
+	// background.
+	trackTime = 5 * time.Second
+	// idleTime is the time without a packet after which a flow has no outstanding work. Callers
+	// keep flows open between requests; counting such flows rejected openings at 70% of
+	// the link.
+	idleTime = time.Second
+	// refreshInterval is the maximum age of the means and sums on which decisions rest.
+	refreshInterval = 20 * time.Millisecond
+	// rateHalfLife makes the background rate an average over about a second.
+	rateHalfLife = 500 * time.Millisecond
+	// minSpareShare is the share of the link that counts as free for new flows at least.
+	minSpareShare = 0.1
+	// maxTickGap is the time between two ticks beyond which the balancer has stalled. It is the
+	// same as in flowsteer.
+	maxTickGap = 100 * time.Millisecond
+	// openingCopyDelay is how long after an opening its caller sends the first copy.
+	openingCopyDelay = 200 * time.Millisecond
+	// refusalTime is how long copies of a refused opening are dropped. Its caller gives up
+	// sooner.
+	refusalTime = 1500 * time.Millisecond
+	// maxRefused is the maximum number of refused openings that are remembered. Others are
+	// admitted: a refusal is only truthful if no copy of the opening reaches an agent.
+	maxRefused = 16384
+)
+
+// trackedFlow is a flow that was opened through this balancer.
+type trackedFlow struct {
+	key      flow.Key
+	route    *routeWork
+	openedAt time.Time
+	lastAt   time.Time // of the last packet
+	bytes    float64   // sent by the caller, without openings
+	// outstanding is the number of bytes that the flow is still expected to send.
+	outstanding float64
+}
+
+// AdmitOpening decides about the first opening (age 0) of a flow. It tracks the flow if it
+// is admitted. A refused one has not been sent to any agent: the caller of this method
+// resets the flow.
+func (b *Budget) AdmitOpening(now time.Time, key flow.Key, route view.Route) (admitted bool, reason Reason) {
+	if !b.Enabled() {
+		return true, 0
+	}
+	if _, ok := b.flows[key]; ok {
+		return true, 0 // a duplicate of an opening that was admitted
+	}
+	if now.Sub(b.refreshedAt) >= refreshInterval {
+		b.refresh(now)
+	}
+	r := b.routes[route.Address]
+	if r == nil {
+		if len(b.routes) >= maxRoutes {
+			return true, 0
+		}
+		r = newRouteWork(now)
+		b.routes[route.Address] = r
+	}
+	r.priority = route.Priority
+	r.openings.add(now, workHalfLife, 1)
+	if reason, refuse := b.judge(now, r, route); refuse {
+		b.refused[key] = now
+		b.counts.Refused[reason]++
+		return false, reason
+	}
+	delete(b.refused, key)
+	if len(b.flows) < maxFlows {
+		f := &trackedFlow{key: key, route: r, openedAt: now, lastAt: now}
+		b.flows[key] = b.order.PushBack(f)
+		r.tracked++
+		b.expect(f, r.mean)
+	}
+	return true, 0
+}
+
+// judge decides whether a new flow is refused. A flow whose kind has no outstanding work is
+// admitted, so that none is locked out however much work it has.
+func (b *Budget) judge(now time.Time, r *routeWork, route view.Route) (Reason, bool) {
+	if r.mean == 0 || b.outstanding <= 0 || b.hasStalled(now) || len(b.refused) >= maxRefused {
+		return 0, false
+	}
+	outstanding, lowerOutstanding := b.outstandingHeavy(r.priority)
+	if !r.heavy {
+		// Heavy flows are rejected and shed first, so that others don't wait for them.
+		delay := b.expectedDelay(now, b.outstanding-outstanding+r.mean)
+		return TimeoutUnreachable, route.Timeout > 0 && delay > route.Timeout
+	}
+	if outstanding == 0 {
+		return 0, false
+	}
+	delay := b.expectedDelay(now, b.outstanding+r.mean)
+	if route.Timeout > 0 && delay > route.Timeout {
+		return TimeoutUnreachable, true
+	}
+	return WorkExceedsAllowance, route.Objective > 0 && delay > allowance(route, lowerOutstanding)
+}
+
+// outstandingHeavy returns the outstanding work of the heavy routes, and whether one of them
+// has a lower priority (a greater number) than the given.
+func (b *Budget) outstandingHeavy(priority int) (outstanding float64, lower bool) {
+	for _, r := range b.routes {
+		if r.heavy && r.outstanding > 0 {
+			outstanding += r.outstanding
+			lower = lower || r.priority > priority
+		}
+	}
+	return outstanding, lower
+}
+
+// expectedDelay returns how long the link needs for some work beside the background.
+func (b *Budget) expectedDelay(now time.Time, work float64) time.Duration {
+	used := b.background.at(now, rateHalfLife) * math.Ln2 / rateHalfLife.Seconds()
+	spare := max(b.rate-used, b.rate*minSpareShare)
+	return time.Duration(min(work/spare, math.MaxInt32) * float64(time.Second))
+}
+
+// RefusedCopy reports whether an opening is a copy of one that was refused shortly before.
+// It must be dropped.
+func (b *Budget) RefusedCopy(now time.Time, key flow.Key) bool {
+	refusedAt, ok := b.refused[key]
+	return ok && now.Sub(refusedAt) < refusalTime
+}
+
+// expect sets what a flow is still expected to send.
+func (b *Budget) expect(f *trackedFlow, bytes float64) {
+	b.outstanding += bytes - f.outstanding
+	f.route.outstanding += bytes - f.outstanding
+	f.outstanding = bytes
+}
+
+// advanceFlow records a packet of a flow.
+func (b *Budget) advanceFlow(now time.Time, f *trackedFlow, bytes float64) {
+	f.bytes += bytes
+	f.lastAt = now
+	b.expect(f, max(f.outstanding-bytes, 0))
+}
+
+// endFlow removes a flow that is closed or too old, and learns its work.
+func (b *Budget) endFlow(now time.Time, key flow.Key) {
+	element := b.flows[key]
+	f := element.Value.(*trackedFlow)
+	b.expect(f, 0)
+	f.route.finish(now, f.bytes)
+	f.route.tracked--
+	b.order.Remove(element)
+	delete(b.flows, key)
+}
+
+// refresh removes old flows and computes the means of the routes, which of them are heavy, and
+// the outstanding work.
+func (b *Budget) refresh(now time.Time) {
+	b.refreshedAt = now
+	for e := b.order.Front(); e != nil && now.Sub(e.Value.(*trackedFlow).openedAt) >= trackTime; e = b.order.Front() {
+		b.endFlow(now, e.Value.(*trackedFlow).key)
+	}
+	for address, r := range b.routes {
+		r.startRefresh(now)
+		if r.tracked == 0 && r.isUnused(now) {
+			delete(b.routes, address)
+		}
+	}
+	for e := b.order.Front(); e != nil; e = e.Next() {
+		f := e.Value.(*trackedFlow)
+		f.route.addOpen(f.bytes)
+	}
+	var openings, work float64
+	for _, r := range b.routes {
+		r.endRefresh()
+		if r.mean > 0 {
+			n := r.openings.at(now, workHalfLife)
+			openings, work = openings+n, work+n*r.mean
+		}
+	}
+	for _, r := range b.routes {
+		r.heavy, r.outstanding = r.mean*openings > work*heavyMargin, 0
+	}
+	b.outstanding = 0
+	for e := b.order.Front(); e != nil; e = e.Next() {
+		f := e.Value.(*trackedFlow)
+		expected := max(f.route.mean-f.bytes, 0)
+		if now.Sub(f.lastAt) >= idleTime {
+			expected = 0
+		}
+		f.outstanding = 0 // the sums are computed anew, without rounding errors
+		b.expect(f, expected)
+	}
+	for key, refusedAt := range b.refused {
+		if now.Sub(refusedAt) >= refusalTime {
+			delete(b.refused, key)
+		}
+	}
+}
+
+// hasStalled reports whether the balancer stalls or has stalled shortly before, so that
+// openings may have lain unread.
+func (b *Budget) hasStalled(now time.Time) bool {
+	return b.isLate(now) || (!b.stallEndedAt.IsZero() && now.Sub(b.stallEndedAt) < openingCopyDelay)
+}
+
+// isLate reports whether Tick is overdue.
+func (b *Budget) isLate(now time.Time) bool {
+	return !b.lastTick.IsZero() && now.Sub(b.lastTick) > maxTickGap
+}
+
+// Tick runs the timers. It must be called every 20 ms: openings are admitted after a
+// stall. It reports whether the received rate has replaced the configured one since the
+// last call.
+func (b *Budget) Tick(now time.Time) (rateRaised bool) {
+	if b.isLate(now) {
+		b.stallEndedAt = now
+		b.window = rateWindow{startedAt: now.Add(rateWindowLength)}
+	}
+	b.lastTick = now
+	if b.Enabled() {
+		b.refresh(now)
+	}
+	rateRaised, b.rateRaised = b.rateRaised, false
+	return rateRaised
+}
--- a/internal/flowpath/linkbudget/linkbudget.go
+++ b/internal/flowpath/linkbudget/linkbudget.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
@@ -83,7 +82,16 @@
 	flows   map[flow.Key]*list.Element
 	order   *list.List // the tracked flows (*trackedFlow), in the order of their openings
 	routes  map[netip.AddrPort]*routeWork
-	refused map[flow.Key]time.Time
+	refused map[flow.Key]time.Time // refused openings
+	// background is what the link carries besides the tracked flows.
+	background decayingSum
+	// outstanding is the sum of the bytes that tracked flows are still expected to send.
+	outstanding float64
+	refreshedAt time.Time
+
+	lastTick, stallEndedAt time.Time
+	window                 rateWindow
+	rateRaised             bool
 }
 
 // New returns a budget for a link.
@@ -118,6 +126,28 @@
 // Received counts a caller's packet of the given length.
 func (b *Budget) Received(now time.Time, p flow.Packet, bytes int) {
 	b.counts.Received.add(bytes)
+	if b.rate == 0 {
+		return
+	}
+	b.measureRate(now, bytes+HeaderBytes)
+	if !b.Enabled() {
+		return
+	}
+	element, tracked := b.flows[p.CallerKey()]
+	if !tracked || p.Opening() {
+		b.background.add(now, rateHalfLife, float64(bytes+HeaderBytes))
+		return
+	}
+	f := element.Value.(*trackedFlow)
+	if now.Sub(f.openedAt) >= trackTime {
+		b.background.add(now, rateHalfLife, float64(bytes+HeaderBytes))
+		b.endFlow(now, f.key)
+		return
+	}
+	b.advanceFlow(now, f, float64(bytes+HeaderBytes))
+	if p.Has(flow.Close) || p.Has(flow.Reset) {
+		b.endFlow(now, f.key)
+	}
 }
 
 // Sent counts a sent datagram of the given length. repeated says that the balancer has
@@ -128,24 +158,7 @@
 		index = 1
 	}
 	b.counts.Sent[kind][index].add(bytes)
+	if b.Enabled() && (repeated || kind == Offer || kind == Control) {
+		b.background.add(now, rateHalfLife, float64(bytes+HeaderBytes))
+	}
 }
-
-// AdmitOpening decides about the first opening (age 0) of a flow. It tracks the flow if it
-// is admitted. A refused one has not been sent to any agent: the caller of this method
-// resets the flow.
-func (b *Budget) AdmitOpening(now time.Time, key flow.Key, route view.Route) (admitted bool, reason Reason) {
-	return true, 0
-}
-
-// RefusedCopy reports whether an opening is a copy of one that was refused shortly before.
-// It must be dropped.
-func (b *Budget) RefusedCopy(now time.Time, key flow.Key) bool { return false }
-
-// ShedPacket reports whether a caller's packet must be dropped because the link is full. The
-// caller retransmits it.
-func (b *Budget) ShedPacket(now time.Time, p flow.Packet, bytes int) bool { return false }
-
-// Tick runs the timers. It must be called every 20 ms: openings are admitted after a
-// stall. It reports whether the received rate has replaced the configured one since the
-// last call.
-func (b *Budget) Tick(now time.Time) (rateRaised bool) { return false }
--- a/internal/flowpath/linkbudget/work.go
+++ b/internal/flowpath/linkbudget/work.go
@@ -58,7 +58,8 @@
 	openBytes, openNum float64 // of open flows that have sent more than finishedMean
 	mean               float64 // bytes of a flow, 0 if not learned
 	heavy              bool
-	openHeavy          int // open flows with outstanding work, if the route is heavy
+	tracked            int     // open flows
+	outstanding        float64 // bytes that they are still expected to send
 }
 
 func newRouteWork(now time.Time) *routeWork { return &routeWork{updatedAt: now} }
@@ -89,7 +90,7 @@
 // startRefresh computes the mean of the finished flows.
 func (r *routeWork) startRefresh(now time.Time) {
 	r.update(now)
-	r.finishedMean, r.openBytes, r.openNum, r.openHeavy = 0, 0, 0, 0
+	r.finishedMean, r.openBytes, r.openNum = 0, 0, 0
 	if r.finishedNum >= minWorkWeight {
 		r.finishedMean = r.finishedBytes / r.finishedNum
 	}
