Reject new flows at a balancer whose link is full

The balancer asks the link budget before it steers the first opening of a flow. Copies of a rejected opening are dropped. Events 1009 and 1010 tell of an unknown and of a wrong rate of the link, event 1520 of rejections, and metrics what the link carries.

Each rejection keeps its line 1503 beside the limited event 1520, because the trace of a request needs it. Counters for each sent datagram were ruled out: the gauges copy the counts of the budget when they are read.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -22,6 +22,8 @@
 	ReloadFailed      ID = 1006
 	SettingsReloaded  ID = 1007
 	HandlerPanicked   ID = 1008
+	LinkRateUnknown   ID = 1009
+	LinkRateRaised    ID = 1010
 )
 
 // Events of the control path.
@@ -68,6 +70,7 @@
 	RequestUnanswered        ID = 1517
 	HandoverWritten          ID = 1518
 	HandoverTakenOver        ID = 1519
+	NewFlowsRejected         ID = 1520
 )
 
 // Events of the balancer.
@@ -106,6 +109,8 @@
 	{ReloadFailed, log.ErrorLevel, true, "reload failed, previous value stays in use", "Correct the file that the message names."},
 	{SettingsReloaded, log.InfoLevel, false, "settings reloaded", "None."},
 	{HandlerPanicked, log.ErrorLevel, true, "handling of a message or call panicked", "Report the stack: it is a fault of the program. Only that message or call was lost."},
+	{LinkRateUnknown, log.WarnLevel, false, "rate of the link unknown, link is not protected from overload", "Set limits.link_mbps of the host if its link is below 100 Mbit/s."},
+	{LinkRateRaised, log.WarnLevel, false, "more received than the configured rate of the link allows, received rate used instead", "Correct limits.link_mbps of the host."},
 
 	{GenerationInForce, log.InfoLevel, false, "configuration generation in force", "None."},
 	{GenerationRefused, log.WarnLevel, true, "configuration generation refused", "Look for an object restored to an older state in the platform."},
@@ -163,6 +168,7 @@
 	{RequestUnanswered, log.WarnLevel, false, "delivered request has no answer and no longer counts as in progress", "Check whether the backend server hangs."},
 	{HandoverWritten, log.InfoLevel, false, "flows written for the next process of the agent", "None; with an error the next process learns the flows from packets."},
 	{HandoverTakenOver, log.InfoLevel, false, "flows of the earlier process taken over", "None; with an error the agent learns the flows from packets."},
+	{NewFlowsRejected, log.WarnLevel, true, "new flows rejected because the link is full", "See OPERATIONS.md, link of a balancer full."},
 }
 
 var byID = indexByID(catalogue)
--- a/internal/base/metrics/flows.go
+++ b/internal/base/metrics/flows.go
@@ -7,6 +7,37 @@
 	Panics                      Counter
 	Resets, Drops               *KindCounter // packet kinds
 	Holders, ViewAge, Version   Gauge
+	Link                        *Link
+}
+
+// Link holds the metrics of the link of a balancer.
+type Link struct {
+	ReceivedMessages, ReceivedBytes Gauge
+	SentMessages, SentBytes         *GaugeFamily // of LinkKinds
+	RepeatedMessages, RepeatedBytes *GaugeFamily // of LinkKinds
+	Rejected                        *GaugeFamily // of LinkReasons
+	ShedMessages, RetryBudget, Rate Gauge
+}
+
+// Labels of the metrics of a link, as package linkbudget names them.
+var (
+	LinkKinds   = []string{"forward", "opening", "lookup", "offer", "control"}
+	LinkReasons = []string{"work-exceeds-allowance", "timeout-unreachable"}
+)
+
+func newLink(r *Registry) *Link {
+	return &Link{
+		ReceivedMessages: r.registerGauge(FlowBalancerReceivedMessages),
+		ReceivedBytes:    r.registerGauge(FlowBalancerReceivedBytes),
+		SentMessages:     r.registerGaugeFamily(FlowBalancerSentMessages, "kind", LinkKinds),
+		SentBytes:        r.registerGaugeFamily(FlowBalancerSentBytes, "kind", LinkKinds),
+		RepeatedMessages: r.registerGaugeFamily(FlowBalancerRepeatedMessages, "kind", LinkKinds),
+		RepeatedBytes:    r.registerGaugeFamily(FlowBalancerRepeatedBytes, "kind", LinkKinds),
+		Rejected:         r.registerGaugeFamily(FlowBalancerRejected, "reason", LinkReasons),
+		ShedMessages:     r.registerGauge(FlowBalancerShedMessages),
+		RetryBudget:      r.registerGauge(FlowBalancerRetryBudget),
+		Rate:             r.registerGauge(FlowBalancerLinkRate),
+	}
 }
 
 // NewFlowBalancer registers the metrics of a balancer of packet flows.
@@ -21,6 +52,7 @@
 		Holders:  r.registerGauge(FlowBalancerHolders),
 		ViewAge:  r.registerGauge(FlowBalancerViewAge),
 		Version:  r.registerGauge(FlowBalancerVersion),
+		Link:     newLink(r),
 	}
 }
 
--- a/internal/base/metrics/names.go
+++ b/internal/base/metrics/names.go
@@ -45,6 +45,17 @@
 	FlowBalancerHolders  Name = "flow_balancer.holders"     // entries of the flow table: flows whose agent is known
 	FlowBalancerViewAge  Name = "flow_balancer.view_age_ms" // milliseconds since the view was known to be current, -1 if never
 	FlowBalancerVersion  Name = "flow_balancer.version"     // version of the configuration in force
+
+	FlowBalancerReceivedMessages Name = "flow_balancer.received_messages"  // packets received from callers
+	FlowBalancerReceivedBytes    Name = "flow_balancer.received_bytes"     // bytes of these, with IP and UDP headers
+	FlowBalancerSentMessages     Name = "flow_balancer.sent_messages"      // datagrams sent for the first time, by kind
+	FlowBalancerSentBytes        Name = "flow_balancer.sent_bytes"         // bytes of these, with IP and UDP headers
+	FlowBalancerRepeatedMessages Name = "flow_balancer.repeated_messages"  // datagrams sent again, by kind
+	FlowBalancerRepeatedBytes    Name = "flow_balancer.repeated_bytes"     // bytes of these, with IP and UDP headers
+	FlowBalancerRetryBudget      Name = "flow_balancer.retry_budget_bytes" // bytes that may be sent again now, -1 if not limited
+	FlowBalancerRejected         Name = "flow_balancer.rejected_openings"  // new flows rejected because the link is full, by reason
+	FlowBalancerShedMessages     Name = "flow_balancer.shed_messages"      // callers' packets dropped because the link is full
+	FlowBalancerLinkRate         Name = "flow_balancer.link_rate_bytes"    // bytes a second that the link carries, 0 if unknown
 )
 
 // Metrics of an agent of packet flows.
--- a/internal/base/metrics/registry.go
+++ b/internal/base/metrics/registry.go
@@ -39,7 +39,7 @@
 // entry is one metric with its name and label for the text exposition format.
 type entry struct {
 	name       Name
-	labelName  string // "kind" or "outcome", empty for a single metric
+	labelName  string // "kind", "outcome" or "reason", empty for a single metric
 	labelValue string // value of the label
 	metric     any
 }
@@ -83,6 +83,32 @@
 	return h
 }
 
+// GaugeFamily is a gauge for each value of a label. It is safe for concurrent use.
+type GaugeFamily struct {
+	gauges map[string]Gauge // not modified after creation
+}
+
+func (r *Registry) registerGaugeFamily(name Name, labelName string, values []string) *GaugeFamily {
+	f := &GaugeFamily{gauges: map[string]Gauge{}}
+	for _, value := range values {
+		g := gometrics.NewGauge()
+		f.gauges[value] = g
+		r.register(entry{name: name, labelName: labelName, labelValue: value, metric: g})
+	}
+	return f
+}
+
+// Update sets the gauge of a label's value. It panics if the value is not registered.
+func (f *GaugeFamily) Update(value string, n int64) { f.gauges[value].Update(n) }
+
+// Value returns the gauge of a label's value, 0 if it is not registered.
+func (f *GaugeFamily) Value(value string) int64 {
+	if g, ok := f.gauges[value]; ok {
+		return g.Value()
+	}
+	return 0
+}
+
 // KindCounter is a counter for each error kind of a range. It is safe for
 // concurrent use.
 type KindCounter struct {
--- a/pkg/flowbalancer/actions.go
+++ b/pkg/flowbalancer/actions.go
@@ -10,6 +10,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowsteer"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/linkbudget"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
@@ -41,12 +42,14 @@
 	switch action.Verdict {
 	case flowsteer.Send:
 		b.buffer = action.Message.Append(b.buffer[:0])
+		b.countSent(sentKind(action), isRepeated(action))
 		b.writeBuffer(b.nodeSocket, action.To)
 	case flowsteer.Reset:
 		key := action.Packet.CallerKey()
 		b.metrics.Resets.Inc(action.Kind)
 		b.logger.Emit(event.FlowReset, actionFields(key, action))
 		b.buffer = platform.AppendReset(b.buffer[:0], key, action.Packet.Ack)
+		b.countSent(linkbudget.Control, false)
 		b.writeBuffer(b.callerSocket, netip.AddrPortFrom(key.Caller.Addr(), b.settings.PacketAddress.Port()))
 	case flowsteer.Keep:
 		if action.Kind == 0 {
--- /dev/null
+++ b/pkg/flowbalancer/admission.go
@@ -0,0 +1,109 @@
+package flowbalancer
+
+import (
+	"time"
+
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowsteer"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/linkbudget"
+)
+
+// admit counts a caller's packet and reports whether the link has room for it. Otherwise it
+// executes what happens instead: the reset of a new flow, or the drop of a copy of an
+// opening that was reset.
+func (b *Balancer) admit(now time.Time, p flow.Packet, bytes int) bool {
+	b.budget.Received(now, p, bytes)
+	if !b.budget.Enabled() || !p.Opening() {
+		return true
+	}
+	if p.Age > 0 {
+		if b.budget.RefusedCopy(now, p.CallerKey()) {
+			b.execute(flowsteer.Action{Verdict: flowsteer.Drop, Kind: errkind.LinkFull, Packet: p})
+			return false
+		}
+		return true
+	}
+	route, ok := b.routes[p.To]
+	if !ok {
+		return true
+	}
+	admitted, reason := b.budget.AdmitOpening(now, p.CallerKey(), route)
+	if !admitted {
+		b.logger.Emit(event.NewFlowsRejected, event.Fields{
+			"route": route.Name, "to": p.To.String(), "reason": reason.String(), "link_bytes_per_s": int64(b.budget.Rate()),
+		})
+		b.execute(flowsteer.Action{Verdict: flowsteer.Reset, Kind: errkind.LinkFull, Packet: p})
+	}
+	return admitted
+}
+
+// tickBudget runs the timers of the link budget.
+func (b *Balancer) tickBudget(now time.Time) {
+	if b.budget.Tick(now) {
+		b.logger.Emit(event.LinkRateRaised, event.Fields{
+			"configured_bytes_per_s": int64(b.settings.LinkRate), "bytes_per_s": int64(b.budget.Rate()),
+		})
+	}
+}
+
+// logUnknownLinkRate logs that the settings lack the rate of the link.
+func (b *Balancer) logUnknownLinkRate() {
+	if b.settings.LinkRate == 0 {
+		b.logger.Emit(event.LinkRateUnknown, nil)
+	}
+}
+
+// countSent counts b.buffer, which is sent next.
+func (b *Balancer) countSent(kind linkbudget.Kind, repeated bool) {
+	var now time.Time
+	if b.budget.Enabled() {
+		now = time.Now()
+	}
+	b.budget.Sent(now, kind, len(b.buffer), repeated)
+}
+
+// sentKind returns what the message of an action of verdict Send is for.
+func sentKind(action flowsteer.Action) linkbudget.Kind {
+	switch m := &action.Message; {
+	case m.Type != hop.Forward:
+		return linkbudget.Control
+	case action.Packet.Opening():
+		return linkbudget.Opening
+	case m.KnownOnly:
+		return linkbudget.Lookup
+	case m.ReportHolder:
+		return linkbudget.Offer
+	}
+	return linkbudget.Forward
+}
+
+// isRepeated reports whether the message of an action was sent before. The steerer doesn't
+// tell, so that every message counts as first.
+func isRepeated(flowsteer.Action) bool { return false }
+
+// retryBudgetLeft returns how many bytes the steerer may send again now, -1 if it has no
+// limit.
+func (b *Balancer) retryBudgetLeft() int64 { return -1 }
+
+// updateLinkGauges sets the gauges of the link.
+func (b *Balancer) updateLinkGauges() {
+	s, m := b.budget.Snapshot(), b.metrics.Link
+	m.ReceivedMessages.Update(s.Received.Messages)
+	m.ReceivedBytes.Update(s.Received.Bytes)
+	for kind := range linkbudget.Kinds {
+		first, repeated := s.Sent[kind][0], s.Sent[kind][1]
+		m.SentMessages.Update(kind.String(), first.Messages)
+		m.SentBytes.Update(kind.String(), first.Bytes)
+		m.RepeatedMessages.Update(kind.String(), repeated.Messages)
+		m.RepeatedBytes.Update(kind.String(), repeated.Bytes)
+	}
+	for reason := range linkbudget.Reasons {
+		m.Rejected.Update(reason.String(), s.Refused[reason])
+	}
+	m.ShedMessages.Update(s.Shed.Messages)
+	m.RetryBudget.Update(b.retryBudgetLeft())
+	m.Rate.Update(int64(b.budget.Rate()))
+}
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flownode"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowsteer"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/linkbudget"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
@@ -57,6 +58,8 @@
 	stopping     atomic.Bool
 
 	mu           sync.Mutex
+	budget       *linkbudget.Budget
+	routes       map[netip.AddrPort]view.Route // of the current view
 	steerer      *flowsteer.Steerer
 	viewComplete bool
 	isolated     bool
@@ -76,6 +79,7 @@
 func New(s platform.Settings, store follow.Store, logger *event.Logger) *Balancer {
 	registry := metrics.New()
 	return &Balancer{
+		budget:   linkbudget.New(linkbudget.Options{BytesPerSecond: s.LinkRate}),
 		settings: s,
 		store:    store,
 		logger:   logger,
@@ -110,6 +114,7 @@
 	if err := b.node.Serve(s.MetricsAddress, b.registry.TextHandler(b.updateGauges)); err != nil {
 		return err
 	}
+	b.logUnknownLinkRate()
 	b.node.FollowView(b.applyView)
 	b.node.ReadPackets(b.callerSocket, b.handleCallerPacket)
 	b.node.ReadMessages(b.nodeSocket, b.handleMessage)
@@ -118,11 +123,12 @@
 	return nil
 }
 
-// replaceSteerer replaces the steerer after a panic, which may have left it half changed,
-// by one that knows what it would know after a restart of the process.
+// replaceSteerer replaces the steerer and the link budget after a panic, which may have left
+// them half changed, by ones that know what they would know after a restart of the process.
 func (b *Balancer) replaceSteerer() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.budget = b.budget.Fresh()
 	b.metrics.Panics.Inc(1)
 	b.steerer = flowsteer.New(b.settings.PeerAddress, b.settings.Domain)
 	b.updateView()
@@ -197,6 +203,7 @@
 // the view. The caller holds the lock.
 func (b *Balancer) updateView() view.View {
 	v, confirmedAt := b.node.Board.Snapshot()
+	b.routes = v.Configuration.Routes
 	b.steerer.SetView(v, confirmedAt)
 	return v
 }
@@ -223,6 +230,9 @@
 	if err != nil {
 		return err
 	}
+	if !b.admit(now, p, len(raw)) {
+		return nil
+	}
 	action := b.steerer.FromCaller(now, p, raw)
 	b.countPacket(p, action)
 	if p.Opening() && action.Verdict == flowsteer.Send {
@@ -236,6 +246,7 @@
 func (b *Balancer) updateGauges() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.updateLinkGauges()
 	b.metrics.Holders.Update(int64(b.steerer.CachedFlows()))
 	b.metrics.ViewAge.Update(b.node.Board.AgeMS())
 	b.metrics.Version.Update(b.node.Board.View().Configuration.Version)
@@ -270,6 +281,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateView()
+	b.tickBudget(now)
 	b.executeRepeats(b.steerer.Tick(now))
 	b.updateIsolation()
 }
