Pause heavy flows while a balancer sends more than its link carries

Admission can't undo what was admitted: lookups after a change of the rotation can take more than is left. Data of heavy flows is then dropped, whole flows at a time and the newest first, until the link has room.

Neither openings are rejected nor flows paused while more is received than the configured rate allows, since that rate is then wrong.

--- a/internal/flowpath/linkbudget/admission.go
+++ b/internal/flowpath/linkbudget/admission.go
@@ -93,7 +93,7 @@
 // judge decides whether a new flow is refused. A flow whose kind has no outstanding work is
 // admitted, so that none is locked out however much work it has.
 func (b *Budget) judge(now time.Time, r *routeWork, route view.Route) (Reason, bool) {
-	if r.mean == 0 || b.outstanding <= 0 || b.hasStalled(now) || len(b.refused) >= maxRefused {
+	if r.mean == 0 || b.outstanding <= 0 || b.hasStalled(now) || b.isRateDoubtful(now) || len(b.refused) >= maxRefused {
 		return 0, false
 	}
 	outstanding, lowerOutstanding := b.outstandingHeavy(r.priority)
--- a/internal/flowpath/linkbudget/linkbudget.go
+++ b/internal/flowpath/linkbudget/linkbudget.go
@@ -92,6 +92,8 @@
 	lastTick, stallEndedAt time.Time
 	window                 rateWindow
 	rateRaised             bool
+	received               decayingSum // bytes received lately
+	shedder                shedder
 }
 
 // New returns a budget for a link.
@@ -158,7 +160,11 @@
 		index = 1
 	}
 	b.counts.Sent[kind][index].add(bytes)
-	if b.Enabled() && (repeated || kind == Offer || kind == Control) {
+	if !b.Enabled() {
+		return
+	}
+	b.spend(now, float64(bytes+HeaderBytes))
+	if repeated || kind == Offer || kind == Control {
 		b.background.add(now, rateHalfLife, float64(bytes+HeaderBytes))
 	}
 }
--- a/internal/flowpath/linkbudget/patterns_test.go
+++ b/internal/flowpath/linkbudget/patterns_test.go
@@ -36,6 +36,7 @@
 	load     *load
 	key      flow.Key
 	left     int
+	waitsTo  time.Time // for a retransmission
 	openedAt time.Time
 }
 
@@ -87,6 +88,10 @@
 				m.active = append(m.active, waiting[i:]...)
 				break
 			}
+			if u.waitsTo.After(m.now) {
+				m.active = append(m.active, u)
+				continue
+			}
 			m.send(u)
 		}
 	}
@@ -112,6 +117,12 @@
 func (m *model) send(u *upload) {
 	p := flow.Packet{From: u.key.Caller, To: u.key.Service, Flags: flow.Ack, Length: min(u.left, packetBytes-36)}
 	m.credit -= float64(p.Length + 36 + HeaderBytes)
+	if m.budget.ShedPacket(m.now, p, p.Length+36) {
+		u.waitsTo = m.now.Add(200 * time.Millisecond)
+		m.active = append(m.active, u)
+		return
+	}
+	m.budget.Sent(m.now, Forward, p.Length+36+26, false)
 	u.left -= p.Length
 	if u.left > 0 {
 		m.budget.Received(m.now, p, p.Length+36)
--- a/internal/flowpath/linkbudget/rate.go
+++ b/internal/flowpath/linkbudget/rate.go
@@ -1,6 +1,9 @@
 package linkbudget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// rateWindowLength is the time over which the received rate is measured.
@@ -19,6 +22,7 @@
 // measureRate counts received bytes, and replaces the rate of the link at the end of a window
 // in which more was received than a link of this rate carries.
 func (b *Budget) measureRate(now time.Time, bytes int) {
+	b.received.add(now, rateHalfLife, float64(bytes))
 	w := &b.window
 	switch elapsed := now.Sub(w.startedAt); {
 	case elapsed < 0:
@@ -34,3 +38,9 @@
 	}
 	w.bytes += float64(bytes)
 }
+
+// isRateDoubtful reports whether more is received now than a link of the rate carries. It is
+// then about to be replaced, and neither openings are rejected nor flows paused.
+func (b *Budget) isRateDoubtful(now time.Time) bool {
+	return b.received.at(now, rateHalfLife)*math.Ln2/rateHalfLife.Seconds() > maxRateExcess*b.rate
+}
--- a/pkg/flowbalancer/admission.go
+++ b/pkg/flowbalancer/admission.go
@@ -13,8 +13,12 @@
 
 // admit counts a caller's packet and reports whether the link has room for it. Otherwise it
 // executes what happens instead: the reset of a new flow, or the drop of a copy of an
-// opening that was reset.
+// opening that was reset or of data that the caller retransmits.
 func (b *Balancer) admit(now time.Time, p flow.Packet, bytes int) bool {
+	if b.budget.ShedPacket(now, p, bytes) {
+		b.execute(flowsteer.Action{Verdict: flowsteer.Drop, Kind: errkind.LinkFull, Packet: p})
+		return false
+	}
 	b.budget.Received(now, p, bytes)
 	if !b.budget.Enabled() || !p.Opening() {
 		return true
