--- a/internal/base/errkind/errkind.go
+++ b/internal/base/errkind/errkind.go
@@ -69,7 +69,7 @@
 	PacketNoHolder    Kind = 210 // no agent holds the packet's flow
 	PacketFlowLost    Kind = 211 // the backend server no longer has the packet's flow
 	PacketForged      Kind = 212 // the packet's type is not allowed from its source
-	LinkFull          Kind = 213 // the balancer's link can't carry the new flow in time
+	LinkFull          Kind = 213 // the balancer's link can't carry the flow in time
 )
 
 // Control kinds: platform, peers, keys and configuration.
@@ -163,7 +163,7 @@
 	{PacketNoHolder, "packet-no-holder", 0, OutcomeUnknown, 0, ExitFailure, "No agent holds the packet's flow."},
 	{PacketFlowLost, "packet-flow-lost", 0, OutcomeUnknown, 0, ExitFailure, "The backend server no longer holds the packet's flow."},
 	{PacketForged, "packet-forged", 0, "", 0, ExitFailure, "A packet's type is not allowed from its source, such as an answer that a caller sends."},
-	{LinkFull, "link-full", 0, OutcomeNotRun, 0, ExitFailure, "The balancer's link can't carry the data of a new flow in time."},
+	{LinkFull, "link-full", 0, OutcomeNotRun, 0, ExitFailure, "The balancer's link can't carry the data of a new flow in time, or is so full that the flow of a packet has to wait."},
 
 	{PlatformDown, "platform-down", http.StatusBadGateway, "", defaultRetryAfter, ExitPlatform, "The platform cannot be reached or fails."},
 	{PlatformLimited, "platform-limited", http.StatusTooManyRequests, "", defaultRetryAfter, ExitPlatform, "The platform refused a call because of its rate limit."},
