Leave the packets held at the start out of the rate of the link

A starting balancer handles up to 512 held packets at one moment, though they came over up to a second. With a link that is full afterwards, the received rate exceeded 1.2 times the configured one and replaced it. A time of receipt for each packet was ruled out: the budget has learned nothing at that moment.

--- a/pkg/flowbalancer/admission_test.go
+++ b/pkg/flowbalancer/admission_test.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
+	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flownode"
@@ -159,3 +160,23 @@
 	b.Equal(len(metrics.LinkKinds), int(linkbudget.Kinds))
 	b.Equal(len(metrics.LinkReasons), int(linkbudget.Reasons))
 }
+
+// Guards against a rate of the link that is raised by the packets held until the first view:
+// the link took up to a second for them.
+func TestHeldPacketsRaiseNoRate(t *testing.T) {
+	b := newLinkTest(t, 10e6/8)
+	b.node.Announcer = follow.NewAnnouncer(nil, b.node.Board, b.logger)
+	held := rawPacket(20000, b.small, ackFlag, 0, 1200)
+	for range maxHeldPackets {
+		b.NoErr(b.handleCallerPacket(held))
+	}
+	b.applyView()
+	b.True(b.viewComplete)
+	b.now = time.Now()
+	for range 1100 {
+		b.now = b.now.Add(time.Millisecond)
+		b.budget.Tick(b.now)
+		b.NoErr(b.forward(b.now, held)) // 1.26 MB/s, the rate of the link
+	}
+	b.Equal(b.budget.Rate(), 10e6/8)
+}
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -193,6 +193,7 @@
 		}
 	}
 	b.heldPackets = nil
+	b.budget = b.budget.Fresh() // the held packets came over up to heldPacketTimeout, not at once
 	s := b.settings
 	b.node.Announcer.Set(view.Member{
 		Name: MemberName(s.Address), Role: view.BalancerRole, Domain: s.Domain, Address: s.PeerAddress, Peer: s.PeerAddress,
