--- a/internal/flowpath/flowsteer/narrow_test.go
+++ b/internal/flowpath/flowsteer/narrow_test.go
@@ -73,7 +73,7 @@
 // what it sent before.
 func TestUnansweredLookupOfNarrowBalancerSendsNoData(t *testing.T) {
 	const before = 43_308 // measured at commit f818494
-	for rate, want := range map[float64]int{0: before, narrowLinkRate: before, narrowRate: 5000} {
+	for rate, want := range map[float64]int{0: before, 12.5e6: before, narrowRate: 5000} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
 			is := is.New(t)
 			s := linkedSteerer(37, rate)
@@ -248,3 +248,16 @@
 	is.True(!b.spend(start.Add(time.Hour), 62_501))
 	is.True(b.spend(start.Add(time.Hour), 62_500))
 }
+
+// Guards against a retry budget that stays at a tenth of what the link allows after the
+// configured rate turned out to be too low, and against a limit on a link that isn't narrow.
+func TestRaisedLinkRateRaisesTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	s := New(self, "a", Options{LinkRate: 125_000})
+	s.SetLinkRate(1_250_000)
+	s.budget.refill(start)
+	s.budget.refill(start.Add(time.Second))
+	is.Equal(s.RetryBudget(), int64(retryShare*1_250_000))
+	s.SetLinkRate(12.5e6)
+	is.True(s.budget.spend(start, 1<<30))
+}
--- a/internal/flowpath/flowsteer/options.go
+++ b/internal/flowpath/flowsteer/options.go
@@ -1,7 +1,6 @@
 package flowsteer
 
-// narrowLinkRate is the rate below which a link is narrow, 100 Mbit/s in bytes per second.
-const narrowLinkRate = 12.5e6
+import "github.com/knapweedpier/knapweedpier/internal/flowpath/linkbudget"
 
 // Options are the settings of a steerer.
 type Options struct {
@@ -9,4 +8,11 @@
 }
 
 // narrow reports whether repeated messages may saturate the balancer's link.
-func (o Options) narrow() bool { return o.LinkRate > 0 && o.LinkRate < narrowLinkRate }
+func (o Options) narrow() bool { return linkbudget.IsNarrow(o.LinkRate) }
+
+// SetLinkRate replaces the rate of the link, for example after it turned out to be greater than
+// configured.
+func (s *Steerer) SetLinkRate(rate float64) {
+	s.options.LinkRate = rate
+	s.budget.setLinkRate(s.options)
+}
--- a/internal/flowpath/flowsteer/retrybudget.go
+++ b/internal/flowpath/flowsteer/retrybudget.go
@@ -34,6 +34,12 @@
 	return retryBudget{perSecond: retryShare * o.LinkRate, left: retryShare * o.LinkRate}
 }
 
+// setLinkRate replaces the rate of the link. What is left stays, up to the new maximum.
+func (b *retryBudget) setLinkRate(o Options) {
+	b.perSecond = newRetryBudget(o).perSecond
+	b.left = min(b.left, b.perSecond)
+}
+
 // refill adds what was earned since the last call.
 func (b *retryBudget) refill(now time.Time) {
 	if !b.refilledAt.IsZero() {
--- a/internal/flowpath/linkbudget/linkbudget.go
+++ b/internal/flowpath/linkbudget/linkbudget.go
@@ -10,15 +10,15 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
-const (
-	// NarrowBelow is the rate in bytes per second from which a link is not narrow
-	// (100 Mbit/s). The budget decides nothing for such a link.
-	NarrowBelow = 100e6 / 8
-	// HeaderBytes is the length of the IP and UDP headers of a datagram.
-	HeaderBytes = 28
-)
+// narrowBelow is the rate in bytes per second from which a link is not narrow (100 Mbit/s).
+const narrowBelow = 100e6 / 8
+
+// IsNarrow reports whether a link of a rate in bytes per second is so narrow that what a
+// balancer repeats may saturate it. A rate of 0 is unknown.
+func IsNarrow(rate float64) bool { return rate > 0 && rate < narrowBelow }
 
 // Kind is what a sent datagram is for.
 type Kind uint8
@@ -63,7 +63,7 @@
 
 func (c *Count) add(bytes int) {
 	c.Messages++
-	c.Bytes += int64(bytes + HeaderBytes)
+	c.Bytes += int64(bytes + hop.DatagramOverhead)
 }
 
 // Snapshot is what a budget has counted since the start of the process.
@@ -116,7 +116,7 @@
 }
 
 // Enabled reports whether the link is narrow. Otherwise the budget only counts.
-func (b *Budget) Enabled() bool { return b.rate > 0 && b.rate < NarrowBelow }
+func (b *Budget) Enabled() bool { return IsNarrow(b.rate) }
 
 // Rate returns the rate of the link in bytes per second, 0 if unknown. It is the
 // configured one, or a greater one after more was received.
@@ -131,22 +131,22 @@
 	if b.rate == 0 {
 		return
 	}
-	b.measureRate(now, bytes+HeaderBytes)
+	b.measureRate(now, bytes+hop.DatagramOverhead)
 	if !b.Enabled() {
 		return
 	}
 	element, tracked := b.flows[p.CallerKey()]
 	if !tracked || p.Opening() {
-		b.background.add(now, rateHalfLife, float64(bytes+HeaderBytes))
+		b.background.add(now, rateHalfLife, float64(bytes+hop.DatagramOverhead))
 		return
 	}
 	f := element.Value.(*trackedFlow)
 	if now.Sub(f.openedAt) >= trackTime {
-		b.background.add(now, rateHalfLife, float64(bytes+HeaderBytes))
+		b.background.add(now, rateHalfLife, float64(bytes+hop.DatagramOverhead))
 		b.endFlow(now, f.key)
 		return
 	}
-	b.advanceFlow(now, f, float64(bytes+HeaderBytes))
+	b.advanceFlow(now, f, float64(bytes+hop.DatagramOverhead))
 	if p.Has(flow.Close) || p.Has(flow.Reset) {
 		b.endFlow(now, f.key)
 	}
@@ -163,8 +163,8 @@
 	if !b.Enabled() {
 		return
 	}
-	b.spend(now, float64(bytes+HeaderBytes))
+	b.spend(now, float64(bytes+hop.DatagramOverhead))
 	if repeated || kind == Offer || kind == Control {
-		b.background.add(now, rateHalfLife, float64(bytes+HeaderBytes))
+		b.background.add(now, rateHalfLife, float64(bytes+hop.DatagramOverhead))
 	}
 }
--- a/internal/flowpath/linkbudget/linkbudget_test.go
+++ b/internal/flowpath/linkbudget/linkbudget_test.go
@@ -8,12 +8,13 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 // Guards against rejections by a balancer whose link is wide or of unknown rate.
 func TestInactiveWithoutNarrowLink(t *testing.T) {
 	is := is.New(t)
-	for _, rate := range []float64{0, -1, math.NaN(), math.Inf(1), NarrowBelow, 1e9} {
+	for _, rate := range []float64{0, -1, math.NaN(), math.Inf(1), narrowBelow, 1e9} {
 		m := newModel(rate, narrowRate)
 		burst := uploads(150)
 		m.play(2*time.Second, burst, requests(100))
@@ -48,7 +49,7 @@
 	rises := 0
 	for i := range 3000 {
 		now := start.Add(time.Duration(i) * time.Millisecond)
-		b.Received(now, flow.Packet{}, 2-HeaderBytes)
+		b.Received(now, flow.Packet{}, 2-hop.DatagramOverhead)
 		if b.Tick(now) {
 			rises++
 		}
@@ -70,7 +71,7 @@
 		if i >= 2500 && i < 2900 {
 			bytes = 3
 		}
-		b.Received(now, flow.Packet{}, bytes-HeaderBytes)
+		b.Received(now, flow.Packet{}, bytes-hop.DatagramOverhead)
 		is.True(!b.Tick(now))
 	}
 	is.Equal(b.Rate(), 1000.0)
--- a/internal/flowpath/linkbudget/patterns_test.go
+++ b/internal/flowpath/linkbudget/patterns_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 const (
@@ -116,7 +117,7 @@
 
 func (m *model) send(u *upload) {
 	p := flow.Packet{From: u.key.Caller, To: u.key.Service, Flags: flow.Ack, Length: min(u.left, packetBytes-36)}
-	m.credit -= float64(p.Length + 36 + HeaderBytes)
+	m.credit -= float64(p.Length + 36 + hop.DatagramOverhead)
 	if m.budget.ShedPacket(m.now, p, p.Length+36) {
 		u.waitsTo = m.now.Add(200 * time.Millisecond)
 		m.active = append(m.active, u)
--- a/internal/flowpath/linkbudget/shed.go
+++ b/internal/flowpath/linkbudget/shed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 const (
@@ -79,7 +80,7 @@
 	f.lastAt = now
 	b.counts.Received.add(bytes)
 	b.counts.Shed.add(bytes)
-	b.measureRate(now, bytes+HeaderBytes)
+	b.measureRate(now, bytes+hop.DatagramOverhead)
 	return true
 }
 
--- a/pkg/flowbalancer/actions.go
+++ b/pkg/flowbalancer/actions.go
@@ -45,7 +45,7 @@
 			action.Message.Packet = platform.CutToHeader(action.Message.Packet)
 		}
 		b.buffer = action.Message.Append(b.buffer[:0])
-		b.countSent(sentKind(action), isRepeated(action))
+		b.countSent(sentKind(action), action.Repeated)
 		b.writeBuffer(b.nodeSocket, action.To)
 	case flowsteer.Reset:
 		key := action.Packet.CallerKey()
--- a/pkg/flowbalancer/admission.go
+++ b/pkg/flowbalancer/admission.go
@@ -47,6 +47,7 @@
 // tickBudget runs the timers of the link budget.
 func (b *Balancer) tickBudget(now time.Time) {
 	if b.budget.Tick(now) {
+		b.steerer.SetLinkRate(b.budget.Rate())
 		b.logger.Emit(event.LinkRateRaised, event.Fields{
 			"configured_bytes_per_s": int64(b.settings.LinkRate), "bytes_per_s": int64(b.budget.Rate()),
 		})
@@ -84,13 +85,14 @@
 	return linkbudget.Forward
 }
 
-// isRepeated reports whether the message of an action was sent before. The steerer doesn't
-// tell, so that every message counts as first.
-func isRepeated(flowsteer.Action) bool { return false }
-
 // retryBudgetLeft returns how many bytes the steerer may send again now, -1 if it has no
 // limit.
-func (b *Balancer) retryBudgetLeft() int64 { return -1 }
+func (b *Balancer) retryBudgetLeft() int64 {
+	if !b.budget.Enabled() {
+		return -1
+	}
+	return b.steerer.RetryBudget()
+}
 
 // updateLinkGauges sets the gauges of the link.
 func (b *Balancer) updateLinkGauges() {
--- a/pkg/flowbalancer/admission_test.go
+++ b/pkg/flowbalancer/admission_test.go
@@ -156,7 +156,7 @@
 	b.Equal(m.SentMessages.Value("forward"), int64(2))
 	b.True(m.SentBytes.Value("forward") > 2400)
 	b.Equal(m.Rate.Value(), int64(1_250_000))
-	b.Equal(m.RetryBudget.Value(), int64(-1))
+	b.Equal(m.RetryBudget.Value(), int64(62_500))
 	b.Equal(len(metrics.LinkKinds), int(linkbudget.Kinds))
 	b.Equal(len(metrics.LinkReasons), int(linkbudget.Reasons))
 }
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -130,7 +130,7 @@
 	defer b.mu.Unlock()
 	b.budget = b.budget.Fresh()
 	b.metrics.Panics.Inc(1)
-	b.steerer = flowsteer.New(b.settings.PeerAddress, b.settings.Domain, flowsteer.Options{LinkRate: b.settings.LinkRate})
+	b.steerer = flowsteer.New(b.settings.PeerAddress, b.settings.Domain, flowsteer.Options{LinkRate: b.budget.Rate()})
 	b.updateView()
 }
 
