--- a/internal/flowpath/overloadtest/model_test.go
+++ b/internal/flowpath/overloadtest/model_test.go
@@ -118,7 +118,7 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172),
 		}
 	}
-	m.steerer = flowsteer.New(balancerAddress, "a")
+	m.steerer = flowsteer.New(balancerAddress, "a", flowsteer.Options{LinkRate: rate})
 	m.tick()
 	return m
 }
@@ -221,8 +221,9 @@
 	return m.buffer
 }
 
+// decode decodes the header of a packet or of a query.
 func decode(raw []byte) flow.Packet {
-	p, err := platform.DecodePacket(raw)
+	p, err := platform.DecodeHeader(platform.CutToHeader(raw))
 	if err != nil {
 		panic(err)
 	}
@@ -263,6 +264,9 @@
 			}
 		})
 	case flowsteer.Send:
+		if a.Message.Query {
+			a.Message.Packet = platform.CutToHeader(a.Message.Packet)
+		}
 		m.wire = a.Message.Append(m.wire[:0])
 		size := len(m.wire)
 		if a.Message.Type == hop.Hello {
@@ -305,7 +309,7 @@
 		if message.ReportHolder || message.Position > 0 {
 			m.placed(p, agent, false)
 		}
-		if p.Length > 0 {
+		if p.Length > 0 && !message.Query {
 			m.deliver(f, int(p.Seq)/dataLength)
 		}
 	case int(message.Position)+1 < len(message.Candidates):
