--- a/internal/flowpath/overloadtest/model_test.go
+++ b/internal/flowpath/overloadtest/model_test.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowsteer"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/linkbudget"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
 
@@ -88,22 +89,23 @@
 // model is a balancer behind a narrow link, with its agents and callers.
 type model struct {
 	clock
-	random    *rand.Rand
-	in, out   link
-	steerer   *flowsteer.Steerer
-	flows     map[netip.AddrPort]*callerFlow // by address of the caller
-	active    []*callerFlow
-	callers   uint32
-	requests  []*request
-	view      view.View
-	buffer    []byte
-	wire      []byte
-	zeros     [dataLength]byte
-	resetsFor map[string]int // by kind of error
+	random   *rand.Rand
+	in, out  link
+	steerer  *flowsteer.Steerer
+	flows    map[netip.AddrPort]*callerFlow // by address of the caller
+	active   []*callerFlow
+	callers  uint32
+	requests []*request
+	view     view.View
+	buffer   []byte
+	wire     []byte
+	budget   *linkbudget.Budget
+	zeros    [dataLength]byte
 }
 
-func newModel(rate float64, seed uint64) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), flows: map[netip.AddrPort]*callerFlow{}, resetsFor: map[string]int{}}
+// newModel returns a model of a link whose rate differs from that of the settings if it is wrong there.
+func newModel(rate, configured float64, seed uint64) *model {
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), flows: map[netip.AddrPort]*callerFlow{}}
 	m.in = link{clock: &m.clock, rate: rate, offered: map[string]int{}}
 	m.out = link{clock: &m.clock, rate: rate, offered: map[string]int{}}
 	m.view = view.View{
@@ -118,7 +120,8 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172),
 		}
 	}
-	m.steerer = flowsteer.New(balancerAddress, "a", flowsteer.Options{LinkRate: rate})
+	m.steerer = flowsteer.New(balancerAddress, "a", flowsteer.Options{LinkRate: configured})
+	m.budget = linkbudget.New(linkbudget.Options{BytesPerSecond: configured})
 	m.tick()
 	return m
 }
@@ -127,6 +130,7 @@
 
 func (m *model) tick() {
 	m.steerer.SetView(m.view, view.Confirmations{Configuration: m.time(), Members: m.time()})
+	m.budget.Tick(m.time())
 	m.executeRepeats(m.steerer.Tick(m.time()))
 	m.after(timerInterval, m.tick)
 }
@@ -197,6 +201,9 @@
 	raw := m.encode(f.caller, f.request.route.Address, flags, seq, ack, length)
 	p, h := decode(raw), [platform.HeaderBytes]byte(raw)
 	m.in.send(kind, len(raw), func() {
+		if !m.admit(p, len(raw)) {
+			return
+		}
 		action := m.steerer.FromCaller(m.time(), p, m.fill(h, len(raw)))
 		if action.Message.ReportHolder && !p.Opening() {
 			kind = "lookups"
@@ -205,6 +212,32 @@
 	})
 }
 
+// admit asks the link budget about a packet of a caller as pkg/flowbalancer does.
+func (m *model) admit(p flow.Packet, length int) bool {
+	m.budget.Received(m.time(), p, length)
+	if !p.Opening() {
+		return true
+	}
+	if p.Age > 0 {
+		return !m.budget.RefusedCopy(m.time(), p.CallerKey())
+	}
+	admitted, _ := m.budget.AdmitOpening(m.time(), p.CallerKey(), m.view.Configuration.Routes[p.To])
+	if !admitted {
+		m.reset(p, "rejections")
+	}
+	return admitted
+}
+
+// reset sends the reset of a packet to its caller.
+func (m *model) reset(p flow.Packet, kind string) {
+	m.budget.Sent(m.time(), linkbudget.Control, platform.HeaderBytes, false)
+	m.out.send(kind, platform.HeaderBytes, func() {
+		if f := m.flows[p.From]; !f.ended {
+			m.abort(f)
+		}
+	})
+}
+
 // encode encodes a packet into a buffer that the next call overwrites.
 func (m *model) encode(from, to netip.AddrPort, flags byte, seq, ack uint32, length int) []byte {
 	b := platform.AppendReset(m.buffer[:0], flow.Key{Caller: to, Service: from}, seq)
@@ -254,21 +287,30 @@
 	}
 }
 
+// sentKind returns what the link budget counts a message as.
+func sentKind(a flowsteer.Action) linkbudget.Kind {
+	switch {
+	case a.Message.Type == hop.Hello:
+		return linkbudget.Control
+	case a.Packet.Opening():
+		return linkbudget.Opening
+	case a.Message.ReportHolder:
+		return linkbudget.Lookup
+	}
+	return linkbudget.Forward
+}
+
 func (m *model) execute(a flowsteer.Action, kind string) {
 	switch a.Verdict {
 	case flowsteer.Reset:
-		m.resetsFor[a.Kind.String()]++
-		m.out.send("resets", platform.HeaderBytes, func() {
-			if f := m.flows[a.Packet.From]; !f.ended {
-				m.abort(f)
-			}
-		})
+		m.reset(a.Packet, "resets")
 	case flowsteer.Send:
 		if a.Message.Query {
 			a.Message.Packet = platform.CutToHeader(a.Message.Packet)
 		}
 		m.wire = a.Message.Append(m.wire[:0])
 		size := len(m.wire)
+		m.budget.Sent(m.time(), sentKind(a), size, a.Repeated)
 		if a.Message.Type == hop.Hello {
 			m.out.send(kind, size, func() {
 				m.answer(&hop.Message{Type: hop.HelloAck, Agent: a.To}, func(ack *hop.Message) { m.steerer.HelloAck(m.time(), ack) })
--- a/internal/flowpath/overloadtest/recovery_test.go
+++ b/internal/flowpath/overloadtest/recovery_test.go
@@ -48,7 +48,7 @@
 // play runs a burst.
 func (b burst) play() result {
 	rate := b.megabits * 1e6 / 8
-	m := newModel(rate, 1)
+	m := newModel(rate, rate, 1)
 	ends := [phaseCount]time.Duration{calm, calm + b.length, calm + b.length + recoveryTime, 2*calm + b.length + recoveryTime}
 	m.offer(small, smallLoad*rate, ends[after])
 	m.offer(upload, uploadLoad*rate, ends[after])
