--- a/pkg/flowbalancer/actions.go
+++ b/pkg/flowbalancer/actions.go
@@ -41,6 +41,9 @@
 func (b *Balancer) execute(action flowsteer.Action) {
 	switch action.Verdict {
 	case flowsteer.Send:
+		if action.Message.Query {
+			action.Message.Packet = platform.CutToHeader(action.Message.Packet)
+		}
 		b.buffer = action.Message.Append(b.buffer[:0])
 		b.countSent(sentKind(action), isRepeated(action))
 		b.writeBuffer(b.nodeSocket, action.To)
