--- a/internal/flowpath/linkbudget/linkbudget.go
+++ b/internal/flowpath/linkbudget/linkbudget.go
@@ -92,6 +92,8 @@
 	lastTick, stallEndedAt time.Time
 	window                 rateWindow
 	rateRaised             bool
+	received               decayingSum // bytes received lately
+	shedder                shedder
 }
 
 // New returns a budget for a link.
@@ -117,7 +119,7 @@
 func (b *Budget) Enabled() bool { return b.rate > 0 && b.rate < NarrowBelow }
 
 // Rate returns the rate of the link in bytes per second, 0 if unknown. It is the
-// configured one, or a greater one that was received.
+// configured one, or a greater one after more was received.
 func (b *Budget) Rate() float64 { return b.rate }
 
 // Snapshot returns the counts.
@@ -158,7 +160,11 @@
 		index = 1
 	}
 	b.counts.Sent[kind][index].add(bytes)
-	if b.Enabled() && (repeated || kind == Offer || kind == Control) {
+	if !b.Enabled() {
+		return
+	}
+	b.spend(now, float64(bytes+HeaderBytes))
+	if repeated || kind == Offer || kind == Control {
 		b.background.add(now, rateHalfLife, float64(bytes+HeaderBytes))
 	}
 }
--- a/internal/flowpath/linkbudget/rate.go
+++ b/internal/flowpath/linkbudget/rate.go
@@ -1,6 +1,9 @@
 package linkbudget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// rateWindowLength is the time over which the received rate is measured.
@@ -16,9 +19,10 @@
 	bytes     float64
 }
 
-// measureRate counts received bytes, and replaces the rate of the link at the end of a window
+// measureRate counts received bytes, and raises the rate of the link at the end of a window
 // in which more was received than a link of this rate carries.
 func (b *Budget) measureRate(now time.Time, bytes int) {
+	b.received.add(now, rateHalfLife, float64(bytes))
 	w := &b.window
 	switch elapsed := now.Sub(w.startedAt); {
 	case elapsed < 0:
@@ -28,9 +32,17 @@
 	case elapsed >= rateWindowLength:
 		received := w.bytes / elapsed.Seconds()
 		if received > maxRateExcess*b.rate && !b.hasStalled(now) {
-			b.rate, b.rateRaised = received, true
+			// What was received is only the least that the link carries. With that as the rate,
+			// a link used to 93% had 27 of 260 uploads rejected.
+			b.rate, b.rateRaised = maxRateExcess*received, true
 		}
 		*w = rateWindow{startedAt: now}
 	}
 	w.bytes += float64(bytes)
 }
+
+// isRateDoubtful reports whether more is received now than a link of the rate carries. It is
+// then about to be replaced, and neither openings are rejected nor flows paused.
+func (b *Budget) isRateDoubtful(now time.Time) bool {
+	return b.received.at(now, rateHalfLife)*math.Ln2/rateHalfLife.Seconds() > maxRateExcess*b.rate
+}
