Let the model of a narrow link drop what the link budget sheds

The model asks the budget in the order of pkg/flowbalancer: shedding, accounting, admission. Packets in flight keep their encoding, and the trace uses the kinds of the link budget; both make the model shorter. The calm load is also played with a tenth of the rate in the settings: nothing may be rejected from 1 s on.

--- a/internal/flowpath/overloadtest/model_test.go
+++ b/internal/flowpath/overloadtest/model_test.go
@@ -22,7 +22,8 @@
 	agentCount = 37
 	// dataLength is the maximum length of the data in a packet.
 	dataLength = 1200
-	// window is the number of packets that a caller sends before it waits for their receipt.
+	// window is the number of packets that a caller sends before it waits for an
+	// acknowledgement.
 	window = 16
 	// retransmitDelay is doubled with each retransmission, up to maxRetransmitDelay.
 	retransmitDelay    = 200 * time.Millisecond
@@ -35,8 +36,8 @@
 // Values of the flags in a packet header.
 const (
 	openFlag  = 128
-	ackFlag   = 4
 	resetFlag = 16
+	ackFlag   = 4
 	closeFlag = 1
 )
 
@@ -44,46 +45,47 @@
 	startTime       = time.Unix(1_790_000_000, 0)
 	balancerAddress = netip.MustParseAddrPort("10.1.0.1:7720")
 	openingCopies   = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+	small  = newRoute("small", 1, 150, 250*time.Millisecond, time.Second)
+	upload = newRoute("upload", 2, 40_000, 800*time.Millisecond, 2*time.Second)
 )
 
-// route is a kind of request. Wire is the number of bytes that one sends through the link.
+// route is a kind of request: its data is size bytes in a number of packets.
 type route struct {
 	view.Route
-	size, wire int
+	size, packets int
 }
 
-var (
-	small  = newRoute("small", 1, 1, 150, 250*time.Millisecond, time.Second)
-	upload = newRoute("upload", 2, 2, 40_000, 800*time.Millisecond, 2*time.Second)
-)
-
-func newRoute(name string, host byte, priority, size int, objective, timeout time.Duration) route {
-	packets := (size + dataLength - 1) / dataLength
-	return route{size: size, wire: size + (packets+2)*(platform.HeaderBytes+datagramOverhead), Route: view.Route{
-		Name: name, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, host}), 8443), Priority: priority,
-		Targets: []view.Target{{Service: "main", Weight: 1}}, Objective: objective, Timeout: timeout,
+func newRoute(name string, priority, size int, objective, timeout time.Duration) route {
+	return route{size: size, packets: (size + dataLength - 1) / dataLength, Route: view.Route{
+		Name: name, Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(size)), Objective: objective, Timeout: timeout,
+		Targets: []view.Target{{Service: "main", Weight: 1}}, Priority: priority,
 	}}
 }
 
+// wire returns the number of bytes that a request sends to the balancer.
+func (r route) wire() float64 {
+	return float64(r.size + (r.packets+2)*(platform.HeaderBytes+datagramOverhead))
+}
+
 // request is what a caller wants, in up to maxAttempts flows.
 type request struct {
-	route    route
-	started  time.Duration
-	attempts int
-	inTime   bool // all data reached the agent within the objective
-	received bool // all data reached the agent
+	route            route
+	started          time.Duration
+	attempts         int
+	flow             *callerFlow // the last one
+	received, inTime bool        // all data reached the agent, and did so within the objective
 }
 
-// callerFlow is one flow of a request with both of its ends: the caller, and the agent with
-// which the caller continues, the first one that answered its opening.
+// callerFlow is one flow with its ends: the caller, and the agent with which the caller
+// continues, which is the first that answered its opening.
 type callerFlow struct {
 	request          *request
-	caller           netip.AddrPort
-	holder           netip.AddrPort
+	caller, holder   netip.AddrPort
 	ended            bool
-	next             int    // first packet that was never sent
-	unacked, missing int    // first packet that isn't acknowledged, number of packets that the agent lacks
-	received, acked  []bool // by packet: the agent has it, the caller knows
+	next, unacked    int    // first packet that was never sent, and first that isn't acknowledged
+	missing          int    // number of packets that the agent lacks
+	delivered, acked []bool // by packet
 }
 
 // model is a balancer behind a narrow link, with its agents and callers.
@@ -91,34 +93,27 @@
 	clock
 	random   *rand.Rand
 	in, out  link
-	steerer  *flowsteer.Steerer
-	flows    map[netip.AddrPort]*callerFlow // by address of the caller
-	active   []*callerFlow
-	callers  uint32
-	requests []*request
 	view     view.View
-	buffer   []byte
-	wire     []byte
+	steerer  *flowsteer.Steerer
 	budget   *linkbudget.Budget
-	zeros    [dataLength]byte
+	requests []*request
+	flows    map[netip.AddrPort]*callerFlow // by all addresses that the caller has had
 }
 
-// newModel returns a model of a link whose rate differs from that of the settings if it is wrong there.
-func newModel(rate, configured float64, seed uint64) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), flows: map[netip.AddrPort]*callerFlow{}}
-	m.in = link{clock: &m.clock, rate: rate, offered: map[string]int{}}
-	m.out = link{clock: &m.clock, rate: rate, offered: map[string]int{}}
+// newModel returns a model of a link of a rate, which the settings may give wrong.
+func newModel(rate, configured float64) *model {
+	m := &model{random: rand.New(rand.NewPCG(1, 1)), flows: map[netip.AddrPort]*callerFlow{}}
+	m.in = link{clock: &m.clock, rate: rate, sent: map[string]int{}}
+	m.out = link{clock: &m.clock, rate: rate, sent: map[string]int{}}
 	m.view = view.View{
 		Configuration: view.Configuration{Revision: 1, Routes: map[netip.AddrPort]view.Route{small.Address: small.Route, upload.Address: upload.Route}},
 		Evacuations:   view.Evacuations{Revision: 1},
 		Members:       view.Members{Revision: 1, ByName: map[string]view.Member{}},
 	}
 	for i := range agentCount {
-		name := fmt.Sprintf("agent-%d", i)
-		m.view.Members.ByName[name] = view.Member{
-			Name: name, Role: view.AgentRole, Domain: "a", Service: "main", Slots: 9, State: view.Ready,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172),
-		}
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(i)}), 8172)
+		a := view.Member{Name: fmt.Sprint(i), Role: view.AgentRole, Address: address, Service: "main", Slots: 9, State: view.Ready}
+		m.view.Members.ByName[a.Name] = a
 	}
 	m.steerer = flowsteer.New(balancerAddress, "a", flowsteer.Options{LinkRate: configured})
 	m.budget = linkbudget.New(linkbudget.Options{BytesPerSecond: configured})
@@ -131,36 +126,34 @@
 func (m *model) tick() {
 	m.steerer.SetView(m.view, view.Confirmations{Configuration: m.time(), Members: m.time()})
 	m.budget.Tick(m.time())
-	m.executeRepeats(m.steerer.Tick(m.time()))
+	m.executeAll(m.steerer.Tick(m.time()))
 	m.after(timerInterval, m.tick)
 }
 
 // offer starts requests of a route until a time. The interval between two varies by half.
 func (m *model) offer(r route, bytesPerSecond float64, until time.Duration) {
-	if m.now >= until {
+	if m.now >= until || bytesPerSecond == 0 {
 		return
 	}
-	req := &request{route: r, started: m.now}
-	m.requests = append(m.requests, req)
-	m.open(req)
-	interval := float64(r.wire) / bytesPerSecond * float64(time.Second)
-	m.after(time.Duration(interval*(0.5+m.random.Float64())), func() { m.offer(r, bytesPerSecond, until) })
+	m.requests = append(m.requests, &request{route: r, started: m.now})
+	m.open(m.requests[len(m.requests)-1])
+	interval := r.wire() / bytesPerSecond * float64(time.Second) * (0.5 + m.random.Float64())
+	m.after(time.Duration(interval), func() { m.offer(r, bytesPerSecond, until) })
 }
 
-// open starts the next attempt of a request.
+// open starts the next attempt of a request, if any is left.
 func (m *model) open(r *request) {
 	if r.received || r.attempts == maxAttempts {
 		return
 	}
 	r.attempts++
-	packets := (r.route.size + dataLength - 1) / dataLength
-	f := &callerFlow{request: r, received: make([]bool, packets), acked: make([]bool, packets), missing: packets}
+	f := &callerFlow{request: r, missing: r.route.packets, delivered: make([]bool, r.route.packets), acked: make([]bool, r.route.packets)}
+	r.flow = f
 	m.move(f)
-	m.active = append(m.active, f)
 	for i, delay := range openingCopies {
 		m.after(delay, func() {
 			if !f.ended && !f.holder.IsValid() {
-				m.send(f, "openings", openFlag, 0, uint32(i), 0)
+				m.send(f, "openings", openFlag, 0, i, 0)
 			}
 		})
 	}
@@ -172,19 +165,18 @@
 	})
 }
 
-// move gives a flow a new address of its caller, which the balancer doesn't know.
+// move gives the caller of a flow a new address.
 func (m *model) move(f *callerFlow) {
-	m.callers++
-	f.caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{172, 16, byte(m.callers >> 15), byte(m.callers >> 8 & 127)}), 1024+uint16(m.callers&255))
+	n := len(m.flows)
+	f.caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{172, 16, byte(n >> 16), byte(n >> 8)}), 1024+uint16(n&255))
 	m.flows[f.caller] = f
 }
 
-// rotate replaces the flows of this balancer by flows of other balancers in the same state, as
-// a change of the rotation does.
+// rotate replaces the open flows of the balancer by flows in the same state that other
+// balancers opened, as a change of the rotation does.
 func (m *model) rotate() {
-	m.active = slices.DeleteFunc(m.active, func(f *callerFlow) bool { return f.ended })
-	for _, f := range m.active {
-		if f.holder.IsValid() {
+	for _, r := range m.requests {
+		if f := r.flow; !f.ended && f.holder.IsValid() {
 			m.move(f)
 		}
 	}
@@ -197,23 +189,34 @@
 }
 
 // send sends a packet of a caller to the balancer.
-func (m *model) send(f *callerFlow, kind string, flags byte, seq, ack uint32, length int) {
-	raw := m.encode(f.caller, f.request.route.Address, flags, seq, ack, length)
-	p, h := decode(raw), [platform.HeaderBytes]byte(raw)
+func (m *model) send(f *callerFlow, kind string, flags byte, seq, ack, length int) {
+	raw := make([]byte, platform.HeaderBytes+length)
+	platform.AppendReset(raw[:0], flow.Key{Caller: f.request.route.Address, Service: f.caller}, uint32(seq))
+	raw[30] = flags
+	binary.BigEndian.PutUint16(raw[20:], uint16(length))
+	binary.BigEndian.PutUint32(raw[26:], uint32(ack))
 	m.in.send(kind, len(raw), func() {
-		if !m.admit(p, len(raw)) {
-			return
-		}
-		action := m.steerer.FromCaller(m.time(), p, m.fill(h, len(raw)))
-		if action.Message.ReportHolder && !p.Opening() {
-			kind = "lookups"
+		p := decode(raw)
+		if m.admits(p, len(raw)) {
+			m.execute(m.steerer.FromCaller(m.time(), p, raw))
 		}
-		m.execute(action, kind)
 	})
 }
 
-// admit asks the link budget about a packet of a caller as pkg/flowbalancer does.
-func (m *model) admit(p flow.Packet, length int) bool {
+// decode decodes the header of a packet or of a query.
+func decode(raw []byte) flow.Packet {
+	p, err := platform.DecodeHeader(platform.CutToHeader(raw))
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// admits asks the link budget about a packet of a caller as pkg/flowbalancer does.
+func (m *model) admits(p flow.Packet, length int) bool {
+	if m.budget.ShedPacket(m.time(), p, length) {
+		return false
+	}
 	m.budget.Received(m.time(), p, length)
 	if !p.Opening() {
 		return true
@@ -223,124 +226,75 @@
 	}
 	admitted, _ := m.budget.AdmitOpening(m.time(), p.CallerKey(), m.view.Configuration.Routes[p.To])
 	if !admitted {
-		m.reset(p, "rejections")
+		m.execute(flowsteer.Action{Verdict: flowsteer.Reset, Packet: p})
 	}
 	return admitted
 }
 
-// reset sends the reset of a packet to its caller.
-func (m *model) reset(p flow.Packet, kind string) {
-	m.budget.Sent(m.time(), linkbudget.Control, platform.HeaderBytes, false)
-	m.out.send(kind, platform.HeaderBytes, func() {
-		if f := m.flows[p.From]; !f.ended {
-			m.abort(f)
-		}
-	})
-}
-
-// encode encodes a packet into a buffer that the next call overwrites.
-func (m *model) encode(from, to netip.AddrPort, flags byte, seq, ack uint32, length int) []byte {
-	b := platform.AppendReset(m.buffer[:0], flow.Key{Caller: to, Service: from}, seq)
-	b[30] = flags
-	binary.BigEndian.PutUint16(b[20:], uint16(length))
-	binary.BigEndian.PutUint32(b[26:], ack)
-	return m.fill([platform.HeaderBytes]byte(b), len(b)+length)
-}
-
-// fill returns the packet of a header and a length, with data of zeros, in a buffer that the
-// next call overwrites.
-func (m *model) fill(header [platform.HeaderBytes]byte, length int) []byte {
-	m.buffer = append(append(m.buffer[:0], header[:]...), m.zeros[:length-len(header)]...)
-	return m.buffer
-}
-
-// decode decodes the header of a packet or of a query.
-func decode(raw []byte) flow.Packet {
-	p, err := platform.DecodeHeader(platform.CutToHeader(raw))
-	if err != nil {
-		panic(err)
-	}
-	return p
-}
-
-// executeRepeats executes actions that no packet of a caller has caused. Their order is made
-// the same in each run, since the steerer keeps flows in maps.
-func (m *model) executeRepeats(due []flowsteer.Action) {
-	sorted := make([]*flowsteer.Action, len(due))
-	for i := range due {
-		sorted[i] = &due[i]
-	}
-	slices.SortStableFunc(sorted, func(a, b *flowsteer.Action) int {
+// executeAll executes actions in an order that is the same in each run, although the steerer
+// keeps flows in maps.
+func (m *model) executeAll(due []flowsteer.Action) {
+	slices.SortStableFunc(due, func(a, b flowsteer.Action) int {
 		return cmp.Or(bytes.Compare(a.Message.Packet, b.Message.Packet), a.To.Compare(b.To))
 	})
-	for _, a := range sorted {
-		kind := "forwarded later"
-		switch {
-		case a.Message.Type == hop.Hello:
-			kind = "hellos"
-		case a.Packet.Opening():
-			kind = "repeated openings"
-		case a.Message.ReportHolder:
-			kind = "repeated lookups"
-		}
-		m.execute(*a, kind)
-	}
-}
-
-// sentKind returns what the link budget counts a message as.
-func sentKind(a flowsteer.Action) linkbudget.Kind {
-	switch {
-	case a.Message.Type == hop.Hello:
-		return linkbudget.Control
-	case a.Packet.Opening():
-		return linkbudget.Opening
-	case a.Message.ReportHolder:
-		return linkbudget.Lookup
+	for _, a := range due {
+		m.execute(a)
 	}
-	return linkbudget.Forward
 }
 
-func (m *model) execute(a flowsteer.Action, kind string) {
-	switch a.Verdict {
-	case flowsteer.Reset:
-		m.reset(a.Packet, "resets")
-	case flowsteer.Send:
-		if a.Message.Query {
-			a.Message.Packet = platform.CutToHeader(a.Message.Packet)
+func (m *model) execute(a flowsteer.Action) {
+	switch message := a.Message; {
+	case a.Verdict == flowsteer.Reset:
+		m.transmit(linkbudget.Control, "resets", platform.HeaderBytes, false, func() {
+			if f := m.flows[a.Packet.From]; !f.ended {
+				m.abort(f)
+			}
+		})
+	case a.Verdict != flowsteer.Send:
+	case message.Type == hop.Hello:
+		m.transmit(linkbudget.Control, "hellos", len(message.Append(nil)), false, func() {
+			m.answer(hop.Message{Type: hop.HelloAck, Agent: a.To}, func(ack *hop.Message) { m.steerer.HelloAck(m.time(), ack) })
+		})
+	default:
+		kind := linkbudget.Forward
+		if a.Packet.Opening() {
+			kind = linkbudget.Opening
+		} else if message.ReportHolder {
+			kind = linkbudget.Lookup
 		}
-		m.wire = a.Message.Append(m.wire[:0])
-		size := len(m.wire)
-		m.budget.Sent(m.time(), sentKind(a), size, a.Repeated)
-		if a.Message.Type == hop.Hello {
-			m.out.send(kind, size, func() {
-				m.answer(&hop.Message{Type: hop.HelloAck, Agent: a.To}, func(ack *hop.Message) { m.steerer.HelloAck(m.time(), ack) })
-			})
-			return
+		if message.Query {
+			message.Packet = platform.CutToHeader(message.Packet)
 		}
-		m.out.send(kind, size, m.toAgent(a.To, a.Message))
+		m.transmit(kind, kind.String(), len(message.Append(nil)), a.Repeated, func() { m.fromPeer(a.To, message) })
 	}
 }
 
-// answer sends a message of an agent to the balancer.
-func (m *model) answer(message *hop.Message, handle func(*hop.Message)) {
-	m.wire = message.Append(m.wire[:0])
-	m.in.send("answers", len(m.wire), func() { handle(message) })
+// transmit sends a message of the balancer.
+func (m *model) transmit(kind linkbudget.Kind, name string, length int, repeated bool, deliver func()) {
+	if repeated {
+		name += " repeated"
+	}
+	m.budget.Sent(m.time(), kind, length, repeated)
+	m.out.send(name, length, deliver)
 }
 
-// toAgent returns the arrival of a forwarded packet at an agent.
-func (m *model) toAgent(agent netip.AddrPort, message hop.Message) func() {
-	h, length := [platform.HeaderBytes]byte(message.Packet), len(message.Packet)
-	return func() { m.fromPeer(agent, message, h, length) }
+// answer sends a message of an agent to the balancer.
+func (m *model) answer(message hop.Message, handle func(*hop.Message)) {
+	m.in.send("answers", len(message.Append(nil)), func() { handle(&message) })
 }
 
 // fromPeer handles a forwarded packet as flowgate does on an agent with enough slots.
-func (m *model) fromPeer(agent netip.AddrPort, message hop.Message, h [platform.HeaderBytes]byte, length int) {
-	message.Packet = m.fill(h, length)
+func (m *model) fromPeer(agent netip.AddrPort, message hop.Message) {
 	p := decode(message.Packet)
 	f := m.flows[p.From]
+	placed := func(opening bool) {
+		m.answer(hop.Message{Type: hop.Placed, Key: p.CallerKey(), Agent: agent, Opening: opening}, func(placed *hop.Message) {
+			m.executeAll(m.steerer.Placed(m.time(), placed))
+		})
+	}
 	switch {
 	case p.Opening():
-		m.placed(p, agent, true)
+		placed(true)
 		m.after(hostDelay, func() {
 			if !f.holder.IsValid() {
 				f.holder = agent
@@ -349,35 +303,25 @@
 		})
 	case f.holder == agent:
 		if message.ReportHolder || message.Position > 0 {
-			m.placed(p, agent, false)
+			placed(false)
 		}
 		if p.Length > 0 && !message.Query {
 			m.deliver(f, int(p.Seq)/dataLength)
 		}
 	case int(message.Position)+1 < len(message.Candidates):
 		message.Position++
-		m.after(hostDelay, m.toAgent(message.Candidates[message.Position], message))
+		m.after(hostDelay, func() { m.fromPeer(message.Candidates[message.Position], message) })
 	default:
 		message.Type = hop.Declined
-		m.answer(&message, func(declined *hop.Message) {
-			declined.Packet = m.fill(h, length)
-			m.executeRepeats(m.steerer.Declined(m.time(), p, declined))
-		})
+		m.answer(message, func(declined *hop.Message) { m.executeAll(m.steerer.Declined(m.time(), p, declined)) })
 	}
 }
 
-// placed tells the balancer that an agent holds a flow.
-func (m *model) placed(p flow.Packet, agent netip.AddrPort, opening bool) {
-	m.answer(&hop.Message{Type: hop.Placed, Key: p.CallerKey(), Agent: agent, Opening: opening}, func(placed *hop.Message) {
-		m.executeRepeats(m.steerer.Placed(m.time(), placed))
-	})
-}
-
 // deliver delivers a packet to the backend server of the agent that holds its flow, which
-// acknowledges it.
+// acknowledges it to the caller.
 func (m *model) deliver(f *callerFlow, packet int) {
-	if !f.received[packet] {
-		f.received[packet] = true
+	if !f.delivered[packet] {
+		f.delivered[packet] = true
 		f.missing--
 	}
 	if r := f.request; f.missing == 0 && !r.received {
@@ -391,16 +335,15 @@
 		m.sendWindow(f)
 		if f.unacked == len(f.acked) && !f.ended {
 			f.ended = true
-			m.send(f, "closes", closeFlag|ackFlag, uint32(f.request.route.size), 1, 0)
+			m.send(f, "closes", closeFlag|ackFlag, f.request.route.size, 1, 0)
 		}
 	})
 }
 
 // sendWindow sends the packets that the window of a flow has room for.
 func (m *model) sendWindow(f *callerFlow) {
-	for f.next < min(len(f.acked), f.unacked+window) {
+	for ; f.next < min(len(f.acked), f.unacked+window); f.next++ {
 		m.sendData(f, f.next, "first packets", retransmitDelay)
-		f.next++
 	}
 }
 
@@ -409,7 +352,6 @@
 	if f.ended || f.acked[packet] {
 		return
 	}
-	length := min(dataLength, f.request.route.size-packet*dataLength)
-	m.send(f, kind, ackFlag, uint32(packet*dataLength), 1, length)
+	m.send(f, kind, ackFlag, packet*dataLength, 1, min(dataLength, f.request.route.size-packet*dataLength))
 	m.after(delay, func() { m.sendData(f, packet, "retransmissions", min(2*delay, maxRetransmitDelay)) })
 }
--- a/internal/flowpath/overloadtest/recovery_test.go
+++ b/internal/flowpath/overloadtest/recovery_test.go
@@ -37,7 +37,7 @@
 // result is what a play showed, by phase.
 type result struct {
 	shares [phaseCount]map[string]share // by route
-	traces [phaseCount]string
+	traces [phaseCount]string           // kB on the link, by kind
 }
 
 // share is how many requests were served in their objective.
@@ -45,57 +45,50 @@
 
 func (s share) String() string { return fmt.Sprintf("%d/%d", s.served, s.all) }
 
-// play runs a burst.
-func (b burst) play() result {
+// play runs a burst on a balancer whose settings give configured times the rate of its link.
+func (b burst) play(configured float64) result {
 	rate := b.megabits * 1e6 / 8
-	m := newModel(rate, rate, 1)
+	m := newModel(rate, configured*rate)
 	ends := [phaseCount]time.Duration{calm, calm + b.length, calm + b.length + recoveryTime, 2*calm + b.length + recoveryTime}
 	m.offer(small, smallLoad*rate, ends[after])
 	m.offer(upload, uploadLoad*rate, ends[after])
-	if b.factor > 0 {
-		m.after(ends[before], func() { m.offer(upload, b.factor*rate, ends[inBurst]) })
-	}
+	m.after(ends[before], func() { m.offer(upload, b.factor*rate, ends[inBurst]) })
 	if b.rotates {
 		m.after(calm+b.length/2, m.rotate)
 	}
 	var r result
-	from := time.Duration(0)
 	for phase, end := range ends {
 		m.runUntil(end)
-		r.traces[phase] = fmt.Sprintf("received: %s; sent: %s", m.in.takeTrace(), m.out.takeTrace())
+		r.traces[phase] = fmt.Sprintf("received %s, sent %s", m.in.takeTrace(), m.out.takeTrace())
+		r.shares[phase] = map[string]share{}
 	}
 	m.runUntil(ends[after] + upload.Objective)
-	for phase, end := range ends {
-		r.shares[phase] = m.shares(from, end)
-		from = end
-	}
-	return r
-}
-
-// shares returns the shares of the requests that started in a time, by route.
-func (m *model) shares(from, to time.Duration) map[string]share {
-	shares := map[string]share{}
-	for _, r := range m.requests {
-		if r.started < from || r.started >= to {
-			continue
+	phase := before
+	for _, q := range m.requests {
+		for q.started >= ends[phase] {
+			phase++
 		}
-		s := shares[r.route.Name]
+		s := r.shares[phase][q.route.Name]
 		s.all++
-		if r.inTime {
+		if q.inTime {
 			s.served++
 		}
-		shares[r.route.Name] = s
+		r.shares[phase][q.route.Name] = s
 	}
-	return shares
+	return r
 }
 
-// Guards against a model in which requests fail without an overload. Load pattern: a third of a
-// link of 10 Mbit/s.
+// Guards against a model in which requests fail without an overload, and against rejections
+// because the settings give a tenth of the link. Load pattern: a third of 10 Mbit/s.
 func TestCalmLoadIsServed(t *testing.T) {
-	r := burst{megabits: 10, length: time.Second}.play()
-	for name, s := range r.shares[after] {
-		if s.served != s.all {
-			t.Errorf("%s served %v; %s", name, s, r.traces[after])
+	for _, configured := range []float64{1, 0.1} {
+		r := burst{megabits: 10, length: time.Second}.play(configured)
+		for phase := recovering; phase < phaseCount; phase++ {
+			for name, s := range r.shares[phase] {
+				if s.served != s.all {
+					t.Errorf("%s: %v served; kB %s", name, s, r.traces[phase])
+				}
+			}
 		}
 	}
 }
