Count the offers that other balancers have caused

An agent now says in its answer that it has offered a packet of the flow within the last 2.5 s, and a balancer that didn't cause it has no offers left. Two balancers that ask at the same moment may still both have it offered, by the same two agents.

TestOffersOfAnotherBalancerCount fails without the change.

--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -197,3 +197,21 @@
 		is.Equal(g.FromPeer(start.Add(sinceLastPacket), forward(self), dataPacket(1, orders, 101, 10)).Verdict, Deliver)
 	}
 }
+
+// Guards against a balancer that has a packet offered by further agents because it isn't aware
+// of the offers that another balancer has caused.
+func TestAnswerReportsEarlierOffer(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, true)
+	ask := func(now time.Time, knownOnly bool) Action {
+		m := forward(self, other)
+		m.ReportHolder, m.KnownOnly = true, knownOnly
+		return g.FromPeer(now, m, dataPacket(1, orders, 910, 10))
+	}
+	is.True(!ask(start, true).Message.Offered)
+	is.Equal(ask(start, false).Verdict, Deliver)
+	is.True(ask(start.Add(time.Second), true).Message.Offered)
+	is.True(!ask(start.Add(offerMemory), true).Message.Offered)
+	g.Tick(start.Add(offerMemory))
+	is.Equal(len(g.offeredAt), 0)
+}
--- a/internal/flowpath/flowgate/offer.go
+++ b/internal/flowpath/flowgate/offer.go
@@ -22,6 +22,9 @@
 	connAttemptInterval = 2 * time.Second
 	// maxOffers is the maximum number of offered packets that are remembered.
 	maxOffers = 4096
+	// offerMemory is how long an agent reports that it has offered packets of a flow. It is the
+	// time in which balancers limit the offers of a flow, flowsteer's offerWindow.
+	offerMemory = 2500 * time.Millisecond
 	// maxDenied is the maximum number of flows that are remembered as not held.
 	maxDenied = 1 << 16
 )
@@ -44,8 +47,12 @@
 // unknownFlow decides about a packet of a flow that this agent doesn't know. While
 // the agent learns, its backend server may hold the flow. The packet is not offered to
 // it while agents are asked whether they know the flow, because other backend servers
-// must not get many packets of a flow.
+// must not get many packets of a flow. The answer says if such a packet was offered lately,
+// so that a balancer also takes the offers that others have caused into account.
 func (g *Gate) unknownFlow(now time.Time, m *hop.Message, key flow.Key) Action {
+	if at, ok := g.offeredAt[key]; ok && now.Sub(at) < offerMemory {
+		m.Offered = true
+	}
 	_, denied := g.denied[key]
 	if denied || !g.mayHold(now, key) || g.backend.isDown() {
 		return g.passOn(m, key, errkind.PacketNoHolder)
@@ -55,6 +62,9 @@
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
 	g.backend.noteOffer(now)
+	if len(g.offeredAt) < maxOffers {
+		g.offeredAt[key] = now
+	}
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, slices.Clone(m.Packet)), Key: key, LookupFrom: m.Balancer}
 }
 
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -186,6 +186,10 @@
 		return []Action{noHolderAction(Drop, p)}
 	}
 	l.recordAnswers(m)
+	if m.Offered && !s.wasOffered(now, key) {
+		// Another balancer has had packets of the flow offered.
+		s.offers.record(now, key, offerBudget)
+	}
 	allAnswered := !slices.ContainsFunc(l.order[:l.next], l.isUnanswered)
 	if allAnswered || l.retries >= offeringRetry {
 		if offers := s.offerToUnsure(now, key, l, s.offersAllowed(now, key, l)); len(offers) > 0 {
--- a/internal/flowpath/flowsteer/offers_test.go
+++ b/internal/flowpath/flowsteer/offers_test.go
@@ -70,6 +70,20 @@
 	is.Equal(len(s.offers.records), 0)
 }
 
+// Guards against packets of a flow at four other backend servers while its own agent is away:
+// two balancers get copies of the packet, and each counts only its own offers.
+func TestOffersOfAnotherBalancerCount(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(testView(20))
+	p := callerPacket(1, flow.Ack)
+	p.Length = 10
+	denial := unsureAnswer(s.FromCaller(start, p, []byte("data")), 2, 3)
+	denial.Offered = true // by the agents at 0 and 1, which now deny the flow
+	for _, a := range s.Declined(start, p, denial) {
+		is.True(a.Message.KnownOnly)
+	}
+}
+
 // offerPlay plays lookups of one flow: some agents leave all messages unanswered, some learn
 // and are unsure, and the others deny the flow.
 type offerPlay struct {
