--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -88,6 +88,9 @@
 			return Action{Verdict: Keep, Packet: p}
 		}
 		if l.query && l.keeps(raw) {
+			if bytes.Equal(l.raw, raw) {
+				l.offeredTo = nil // the offers may be lost: the holder gets the retransmission
+			}
 			return Action{Verdict: Keep, Packet: p}
 		}
 		if len(l.waitingPackets) >= maxWaitingPackets || s.waitingPackets >= maxAllWaitingPackets {
--- a/internal/flowpath/flowsteer/narrow_test.go
+++ b/internal/flowpath/flowsteer/narrow_test.go
@@ -261,3 +261,19 @@
 	s.SetLinkRate(12.5e6)
 	is.True(s.budget.spend(start, 1<<30))
 }
+
+// Guards against a packet that its holder never gets: the offer to the holder was lost, and the
+// caller's retransmission was taken for a packet that is kept and will be sent.
+func TestRetransmissionAfterLostOfferIsForwarded(t *testing.T) {
+	is := is.New(t)
+	s := linkedSteerer(20, narrowRate)
+	p, raw := dataPacket(1, 0)
+	first := s.FromCaller(start, p, raw)
+	offers := s.Declined(start, p, unsureAnswer(first, 0))
+	is.Equal(len(offers), 1)
+	is.Equal(s.FromCaller(start.Add(200*time.Millisecond), p, raw).Verdict, Keep)
+	due := s.Placed(start.Add(210*time.Millisecond), placed(p, offers[0].To, hop.Load{})) // answers the next query
+	is.Equal(len(due), 1)
+	is.Equal(due[0].Message.Packet, raw)
+	is.True(!due[0].Repeated) // the caller has sent it again
+}
