--- a/internal/flowpath/linkbudget/linkbudget.go
+++ b/internal/flowpath/linkbudget/linkbudget.go
@@ -108,10 +108,11 @@
 }
 
 // Fresh returns a budget that has learned nothing but the rate of the link and keeps the
-// counts of b. It replaces b after a panic, which may have left it half changed.
+// counts and the refused openings of b, whose copies must not be forwarded. It replaces b
+// after a panic, which may have left it half changed.
 func (b *Budget) Fresh() *Budget {
 	fresh := New(Options{BytesPerSecond: b.rate})
-	fresh.counts = b.counts
+	fresh.counts, fresh.refused = b.counts, b.refused
 	return fresh
 }
 
@@ -128,13 +129,10 @@
 // Received counts a caller's packet of the given length.
 func (b *Budget) Received(now time.Time, p flow.Packet, bytes int) {
 	b.counts.Received.add(bytes)
-	if b.rate == 0 {
-		return
-	}
-	b.measureRate(now, bytes+hop.DatagramOverhead)
 	if !b.Enabled() {
 		return
 	}
+	b.measureRate(now, bytes+hop.DatagramOverhead)
 	element, tracked := b.flows[p.CallerKey()]
 	if !tracked || p.Opening() {
 		b.background.add(now, rateHalfLife, float64(bytes+hop.DatagramOverhead))
--- a/internal/flowpath/linkbudget/linkbudget_test.go
+++ b/internal/flowpath/linkbudget/linkbudget_test.go
@@ -135,3 +135,29 @@
 	b.Tick(start.Add(10 * time.Minute))
 	is.Equal(len(b.routes), 0)
 }
+
+// Guards against a rate of a wide link that is measured with each packet, and raised with a
+// log line.
+func TestRateOfWideLinkIsNotMeasured(t *testing.T) {
+	is := is.New(t)
+	b := New(Options{BytesPerSecond: narrowBelow})
+	for i := range 3000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		b.Received(now, flow.Packet{}, 2*narrowBelow/1000)
+		is.True(!b.Tick(now))
+	}
+	is.Equal(b.Rate(), narrowBelow)
+}
+
+// BenchmarkRefresh measures what each Tick costs with as many flows and refusals as there may
+// be.
+func BenchmarkRefresh(b *testing.B) {
+	budget := New(Options{BytesPerSecond: narrowRate})
+	for i := range maxFlows {
+		budget.AdmitOpening(start, flow.Key{Caller: addressOf(i), Service: route(1, 1).Address}, route(1, 1))
+		budget.refused[flow.Key{Caller: addressOf(i), Service: route(2, 1).Address}] = start
+	}
+	for b.Loop() {
+		budget.refresh(start.Add(time.Millisecond))
+	}
+}
