Refuse no forwarded flow, and let no duplicate or copy open a refused one

The first opening of a flow may come after a copy, or as a duplicate after the caller has closed its side.

--- a/internal/flowpath/flowsteer/opening.go
+++ b/internal/flowpath/flowsteer/opening.go
@@ -76,6 +76,14 @@
 	return s.askNext(now, o)
 }
 
+// HasForwarded reports whether this balancer has lately forwarded an opening of a flow, or
+// knows its holder. The flow may be open then although its first opening comes only now, after
+// a copy or as a duplicate.
+func (s *Steerer) HasForwarded(now time.Time, key flow.Key) bool {
+	_, known := s.flows.get(key, now)
+	return known || s.openings[key] != nil
+}
+
 // rejectOpening returns the action for an opening that can't be served and whose caller
 // sent it at sentAt or, if this balancer has stalled, earlier: the opening then lay unread.
 // Once the caller may have sent copies, the flow is not reset: another balancer may have
--- a/pkg/flowbalancer/admission.go
+++ b/pkg/flowbalancer/admission.go
@@ -20,18 +20,22 @@
 		return false
 	}
 	b.budget.Received(now, p, bytes)
-	if !b.budget.Enabled() || !p.Opening() {
+	if !p.Opening() {
 		return true
 	}
-	if p.Age > 0 {
-		if b.budget.RefusedCopy(now, p.CallerKey()) {
-			b.execute(flowsteer.Action{Verdict: flowsteer.Drop, Kind: errkind.LinkFull, Packet: p})
-			return false
+	if b.budget.RefusedCopy(now, p.CallerKey()) {
+		verdict := flowsteer.Drop
+		if p.Age == 0 {
+			verdict = flowsteer.Reset // a duplicate, or another flow from the same port
 		}
+		b.execute(flowsteer.Action{Verdict: verdict, Kind: errkind.LinkFull, Packet: p})
+		return false
+	}
+	if !b.budget.Enabled() || p.Age > 0 {
 		return true
 	}
 	route, ok := b.routes[p.To]
-	if !ok {
+	if !ok || b.steerer.HasForwarded(now, p.CallerKey()) {
 		return true
 	}
 	admitted, reason := b.budget.AdmitOpening(now, p.CallerKey(), route)
--- a/pkg/flowbalancer/admission_test.go
+++ b/pkg/flowbalancer/admission_test.go
@@ -37,7 +37,7 @@
 	return raw
 }
 
-const synFlag, ackFlag = 128, 4
+const synFlag, finFlag, ackFlag = 128, 1, 4
 
 // linkTest is a balancer without goroutines, with one agent and two routes.
 type linkTest struct {
@@ -85,8 +85,10 @@
 	b.NoErr(b.forward(b.now, rawPacket(b.nextPort, service, synFlag, 0, 0)))
 	key := flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), b.nextPort), Service: service}
 	b.executeAll(b.steerer.Placed(b.now, &hop.Message{Type: hop.Placed, Key: key, Agent: udp.LocalAddress(b.nodeSocket)}))
-	for range packets {
-		b.NoErr(b.forward(b.now, rawPacket(b.nextPort, service, ackFlag, 0, 1200)))
+	for number := range packets {
+		raw := rawPacket(b.nextPort, service, ackFlag, 0, 1200)
+		binary.BigEndian.PutUint32(raw[22:], uint32(1+1200*number)) // data that was sent before is no progress
+		b.NoErr(b.forward(b.now, raw))
 	}
 	return b.nextPort
 }
@@ -180,3 +182,39 @@
 	}
 	b.Equal(b.budget.Rate(), 10e6/8)
 }
+
+// Guards against a reset of a flow that this balancer has forwarded: its first opening comes
+// after a copy, or a duplicate of it comes after the caller has closed its side.
+func TestForwardedFlowIsNotRefused(t *testing.T) {
+	b := newLinkTest(t, 10e6/8)
+	halfClosed := b.open(b.heavy, 1)
+	b.NoErr(b.forward(b.now, rawPacket(halfClosed, b.heavy, ackFlag|finFlag, 0, 0)))
+	refused := b.overload()
+	b.True(refused != 0)
+	for _, port := range []uint16{halfClosed, 30000} {
+		b.NoErr(b.forward(b.now, rawPacket(port, b.heavy, synFlag, 1, 0)))
+		b.NoErr(b.forward(b.now, rawPacket(port, b.heavy, synFlag, 0, 0)))
+		b.Equal(b.metrics.Resets.Counts(), []metrics.KindCount{{Kind: errkind.LinkFull, Count: 1}})
+	}
+}
+
+// Guards against a refused opening that a duplicate of it, or a copy, opens although its caller
+// was told that nothing has run.
+func TestRefusedOpeningStaysRefused(t *testing.T) {
+	for name, change := range map[string]func(b *linkTest){
+		"room again": func(b *linkTest) { b.now = b.now.Add(300 * time.Millisecond); b.tick(b.now) }, // the heavy flows are idle
+		"panic":      func(b *linkTest) { b.replaceSteerer() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newLinkTest(t, 10e6/8)
+			port := b.overload()
+			b.True(port != 0)
+			change(b)
+			openings := b.metrics.Openings.Count()
+			for copies := range uint32(2) {
+				b.NoErr(b.forward(b.now, rawPacket(port, b.heavy, synFlag, copies, 0)))
+				b.Equal(b.metrics.Openings.Count(), openings)
+			}
+		})
+	}
+}
