--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -27,6 +27,9 @@
 	// backendDialTimeout bounds the connection attempt that shows whether a
 	// leaving or silent backend server still runs.
 	backendDialTimeout = 200 * time.Millisecond
+	// endCheckInterval is the minimum time between two connection attempts that show whether a
+	// backend server that reported its end still runs.
+	endCheckInterval = 400 * time.Millisecond
 	// drainCheckInterval is how often a stopping agent checks for requests in
 	// progress.
 	drainCheckInterval = 20 * time.Millisecond
@@ -57,6 +60,7 @@
 	lastReport       flowgate.Report
 	backendLeft      bool // the backend server reported that it has ended
 	withdrawn        bool // the member was withdrawn since; see withdrawEnded
+	endCheckedAt     time.Time
 	endRefused       bool // its end was refused as stale, and no report has come since
 	restarting       bool // the process stops while the backend server runs on
 	handedOver       bool // the flows were exported for the next process; see writeHandover
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -169,7 +169,11 @@
 // balancers would reset them.
 func (a *Agent) withdrawEnded() {
 	a.mu.Lock()
-	due := a.backendLeft && !a.withdrawn
+	now := time.Now()
+	due := a.backendLeft && !a.withdrawn && now.Sub(a.endCheckedAt) >= endCheckInterval
+	if due {
+		a.endCheckedAt = now
+	}
 	a.mu.Unlock()
 	if !due || !a.backendRefusesConns() {
 		return
