Tell the store's eras apart in revisions, and refuse responses of earlier ones

A store that is restored from a copy assigns revisions again. A process compared them with those it knew: it took new changes for old ones, watched from a position that means another change now, and could replace or delete an object by a revision that belongs to another write.

A revision now holds the era of the store above the position. The position takes 43 bits and the lowest bit is left for sections that are settled without a change of the store. One client of the store keeps the highest era of all its calls. It refuses responses of an earlier era, without the header after one that had it, and with a header that isn't a number, and logs them (event 1119). A watch from an earlier era has no history. A conditional write that expects a revision of an earlier era is not sent; it returns the conflict or absence that the object shows. A handover names the revision of a member, so that one of an earlier era, or one that the copy has brought back, is not used.

A revision as a struct of two numbers was ruled out: the wire format of peers and all comparisons would change, also without the header. Positions above 2^43 are refused.

TestUnavailableStoreNeedsNoEra and TestRevisionsOutOfRangeAreRefused guard the new code only.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -26,24 +26,26 @@
 
 // Events of the control path.
 const (
-	GenerationInForce   ID = 1100
-	GenerationRefused   ID = 1101
-	PlatformLost        ID = 1102
-	PlatformBack        ID = 1103
-	PeerRefused         ID = 1104
-	PeerLost            ID = 1105
-	MemberChanged       ID = 1106
-	ClockOffsetExceeded ID = 1107
-	Isolated            ID = 1108
-	IsolationOver       ID = 1109
-	AnnouncementFailed  ID = 1110
-	PeerMessageRefused  ID = 1111
-	PlannedChangeActive ID = 1112
-	ViewChanged         ID = 1113
-	StoredObjectRefused ID = 1114
-	Announced           ID = 1115
-	ViewSourceChanged   ID = 1116
-	ViewOutdated        ID = 1117
+	GenerationInForce    ID = 1100
+	GenerationRefused    ID = 1101
+	PlatformLost         ID = 1102
+	PlatformBack         ID = 1103
+	PeerRefused          ID = 1104
+	PeerLost             ID = 1105
+	MemberChanged        ID = 1106
+	ClockOffsetExceeded  ID = 1107
+	Isolated             ID = 1108
+	IsolationOver        ID = 1109
+	AnnouncementFailed   ID = 1110
+	PeerMessageRefused   ID = 1111
+	PlannedChangeActive  ID = 1112
+	ViewChanged          ID = 1113
+	StoredObjectRefused  ID = 1114
+	Announced            ID = 1115
+	ViewSourceChanged    ID = 1116
+	ViewOutdated         ID = 1117
+	StoreEraChanged      ID = 1118
+	StoreResponseRefused ID = 1119
 )
 
 // Events of packet flows, at balancers and agents.
@@ -125,6 +127,8 @@
 	{Announced, log.InfoLevel, false, "announcement stored", "None."},
 	{ViewSourceChanged, log.InfoLevel, false, "view source changed", "None, unless there is none for long: look for hosts that the store refuses."},
 	{ViewOutdated, log.InfoLevel, false, "view outdated, calling the platform", "None, unless it is frequent: look for peers that are frozen, or that the platform refuses."},
+	{StoreEraChanged, log.WarnLevel, false, "platform restored from an older copy", "See OPERATIONS.md, platform restored from a copy."},
+	{StoreResponseRefused, log.WarnLevel, true, "response of the platform refused", "See OPERATIONS.md, platform restored from a copy."},
 
 	{PacketDropped, log.WarnLevel, true, "packet dropped", "See ERRORS.md for the kind."},
 	{TunnelReopened, log.WarnLevel, true, "tunnel socket reopened", "Look for a device that lost the UDP flow."},
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -12,9 +12,6 @@
 	"time"
 )
 
-// Revision is a position in the store's history of changes.
-type Revision int64
-
 // Section names one part of the view. Each has a revision of its own.
 type Section string
 
