Retain what a restored store lacks, and write members again in a new era

After a restore from a copy, a listing lacked members that run, evacuations in force and the current configuration. Processes took that for their end: balancers could reset the flows of a running agent, agents stayed out of the store since they took an earlier acknowledgement for valid, a leave was undone.

A board keeps members that the first listing of an era lacks or has in an older state, with their revision of the earlier era, until the era shows a later write or deletion, or for 10 s. Evacuations likewise. A configuration with a lower version, or none, is not applied. Full deltas of peers are treated as listings; deltas of another era don't apply, and responses of another era confirm nothing. The confirmation for resets (Confirmations.Members) stays as it is for 10 s after each change of era, also at a process that has just started, unless a peer has settled the era before: a process needn't have known all members. The age of the view uses the confirmation of the store as before, so that there are no further calls. What is given up leads to a revision of its own, because readers compare revisions.

The announcer checks the member in each new era and writes it again. An agent whose member was lost doesn't count as new if it writes it again within 5 s of the last confirmation in the era before; else it waits as a new agent.

A revision that a process holds a configuration at has another content than at others, so relative changes name the version they start from; a process that refuses one asks the next peer for the whole.

The fleet of package follow counts positions within an era, and ends watches of an earlier one; without a restore it is as before.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -20,6 +20,11 @@
 // the latest. The store may execute a call that it doesn't answer seconds later.
 const maxCreationTime = 10 * time.Second
 
+// maxLossTime is how long after the last confirmation of the members in an era the member may
+// be written again in the next era without counting as new. Balancers rely on their members as
+// complete only 10 s after they have seen the new era, and learn of the write within 3 s.
+const maxLossTime = 5 * time.Second
+
 // Announcer keeps the member of this process in the store equal to the last one
 // passed to Set, or absent after Withdraw. Each write is conditional on the
 // object's revision, so a delayed write changes nothing once a later one has
@@ -57,6 +62,10 @@
 	maybeNew       bool          // this process may have created or removed the member
 	acknowledged   view.Member   // see Acknowledged
 	storedChanged  bool          // OnStored is to be called
+
+	era int64 // the highest era of the store that the view has shown
+	// lostWithEra is set while the store lacks the member since it was restored from a copy.
+	lostWithEra bool
 }
 
 // NewAnnouncer returns an announcer that writes nothing before the first call of
@@ -207,7 +216,7 @@
 	m, withdrawn := a.desired, a.withdrawn
 	m.Revision = a.knownRevision
 	created := !withdrawn && m.Revision == 0
-	if created {
+	if created && !a.isStillKnown() {
 		// Whatever becomes of the call, it may create the member.
 		a.noteMaybeNew()
 		a.createdMS = time.Now().UnixMilli()
@@ -248,7 +257,12 @@
 	if withdrawn {
 		a.noteRemoved(m.Revision)
 	} else {
+		if revision > 0 && revision.Era() < a.board.View().Members.Revision.Era() {
+			a.unansweredCall = m.Revision
+			return errkind.New(errkind.PlatformDown, "the write was acknowledged in an earlier era of the store")
+		}
 		a.noteStored()
+		a.lostWithEra = false
 		a.knownRevision, a.storedMS = max(a.knownRevision, revision), m.StoredMS
 		a.acknowledged = m
 	}
--- a/internal/control/follow/announceview.go
+++ b/internal/control/follow/announceview.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"time"
+
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
@@ -14,7 +16,7 @@
 	}
 	members := a.board.View().Members
 	a.observeView(members, a.desired.Name)
-	m, ok := members.ByName[a.desired.Name]
+	m, ok := members.InStore(a.desired.Name)
 	stays := m.Revision == a.knownRevision && m.Revision != a.unansweredCall
 	if !a.synced && ok && stays && !a.withdrawn && announcesSame(m, a.desired) {
 		a.markSynced()
@@ -31,7 +33,12 @@
 // observeView takes over newer revisions of the member from the members of the view,
 // and notices that a member in the store was removed. The caller holds the lock.
 func (a *Announcer) observeView(members view.Members, name string) {
-	m, ok := members.ByName[name]
+	if era := members.Revision.Era(); era > a.era {
+		// The store was restored from a copy. It may lack the last write, also an acknowledged
+		// one, or have the member again that was removed.
+		a.era, a.synced = era, false
+	}
+	m, ok := members.InStore(name)
 	switch {
 	case ok && m.Revision > a.removedRevision:
 		if m.Revision > a.knownRevision {
@@ -52,12 +59,24 @@
 // noteRemoved records that the store no longer holds the member at the given
 // revision. The caller holds the lock.
 func (a *Announcer) noteRemoved(revision view.Revision) {
+	a.lostWithEra = a.stored && !a.withdrawn && revision > 0 && revision.Era() < a.era
 	a.removedRevision = max(a.removedRevision, revision)
 	if a.knownRevision <= revision {
 		a.knownRevision = 0
-		a.createdMS, a.storedMS = 0, 0
+		if !a.isStillKnown() {
+			a.createdMS, a.storedMS = 0, 0
+		}
 	}
-	a.noteMaybeNew()
+	if !a.isStillKnown() {
+		a.noteMaybeNew()
+	}
+}
+
+// isStillKnown reports whether the store lacks the member only because it was restored from a
+// copy, so short a time ago that no balancer relies on its members as complete. The member then
+// doesn't count as new. The caller holds the lock.
+func (a *Announcer) isStillKnown() bool {
+	return a.lostWithEra && time.Since(a.board.EraNotBefore()) <= maxLossTime
 }
 
 // announcesSame reports whether a and b differ at most in what the announcer or the
--- a/internal/control/follow/changes.go
+++ b/internal/control/follow/changes.go
@@ -23,7 +23,7 @@
 // addChanges adds changes to d, as differences from v. It logs and skips objects
 // that can't be used.
 func (f *Follower) addChanges(d *view.Delta, v view.View, changes []Change) {
-	domains := map[string]bool{}
+	domains, retained := map[string]bool{}, v.Evacuations.Retained()
 	for domain := range v.Evacuations.Domains {
 		domains[domain] = true
 	}
@@ -36,8 +36,10 @@
 		case d.Section == view.EvacuationsSection && c.Deleted:
 			delete(domains, c.Name)
 			d.Ended = append(d.Ended, c.Name)
+			retained = without(retained, c.Name)
 		case d.Section == view.EvacuationsSection:
 			domains[c.Name] = true
+			retained = without(retained, c.Name)
 		case c.Deleted:
 			// A delta removes the gone members before it adds others.
 			d.Members = slices.DeleteFunc(d.Members, func(m view.Member) bool { return m.Name == c.Name })
@@ -57,17 +59,29 @@
 			d.Domains = append(d.Domains, domain)
 		}
 		slices.Sort(d.Domains)
+		d.Retained = retained
 	}
 }
 
+// without returns a list without a name.
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(names, func(n string) bool { return n == name })
+}
+
 // applyDelta applies d to the board, and logs the change if it made one. It reports
 // whether the view then is at the delta's revision or a later one.
 func (f *Follower) applyDelta(d view.Delta) bool {
+	before := f.opts.Board.View()
 	if !f.opts.Board.Apply(d) {
 		return f.opts.Board.View().Revision(d.Section) >= d.To
 	}
+	if d.Section == view.MembersSection {
+		f.logEra(before.Members, f.opts.Board.View().Members)
+	}
 	fields := event.Fields{"section": d.Section, "revision": d.To, "full": d.Full}
 	switch {
+	case d.Section == view.ConfigurationSection && f.opts.Board.View().Configuration.Held:
+		fields["version_held"] = f.opts.Board.View().Configuration.Version
 	case d.Configuration != nil:
 		fields["version"], fields["routes"] = d.Configuration.Version, len(d.Configuration.Routes)
 		fields["dropped"] = len(d.Configuration.Dropped)
@@ -79,3 +93,19 @@
 	f.opts.Logger.Emit(event.ViewChanged, fields)
 	return true
 }
+
+// logEra logs that the store was restored from a copy, once for each era, if the members that
+// were known before are of an earlier one.
+func (f *Follower) logEra(before, after view.Members) {
+	era := after.Revision.Era()
+	if before.Revision == 0 || before.Revision.Era() >= era {
+		return
+	}
+	for logged := f.loggedEra.Load(); logged < era; logged = f.loggedEra.Load() {
+		if f.loggedEra.CompareAndSwap(logged, era) {
+			f.opts.Logger.Emit(event.StoreEraChanged, event.Fields{
+				"era": era, "before": before.Revision.Era(), "members": len(after.ByName), "retained": after.Retained(),
+			})
+		}
+	}
+}
--- a/internal/control/follow/fleet_test.go
+++ b/internal/control/follow/fleet_test.go
@@ -107,7 +107,9 @@
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(len(fl.hosts)), 1}), 7720)
 	h := &host{fleet: fl, board: view.NewBoard(), incoming: make(chan net.Conn), faultChanged: make(chan struct{})}
 	h.member = view.Member{Name: fmt.Sprintf("%s-%s-%02d", role, domain, number), Role: role, Domain: domain, Address: address, Peer: address}
+	fl.mu.Lock()
 	fl.hosts[address] = h
+	fl.mu.Unlock()
 	fl.put(view.MembersSection, follow.Change{Name: h.member.Name, Member: &h.member})
 	return h
 }
@@ -131,7 +133,7 @@
 func (fl *fleet) put(s view.Section, c follow.Change) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	fl.revision++
+	fl.revision = view.NewRevision(fl.revision.Era(), fl.revision.Position()+1)
 	if c.Configuration != nil {
 		c.Configuration.Revision = fl.revision
 	}
@@ -186,6 +188,8 @@
 		case f == cutOffStore || f == silent || f == watchless && since > 0:
 			sleep(ctx, silentCallTimeout)
 			return nil, 0, errkind.New(errkind.PlatformDown, "no response")
+		case since > 0 && since.Era() != revision.Era():
+			return nil, 0, errkind.New(errkind.HistoryGone, "the era is over")
 		case len(changes) > 0:
 			return changes, revision, nil
 		}
@@ -224,7 +228,9 @@
 
 // dial connects h to a peer.
 func (h *host) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	h.fleet.mu.Lock()
 	peer := h.fleet.hosts[address]
+	h.fleet.mu.Unlock()
 	if f, _ := peer.currentFault(); f == stopped {
 		return nil, errRefused
 	}
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -74,6 +74,10 @@
 	// next call of the store has ended.
 	storeUntried atomic.Bool
 	pendingCalls atomic.Int32 // of the store
+	loggedEra    atomic.Int64 // see logEra
+	// needsConfiguration is set when a peer's change of the configuration is relative to another
+	// one than this process has. The next peer is asked for the whole.
+	needsConfiguration atomic.Bool
 }
 
 // New returns a follower, which does nothing before Run.
--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -57,6 +58,17 @@
 	// Path names the processes through which changes reach the peer, Source first and the
 	// peer last; empty from peers of earlier versions.
 	Path []string `json:",omitempty"`
+	// Eras holds the eras of the store above 0 of which the peer's sections are. Ages tell
+	// nothing of a section of another era.
+	Eras map[view.Section]int64 `json:",omitempty"`
+	// MembersIncomplete says that the members may lack some, since the store was restored from
+	// a copy.
+	MembersIncomplete bool `json:",omitempty"`
+}
+
+// isOfEarlierEra reports whether a section of the peer is of an earlier era than in v.
+func (r ChangesResponse) isOfEarlierEra(v view.View) bool {
+	return slices.ContainsFunc(view.Sections(), func(s view.Section) bool { return r.Eras[s] < v.Revision(s).Era() })
 }
 
 // path returns the processes through which changes reach the peer, as far as the response
--- a/internal/control/follow/poll.go
+++ b/internal/control/follow/poll.go
@@ -108,6 +108,9 @@
 	requested := suspension.Now()
 	request := newChangesRequest(f.opts.Board.View(), pollTimeout)
 	request.From = f.opts.Name
+	if f.needsConfiguration.Swap(false) {
+		request.Known[view.ConfigurationSection] = 0
+	}
 	response, err := conns.poll(ctx, peer, request)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -125,12 +128,17 @@
 }
 
 // applyResponse applies the deltas of a peer's response and confirms the view to which
-// they lead. It reports whether the peer's view is fresh and comes from a process that the
-// store serves, not through this one.
+// they lead. It reports whether the peer's view is fresh, of the current era, and comes from a
+// process that the store serves, not through this one.
 func (f *Follower) applyResponse(requestedAt time.Time, response ChangesResponse) bool {
 	applied := true
 	for _, d := range response.Deltas {
-		applied = f.applyDelta(d) && applied
+		if !f.applyDelta(d) {
+			applied = false
+			if d.Section == view.ConfigurationSection && d.To.Era() > 0 {
+				f.needsConfiguration.Store(true)
+			}
+		}
 	}
 	if age := response.knownAgeMS(); age < 0 || age > maxViewAge.Milliseconds() {
 		return false
@@ -139,6 +147,9 @@
 		f.confirmFromPeer(requestedAt, response)
 	}
 	path := response.path()
+	if response.isOfEarlierEra(f.opts.Board.View()) {
+		return false
+	}
 	if !isUsablePath(path, f.opts.Name) {
 		return false
 	}
@@ -161,12 +172,15 @@
 		sentAt = requestedAt // this process was suspended meanwhile
 	}
 	for _, s := range view.Sections() {
-		age := r.AgeMS
+		age, confirm := r.AgeMS, f.opts.Board.ConfirmInEra
 		if s == view.MembersSection {
 			age = r.membersAgeMS()
+			if !r.MembersIncomplete {
+				confirm = func(_ view.Section, era int64, at time.Time) { f.opts.Board.ConfirmComplete(era, at) }
+			}
 		}
 		if age >= 0 {
-			f.opts.Board.Confirm(s, sentAt.Add(-time.Duration(age)*time.Millisecond))
+			confirm(s, r.Eras[s], sentAt.Add(-time.Duration(age)*time.Millisecond))
 		}
 	}
 }
--- a/internal/control/follow/serve.go
+++ b/internal/control/follow/serve.go
@@ -158,6 +158,8 @@
 		HeldMS:       now.Sub(receivedAt).Milliseconds(),
 		Source:       board.Source(),
 		Path:         board.Path(),
+
+		Eras: c.Eras, MembersIncomplete: c.MembersIncomplete,
 	}
 }
 
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -117,13 +117,13 @@
 	}
 	requestedAt := requested.Time()
 	if len(changes) == 0 {
-		f.opts.Board.Confirm(s, unchangedUntil(requestedAt, time.Now(), wait))
+		f.opts.Board.ConfirmInEra(s, revision.Era(), unchangedUntil(requestedAt, time.Now(), wait))
 		return revision, nil
 	}
 	f.applyChanges(s, changes, revision)
 	// The response may have been on its way for long, so that later changes are
 	// possible from the request on.
-	f.opts.Board.Confirm(s, requestedAt)
+	f.opts.Board.ConfirmInEra(s, revision.Era(), requestedAt)
 	delay.Sleep(ctx, watchPause)
 	return revision, nil
 }
@@ -157,7 +157,7 @@
 
 // listSection replaces a section by its listing and returns the cursor from which
 // to watch it. Its errors have the kinds of Store; NotFound also means that no
-// configuration has been written yet.
+// configuration has been written yet. A configuration of an earlier era stays in force.
 func (f *Follower) listSection(ctx context.Context, s view.Section) (view.Revision, error) {
 	requested := suspension.Now()
 	changes, revision, err := f.opts.Store.List(ctx, s)
@@ -166,10 +166,11 @@
 	}
 	d := view.Delta{Section: s, To: revision, Full: true}
 	f.addChanges(&d, view.View{}, changes)
-	if s == view.ConfigurationSection && d.Configuration == nil {
+	known := f.opts.Board.View().Revision(s)
+	if s == view.ConfigurationSection && d.Configuration == nil && (known == 0 || known.Era() >= revision.Era()) {
 		return 0, errkind.New(errkind.NotFound, "no configuration in the store")
 	}
 	f.applyDelta(d)
-	f.opts.Board.Confirm(s, requested.Time())
+	f.opts.Board.ConfirmInEra(s, revision.Era(), requested.Time())
 	return revision, nil
 }
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -27,6 +27,7 @@
 	mu           sync.Mutex
 	recentDeltas map[Section][]Delta
 	confirmedAt  map[Section]confirmation
+	retention    retention
 	suspended    func() time.Duration // suspension.Total, but in tests
 }
 
@@ -39,7 +40,10 @@
 
 // NewBoard returns a board with an empty view.
 func NewBoard() *Board {
-	return &Board{recentDeltas: map[Section][]Delta{}, confirmedAt: map[Section]confirmation{}, suspended: suspension.Total}
+	return &Board{
+		recentDeltas: map[Section][]Delta{}, confirmedAt: map[Section]confirmation{}, suspended: suspension.Total,
+		retention: retention{until: map[Section]time.Time{}},
+	}
 }
 
 // View returns the current snapshot.
@@ -55,11 +59,20 @@
 	// the order in which they were applied.
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.apply(d)
+}
+
+// apply is Apply for a caller that holds the lock.
+func (b *Board) apply(d Delta) bool {
 	d.followsGap = d.Full && time.Since(b.confirmation(d.Section)) > maxListingGap
+	known := b.view.Get().Revision(d.Section)
 	applied := b.view.Update(func(v View) (View, bool) { return v.Apply(d) })
 	if !applied {
 		return false
 	}
+	if d.To.Era() > known.Era() {
+		b.beginEra(d.Section)
+	}
 	if d.Full {
 		b.recentDeltas[d.Section] = nil
 		return true
@@ -75,14 +88,21 @@
 // Confirmations are the times at which sections of a view were last known to be current,
 // the zero time for one that never was.
 type Confirmations struct {
-	Configuration, Members time.Time
+	Configuration time.Time
+	// Members is when the members were last known to be current and complete. It stays as it
+	// is while they may lack some, since the store was restored from a copy.
+	Members time.Time
+	// StoredMembers is when the members were last known to be those in the store.
+	StoredMembers time.Time
 }
 
 // Snapshot returns the current view and its confirmations.
 func (b *Board) Snapshot() (View, Confirmations) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.view.Get(), Confirmations{Configuration: b.confirmation(ConfigurationSection), Members: b.confirmation(MembersSection)}
+	return b.view.Get(), Confirmations{
+		Configuration: b.confirmation(ConfigurationSection), Members: b.completeAt(), StoredMembers: b.confirmation(MembersSection),
+	}
 }
 
 // Changes holds the deltas after some revisions, and the times at which the view to
@@ -91,14 +111,25 @@
 	Deltas             []Delta
 	ConfirmedAt        time.Time // all sections, the zero time if one never was
 	MembersConfirmedAt time.Time // the zero time if they never were
+	// MembersIncomplete says that the members may lack some, since the store was restored from
+	// a copy.
+	MembersIncomplete bool
+	Eras              map[Section]int64 // of the sections of an era above 0
 }
 
 // ChangesSince returns the changes after the known revisions.
 func (b *Board) ChangesSince(known map[Section]Revision) Changes {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := Changes{ConfirmedAt: b.oldestConfirmation(), MembersConfirmedAt: b.confirmation(MembersSection)}
+	c := Changes{ConfirmedAt: b.oldestConfirmation(), MembersConfirmedAt: b.confirmation(MembersSection), MembersIncomplete: b.retention.incomplete}
+	v := b.view.Get()
 	for _, s := range Sections() {
+		if era := v.Revision(s).Era(); era > 0 {
+			if c.Eras == nil {
+				c.Eras = map[Section]int64{}
+			}
+			c.Eras[s] = era
+		}
 		c.Deltas = append(c.Deltas, b.deltasSince(s, known[s])...)
 	}
 	return c
@@ -123,9 +154,25 @@
 
 // Confirm records that a section of the view was known to be current at the given
 // time.
-func (b *Board) Confirm(s Section, at time.Time) {
+func (b *Board) Confirm(s Section, at time.Time) { b.ConfirmInEra(s, b.View().Revision(s).Era(), at) }
+
+// ConfirmInEra is Confirm by a response of the store, or of a peer whose members may lack
+// some. It does nothing if the section is of another era than the response, which then tells
+// nothing of it.
+func (b *Board) ConfirmInEra(s Section, era int64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.confirm(s, era, at)
+}
+
+// confirm is ConfirmInEra for a caller that holds the lock.
+func (b *Board) confirm(s Section, era int64, at time.Time) {
+	if b.view.Get().Revision(s).Era() != era {
+		return
+	}
+	if until, ok := b.retention.until[s]; ok && !time.Now().Before(until) {
+		b.settle(s)
+	}
 	if at.After(b.confirmation(s)) {
 		b.confirmedAt[s] = confirmation{at, b.suspended()}
 	}
@@ -135,8 +182,12 @@
 // for which the machine was suspended since, because the steady clock lacks it; the zero
 // time if it never was. The caller holds the lock.
 func (b *Board) confirmation(s Section) time.Time {
-	c, ok := b.confirmedAt[s]
-	if !ok {
+	return b.age(b.confirmedAt[s])
+}
+
+// age returns the time of a confirmation as confirmation does.
+func (b *Board) age(c confirmation) time.Time {
+	if c.at.IsZero() {
 		return time.Time{}
 	}
 	return c.at.Add(c.suspended - b.suspended())
--- a/internal/control/view/evacuations.go
+++ b/internal/control/view/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -20,8 +21,15 @@
 	// listed is the revision at which the section was last replaced as a whole after a gap. A
 	// listing tells nothing of the evacuations that began and ended before it.
 	listed Revision
+	// retained are the domains whose evacuation is not in the store, since it was restored from
+	// a copy.
+	retained map[string]bool
 }
 
+// Retained returns the failure domains that are taken out although their evacuation is not in
+// the store, since it was restored from a copy.
+func (e Evacuations) Retained() []string { return slices.Sorted(maps.Keys(e.retained)) }
+
 // LastEnd returns the revision at which it became known that an evacuation of a failure
 // domain has ended, or may have ended. It rises also if the view never showed that
 // evacuation.
@@ -34,6 +42,7 @@
 		next.Domains[domain] = true
 	}
 	maps.Copy(next.ended, e.ended)
+	next.retain(e, d)
 	for domain := range e.Domains {
 		if !next.Domains[domain] {
 			next.ended[domain] = d.To
--- /dev/null
+++ b/internal/control/view/retention.go
@@ -0,0 +1,229 @@
+package view
+
+import (
+	"slices"
+	"time"
+)
+
+// retentionTime is how long after the change of the store's era a process relies on what it
+// knew before and the store lacks. It leaves time for every process to write its member again:
+// the store may be down for some seconds, and calls are retried every 0.5 s.
+const retentionTime = 10 * time.Second
+
+// retention is what a board keeps about the era of the store. An era begins when the store is
+// restored from a copy, so that its first listings lack what was written after the copy.
+type retention struct {
+	until map[Section]time.Time // when the section is settled, the zero time in era 0
+	// incomplete is set while the members may lack some that run. This is so after any change
+	// of era, also if none is retained: this process needn't have known all members.
+	incomplete bool
+	completeAt confirmation // of the members, before they became incomplete
+	// notBefore is the last confirmation of the members in the era before.
+	notBefore confirmation
+}
+
+// beginEra records that a section has got to a later era, or that it is known for the first
+// time, in an era above 0, which may have begun just before. The caller holds the lock.
+func (b *Board) beginEra(s Section) {
+	b.retention.until[s] = time.Now().Add(retentionTime)
+	if s != MembersSection {
+		return
+	}
+	if !b.retention.incomplete {
+		b.retention.incomplete, b.retention.completeAt = true, b.confirmedAt[s]
+	}
+	b.retention.notBefore = b.confirmedAt[s]
+}
+
+// settle gives up what is retained of a section. The caller holds the lock.
+func (b *Board) settle(s Section) {
+	if s == MembersSection {
+		b.retention.incomplete = false
+	}
+	if d, ok := b.view.Get().settling(s); ok {
+		b.apply(d)
+	}
+}
+
+// completeAt returns when the members were last known to be current and complete, the zero
+// time if they never were. The caller holds the lock.
+func (b *Board) completeAt() time.Time {
+	if b.retention.incomplete {
+		return b.age(b.retention.completeAt)
+	}
+	return b.confirmation(MembersSection)
+}
+
+// ConfirmComplete records, by the response of a peer, that the members were known to be
+// current and complete at the given time. The peer has settled them, so the era began long
+// enough ago for this process to do so too. It does nothing if they are of another era.
+func (b *Board) ConfirmComplete(era int64, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.view.Get().Members.Revision.Era() == era {
+		b.retention.until[MembersSection] = time.Time{}
+	}
+	b.confirm(MembersSection, era, at)
+}
+
+// EraNotBefore returns a time before which the era of the members can't have begun, the zero
+// time if none is known.
+func (b *Board) EraNotBefore() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.age(b.retention.notBefore)
+}
+
+// settling returns the delta that gives up what is retained of a section, and whether anything
+// is. It leads to a revision of its own, so that it reaches peers.
+func (v View) settling(s Section) (Delta, bool) {
+	from := v.Revision(s)
+	d := Delta{Section: s, From: from, To: from.settled()}
+	switch s {
+	case MembersSection:
+		for name := range v.Members.ByName {
+			if !v.Members.isRetained(name) {
+				continue
+			}
+			d.Gone = append(d.Gone, name)
+			if m, ok := v.Members.Stored[name]; ok {
+				d.Members = append(d.Members, m)
+			}
+		}
+		return d, len(d.Gone) > 0
+	case EvacuationsSection:
+		d.Ended = v.Evacuations.Retained()
+		for domain := range v.Evacuations.Domains {
+			if !v.Evacuations.retained[domain] {
+				d.Domains = append(d.Domains, domain)
+			}
+		}
+		slices.Sort(d.Domains)
+		return d, len(d.Ended) > 0
+	}
+	return d, false
+}
+
+// isHeldAgainst reports whether the configuration stays in force when d is applied: it is of an
+// earlier era of the store, or held since then, and d brings an older version or none.
+func (c Configuration) isHeldAgainst(d Delta) bool {
+	if c.Revision == 0 || !c.Held && c.Revision.Era() == d.To.Era() {
+		return false
+	}
+	return d.Configuration == nil || d.Configuration.Version < c.Version
+}
+
+// isRetained reports whether the member called name is of an earlier era of the store than
+// the section: the store lacks it or has an older state of it.
+func (m Members) isRetained(name string) bool {
+	return m.ByName[name].Revision.Era() < m.Revision.Era()
+}
+
+// InStore returns the member called name as the store has it, and whether it does.
+func (m Members) InStore(name string) (Member, bool) {
+	member, ok := m.ByName[name]
+	if ok && m.isRetained(name) {
+		member, ok = m.Stored[name]
+	}
+	return member, ok
+}
+
+// Retained returns the number of members that the store lacks, or of which it has an older
+// state, since it was restored from a copy.
+func (m Members) Retained() int {
+	count := 0
+	for name := range m.ByName {
+		if m.isRetained(name) {
+			count++
+		}
+	}
+	return count
+}
+
+// retain keeps the members of old that are of an earlier era than d, which has been applied to
+// m otherwise, unless d shows that they were written or removed in the new era, or that a peer
+// has settled the section: the era then began long enough ago.
+func (m *Members) retain(old Members, d Delta) {
+	if d.To.isSettled() {
+		m.dropRetained(old)
+		return
+	}
+	for name, known := range old.ByName {
+		if known.Revision.Era() >= d.To.Era() || slices.Contains(d.Gone, name) {
+			continue
+		}
+		shown, ok := m.ByName[name]
+		if ok && old.isSuperseded(known, shown, d) {
+			continue
+		}
+		m.ByName[name] = known
+		if !ok || shown.Revision.Era() < d.To.Era() {
+			shown, ok = old.Stored[name]
+		}
+		if ok && shown.Revision.Era() == d.To.Era() {
+			if m.Stored == nil {
+				m.Stored = map[string]Member{}
+			}
+			m.Stored[name] = shown
+		}
+	}
+}
+
+// dropRetained leaves the members as the store has them.
+func (m *Members) dropRetained(old Members) {
+	for name := range m.ByName {
+		if !m.isRetained(name) {
+			continue
+		}
+		delete(m.ByName, name)
+		if stored, ok := old.Stored[name]; ok {
+			m.ByName[name] = stored
+		}
+	}
+}
+
+// isSuperseded reports whether a member that d shows takes the place of the one of an earlier
+// era that is known.
+func (m Members) isSuperseded(known, shown Member, d Delta) bool {
+	stored, isStored := m.Stored[known.Name]
+	same := shown
+	same.Revision = known.Revision
+	switch {
+	case shown.Revision.Era() < d.To.Era():
+		return shown.Revision > known.Revision // a peer retains it
+	case same == known:
+		return true
+	case m.Revision.Era() == d.To.Era():
+		// The first listing of the era showed it as in Stored, or not at all.
+		return !isStored || stored.Revision.Era() < d.To.Era() || shown.Revision > stored.Revision
+	}
+	// Up to the known position, the store may have this state from the copy. Positions after it
+	// are those of changes that this process doesn't know, in whichever era.
+	return shown.Revision.Position() > known.Revision.Position()
+}
+
+// retain keeps the evacuations of old that are of an earlier era than d, which has been applied
+// to e otherwise, or that were retained before and have not ended by d, unless a peer has
+// settled the section.
+func (e *Evacuations) retain(old Evacuations, d Delta) {
+	if d.To.isSettled() {
+		return
+	}
+	for _, domain := range d.Retained {
+		e.keep(domain)
+	}
+	isFirst := old.Revision.Era() < d.To.Era()
+	for domain := range old.Domains {
+		if !e.Domains[domain] && (isFirst || old.retained[domain]) && !slices.Contains(d.Ended, domain) {
+			e.keep(domain)
+		}
+	}
+}
+
+// keep adds a retained evacuation.
+func (e *Evacuations) keep(domain string) {
+	if e.retained == nil {
+		e.retained = map[string]bool{}
+	}
+	e.Domains[domain], e.retained[domain] = true, true
+}
--- /dev/null
+++ b/internal/control/view/retention_test.go
@@ -0,0 +1,248 @@
+package view
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// at returns a revision of era 3 or 4.
+func at(era, position int64) Revision { return NewRevision(era, position) }
+
+// membersDelta returns a delta of members that are named and have revisions of the delta's era.
+func membersDelta(from, to Revision, full bool, positions map[string]int64) Delta {
+	d := Delta{Section: MembersSection, From: from, To: to, Full: full}
+	for _, name := range slices.Sorted(maps.Keys(positions)) {
+		d.Members = append(d.Members, Member{Name: name, Slots: int(positions[name]), Revision: at(to.Era(), positions[name])})
+	}
+	return d
+}
+
+// boardInEra3 returns a board whose members were confirmed just now: a, written at 10, and b,
+// written at 40. Their slots are the position, so that they tell the write.
+func boardInEra3() *Board {
+	b := NewBoard()
+	b.Apply(membersDelta(0, at(3, 50), true, map[string]int64{"a": 10, "b": 40}))
+	b.retention.incomplete = false // era 3 began long ago
+	b.ConfirmInEra(MembersSection, 3, time.Now())
+	return b
+}
+
+func names(b *Board) []string { return slices.Sorted(maps.Keys(b.View().Members.ByName)) }
+
+// Guards against a balancer that resets the flows of an agent whose member the copy lacks, and
+// against one that retains a member forever.
+func TestMissingMembersAreRetained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := boardInEra3()
+		confirmed := time.Now()
+		time.Sleep(time.Second)
+		b.Apply(membersDelta(0, at(4, 30), true, map[string]int64{"a": 10}))
+		for range 9 {
+			b.ConfirmInEra(MembersSection, 4, time.Now())
+			v, c := b.Snapshot()
+			is.Equal(v.Members.Retained(), 1)
+			is.Equal(v.Members.ByName["b"].Revision, at(3, 40))
+			is.Equal(v.Members.ByName["a"].Revision, at(4, 10))
+			is.Equal(c.Members, confirmed)
+			is.Equal(c.StoredMembers, time.Now()) // no further calls of the store are needed
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Second)
+		changed, cancel := b.Subscribe()
+		defer cancel()
+		<-changed
+		before := b.View().Members.Revision
+		b.ConfirmInEra(MembersSection, 4, time.Now())
+		is.Equal(names(b), []string{"a"})
+		is.True(b.View().Members.Revision > before) // readers compare revisions
+		<-changed
+		_, c := b.Snapshot()
+		is.Equal(c.Members, time.Now())
+		is.True(b.Apply(membersDelta(at(4, 30), at(4, 31), false, map[string]int64{"c": 31})))
+		is.Equal(names(b), []string{"a", "c"})
+	})
+}
+
+// Guards against a member that goes back to the state in the copy, such as one that was leaving,
+// and against one that stays after the new era has shown a later write or its deletion.
+func TestOlderMembersAreRetained(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		listed int64 // position of b in the first listing, 0 for none
+		later  Delta
+		want   Revision // of b in the end, 0 for none
+	}{
+		{"an older state", 20, Delta{}, at(3, 40)},
+		{"the same position, another write", 40, Delta{}, at(4, 40)}, // its slots are the same
+		{"a later write", 41, Delta{}, at(4, 41)},
+		{"a write after the listing", 20, membersDelta(at(4, 60), at(4, 61), false, map[string]int64{"b": 61}), at(4, 61)},
+		{"a write at an earlier position", 0, membersDelta(at(4, 35), at(4, 36), false, map[string]int64{"b": 36}), at(4, 36)},
+		{"the state in the listing once more", 20, membersDelta(at(4, 15), at(4, 61), false, map[string]int64{"b": 20}), at(3, 40)},
+		{"a deletion", 20, Delta{Section: MembersSection, From: at(4, 60), To: at(4, 61), Gone: []string{"b"}}, 0},
+		{"a listing without it", 0, membersDelta(0, at(4, 61), true, map[string]int64{"a": 10}), at(3, 40)},
+		{"a listing with a later write", 0, membersDelta(0, at(4, 61), true, map[string]int64{"b": 33}), at(4, 33)},
+		{"changes of another era", 20, membersDelta(at(3, 60), at(5, 61), false, map[string]int64{"b": 61}), at(3, 40)},
+		{"changes of the era before", 20, Delta{Section: MembersSection, From: at(3, 50), To: at(3, 51), Gone: []string{"b"}}, at(3, 40)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := boardInEra3()
+			positions := map[string]int64{"a": 10}
+			if c.listed > 0 {
+				positions["b"] = c.listed
+			}
+			to := at(4, 60)
+			if c.later.From.Position() == 35 {
+				to = at(4, 35)
+			}
+			b.Apply(membersDelta(0, to, true, positions))
+			b.Apply(c.later)
+			is.Equal(b.View().Members.ByName["b"].Revision, c.want)
+		})
+	}
+}
+
+// Guards against a retained member that is lost, not the one of the store, when it is given up.
+func TestOlderMemberCountsInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := boardInEra3()
+		b.Apply(membersDelta(0, at(4, 30), true, map[string]int64{"a": 10, "b": 20}))
+		b.Apply(membersDelta(at(4, 30), at(4, 31), false, map[string]int64{"c": 31}))
+		time.Sleep(retentionTime)
+		b.ConfirmInEra(MembersSection, 4, time.Now())
+		is.Equal(b.View().Members.ByName["b"].Revision, at(4, 20))
+		is.Equal(b.View().Members.Retained(), 0)
+	})
+}
+
+// Guards against a process that follows a peer and concludes from the peer's members that some
+// have ended, and against one that keeps those that the peer has given up.
+func TestRetentionHoldsForFollowersOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source, follower, fresh := boardInEra3(), boardInEra3(), NewBoard()
+		follower.Apply(membersDelta(at(3, 50), at(3, 51), false, map[string]int64{"c": 51})) // unknown to source
+		poll := func(b *Board) {
+			changes := source.ChangesSince(map[Section]Revision{MembersSection: b.View().Members.Revision})
+			for _, d := range changes.Deltas {
+				b.Apply(d)
+			}
+			if changes.MembersIncomplete {
+				b.ConfirmInEra(MembersSection, changes.Eras[MembersSection], changes.MembersConfirmedAt)
+			} else {
+				b.ConfirmComplete(changes.Eras[MembersSection], changes.MembersConfirmedAt)
+			}
+		}
+		source.Apply(membersDelta(0, at(4, 30), true, map[string]int64{"a": 10}))
+		source.ConfirmInEra(MembersSection, 4, time.Now())
+		time.Sleep(time.Second)
+		poll(follower)
+		poll(fresh)
+		is.Equal(names(follower), []string{"a", "b", "c"})
+		is.Equal(names(fresh), []string{"a", "b"})
+		_, c := fresh.Snapshot()
+		is.True(c.Members.IsZero())
+		time.Sleep(retentionTime - time.Second)
+		source.ConfirmInEra(MembersSection, 4, time.Now())
+		poll(follower) // its own retention would last 1 s more
+		poll(fresh)
+		is.Equal(names(follower), []string{"a"})
+		is.Equal(names(fresh), []string{"a"})
+		_, c = fresh.Snapshot()
+		is.Equal(c.Members, time.Now())
+	})
+}
+
+// Guards against a response of the era before, which was on its way for long, that confirms
+// members of the new era.
+func TestNoSectionIsConfirmedFromAnotherEra(t *testing.T) {
+	is := is.New(t)
+	b := boardInEra3()
+	b.Apply(membersDelta(0, at(4, 30), true, nil))
+	before := b.SectionConfirmedAt(MembersSection)
+	b.ConfirmInEra(MembersSection, 3, time.Now().Add(time.Second))
+	b.ConfirmComplete(3, time.Now().Add(time.Second))
+	is.Equal(b.SectionConfirmedAt(MembersSection), before)
+}
+
+// Guards against a failure domain that gets new flows during its evacuation, and against one
+// that gets none for good.
+func TestEvacuationsAreRetained(t *testing.T) {
+	domains := func(from, to Revision, full bool, domains, retained, ended []string) Delta {
+		return Delta{Section: EvacuationsSection, From: from, To: to, Full: full, Domains: domains, Retained: retained, Ended: ended}
+	}
+	list := func(b *Board) []string { return slices.Sorted(maps.Keys(b.View().Evacuations.Domains)) }
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := NewBoard()
+		b.Apply(domains(0, at(3, 50), true, []string{"huvo", "shawi", "trois"}, nil, nil))
+		b.ConfirmInEra(EvacuationsSection, 3, time.Now())
+		b.Apply(domains(0, at(4, 30), true, []string{"shawi"}, nil, nil))
+		is.Equal(list(b), []string{"huvo", "shawi", "trois"})
+		is.Equal(b.View().Evacuations.LastEnd("huvo"), at(3, 50)) // of the first listing
+		// Another process doesn't know trois.
+		b.Apply(domains(at(4, 30), at(4, 31), false, []string{"huvo", "shawi"}, nil, nil)) // huvo is written again
+		is.Equal(b.View().Evacuations.Retained(), []string{"trois"})
+		time.Sleep(retentionTime)
+		b.ConfirmInEra(EvacuationsSection, 4, time.Now())
+		is.Equal(list(b), []string{"huvo", "shawi"})
+		is.True(b.View().Evacuations.LastEnd("trois") > at(4, 31))
+		// One that has come back is in force until it is deleted.
+		b.Apply(domains(at(4, 31), at(4, 32), false, []string{"huvo"}, nil, []string{"shawi"}))
+		is.Equal(list(b), []string{"huvo"})
+		is.Equal(b.View().Evacuations.LastEnd("shawi"), at(4, 32))
+	})
+}
+
+// Guards against a configuration that goes back to the version in the copy, and against routes
+// of another version than the one in force, since others know the copy's at that revision.
+func TestEarlierConfigurationIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	configuration := func(version int64, routes ...int) Configuration {
+		c := Configuration{Version: version, Routes: map[netip.AddrPort]Route{}}
+		for _, i := range routes {
+			c.Routes[routeAddress(i)] = Route{Name: "r", Address: routeAddress(i)}
+		}
+		return c
+	}
+	v6, v7, v8 := configuration(6, 1), configuration(7, 1, 2), configuration(8, 3)
+	full := func(to Revision, c Configuration) Delta {
+		return Delta{Section: ConfigurationSection, To: to, Full: true, Configuration: c.DeltaFrom(Configuration{})}
+	}
+	holder, fresh := NewBoard(), NewBoard()
+	holder.Apply(full(at(3, 50), v7))
+	holder.Apply(full(at(4, 20), v6))
+	fresh.Apply(full(at(4, 20), v6))
+	is.Equal(holder.View().Configuration.Version, int64(7))
+	is.Equal(len(holder.View().Configuration.Routes), 2)
+	is.Equal(holder.View().Configuration.Revision, at(4, 20)) // a watch goes on from there
+	is.Equal(fresh.View().Configuration.Version, int64(6))
+
+	next := v8
+	d := Delta{Section: ConfigurationSection, From: at(4, 20), To: at(4, 40), Configuration: next.DeltaFrom(fresh.View().Configuration)}
+	is.True(fresh.Apply(d))
+	is.True(!holder.Apply(d))
+	is.True(holder.Apply(fresh.View().FullDelta(ConfigurationSection)))
+	is.Equal(len(holder.View().Configuration.Routes), 1)
+	is.True(!holder.View().Configuration.Held)
+	// Within the era, the operator may go back.
+	is.True(holder.Apply(full(at(4, 41), v6)))
+	is.Equal(holder.View().Configuration.Version, int64(6))
+
+	// The copy has none, and a process that learns of it from a peer holds it too.
+	holder.Apply(Delta{Section: ConfigurationSection, To: at(5, 9), Full: true})
+	is.Equal(holder.View().Configuration.Version, int64(6))
+	follower := NewBoard()
+	follower.Apply(holder.View().FullDelta(ConfigurationSection))
+	is.Equal(follower.View().Configuration.Version, int64(6))
+	follower.Apply(full(at(5, 10), configuration(5)))
+	is.Equal(follower.View().Configuration.Version, int64(6))
+}
--- a/internal/control/view/revision.go
+++ b/internal/control/view/revision.go
@@ -7,7 +7,7 @@
 //
 // In era 0, which is also that of a store without eras, a revision is the position. In later
 // eras it holds the era, the position, and in the lowest bit whether the section has been
-// settled at that position; see Board.Settle. Revisions are ordered as integers.
+// settled at that position; see Board.settle. Revisions are ordered as integers.
 type Revision int64
 
 const (
@@ -41,3 +41,6 @@
 // settled returns the revision of a section that has been settled at r, which is before all
 // later positions. r is not of era 0.
 func (r Revision) settled() Revision { return r | 1 }
+
+// isSettled reports whether r is that of a settled section.
+func (r Revision) isSettled() bool { return r.Era() > 0 && r&1 == 1 }
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -63,6 +63,9 @@
 	Services map[string]Service
 	// IdleTimeout is how long a flow may be idle before it may be dropped.
 	IdleTimeout time.Duration
+	// Held is set while the store has an older version than this one, or none, because it was
+	// restored from a copy.
+	Held bool
 }
 
 // Role is the kind of process that a member is.
@@ -110,7 +113,10 @@
 // Members are all processes that have announced themselves.
 type Members struct {
 	Revision Revision
-	ByName   map[string]Member
+	// ByName includes retained members, which have a revision of an earlier era; see retain.
+	ByName map[string]Member
+	// Stored holds the retained members that the store has in another state, as it has them.
+	Stored map[string]Member
 }
 
 // View is an immutable snapshot of all sections.
@@ -157,13 +163,22 @@
 	// Ended are the failure domains of which an evacuation ended after From, also one that
 	// began after From.
 	Ended []string `json:",omitempty"`
+	// Retained are those of Domains whose evacuation is not in the store, since it was restored
+	// from a copy.
+	Retained []string `json:",omitempty"`
 	// followsGap is set on a full delta if the section wasn't known to be current shortly before.
 	followsGap bool
 }
 
 // ConfigurationDelta is the part of a configuration that changed.
 type ConfigurationDelta struct {
-	Version     int64
+	Version int64
+	// FromVersion is the version of the configuration to which the change is relative, 0 in
+	// era 0. It is needed beside Delta.From because a process that holds a version has another
+	// configuration than others at that revision.
+	FromVersion int64 `json:",omitempty"`
+	// Held says that the store has an older version, or none.
+	Held        bool             `json:",omitempty"`
 	Routes      []Route          // new or changed
 	Dropped     []netip.AddrPort `json:",omitempty"`
 	Services    []Service        // all services
@@ -178,6 +193,9 @@
 		return false
 	case d.Full:
 		return true
+	case known.Era() != d.To.Era():
+		// The changes of an era are not relative to the one before.
+		return false
 	case d.Section == ConfigurationSection:
 		return known > 0 && d.From == known
 	}
@@ -191,6 +209,9 @@
 	if !d.appliesTo(v.Revision(d.Section)) {
 		return v, false
 	}
+	if change := d.Configuration; change != nil && !d.Full && change.FromVersion > 0 && change.FromVersion != v.Configuration.Version {
+		return v, false
+	}
 	switch d.Section {
 	case ConfigurationSection:
 		v.Configuration = v.Configuration.apply(d)
@@ -205,6 +226,10 @@
 }
 
 func (c Configuration) apply(d Delta) Configuration {
+	if c.isHeldAgainst(d) {
+		c.Revision, c.Held = d.To, true
+		return c
+	}
 	next := Configuration{
 		Revision:    d.To,
 		Version:     c.Version,
@@ -219,6 +244,7 @@
 	if change == nil {
 		return next
 	}
+	next.Held = change.Held
 	next.Version, next.IdleTimeout = change.Version, change.IdleTimeout
 	for _, address := range change.Dropped {
 		delete(next.Routes, address)
@@ -244,6 +270,7 @@
 	for _, member := range d.Members {
 		next.ByName[member.Name] = member
 	}
+	next.retain(m, d)
 	return next
 }
 
@@ -253,8 +280,10 @@
 	switch s {
 	case ConfigurationSection:
 		d.Configuration = v.Configuration.DeltaFrom(Configuration{})
+		d.Configuration.Held = v.Configuration.Held
 	case EvacuationsSection:
 		d.Domains = slices.Sorted(maps.Keys(v.Evacuations.Domains))
+		d.Retained = v.Evacuations.Retained()
 	case MembersSection:
 		for _, name := range slices.Sorted(maps.Keys(v.Members.ByName)) {
 			d.Members = append(d.Members, v.Members.ByName[name])
@@ -266,6 +295,9 @@
 // DeltaFrom returns the delta that turns old into c.
 func (c Configuration) DeltaFrom(old Configuration) *ConfigurationDelta {
 	d := &ConfigurationDelta{Version: c.Version, IdleTimeout: c.IdleTimeout}
+	if old.Revision.Era() > 0 {
+		d.FromVersion = old.Version
+	}
 	for address, r := range c.Routes {
 		if oldRoute, ok := old.Routes[address]; !ok || !oldRoute.equal(r) {
 			d.Routes = append(d.Routes, r)
--- a/pkg/flowagent/earlierhandovers.go
+++ b/pkg/flowagent/earlierhandovers.go
@@ -74,7 +74,7 @@
 	member, listed := v.Members.ByName[name]
 	acknowledged := a.node.Announcer.Acknowledged()
 	written := acknowledged.Name == name && !acknowledged.Restarting
-	if written || a.earlierHandovers.isExcludedBy(now, listed && member.Restarting, confirmed.Members) {
+	if written || a.earlierHandovers.isExcludedBy(now, listed && member.Restarting, confirmed.StoredMembers) {
 		a.ruleOutHandovers(now)
 		return
 	}
