--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -28,6 +28,7 @@
 // after the injected delay.
 func (s *Server) admit(limit *tokenBucket, next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.store.currentEra(), 10))
 		if s.rejectDuringOutage(w) {
 			return
 		}
@@ -38,6 +39,7 @@
 		if !readBody(w, r) || !s.sleep(s.faults.currentDelay()) || s.rejectDuringOutage(w) {
 			return
 		}
+		w.Header().Set("Store-Era", strconv.FormatUint(s.store.currentEra(), 10)) // it may have changed meanwhile
 		next(w, r)
 	})
 }
@@ -180,11 +182,17 @@
 func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	era := s.store.currentEra()
 	for expired := false; ; {
 		listing, changed := s.store.changesSince(prefix, after)
 		if s.rejectDuringOutage(w) {
 			return
 		}
+		if now := s.store.currentEra(); now != era || now > 0 && after > listing.Revision {
+			w.Header().Set("Store-Era", strconv.FormatUint(now, 10))
+			http.Error(w, "no history from this revision", http.StatusGone)
+			return
+		}
 		if expired || len(listing.Objects) > 0 {
 			writeListing(w, listing)
 			return
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +127,30 @@
 	is.NoErr(err)
 	is.Equal(len(got.Objects), 1)
 }
+
+// Guards against a stand-in that keeps writes after the copy that it restores, that doesn't name
+// the new era, or that serves a watch from a revision that it no longer has.
+func TestRestoredCopyBeginsAnEra(t *testing.T) {
+	is := is.New(t)
+	s := platform.New(platform.Options{})
+	defer s.Close()
+	address, err := s.Start("127.0.0.1:0")
+	is.NoErr(err)
+	call := func(method, path string) *http.Response {
+		request, err := http.NewRequestWithContext(t.Context(), method, "http://"+address.String()+path, strings.NewReader("x"))
+		is.NoErr(err)
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		return response
+	}
+	call(http.MethodPut, "/v1/objects/a")
+	c := s.Copy()
+	is.Equal(call(http.MethodPut, "/v1/objects/b").Header.Get("Store-Era"), "0")
+	s.Restore(c)
+	response := call(http.MethodGet, "/v1/objects/b")
+	is.Equal(response.StatusCode, http.StatusNotFound)
+	is.Equal(response.Header.Get("Store-Era"), "1")
+	is.Equal(call(http.MethodGet, "/v1/watch?after=2&timeout_ms=1").StatusCode, http.StatusGone)
+	is.Equal(call(http.MethodGet, "/v1/watch?after=1&timeout_ms=1").StatusCode, http.StatusOK)
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 type store struct {
 	mu       sync.Mutex
 	revision uint64
+	era      uint64           // how often a copy was restored
 	entries  map[string]entry // includes deleted keys, so that watches report them
 	changed  chan struct{}    // closed at the next change
 	ledger   Ledger
@@ -87,6 +89,37 @@
 	s.notifyWatchesLocked()
 }
 
+// Copy is a copy of the objects of a Server.
+type Copy struct {
+	revision uint64
+	entries  map[string]entry
+}
+
+// Copy returns a copy of all objects.
+func (s *Server) Copy() Copy {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	return Copy{s.store.revision, maps.Clone(s.store.entries)}
+}
+
+// Restore replaces all objects by a copy, and raises the era in the header Store-Era of all
+// responses. The revisions after the copy are assigned again. Waiting watches end with status
+// 410.
+func (s *Server) Restore(c Copy) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.revision, s.store.entries = c.revision, maps.Clone(c.entries)
+	s.store.era++
+	s.store.notifyWatchesLocked()
+}
+
+// currentEra returns how often a copy was restored.
+func (s *store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // list returns the objects under prefix, except deleted ones.
 func (s *store) list(prefix string) api.Listing {
 	s.mu.Lock()
