--- a/cmd/knapweedpier-node/main.go
+++ b/cmd/knapweedpier-node/main.go
@@ -88,7 +88,11 @@
 		fx.Supply(loaded, logger),
 		fx.StopTimeout(loaded.GracePeriod),
 		fx.Provide(
-			func() *platform.Store { return platform.NewStore(loaded.Store) },
+			func() *platform.Store {
+				store := platform.NewStore(loaded.Store)
+				store.SetLogger(logger)
+				return store
+			},
 			func(s *platform.Store) follow.Store { return s },
 			constructor(role),
 		),
--- a/internal/base/metrics/flows.go
+++ b/internal/base/metrics/flows.go
@@ -7,6 +7,7 @@
 	Panics                      Counter
 	Resets, Drops               *KindCounter // packet kinds
 	Holders, ViewAge, Version   Gauge
+	StoreEra                    Gauge
 }
 
 // NewFlowBalancer registers the metrics of a balancer of packet flows.
@@ -21,6 +22,7 @@
 		Holders:  r.registerGauge(FlowBalancerHolders),
 		ViewAge:  r.registerGauge(FlowBalancerViewAge),
 		Version:  r.registerGauge(FlowBalancerVersion),
+		StoreEra: r.registerGauge(FlowBalancerStoreEra),
 	}
 }
 
@@ -34,6 +36,7 @@
 	Flows, InProgress, Waiting Gauge
 	OpenTime, AnswerTime       Histogram
 	ReportAge, ViewAge         Gauge
+	StoreEra                   Gauge
 }
 
 // NewFlowAgent registers the metrics of an agent of packet flows.
@@ -53,5 +56,6 @@
 		AnswerTime: r.registerHistogram(FlowAgentAnswerTime),
 		ReportAge:  r.registerGauge(FlowAgentReportAge),
 		ViewAge:    r.registerGauge(FlowAgentViewAge),
+		StoreEra:   r.registerGauge(FlowAgentStoreEra),
 	}
 }
--- a/internal/base/metrics/names.go
+++ b/internal/base/metrics/names.go
@@ -45,6 +45,7 @@
 	FlowBalancerHolders  Name = "flow_balancer.holders"     // entries of the flow table: flows whose agent is known
 	FlowBalancerViewAge  Name = "flow_balancer.view_age_ms" // milliseconds since the view was known to be current, -1 if never
 	FlowBalancerVersion  Name = "flow_balancer.version"     // version of the configuration in force
+	FlowBalancerStoreEra Name = "flow_balancer.store_era"   // era of the store of which the members are
 )
 
 // Metrics of an agent of packet flows.
@@ -63,6 +64,7 @@
 	FlowAgentAnswerTime Name = "flow_agent.answer_us"     // microseconds from a request to the start of its response
 	FlowAgentReportAge  Name = "flow_agent.report_age_ms" // milliseconds since the backend server's last report
 	FlowAgentViewAge    Name = "flow_agent.view_age_ms"   // milliseconds since the view was known to be current, -1 if never
+	FlowAgentStoreEra   Name = "flow_agent.store_era"     // era of the store of which the members are
 )
 
 // Metrics of the control path of every process.
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -151,6 +151,7 @@
 	a.metrics.Waiting.Update(int64(a.gate.QueuedRequests()))
 	a.metrics.ReportAge.Update(a.gate.ReportAge(time.Now()).Milliseconds())
 	a.metrics.ViewAge.Update(a.node.Board.AgeMS())
+	a.metrics.StoreEra.Update(a.node.Board.View().Members.Revision.Era())
 }
 
 // recordAction counts an action, and logs it if it delivers an opening, passes a
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -239,6 +239,7 @@
 	b.metrics.Holders.Update(int64(b.steerer.CachedFlows()))
 	b.metrics.ViewAge.Update(b.node.Board.AgeMS())
 	b.metrics.Version.Update(b.node.Board.View().Configuration.Version)
+	b.metrics.StoreEra.Update(b.node.Board.View().Members.Revision.Era())
 }
 
 // handleMessage handles a message from an agent or another balancer.
