--- a/internal/base/metrics/flows.go
+++ b/internal/base/metrics/flows.go
@@ -7,6 +7,7 @@
 	Panics                      Counter
 	Resets, Drops               *KindCounter // packet kinds
 	Holders, ViewAge, Version   Gauge
+	StoreEra                    Gauge
 	Link                        *Link
 }
 
@@ -53,6 +54,7 @@
 		ViewAge:  r.registerGauge(FlowBalancerViewAge),
 		Version:  r.registerGauge(FlowBalancerVersion),
 		Link:     newLink(r),
+		StoreEra: r.registerGauge(FlowBalancerStoreEra),
 	}
 }
 
@@ -66,6 +68,7 @@
 	Flows, InProgress, Waiting Gauge
 	OpenTime, AnswerTime       Histogram
 	ReportAge, ViewAge         Gauge
+	StoreEra                   Gauge
 }
 
 // NewFlowAgent registers the metrics of an agent of packet flows.
@@ -85,5 +88,6 @@
 		AnswerTime: r.registerHistogram(FlowAgentAnswerTime),
 		ReportAge:  r.registerGauge(FlowAgentReportAge),
 		ViewAge:    r.registerGauge(FlowAgentViewAge),
+		StoreEra:   r.registerGauge(FlowAgentStoreEra),
 	}
 }
