Use safe defaults for routes whose objective and timeout contradict each other

With a timeout of 0 an agent dropped each queued request as expired at its next release, and a balancer with a narrow link never refused a flow by the timeout. With an objective above the timeout, a balancer admitted heavy flows up to the timeout. Decisions now take both from view.Route.Limits: 5 s, or the objective if longer, without a timeout; an objective of at most the timeout. Consistent routes are not affected.

The defaults apply where limits are used, not when they are decoded. So the configuration in the view, and what peers get of it, stays as the operator wrote it. Refusing such a configuration was ruled out: its other changes would be lost.

Event 1119 names the new and changed routes concerned, once for each applied change.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -46,6 +46,7 @@
 	Announced           ID = 1115
 	ViewSourceChanged   ID = 1116
 	ViewOutdated        ID = 1117
+	RouteLimitsReplaced ID = 1119
 )
 
 // Events of packet flows, at balancers and agents.
@@ -130,6 +131,7 @@
 	{Announced, log.InfoLevel, false, "announcement stored", "None."},
 	{ViewSourceChanged, log.InfoLevel, false, "view source changed", "None, unless there is none for long: look for hosts that the store refuses."},
 	{ViewOutdated, log.InfoLevel, false, "view outdated, calling the platform", "None, unless it is frequent: look for peers that are frozen, or that the platform refuses."},
+	{RouteLimitsReplaced, log.WarnLevel, false, "routes with contradictory limits, defaults used", "Correct the timeout or the objective of the routes; see OPERATIONS.md, check of a configuration."},
 
 	{PacketDropped, log.WarnLevel, true, "packet dropped", "See ERRORS.md for the kind."},
 	{TunnelReopened, log.WarnLevel, true, "tunnel socket reopened", "Look for a device that lost the UDP flow."},
--- a/internal/control/follow/changes.go
+++ b/internal/control/follow/changes.go
@@ -77,5 +77,30 @@
 		fields["members"], fields["gone"] = len(d.Members), len(d.Gone)
 	}
 	f.opts.Logger.Emit(event.ViewChanged, fields)
+	f.logContradictoryLimits(d)
 	return true
 }
+
+// maxNamedRoutes is the maximum number of routes that event RouteLimitsReplaced names.
+const maxNamedRoutes = 8
+
+// logContradictoryLimits logs which routes of an applied change have contradictory limits.
+// Decisions use those of view.Route.Limits in their place.
+func (f *Follower) logContradictoryLimits(d view.Delta) {
+	if d.Configuration == nil {
+		return
+	}
+	var names []string
+	for _, r := range d.Configuration.Routes {
+		if r.HasContradictoryLimits() {
+			names = append(names, r.Name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	slices.Sort(names)
+	f.opts.Logger.Emit(event.RouteLimitsReplaced, event.Fields{
+		"version": d.Configuration.Version, "count": len(names), "routes": names[:min(len(names), maxNamedRoutes)],
+	})
+}
--- a/internal/control/follow/changes_test.go
+++ b/internal/control/follow/changes_test.go
@@ -1,8 +1,11 @@
 package follow
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -115,3 +118,36 @@
 func (s *listStore) List(context.Context, view.Section) ([]Change, view.Revision, error) {
 	return s.changes, s.revision, nil
 }
+
+// Guards against contradictory limits that are replaced without a line in the log or with one
+// for each route, and against a configuration that isn't applied as written because of them.
+func TestContradictoryLimitsAreLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logger, err := event.New(&out, "json")
+	is.NoErr(err)
+	board := view.NewBoard()
+	f := New(Options{Board: board, Logger: logger})
+	apply := func(revision view.Revision, faulty int) (lines int) {
+		out.Reset()
+		c := view.Configuration{Revision: revision, Version: int64(revision), Routes: map[netip.AddrPort]view.Route{}}
+		for i := range 12 {
+			r := view.Route{
+				Name: fmt.Sprint("r-", i), Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(i+1)),
+				Objective: 300 * time.Millisecond, Timeout: time.Duration(revision) * time.Second,
+			}
+			if i < faulty {
+				r.Timeout = 0
+			}
+			c.Routes[r.Address] = r
+		}
+		f.applyDelta(view.Delta{Section: view.ConfigurationSection, To: revision, Full: true, Configuration: c.DeltaFrom(view.Configuration{})})
+		is.Equal(board.View().Configuration.Routes, c.Routes)
+		return strings.Count(out.String(), `"event":1119`)
+	}
+	is.Equal(apply(1, 0), 0)
+	is.Equal(apply(2, 12), 1)
+	is.True(strings.Contains(out.String(), `"count":12`))
+	is.Equal(strings.Count(out.String(), `"r-`), maxNamedRoutes)
+	is.Equal(apply(2, 12), 0) // the same configuration again
+}
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -49,6 +49,26 @@
 	Objective  time.Duration // latency objective of a request
 }
 
+// DefaultTimeout is the timeout of requests for which none is configured.
+const DefaultTimeout = 5 * time.Second
+
+// HasContradictoryLimits reports whether the timeout is 0 or below, or the latency objective
+// is above it.
+func (r Route) HasContradictoryLimits() bool { return r.Timeout <= 0 || r.Objective > r.Timeout }
+
+// Limits returns the latency objective and the timeout on which decisions rest. They are those
+// of the route unless these contradict each other:
+//   - A timeout of 0 or below is replaced by DefaultTimeout, or by the objective if that is
+//     longer. Requests would otherwise be dropped as expired when they arrive.
+//   - An objective above the timeout is lowered to it: an answer after the timeout reaches no
+//     caller.
+func (r Route) Limits() (objective, timeout time.Duration) {
+	if r.Timeout <= 0 {
+		return r.Objective, max(DefaultTimeout, r.Objective)
+	}
+	return min(r.Objective, r.Timeout), r.Timeout
+}
+
 // Service holds the configuration of a service.
 type Service struct {
 	Name          string
--- a/internal/control/view/view_test.go
+++ b/internal/control/view/view_test.go
@@ -240,3 +240,32 @@
 		is.Equal(board.View().Evacuations.LastEnd("a") > before, c.rises)
 	}
 }
+
+// Guards against decisions on limits that contradict each other, and against other limits
+// than the configured ones where they don't.
+func TestLimitsOfRoute(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		objective, timeout  time.Duration
+		usedObjective, used time.Duration
+		contradictory       bool
+	}{
+		{"consistent", 300 * time.Millisecond, 2 * time.Second, 300 * time.Millisecond, 2 * time.Second, false},
+		{"equal", time.Second, time.Second, time.Second, time.Second, false},
+		{"no objective", 0, time.Second, 0, time.Second, false},
+		{"objective above the timeout", 3 * time.Second, 2 * time.Second, 2 * time.Second, 2 * time.Second, true},
+		{"no timeout", 300 * time.Millisecond, 0, 300 * time.Millisecond, DefaultTimeout, true},
+		{"negative timeout", 300 * time.Millisecond, -1, 300 * time.Millisecond, DefaultTimeout, true},
+		{"no timeout, long objective", 8 * time.Second, 0, 8 * time.Second, 8 * time.Second, true},
+		{"nothing configured", 0, 0, 0, DefaultTimeout, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := Route{Objective: c.objective, Timeout: c.timeout}
+			objective, timeout := r.Limits()
+			is.Equal(objective, c.usedObjective)
+			is.Equal(timeout, c.used)
+			is.Equal(r.HasContradictoryLimits(), c.contradictory)
+		})
+	}
+}
--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -215,7 +215,8 @@
 func (g *Gate) longestTimeout() time.Duration {
 	longest := time.Duration(0)
 	for _, r := range g.routes {
-		longest = max(longest, r.Timeout)
+		_, timeout := r.Limits()
+		longest = max(longest, timeout)
 	}
 	return longest
 }
--- a/internal/flowpath/flowgate/queue.go
+++ b/internal/flowpath/flowgate/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
@@ -15,7 +16,7 @@
 	// defaultObjective (for latency) and defaultTimeout apply to requests without
 	// a route.
 	defaultObjective = 300 * time.Millisecond
-	defaultTimeout   = 5 * time.Second
+	defaultTimeout   = view.DefaultTimeout
 	// urgentTimeoutShare is the share of its timeout after which a request leaves
 	// the queue before all others.
 	urgentTimeoutShare = 5.0 / 8
@@ -161,7 +162,8 @@
 	w := &queuedRequest{key: key, entry: f, before: *f, queuedAt: now, packets: [][]byte{slices.Clone(raw)}}
 	objective, timeout := defaultObjective, defaultTimeout
 	if r, ok := g.routes[key.Service]; ok {
-		objective, timeout, w.priority = r.Objective, r.Timeout, r.Priority
+		objective, timeout = r.Limits()
+		w.priority = r.Priority
 	}
 	requested := f.requestedAt(now)
 	w.inTimeUntil = requested.Add(objective - serviceTimeMargin)
--- a/internal/flowpath/flowgate/queue_test.go
+++ b/internal/flowpath/flowgate/queue_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
 )
 
@@ -312,3 +313,27 @@
 	}
 	is.True(lastOpen <= firstClosed)
 }
+
+// Guards against queued requests that are dropped as expired at once, because their route has
+// no timeout, and against ones that then are kept for ever.
+func TestRequestsOfRouteWithoutTimeoutAreDelivered(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 50*time.Millisecond)
+	s.gate.SetRoutes(map[netip.AddrPort]view.Route{feeds: {Address: feeds, Objective: 250 * time.Millisecond}})
+	const requests = 12
+	for port := 1; port <= requests; port++ {
+		s.arrive(port, feeds)
+	}
+	is.True(s.gate.QueuedRequests() > 0)
+	for range 500 {
+		s.step()
+	}
+	is.Equal(len(s.latency), requests)
+	s = newSimulation(t, time.Hour)
+	s.gate.SetRoutes(map[netip.AddrPort]view.Route{feeds: {Address: feeds, Objective: 250 * time.Millisecond}})
+	for port := 1; port <= 6; port++ {
+		s.arrive(port, feeds)
+	}
+	s.gate.Release(start.Add(view.DefaultTimeout))
+	is.Equal(s.gate.QueuedRequests(), 0)
+}
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -275,13 +275,23 @@
 			t.endRequest(f)
 			unanswered = append(unanswered, key)
 		}
-		if now.Sub(f.lastPacketAt) > f.retention(idle+idleMargin(routes[key.Service].Timeout)) {
+		if now.Sub(f.lastPacketAt) > f.retention(idle+idleMargin(routeTimeout(routes, key.Service))) {
 			t.remove(key)
 		}
 	}
 	return unanswered
 }
 
+// routeTimeout returns the timeout of the requests of a route, 0 if there is no route.
+func routeTimeout(routes map[netip.AddrPort]view.Route, to netip.AddrPort) time.Duration {
+	r, ok := routes[to]
+	if !ok {
+		return 0
+	}
+	_, timeout := r.Limits()
+	return timeout
+}
+
 // idleMargin returns the time that is added to the idle timeout. At the end of that timeout a
 // caller may still send a request, and retransmit it until the request's timeout. While a link
 // loses its packets, the agent sees none of them, although the flow isn't idle.
--- a/internal/flowpath/linkbudget/admission.go
+++ b/internal/flowpath/linkbudget/admission.go
@@ -101,20 +101,21 @@
 	if r.mean == 0 || b.outstanding <= 0 || b.hasStalled(now) || b.isRateDoubtful(now) || len(b.refused) >= maxRefused {
 		return 0, false
 	}
+	objective, timeout := route.Limits()
 	outstanding, higherOutstanding := b.outstandingHeavy(r.priority)
 	if !r.heavy {
 		// Heavy flows are rejected and shed first, so that others don't wait for them.
 		delay := b.expectedDelay(now, b.outstanding-outstanding+r.mean)
-		return TimeoutUnreachable, route.Timeout > 0 && delay > route.Timeout
+		return TimeoutUnreachable, delay > timeout
 	}
 	if outstanding == 0 {
 		return 0, false
 	}
 	delay := b.expectedDelay(now, b.outstanding+r.mean)
-	if route.Timeout > 0 && delay > route.Timeout {
+	if delay > timeout {
 		return TimeoutUnreachable, true
 	}
-	return WorkExceedsAllowance, route.Objective > 0 && delay > allowance(route, higherOutstanding)
+	return WorkExceedsAllowance, objective > 0 && delay > allowance(objective, higherOutstanding)
 }
 
 // outstandingHeavy returns the outstanding work of the heavy routes, and whether one of them
--- a/internal/flowpath/linkbudget/patterns_test.go
+++ b/internal/flowpath/linkbudget/patterns_test.go
@@ -263,3 +263,38 @@
 	is.Equal(long.onTime+long.late, 0)
 	is.True(long.refused > long.opened/3)
 }
+
+// Guards against heavy flows that are admitted up to the timeout because their route's objective
+// is above it, and against flows of a route without a timeout that are all refused, or never.
+func TestContradictoryLimits(t *testing.T) {
+	const noTimeout = 0
+	for _, c := range []struct {
+		name               string
+		objective, timeout time.Duration
+		delay              time.Duration
+		heavy, refused     bool
+	}{
+		{"within half of the timeout", time.Second, 100 * time.Millisecond, 40 * time.Millisecond, true, false},
+		{"beyond half of the timeout", time.Second, 100 * time.Millisecond, 60 * time.Millisecond, true, true},
+		{"heavy without a timeout", 600 * time.Millisecond, noTimeout, 140 * time.Millisecond, true, false},
+		{"heavy without a timeout, beyond the allowance", 600 * time.Millisecond, noTimeout, 160 * time.Millisecond, true, true},
+		{"light without a timeout", 600 * time.Millisecond, noTimeout, view.DefaultTimeout - 100*time.Millisecond, false, false},
+		{"light without a timeout, beyond the default", 600 * time.Millisecond, noTimeout, view.DefaultTimeout + 100*time.Millisecond, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := New(Options{BytesPerSecond: narrowRate})
+			limited := route(1, 1)
+			limited.Objective, limited.Timeout = c.objective, c.timeout
+			r := newRouteWork(start)
+			r.mean, r.heavy = 1, c.heavy
+			b.routes[limited.Address] = r
+			b.outstanding = narrowRate * c.delay.Seconds()
+			if c.heavy {
+				r.outstanding = b.outstanding
+			}
+			_, refused := b.judge(start, r, limited)
+			is.Equal(refused, c.refused)
+		})
+	}
+}
--- a/internal/flowpath/linkbudget/work.go
+++ b/internal/flowpath/linkbudget/work.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
 
 const (
@@ -119,8 +117,8 @@
 // allowance returns the delay up to which a heavy flow of a route is admitted: half of the
 // objective, so that the rest is left for the backend server and the way back. It is halved
 // while a route of a higher priority has heavy flows outstanding.
-func allowance(route view.Route, higherPriorityOutstanding bool) time.Duration {
-	limit := min(route.Objective/2, maxAllowance)
+func allowance(objective time.Duration, higherPriorityOutstanding bool) time.Duration {
+	limit := min(objective/2, maxAllowance)
 	if higherPriorityOutstanding {
 		return limit / 2
 	}
