--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -14,6 +14,7 @@
 	Sheet   SheetCmd   `cmd:"" help:"Check, compare or apply the morning sheet."`
 	Domain  DomainCmd  `cmd:"" help:"Take a failure domain out or back."`
 	Backend BackendCmd `cmd:"" help:"Change one backend server."`
+	Config  ConfigCmd  `cmd:"" help:"Check a configuration for the users' platform."`
 
 	Status StatusCmd `cmd:"" help:"Show the state of the fleet or of one service."`
 	Flows  FlowsCmd  `cmd:"" help:"Show the state of packet flows on the users' platform."`
