--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -48,6 +48,7 @@
 	ViewOutdated         ID = 1117
 	StoreEraChanged      ID = 1118
 	StoreResponseRefused ID = 1119
+	RouteLimitsReplaced  ID = 1120
 )
 
 // Events of packet flows, at balancers and agents.
@@ -134,6 +135,7 @@
 	{ViewOutdated, log.InfoLevel, false, "view outdated, calling the platform", "None, unless it is frequent: look for peers that are frozen, or that the platform refuses."},
 	{StoreEraChanged, log.WarnLevel, false, "platform restored from an older copy", "See OPERATIONS.md, platform restored from a copy."},
 	{StoreResponseRefused, log.WarnLevel, true, "response of the platform refused", "See OPERATIONS.md, platform restored from a copy."},
+	{RouteLimitsReplaced, log.WarnLevel, false, "routes with contradictory limits, defaults used", "Correct the timeout or the objective of the routes; see OPERATIONS.md, check of a configuration."},
 
 	{PacketDropped, log.WarnLevel, true, "packet dropped", "See ERRORS.md for the kind."},
 	{TunnelReopened, log.WarnLevel, true, "tunnel socket reopened", "Look for a device that lost the UDP flow."},
