Begin the retention anew if the store fails again before members are written

A process that found the store down for the rest of the 10 s gave up the retained members with its first confirmation afterwards, and counted its members as complete, before the others could write theirs again.

--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -170,6 +170,7 @@
 	if b.view.Get().Revision(s).Era() != era {
 		return
 	}
+	b.retention.extend(s, at.Sub(b.confirmation(s)))
 	if until, ok := b.retention.until[s]; ok && !time.Now().Before(until) {
 		b.settle(s)
 	}
--- a/internal/control/view/retention.go
+++ b/internal/control/view/retention.go
@@ -10,6 +10,10 @@
 // the store may be down for some seconds, and calls are retried every 0.5 s.
 const retentionTime = 10 * time.Second
 
+// maxRetentionGap is the longest time without a confirmation that counts as part of
+// retentionTime. It leaves half of that time for the processes to write their members.
+const maxRetentionGap = retentionTime / 2
+
 // retention is what a board keeps about the era of the store. An era begins when the store is
 // restored from a copy, so that its first listings lack what was written after the copy.
 type retention struct {
@@ -22,6 +26,16 @@
 	notBefore confirmation
 }
 
+// extend begins the retention of a section anew if the section wasn't known to be current for
+// too long before, for example because the store failed again after it was restored. Other
+// processes couldn't write their members again meanwhile. It does nothing if a peer has settled
+// the section.
+func (r retention) extend(s Section, gap time.Duration) {
+	if until, ok := r.until[s]; ok && !until.IsZero() && gap > maxRetentionGap {
+		r.until[s] = time.Now().Add(retentionTime)
+	}
+}
+
 // beginEra records that a section has got to a later era, or that it is known for the first
 // time, in an era above 0, which may have begun just before. The caller holds the lock.
 func (b *Board) beginEra(s Section) {
