Tell peers what the store has of the members that are retained

A follower got the retained member alone. It took the state in the copy, once it saw it, for a write of the new era, and went back to it; its announcer took the member for absent. A peer that listed the members late also undid writes of the new era that the follower knew.

--- a/internal/control/view/retention.go
+++ b/internal/control/view/retention.go
@@ -162,27 +162,54 @@
 		m.dropRetained(old)
 		return
 	}
+	for _, stored := range d.Stored {
+		m.keepStored(stored, d)
+	}
 	for name, known := range old.ByName {
-		if known.Revision.Era() >= d.To.Era() || slices.Contains(d.Gone, name) {
+		shown, ok := m.ByName[name]
+		isRetainedByPeer := ok && shown.Revision.Era() < d.To.Era()
+		if known.Revision.Era() >= d.To.Era() {
+			if isRetainedByPeer {
+				m.useStored(name) // this process has seen that the member was written in the era
+			}
 			continue
 		}
-		shown, ok := m.ByName[name]
-		if ok && old.isSuperseded(known, shown, d) {
+		if slices.Contains(d.Gone, name) || ok && old.isSuperseded(known, shown, d) {
 			continue
 		}
 		m.ByName[name] = known
-		if !ok || shown.Revision.Era() < d.To.Era() {
+		if !ok || isRetainedByPeer {
+			if _, ok := m.Stored[name]; ok {
+				continue // the peer knows what the store has
+			}
 			shown, ok = old.Stored[name]
 		}
-		if ok && shown.Revision.Era() == d.To.Era() {
-			if m.Stored == nil {
-				m.Stored = map[string]Member{}
-			}
-			m.Stored[name] = shown
+		if ok {
+			m.keepStored(shown, d)
 		}
 	}
 }
 
+// keepStored records what the store has of a retained member, if it is of the era of d.
+func (m *Members) keepStored(stored Member, d Delta) {
+	if stored.Revision.Era() != d.To.Era() {
+		return
+	}
+	if m.Stored == nil {
+		m.Stored = map[string]Member{}
+	}
+	m.Stored[stored.Name] = stored
+}
+
+// useStored puts what the store has of a retained member, if anything, in its place.
+func (m *Members) useStored(name string) {
+	delete(m.ByName, name)
+	if stored, ok := m.Stored[name]; ok {
+		m.ByName[name] = stored
+		delete(m.Stored, name)
+	}
+}
+
 // dropRetained leaves the members as the store has them.
 func (m *Members) dropRetained(old Members) {
 	for name := range m.ByName {
--- a/internal/control/view/retention_test.go
+++ b/internal/control/view/retention_test.go
@@ -271,3 +271,32 @@
 		is.Equal(names(b), []string{"a"})
 	})
 }
+
+// Guards against a leaving backend server that gets new flows again because a process got the
+// retained member from a peer, without the state that the store has, and takes this for a write
+// of the new era.
+func TestFollowersKnowWhatTheStoreHas(t *testing.T) {
+	is := is.New(t)
+	source, follower := boardInEra3(), NewBoard()
+	source.Apply(membersDelta(0, at(4, 30), true, map[string]int64{"a": 10, "b": 20}))
+	is.True(follower.Apply(source.View().FullDelta(MembersSection)))
+	stored, ok := follower.View().Members.InStore("b")
+	is.True(ok)
+	is.Equal(stored.Revision, at(4, 20))
+	follower.Apply(membersDelta(0, at(4, 61), true, map[string]int64{"a": 10, "b": 20}))
+	is.Equal(follower.View().Members.ByName["b"].Revision, at(3, 40))
+}
+
+// Guards against a member that goes back from a write of the new era to the state before it,
+// because a peer, which listed the members only after that write, retains that state.
+func TestPeersDoNotUndoWritesOfTheEra(t *testing.T) {
+	is := is.New(t)
+	late, follower := boardInEra3(), boardInEra3()
+	follower.Apply(membersDelta(0, at(4, 30), true, map[string]int64{"a": 10, "b": 20}))
+	follower.Apply(membersDelta(at(4, 30), at(4, 36), false, map[string]int64{"b": 36}))
+	late.Apply(membersDelta(0, at(4, 37), true, map[string]int64{"a": 10, "b": 36}))
+	is.Equal(late.View().Members.ByName["b"].Revision, at(3, 40)) // it may be from the copy
+	is.True(follower.Apply(late.View().FullDelta(MembersSection)))
+	is.Equal(follower.View().Members.ByName["b"].Revision, at(4, 36))
+	is.Equal(follower.View().Members.Retained(), 0)
+}
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -180,6 +180,9 @@
 	Domains       []string            `json:",omitempty"` // EvacuationsSection: all failure domains that are taken out
 	Members       []Member            `json:",omitempty"` // new or changed
 	Gone          []string            `json:",omitempty"` // names of removed members
+	// Stored holds, on a full delta, the retained ones of Members that the store has in another
+	// state, as it has them.
+	Stored []Member `json:",omitempty"`
 	// Ended are the failure domains of which an evacuation ended after From, also one that
 	// began after From.
 	Ended []string `json:",omitempty"`
@@ -308,6 +311,9 @@
 		for _, name := range slices.Sorted(maps.Keys(v.Members.ByName)) {
 			d.Members = append(d.Members, v.Members.ByName[name])
 		}
+		for _, name := range slices.Sorted(maps.Keys(v.Members.Stored)) {
+			d.Stored = append(d.Stored, v.Members.Stored[name])
+		}
 	}
 	return d
 }
