Tell the store client the era that peers have shown

A process that follows a peer needn't have called the store in the new era. Its announcer then sent writes and deletions by revisions of the era before, and took the answers of a replica of that era.

--- a/internal/control/follow/changes.go
+++ b/internal/control/follow/changes.go
@@ -71,6 +71,9 @@
 // applyDelta applies d to the board, and logs the change if it made one. It reports
 // whether the view then is at the delta's revision or a later one.
 func (f *Follower) applyDelta(d view.Delta) bool {
+	if s, ok := f.opts.Store.(EraObserver); ok {
+		s.ObserveEra(d.To.Era()) // before the announcer sees the view
+	}
 	before := f.opts.Board.View()
 	if !f.opts.Board.Apply(d) {
 		return f.opts.Board.View().Revision(d.Section) >= d.To
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -45,6 +45,13 @@
 	DeleteMember(ctx context.Context, name string, known view.Revision) error
 }
 
+// EraObserver is a Store that distinguishes its eras and learns of them also from peers.
+type EraObserver interface {
+	// ObserveEra tells the store that an era has begun. From then on, revisions and responses
+	// of earlier eras don't count.
+	ObserveEra(era int64)
+}
+
 // Options are the parameters of a Follower.
 type Options struct {
 	Name        string         // the member name of this process
--- a/internal/control/follow/poll_internal_test.go
+++ b/internal/control/follow/poll_internal_test.go
@@ -62,3 +62,24 @@
 	is.Equal(board.View().Members.Revision, view.Revision(7))
 	is.Equal(len(board.Path()), 0)
 }
+
+// observer is a store that records the eras of which it is told.
+type observer struct {
+	Store
+	highest int64
+}
+
+// ObserveEra implements EraObserver.
+func (s *observer) ObserveEra(era int64) { s.highest = max(s.highest, era) }
+
+// Guards against a store that isn't told of an era which this process has learned from a peer:
+// the announcer would write by revisions of the era before.
+func TestStoreLearnsTheEraOfPeers(t *testing.T) {
+	is := is.New(t)
+	s := &observer{}
+	f := New(Options{Name: "agent-1", Store: s, Board: view.NewBoard(), Logger: event.Discard()})
+	f.applyResponse(time.Now(), ChangesResponse{Deltas: []view.Delta{
+		{Section: view.MembersSection, To: view.NewRevision(4, 7), Full: true},
+	}})
+	is.Equal(s.highest, int64(4))
+}
