--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -256,6 +256,9 @@
 	}
 	if withdrawn {
 		a.noteRemoved(m.Revision)
+		if a.knownRevision.Era() > m.Revision.Era() {
+			return nil // the store has the member again since it was restored from a copy
+		}
 	} else {
 		if revision > 0 && revision.Era() < a.board.View().Members.Revision.Era() {
 			a.unansweredCall = m.Revision
--- a/internal/control/follow/era_test.go
+++ b/internal/control/follow/era_test.go
@@ -262,3 +262,36 @@
 func (s *replica) WriteMember(context.Context, view.Member) (view.Revision, error) {
 	return view.NewRevision(3, 50+s.writes.Add(1)), nil
 }
+
+// Guards against a member that stays in the store although its process has withdrawn it: the
+// store acknowledged the removal, was restored from a copy, and the view showed the member again
+// before the acknowledgement was handled.
+func TestRemovalOfAnEarlierEraIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		board := view.NewBoard()
+		list := func(era, position int64) {
+			m := agentMember
+			m.Revision = view.NewRevision(era, position)
+			board.Apply(view.Delta{Section: view.MembersSection, To: m.Revision, Full: true, Members: []view.Member{m}})
+		}
+		list(3, 40)
+		var removed []view.Revision
+		var a *follow.Announcer
+		s := &writeStore{remove: func(known view.Revision) error {
+			if removed = append(removed, known); len(removed) == 1 {
+				list(4, 40)
+				a.Stored("agent-1") // takes the view over
+			}
+			return nil
+		}}
+		a = follow.NewAnnouncer(s, board, event.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		go a.Run(ctx)
+		a.Withdraw("agent-1")
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.Equal(removed, []view.Revision{view.NewRevision(3, 40), view.NewRevision(4, 40)})
+	})
+}
