Don't take a watch that was not sent for an answer of the store

While the store was down after a restore, each retry of a section that was still of the era before logged the store as reachable again, named this process as a source to its peers, and let the calls of the other sections begin.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,10 @@
 	DeleteMember(ctx context.Context, name string, known view.Revision) error
 }
 
+// ErrNotSent is wrapped by the error of a watch that was not sent, because the store is known to
+// have no history of its era. Such an error doesn't show that the store answers.
+var ErrNotSent = errors.New("not sent to the store")
+
 // EraObserver is a Store that distinguishes its eras and learns of them also from peers.
 type EraObserver interface {
 	// ObserveEra tells the store that an era has begun. From then on, revisions and responses
--- a/internal/control/follow/poll_internal_test.go
+++ b/internal/control/follow/poll_internal_test.go
@@ -1,12 +1,16 @@
 package follow
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
@@ -83,3 +87,31 @@
 	}})
 	is.Equal(s.highest, int64(4))
 }
+
+// downStore is a store that is down, of which a later era is known.
+type downStore struct{ Store }
+
+// Watch implements Store.
+func (downStore) Watch(context.Context, view.Section, view.Revision, time.Duration) ([]Change, view.Revision, error) {
+	return nil, 0, errkind.Wrap(ErrNotSent, errkind.HistoryGone, "era 3 is over")
+}
+
+// List implements Store.
+func (downStore) List(context.Context, view.Section) ([]Change, view.Revision, error) {
+	return nil, 0, errkind.New(errkind.PlatformDown, "no response")
+}
+
+// Guards against a process that takes a store which is down for one that serves it, and names
+// itself as the source of its peers' view, since it sends no watch of an era that is over.
+func TestWatchThatWasNotSentShowsNoStore(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logger, err := event.New(&out, "json")
+	is.NoErr(err)
+	f := New(Options{Name: "agent-1", Store: downStore{}, Board: view.NewBoard(), Logger: logger})
+	for range 3 {
+		_, err = f.readSection(t.Context(), view.ConfigurationSection, view.NewRevision(3, 40))
+		is.True(errkind.Is(err, errkind.PlatformDown))
+	}
+	is.Equal(strings.Count(out.String(), "\n"), 1) // the store is lost
+}
--- a/internal/control/follow/watch.go
+++ b/internal/control/follow/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/delay"
@@ -93,7 +94,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		f.recordStoreResult(err)
+		if !errors.Is(err, ErrNotSent) {
+			f.recordStoreResult(err)
+		}
 		if errkind.Is(err, errkind.HistoryGone) {
 			next, err = f.listSection(ctx, s)
 			f.recordStoreResult(err)
