--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -239,7 +239,12 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if errkind.Is(err, errkind.VersionConflict) && revision > 0 && revision != m.Revision {
+	conflicts := errkind.Is(err, errkind.VersionConflict) && revision > 0 && revision != m.Revision
+	if !withdrawn && (err == nil || conflicts) && revision > 0 && revision.Era() < a.board.View().Members.Revision.Era() {
+		a.unansweredCall = m.Revision
+		return errkind.New(errkind.PlatformDown, "the write was answered in an earlier era of the store")
+	}
+	if conflicts {
 		a.knownRevision = revision
 		a.noteStored()
 		return nil
@@ -260,10 +265,6 @@
 			return nil // the store has the member again since it was restored from a copy
 		}
 	} else {
-		if revision > 0 && revision.Era() < a.board.View().Members.Revision.Era() {
-			a.unansweredCall = m.Revision
-			return errkind.New(errkind.PlatformDown, "the write was acknowledged in an earlier era of the store")
-		}
 		a.noteStored()
 		a.lostWithEra = false
 		a.knownRevision, a.storedMS = max(a.knownRevision, revision), m.StoredMS
--- a/internal/control/follow/era_test.go
+++ b/internal/control/follow/era_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
@@ -295,3 +296,28 @@
 		is.Equal(removed, []view.Revision{view.NewRevision(3, 40), view.NewRevision(4, 40)})
 	})
 }
+
+// Guards against an agent that counts as stored, and so accepts new flows, although only a
+// replica of the era before has its member, as a conflict shows.
+func TestConflictOfAnEarlierEraShowsNoMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		board := view.NewBoard()
+		board.Apply(view.Delta{Section: view.MembersSection, To: view.NewRevision(4, 30), Full: true})
+		writes := 0
+		s := &writeStore{write: func(view.Member) (view.Revision, error) {
+			writes++
+			return view.NewRevision(3, 50), errkind.New(errkind.VersionConflict, "the object exists")
+		}}
+		a := follow.NewAnnouncer(s, board, event.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		go a.Run(ctx)
+		a.Set(agentMember)
+		time.Sleep(5 * time.Second)
+		_, ok := a.Stored("agent-1")
+		is.True(!ok)
+		is.True(writes > 1 && writes < 30)
+		cancel()
+		synctest.Wait()
+	})
+}
