--- a/internal/control/follow/era_test.go
+++ b/internal/control/follow/era_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
@@ -262,3 +263,61 @@
 func (s *replica) WriteMember(context.Context, view.Member) (view.Revision, error) {
 	return view.NewRevision(3, 50+s.writes.Add(1)), nil
 }
+
+// Guards against a member that stays in the store although its process has withdrawn it: the
+// store acknowledged the removal, was restored from a copy, and the view showed the member again
+// before the acknowledgement was handled.
+func TestRemovalOfAnEarlierEraIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		board := view.NewBoard()
+		list := func(era, position int64) {
+			m := agentMember
+			m.Revision = view.NewRevision(era, position)
+			board.Apply(view.Delta{Section: view.MembersSection, To: m.Revision, Full: true, Members: []view.Member{m}})
+		}
+		list(3, 40)
+		var removed []view.Revision
+		var a *follow.Announcer
+		s := &writeStore{remove: func(known view.Revision) error {
+			if removed = append(removed, known); len(removed) == 1 {
+				list(4, 40)
+				a.Stored("agent-1") // takes the view over
+			}
+			return nil
+		}}
+		a = follow.NewAnnouncer(s, board, event.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		go a.Run(ctx)
+		a.Withdraw("agent-1")
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.Equal(removed, []view.Revision{view.NewRevision(3, 40), view.NewRevision(4, 40)})
+	})
+}
+
+// Guards against an agent that counts as stored, and so accepts new flows, although only a
+// replica of the era before has its member, as a conflict shows.
+func TestConflictOfAnEarlierEraShowsNoMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		board := view.NewBoard()
+		board.Apply(view.Delta{Section: view.MembersSection, To: view.NewRevision(4, 30), Full: true})
+		writes := 0
+		s := &writeStore{write: func(view.Member) (view.Revision, error) {
+			writes++
+			return view.NewRevision(3, 50), errkind.New(errkind.VersionConflict, "the object exists")
+		}}
+		a := follow.NewAnnouncer(s, board, event.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		go a.Run(ctx)
+		a.Set(agentMember)
+		time.Sleep(5 * time.Second)
+		_, ok := a.Stored("agent-1")
+		is.True(!ok)
+		is.True(writes > 1 && writes < 30)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/control/follow/poll_internal_test.go
+++ b/internal/control/follow/poll_internal_test.go
@@ -1,12 +1,16 @@
 package follow
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 )
@@ -62,3 +66,52 @@
 	is.Equal(board.View().Members.Revision, view.Revision(7))
 	is.Equal(len(board.Path()), 0)
 }
+
+// observer is a store that records the eras of which it is told.
+type observer struct {
+	Store
+	highest int64
+}
+
+// ObserveEra implements EraObserver.
+func (s *observer) ObserveEra(era int64) { s.highest = max(s.highest, era) }
+
+// Guards against a store that isn't told of an era which this process has learned from a peer:
+// the announcer would write by revisions of the era before.
+func TestStoreLearnsTheEraOfPeers(t *testing.T) {
+	is := is.New(t)
+	s := &observer{}
+	f := New(Options{Name: "agent-1", Store: s, Board: view.NewBoard(), Logger: event.Discard()})
+	f.applyResponse(time.Now(), ChangesResponse{Deltas: []view.Delta{
+		{Section: view.MembersSection, To: view.NewRevision(4, 7), Full: true},
+	}})
+	is.Equal(s.highest, int64(4))
+}
+
+// downStore is a store that is down, of which a later era is known.
+type downStore struct{ Store }
+
+// Watch implements Store.
+func (downStore) Watch(context.Context, view.Section, view.Revision, time.Duration) ([]Change, view.Revision, error) {
+	return nil, 0, errkind.Wrap(ErrNotSent, errkind.HistoryGone, "era 3 is over")
+}
+
+// List implements Store.
+func (downStore) List(context.Context, view.Section) ([]Change, view.Revision, error) {
+	return nil, 0, errkind.New(errkind.PlatformDown, "no response")
+}
+
+// Guards against a process that takes a store which is down for one that serves it, and names
+// itself as the source of its peers' view, since it sends no watch of an era that is over.
+func TestWatchThatWasNotSentShowsNoStore(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logger, err := event.New(&out, "json")
+	is.NoErr(err)
+	f := New(Options{Name: "agent-1", Store: downStore{}, Board: view.NewBoard(), Logger: logger})
+	for range 3 {
+		_, err = f.readSection(t.Context(), view.ConfigurationSection, view.NewRevision(3, 40))
+		is.True(errkind.Is(err, errkind.PlatformDown))
+	}
+	is.Equal(strings.Count(out.String(), "\n"), 1) // the store is lost
+}
--- a/internal/control/view/retention.go
+++ b/internal/control/view/retention.go
@@ -10,6 +10,10 @@
 // the store may be down for some seconds, and calls are retried every 0.5 s.
 const retentionTime = 10 * time.Second
 
+// maxRetentionGap is the longest time without a confirmation that counts as part of
+// retentionTime. It leaves half of that time for the processes to write their members.
+const maxRetentionGap = retentionTime / 2
+
 // retention is what a board keeps about the era of the store. An era begins when the store is
 // restored from a copy, so that its first listings lack what was written after the copy.
 type retention struct {
@@ -22,6 +26,16 @@
 	notBefore confirmation
 }
 
+// extend begins the retention of a section anew if the section wasn't known to be current for
+// too long before, for example because the store failed again after it was restored. Other
+// processes couldn't write their members again meanwhile. It does nothing if a peer has settled
+// the section.
+func (r retention) extend(s Section, gap time.Duration) {
+	if until, ok := r.until[s]; ok && !until.IsZero() && gap > maxRetentionGap {
+		r.until[s] = time.Now().Add(retentionTime)
+	}
+}
+
 // beginEra records that a section has got to a later era, or that it is known for the first
 // time, in an era above 0, which may have begun just before. The caller holds the lock.
 func (b *Board) beginEra(s Section) {
@@ -148,27 +162,54 @@
 		m.dropRetained(old)
 		return
 	}
+	for _, stored := range d.Stored {
+		m.keepStored(stored, d)
+	}
 	for name, known := range old.ByName {
-		if known.Revision.Era() >= d.To.Era() || slices.Contains(d.Gone, name) {
+		shown, ok := m.ByName[name]
+		isRetainedByPeer := ok && shown.Revision.Era() < d.To.Era()
+		if known.Revision.Era() >= d.To.Era() {
+			if isRetainedByPeer {
+				m.useStored(name) // this process has seen that the member was written in the era
+			}
 			continue
 		}
-		shown, ok := m.ByName[name]
-		if ok && old.isSuperseded(known, shown, d) {
+		if slices.Contains(d.Gone, name) || ok && old.isSuperseded(known, shown, d) {
 			continue
 		}
 		m.ByName[name] = known
-		if !ok || shown.Revision.Era() < d.To.Era() {
+		if !ok || isRetainedByPeer {
+			if _, ok := m.Stored[name]; ok {
+				continue // the peer knows what the store has
+			}
 			shown, ok = old.Stored[name]
 		}
-		if ok && shown.Revision.Era() == d.To.Era() {
-			if m.Stored == nil {
-				m.Stored = map[string]Member{}
-			}
-			m.Stored[name] = shown
+		if ok {
+			m.keepStored(shown, d)
 		}
 	}
 }
 
+// keepStored records what the store has of a retained member, if it is of the era of d.
+func (m *Members) keepStored(stored Member, d Delta) {
+	if stored.Revision.Era() != d.To.Era() {
+		return
+	}
+	if m.Stored == nil {
+		m.Stored = map[string]Member{}
+	}
+	m.Stored[stored.Name] = stored
+}
+
+// useStored puts what the store has of a retained member, if anything, in its place.
+func (m *Members) useStored(name string) {
+	delete(m.ByName, name)
+	if stored, ok := m.Stored[name]; ok {
+		m.ByName[name] = stored
+		delete(m.Stored, name)
+	}
+}
+
 // dropRetained leaves the members as the store has them.
 func (m *Members) dropRetained(old Members) {
 	for name := range m.ByName {
