Settle an old era of the store at once in processes that start

A process that starts in an era above 0 could not know whether the era had begun just before. It withheld the confirmation of the members for 10 s. After a power cut of all hosts no peer had settled the era, and callers waited that long for the resets of flows that were gone.

Each member now names the era in which it was written and when that era was first seen. A starting process settles the members at once if more than half of the members written in the current era name a time at least 15 s ago: the 10 s of the retention, and 5 s for clocks that differ. It then writes the time that it found, so that the age outlasts restarts. Both fields are absent in era 0.

A member written in the new era also takes the place of one of an earlier era at whichever position. It now differs from the earlier one in the era, so that the comparison of contents no longer shows that it was written again.

Ruled out: - One member as evidence, whatever others name. One wrong clock would decide, and processes that start would pass its time on. - Evidence in a process that has seen the change of era. An agent that was partitioned together with it may not have written its member again yet. - A write by each process for the new fields. The announcer ignores them when it compares, so members that the copy has are not written again.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -230,6 +230,7 @@
 		// Rounded up: rounded down, it would name a time before the store held the member.
 		m.StoredMS = a.storedSince.Add(time.Millisecond - 1).UnixMilli()
 	}
+	m.Era, m.EraSeenMS = a.board.EraSeen()
 	a.mu.Unlock()
 	revision, err := m.Revision, error(nil)
 	if !withdrawn {
--- a/internal/control/follow/announceview.go
+++ b/internal/control/follow/announceview.go
@@ -85,6 +85,8 @@
 	a.Revision, b.Revision = 0, 0
 	a.CreatedMS, b.CreatedMS = 0, 0
 	a.StoredMS, b.StoredMS = 0, 0
+	a.Era, b.Era = 0, 0
+	a.EraSeenMS, b.EraSeenMS = 0, 0
 	return a == b
 }
 
--- a/internal/control/follow/era_test.go
+++ b/internal/control/follow/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -55,6 +56,15 @@
 	h.fleet.put(view.MembersSection, follow.Change{Name: m.Name, Member: &m})
 }
 
+// restart starts the processes of hosts with empty boards, after the fleet has stopped.
+func (fl *fleet) restart(hosts []*host) {
+	fl.ctx, fl.cancel = context.WithCancel(context.Background())
+	for _, h := range hosts {
+		h.board = view.NewBoard()
+		h.start()
+	}
+}
+
 // calls returns the number of calls of the store by all hosts.
 func calls(hosts []*host) int {
 	count := 0
@@ -190,6 +200,81 @@
 	is.Equal(later, since)
 }
 
+// Guards against callers that wait for resets after a power cut of all hosts, because no process
+// is left that knows the era to be old, and against resets if it is young.
+func TestMembersAreCompleteSoonAfterAPowerCut(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		age      time.Duration // of the era at the power cut
+		complete bool
+	}{{"old", 30 * time.Second, true}, {"young", 5 * time.Second, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fl := newFleet()
+				hosts := fl.addDomains([]int{3, 2})
+				time.Sleep(5 * time.Second)
+				fl.restore(0)
+				time.Sleep(c.age - time.Second)
+				written := hosts[1]
+				written.member.Era, written.member.EraSeenMS = written.board.EraSeen()
+				written.write()
+				time.Sleep(time.Second)
+				fl.stop()
+				fl.restart(hosts)
+				defer fl.stop()
+				time.Sleep(time.Second)
+				for _, h := range hosts {
+					v, confirmed := h.board.Snapshot()
+					is.Equal(v.Members.Revision.Era(), int64(1))
+					is.Equal(!confirmed.Members.IsZero(), c.complete)
+					era, seenMS := h.board.EraSeen()
+					is.Equal(era, int64(1))
+					is.Equal(seenMS == written.member.EraSeenMS, c.complete)
+				}
+				time.Sleep(13 * time.Second)
+				for _, h := range hosts {
+					_, confirmed := h.board.Snapshot()
+					is.True(time.Since(confirmed.Members) < 3*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a member that doesn't tell processes that start how old the era is, and against
+// a write by each process because of the fields alone, in a new era or after a restart.
+func TestMembersTellTheAgeOfTheEra(t *testing.T) {
+	is := is.New(t)
+	server := newStore(t)
+	server.NameEra()
+	a, board := newAnnouncer(t, server)
+	balancer := agentMember // one write suffices for its member
+	balancer.Role = view.BalancerRole
+	waitSynced(t, a.Set(balancer))
+	is.True(!strings.Contains(server.Member("agent-1"), "Era")) // as before in era 0
+	before := server.Member("agent-1")
+	server.Restore(server.Copy())
+	start := time.Now().UnixMilli()
+	applyListing(t, server, board)
+	eventually(t, "member of the new era", func() bool { return a.Revision().Era() == 1 })
+	time.Sleep(3 * time.Second)
+	is.Equal(server.Member("agent-1"), before) // the copy has it, so it isn't written
+
+	changed := balancer
+	changed.Domain = "c"
+	waitSynced(t, a.Set(changed))
+	var m view.Member
+	is.NoErr(json.Unmarshal([]byte(server.Member("agent-1")), &m))
+	is.Equal(m.Era, int64(1))
+	is.True(m.EraSeenMS >= start && m.EraSeenMS <= start+1000)
+	written := server.Member("agent-1")
+	restarted, _ := newAnnouncer(t, server)
+	waitSynced(t, restarted.Set(changed))
+	time.Sleep(3 * time.Second)
+	is.Equal(server.Member("agent-1"), written)
+}
+
 // Guards against an agent that counts as known although it writes its member so late in the new
 // era that balancers no longer retain it.
 func TestMemberWrittenLateInANewEraCountsAsNew(t *testing.T) {
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -59,7 +59,13 @@
 	// the order in which they were applied.
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.apply(d)
+	if !b.apply(d) {
+		return false
+	}
+	if d.Section == MembersSection {
+		b.settleOldEra()
+	}
+	return true
 }
 
 // apply is Apply for a caller that holds the lock.
@@ -71,7 +77,7 @@
 		return false
 	}
 	if d.To.Era() > known.Era() {
-		b.beginEra(d.Section)
+		b.beginEra(d.Section, known == 0)
 	}
 	if d.Full {
 		b.recentDeltas[d.Section] = nil
--- a/internal/control/view/retention.go
+++ b/internal/control/view/retention.go
@@ -10,6 +10,11 @@
 // the store may be down for some seconds, and calls are retried every 0.5 s.
 const retentionTime = 10 * time.Second
 
+// maxClockError is by how much the clocks of two processes are assumed to differ at most. One
+// that starts takes an era for old only if it was first seen longer ago than retentionTime and
+// this.
+const maxClockError = 5 * time.Second
+
 // retention is what a board keeps about the era of the store. An era begins when the store is
 // restored from a copy, so that its first listings lack what was written after the copy.
 type retention struct {
@@ -20,21 +25,82 @@
 	completeAt confirmation // of the members, before they became incomplete
 	// notBefore is the last confirmation of the members in the era before.
 	notBefore confirmation
+
+	// The following are about the era of the members.
+	seenAt    time.Time // when this process first saw it
+	seenMS    int64     // when others first saw it, see settleOldEra; 0 if seenAt counts
+	seenFirst bool      // this process knows no earlier one
 }
 
 // beginEra records that a section has got to a later era, or that it is known for the first
-// time, in an era above 0, which may have begun just before. The caller holds the lock.
-func (b *Board) beginEra(s Section) {
+// time (isFirst), in an era above 0, which may have begun just before. The caller holds the lock.
+func (b *Board) beginEra(s Section, isFirst bool) {
 	b.retention.until[s] = time.Now().Add(retentionTime)
 	if s != MembersSection {
 		return
 	}
+	b.retention.seenAt, b.retention.seenMS, b.retention.seenFirst = time.Now(), 0, isFirst
 	if !b.retention.incomplete {
 		b.retention.incomplete, b.retention.completeAt = true, b.confirmedAt[s]
 	}
 	b.retention.notBefore = b.confirmedAt[s]
 }
 
+// settleOldEra settles the members at a process that starts, if they show that the era began
+// long ago: nothing that runs is missing then. Without this, callers would wait up to
+// retentionTime for the resets of their flows after each power cut of all hosts.
+//
+// Only members that were written in the era count. The copy from which the store was restored
+// holds none of them. More than half of those must agree, so that one process whose clock is
+// wrong doesn't decide while others contradict it. The caller holds the lock.
+func (b *Board) settleOldEra() {
+	if !b.retention.incomplete || !b.retention.seenFirst {
+		return
+	}
+	seenMS := b.view.Get().Members.eraSeenMS()
+	if seenMS <= 0 || time.Since(time.UnixMilli(seenMS)) < retentionTime+maxClockError {
+		return
+	}
+	b.retention.seenMS = seenMS
+	b.retention.until[MembersSection] = time.Time{}
+	b.settle(MembersSection)
+}
+
+// eraSeenMS returns the earliest time such that more than half of the members written in the
+// current era name it or an earlier one as Member.EraSeenMS, 0 if none was written in it.
+func (m Members) eraSeenMS() int64 {
+	era := m.Revision.Era()
+	var seen []int64
+	for _, member := range m.ByName {
+		if era > 0 && member.Era == era && member.Revision.Era() == era && member.EraSeenMS > 0 {
+			seen = append(seen, member.EraSeenMS)
+		}
+	}
+	if len(seen) == 0 {
+		return 0
+	}
+	slices.Sort(seen)
+	return seen[len(seen)/2]
+}
+
+// EraSeen returns the era of the members and when it was first seen, in Unix milliseconds, for
+// Member.Era and Member.EraSeenMS. That is when this process first saw it, by its present
+// clock. If the members showed at its start that the era was old, it is the time that they
+// named, so that it outlasts restarts. Both are 0 in era 0.
+func (b *Board) EraSeen() (era, seenMS int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	era = b.view.Get().Members.Revision.Era()
+	switch {
+	case era == 0:
+		return 0, 0
+	case b.retention.seenMS > 0:
+		return era, b.retention.seenMS
+	}
+	// The steady clock tells how long ago that was, also if the clock was set meanwhile.
+	return era, time.Now().Add(-time.Since(b.retention.seenAt)).UnixMilli()
+}
+
 // settle gives up what is retained of a section. The caller holds the lock.
 func (b *Board) settle(s Section) {
 	if s == MembersSection {
@@ -193,6 +259,8 @@
 		return shown.Revision > known.Revision // a peer retains it
 	case same == known:
 		return true
+	case shown.Era == d.To.Era():
+		return true // it was written in this era, at whichever position
 	case m.Revision.Era() == d.To.Era():
 		// The first listing of the era showed it as in Stored, or not at all.
 		return !isStored || stored.Revision.Era() < d.To.Era() || shown.Revision > stored.Revision
--- a/internal/control/view/retention_test.go
+++ b/internal/control/view/retention_test.go
@@ -246,3 +246,118 @@
 	follower.Apply(full(at(5, 10), configuration(5)))
 	is.Equal(follower.View().Configuration.Version, int64(6))
 }
+
+// writtenMember returns a member that names an era and how long ago it was first seen, 0 if it
+// names no time. Its revision is of era 4.
+func writtenMember(name string, era int64, age time.Duration) Member {
+	m := Member{Name: name, Revision: at(4, 10), Era: era}
+	if age != 0 {
+		m.EraSeenMS = time.Now().Add(-age).UnixMilli()
+	}
+	return m
+}
+
+// Guards against a process that starts in an old era, as after a power cut of all hosts, and
+// resets no flow for 10 s, and against one that starts in a young era and resets those of an
+// agent whose member the copy lacks.
+func TestOldEraIsSettledAtStart(t *testing.T) {
+	const old, young = time.Hour, 12 * time.Second // clocks may differ by 5 s
+	for _, c := range []struct {
+		name    string
+		members []Member
+		settled bool
+	}{
+		{"no members", nil, false},
+		{"members of the copy", []Member{writtenMember("a", 3, old), writtenMember("b", 3, old)}, false},
+		{"members of an earlier version", []Member{writtenMember("a", 0, 0), writtenMember("b", 0, 0)}, false},
+		{"an era without a time", []Member{writtenMember("a", 4, 0)}, false},
+		{"a time without an era", []Member{writtenMember("a", 0, old)}, false},
+		{"a young era", []Member{writtenMember("a", 4, young), writtenMember("b", 3, old)}, false},
+		{"a time in the future", []Member{writtenMember("a", 4, -old)}, false},
+		{"a time below 0", []Member{{Name: "a", Revision: at(4, 10), Era: 4, EraSeenMS: -1}}, false},
+		{"the last time of all", []Member{{Name: "a", Revision: at(4, 10), Era: 4, EraSeenMS: 1<<63 - 1}}, false},
+		{"an era above the current one", []Member{writtenMember("a", 5, old)}, false},
+		{"one wrong clock of two", []Member{writtenMember("a", 4, old), writtenMember("b", 4, young)}, false},
+		{"one wrong clock of three", []Member{writtenMember("a", 4, old), writtenMember("b", 4, young), writtenMember("c", 4, young)}, false},
+		{"an old era", []Member{writtenMember("a", 4, old)}, true},
+		{"an old era among members of the copy", []Member{writtenMember("a", 3, 2*old), writtenMember("b", 4, old), writtenMember("c", 0, 0)}, true},
+		{"an old era and one clock ahead", []Member{writtenMember("a", 4, old), writtenMember("b", 4, old), writtenMember("c", 4, -old)}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, m := range c.members {
+				is.Equal(m.Revision.Era(), int64(4))
+			}
+			b := NewBoard()
+			b.Apply(Delta{Section: MembersSection, To: at(4, 30), Full: true, Members: c.members})
+			now := time.Now()
+			b.ConfirmInEra(MembersSection, 4, now)
+			_, confirmed := b.Snapshot()
+			is.Equal(confirmed.Members.Equal(now), c.settled)
+			is.Equal(b.ChangesSince(nil).MembersIncomplete, !c.settled)
+		})
+	}
+}
+
+// Guards against a process that has seen a change of era and gives up what it retains by the
+// times that members name: an agent that was partitioned with it hasn't been heard of yet.
+func TestObservedChangeOfEraIsNotSettledByMembers(t *testing.T) {
+	is := is.New(t)
+	b := boardInEra3()
+	b.Apply(Delta{Section: MembersSection, To: at(4, 30), Full: true, Members: []Member{writtenMember("a", 4, time.Hour)}})
+	b.ConfirmInEra(MembersSection, 4, time.Now())
+	is.Equal(names(b), []string{"a", "b"})
+	is.True(b.ChangesSince(nil).MembersIncomplete)
+}
+
+// Guards against an era that counts as young again after each restart, against a new era that
+// counts as old as the one before, and against new fields in members of a store without eras.
+func TestEraSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := NewBoard()
+		b.Apply(Delta{Section: MembersSection, To: NewRevision(0, 20), Full: true})
+		era, seenMS := b.EraSeen()
+		is.Equal(era, int64(0))
+		is.Equal(seenMS, int64(0))
+		b.Apply(Delta{Section: MembersSection, To: at(3, 30), Full: true})
+		first := time.Now()
+		time.Sleep(time.Minute)
+		era, seenMS = b.EraSeen()
+		is.Equal(era, int64(3))
+		is.Equal(seenMS, first.UnixMilli())
+		b.Apply(Delta{Section: MembersSection, To: at(4, 30), Full: true})
+		era, seenMS = b.EraSeen()
+		is.Equal(era, int64(4))
+		is.Equal(seenMS, time.Now().UnixMilli())
+
+		restarted := NewBoard()
+		restarted.Apply(Delta{Section: MembersSection, To: at(4, 30), Full: true, Members: []Member{
+			writtenMember("a", 4, time.Hour), writtenMember("b", 4, 2*time.Hour), writtenMember("c", 4, time.Second),
+		}})
+		_, seenMS = restarted.EraSeen()
+		is.Equal(seenMS, time.Now().Add(-time.Hour).UnixMilli())
+		// The next era is as young as it is.
+		restarted.Apply(Delta{Section: MembersSection, To: at(5, 20), Full: true})
+		_, seenMS = restarted.EraSeen()
+		is.Equal(seenMS, time.Now().UnixMilli())
+
+		young := NewBoard()
+		young.Apply(Delta{Section: MembersSection, To: at(4, 30), Full: true, Members: []Member{writtenMember("a", 4, time.Second)}})
+		_, seenMS = young.EraSeen()
+		is.Equal(seenMS, time.Now().UnixMilli())
+	})
+}
+
+// Guards against a member that was written again in the new era before this process listed it,
+// and that is retained in its earlier state for 10 s because it differs in the era alone or
+// because the new position is lower.
+func TestMemberWrittenInTheNewEraIsNotRetained(t *testing.T) {
+	for _, position := range []int64{25, 40, 45} {
+		is := is.New(t)
+		b := boardInEra3()
+		shown := Member{Name: "b", Slots: 40, Revision: at(4, position), Era: 4, EraSeenMS: time.Now().UnixMilli()}
+		b.Apply(Delta{Section: MembersSection, To: at(4, 50), Full: true, Members: []Member{shown}})
+		is.Equal(b.View().Members.ByName["b"], shown)
+	}
+}
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -126,6 +126,11 @@
 	// runs on, so that a new process of the agent follows. The new process clears it
 	// with the first report of the backend server.
 	Restarting bool `json:",omitempty"`
+	// Era is the era of the store in which the object was written, 0 in era 0 or if unknown.
+	Era int64 `json:",omitempty"`
+	// EraSeenMS is when Era was first seen, in Unix milliseconds of the writer's clock, or of
+	// an earlier writer's; 0 if unknown. See Board.EraSeen.
+	EraSeenMS int64 `json:",omitempty"`
 	// Revision is that of the member's object in the store.
 	Revision Revision
 }
