Treat the first era as old when the whole system starts for the first time

With bootstrap=true no store can have lost a member before the process sees the first ones. A change of era after that is handled as in every process.

Ruled out: the absence of members as the sign of a first start. A copy may lack all of them.

--- a/internal/control/follow/era_test.go
+++ b/internal/control/follow/era_test.go
@@ -242,6 +242,30 @@
 	}
 }
 
+// Guards against resets that wait when the whole system starts for the first time with a store
+// that was restored before, and against a restore after that in which they don't wait.
+func TestFirstStartNeedsNoRetention(t *testing.T) {
+	for _, firstStart := range []bool{true, false} {
+		is := is.New(t)
+		server := newStore(t)
+		server.NameEra()
+		server.SetConfiguration(1)
+		server.Restore(server.Copy())
+		store, board := connect(t, server.Address()), view.NewBoard()
+		f := follow.New(follow.Options{
+			Name: "agent-1", Role: view.AgentRole, Store: store, Board: board, Logger: event.Discard(), FirstStart: firstStart,
+		})
+		runInBackground(t, f.Run)
+		eventually(t, "members", func() bool { return !board.SectionConfirmedAt(view.MembersSection).IsZero() })
+		_, confirmed := board.Snapshot()
+		is.Equal(!confirmed.Members.IsZero(), firstStart)
+		server.Restore(server.Copy())
+		eventually(t, "second era", func() bool { return board.View().Members.Revision.Era() == 2 })
+		time.Sleep(50 * time.Millisecond) // the listing is confirmed
+		is.True(board.ChangesSince(nil).MembersIncomplete)
+	}
+}
+
 // Guards against a member that doesn't tell processes that start how old the era is, and against
 // a write by each process because of the fields alone, in a new era or after a restart.
 func TestMembersTellTheAgeOfTheEra(t *testing.T) {
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -59,7 +59,7 @@
 	Seeds []netip.AddrPort
 	// FirstStart is set when the whole system starts for the first time: the
 	// process polls the seeds before it calls the store, which delays no traffic
-	// because there is none yet.
+	// because there is none yet. The era of the store that it sees first counts as old.
 	FirstStart bool
 	// Dial opens connections to peers, by TCP if nil.
 	Dial DialFunc
@@ -92,6 +92,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	conns := newPeerConns(f.opts.Dial)
 	defer conns.closeAll()
+	if f.opts.FirstStart {
+		f.opts.Board.SetFirstStart()
+	}
 	if f.opts.FirstStart && !f.isSeed() {
 		f.pollSeeds(ctx, conns)
 	}
--- a/internal/control/view/retention.go
+++ b/internal/control/view/retention.go
@@ -30,6 +30,8 @@
 	seenAt    time.Time // when this process first saw it
 	seenMS    int64     // when others first saw it, see settleOldEra; 0 if seenAt counts
 	seenFirst bool      // this process knows no earlier one
+	// nothingLost is set if the era that this process sees first can't have lost anything.
+	nothingLost bool
 }
 
 // beginEra records that a section has got to a later era, or that it is known for the first
@@ -40,12 +42,24 @@
 		return
 	}
 	b.retention.seenAt, b.retention.seenMS, b.retention.seenFirst = time.Now(), 0, isFirst
+	if isFirst && b.retention.nothingLost {
+		return
+	}
 	if !b.retention.incomplete {
 		b.retention.incomplete, b.retention.completeAt = true, b.confirmedAt[s]
 	}
 	b.retention.notBefore = b.confirmedAt[s]
 }
 
+// SetFirstStart records that the whole system starts for the first time: no store can have lost
+// members of it before this process has seen the first ones. It must be called before the
+// first call of Apply, if at all.
+func (b *Board) SetFirstStart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retention.nothingLost = true
+}
+
 // settleOldEra settles the members at a process that starts, if they show that the era began
 // long ago: nothing that runs is missing then. Without this, callers would wait up to
 // retentionTime for the resets of their flows after each power cut of all hosts.
