--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -162,9 +162,9 @@
 // time.
 func (b *Board) Confirm(s Section, at time.Time) { b.ConfirmInEra(s, b.View().Revision(s).Era(), at) }
 
-// ConfirmInEra is Confirm by a response of the store, or of a peer whose members may lack
-// some. It does nothing if the section is of another era than the response, which then tells
-// nothing of it.
+// ConfirmInEra records that a section was known to be current at the given time, by a response of
+// an era of the store or of a peer. It does nothing if the section is of another era than the
+// response.
 func (b *Board) ConfirmInEra(s Section, era int64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/control/view/retention.go
+++ b/internal/control/view/retention.go
@@ -22,7 +22,9 @@
 // retention is what a board keeps about the era of the store. An era begins when the store is
 // restored from a copy, so that its first listings lack what was written after the copy.
 type retention struct {
-	until map[Section]time.Time // when the section is settled, the zero time in era 0
+	// until is when the section is settled: what is retained is given up. It is the zero time if a
+	// peer, or the members, have shown that the era is old; there is no entry in era 0.
+	until map[Section]time.Time
 	// incomplete is set while the members may lack some that run. This is so after any change
 	// of era, also if none is retained: this process needn't have known all members.
 	incomplete bool
