Name the flags of lookups and the two budgets for what they mean

Lookup flags, the retry budget and the link budget get distinct names, the refusal of an opening is checked by WasRefused, and linkbudget's refresh is split by what it computes. No change of behaviour.

--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -78,11 +78,11 @@
 	routes   map[netip.AddrPort]view.Route
 	offers   map[uint32]offer
 	lastMark uint32
-	// offeredAt holds when packets of unknown flows were last offered to the backend server.
-	offeredAt map[flow.Key]time.Time
-	denied    map[flow.Key]struct{} // flows that the backend server doesn't hold, learned from offers
-	stopping  bool
-	sweptAt   time.Time
+	// lastOffers holds, by unknown flow, when a packet was last offered to the backend server.
+	lastOffers map[flow.Key]time.Time
+	denied     map[flow.Key]struct{} // flows that the backend server doesn't hold, learned from offers
+	stopping   bool
+	sweptAt    time.Time
 
 	// maybeOpened holds the flows that were being opened when the handover was written, and
 	// until when their packets are offered to the backend server.
@@ -232,7 +232,7 @@
 			delete(g.offers, mark)
 		}
 	}
-	maps.DeleteFunc(g.offeredAt, func(_ flow.Key, at time.Time) bool { return now.Sub(at) >= offerMemory })
+	maps.DeleteFunc(g.lastOffers, func(_ flow.Key, at time.Time) bool { return now.Sub(at) >= offerReportTime })
 	maps.DeleteFunc(g.maybeOpened, func(_ flow.Key, until time.Time) bool { return !now.Before(until) })
 	return g.flows.sweep(now, g.backend.idleTimeout, g.routes)
 }
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -211,7 +211,7 @@
 	is.True(!ask(start, true).Message.Offered)
 	is.Equal(ask(start, false).Verdict, Deliver)
 	is.True(ask(start.Add(time.Second), true).Message.Offered)
-	is.True(!ask(start.Add(offerMemory), true).Message.Offered)
-	g.Tick(start.Add(offerMemory))
-	is.Equal(len(g.offeredAt), 0)
+	is.True(!ask(start.Add(offerReportTime), true).Message.Offered)
+	g.Tick(start.Add(offerReportTime))
+	is.Equal(len(g.lastOffers), 0)
 }
--- a/internal/flowpath/flowgate/offer.go
+++ b/internal/flowpath/flowgate/offer.go
@@ -22,9 +22,9 @@
 	connAttemptInterval = 2 * time.Second
 	// maxOffers is the maximum number of offered packets that are remembered.
 	maxOffers = 4096
-	// offerMemory is how long an agent reports that it has offered packets of a flow. It is the
-	// time in which balancers limit the offers of a flow, flowsteer's offerWindow.
-	offerMemory = 2500 * time.Millisecond
+	// offerReportTime is how long an agent reports that it has offered a packet of a flow. It
+	// equals flowsteer's offerWindow, in which balancers limit the offers of a flow.
+	offerReportTime = 2500 * time.Millisecond
 	// maxDenied is the maximum number of flows that are remembered as not held.
 	maxDenied = 1 << 16
 )
@@ -50,7 +50,7 @@
 // must not get many packets of a flow. The answer says if such a packet was offered lately,
 // so that a balancer also takes the offers that others have caused into account.
 func (g *Gate) unknownFlow(now time.Time, m *hop.Message, key flow.Key) Action {
-	if at, ok := g.offeredAt[key]; ok && now.Sub(at) < offerMemory {
+	if at, ok := g.lastOffers[key]; ok && now.Sub(at) < offerReportTime {
 		m.Offered = true
 	}
 	_, denied := g.denied[key]
@@ -62,8 +62,8 @@
 		return g.passOn(m, key, errkind.PacketNoHolder)
 	}
 	g.backend.noteOffer(now)
-	if len(g.offeredAt) < maxOffers {
-		g.offeredAt[key] = now
+	if len(g.lastOffers) < maxOffers {
+		g.lastOffers[key] = now
 	}
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, slices.Clone(m.Packet)), Key: key, LookupFrom: m.Balancer}
 }
--- a/internal/flowpath/flowgate/options.go
+++ b/internal/flowpath/flowgate/options.go
@@ -37,7 +37,7 @@
 		offers:   map[uint32]offer{},
 		denied:   map[flow.Key]struct{}{},
 
-		offeredAt:   map[flow.Key]time.Time{},
+		lastOffers:  map[flow.Key]time.Time{},
 		maybeOpened: map[flow.Key]time.Time{},
 	}
 	g.backend.handoverPending = o.HandoverPending
--- a/internal/flowpath/flowsteer/lookup.go
+++ b/internal/flowpath/flowsteer/lookup.go
@@ -53,8 +53,8 @@
 // the first list, which usually contains the holder, are first asked whether they know
 // the flow. When none does, those that may hold it without knowing it offer the packet to
 // their backend servers; see offersAllowed.
-// A balancer with a narrow link asks by queries for a packet with data, and forwards it to the
-// agent that holds the flow.
+// For a packet with data, a balancer with a narrow link sends queries in place of the packet,
+// and forwards the packet to the agent that holds the flow.
 // An acknowledgement is never offered: its loss is made good by a retransmission, and
 // nothing shows which backend server took it.
 type lookup struct {
@@ -65,18 +65,21 @@
 	likely         []netip.AddrPort // agents to which the opening of the flow went first, the likeliest holder first
 	packet         flow.Packet
 	raw            []byte           // the encoding of packet
-	query          bool             // agents are asked by the header of packet; see Options.narrow
-	asked          bool             // agents were asked for packet
-	unsent         bool             // packet was not sent yet or, if agents are asked by queries, only offered
-	replaced       bool             // packet replaced an earlier one and agents were not asked for it yet
-	offeredTo      []netip.AddrPort // agents that were asked to offer packet
+	usesQueries    bool             // agents get queries, with the header of packet only; see Options.narrow
+	isSent         bool             // packet, or a query for it, was sent to agents
+	needsForward   bool             // packet was sent to no agent but offeredTo: the holder gets it when it is known
+	offeredTo      []netip.AddrPort // agents that got packet to offer it to their backend servers
 	waitingPackets [][]byte         // further packets of the flow
-	startedAt      time.Time
-	lastSentAt     time.Time // when agents were asked last
-	overdue        bool      // hellos were requested since because agents have not answered in time
-	retries        int       // rounds sent after the first lookup
-	deniedByAll    bool      // all agents have denied the flow once
-	retryAt        time.Time // when to retry, zero while answers are awaited
+	// replacedSinceRound is set if packet replaced an earlier one after the last round was sent.
+	replacedSinceRound bool
+	startedAt          time.Time
+	lastSentAt         time.Time // when agents were asked last
+	// hellosRequested is set if hellos were requested since lastSentAt, because agents have not
+	// answered in time.
+	hellosRequested bool
+	retries         int       // rounds sent after the first lookup
+	deniedByAll     bool      // all agents have denied the flow once
+	retryAt         time.Time // when to retry, zero while answers are awaited
 }
 
 // findHolder starts a lookup of the agent that holds a packet's flow. If one is
@@ -84,10 +87,10 @@
 func (s *Steerer) findHolder(now time.Time, key flow.Key, p flow.Packet, raw []byte) Action {
 	if l := s.lookups[key]; l != nil {
 		if !callsForAnswer(l.packet) && callsForAnswer(p) {
-			l.replacePacket(now, p, raw, s.asksByQuery(p))
+			l.replacePacket(now, p, raw, s.usesQueries(p))
 			return Action{Verdict: Keep, Packet: p}
 		}
-		if l.query && l.keeps(raw) {
+		if l.usesQueries && l.isKept(raw) {
 			if bytes.Equal(l.raw, raw) {
 				l.offeredTo = nil // the offers may be lost: the holder gets the retransmission
 			}
@@ -104,8 +107,8 @@
 		return noHolderAction(Drop, p)
 	}
 	l := &lookup{packet: p, raw: slices.Clone(raw), startedAt: now}
-	l.query = s.asksByQuery(p)
-	l.unsent = l.query // until the holder is known
+	l.usesQueries = s.usesQueries(p)
+	l.needsForward = l.usesQueries // until the holder is known
 	l.order, l.likely = s.agents.rankForLookup(key.Hash(), s.targets(p.To)), s.agents.likelyHolders(key.Hash(), s.targets(p.To))
 	if len(l.order) == 0 {
 		return noHolderAction(Drop, p)
@@ -113,7 +116,7 @@
 	s.lookups[key] = l
 	list := l.order[:min(len(l.order), hop.MaxCandidates)]
 	l.next, l.lastSentAt = len(list), now
-	return s.askForKnowledge(now, key, list, l)
+	return s.sendKnownOnly(now, key, list, l)
 }
 
 // endLookup removes the lookup of a flow, if there is one, with its packets.
@@ -124,12 +127,13 @@
 	}
 }
 
-// asksByQuery reports whether agents are asked for the flow of a packet by its header: the
-// data then passes a narrow link of this balancer once, when the holder is known.
-func (s *Steerer) asksByQuery(p flow.Packet) bool { return s.options.narrow() && p.Length > 0 }
+// usesQueries reports whether a lookup of the flow of p sends queries, with the header of p
+// only. The data then passes the narrow link once, when the holder is known.
+func (s *Steerer) usesQueries(p flow.Packet) bool { return s.options.narrow() && p.Length > 0 }
 
-// keeps reports whether a packet is kept already. Its caller has retransmitted it.
-func (l *lookup) keeps(raw []byte) bool {
+// isKept reports whether the lookup already has a packet, which its caller then has
+// retransmitted.
+func (l *lookup) isKept(raw []byte) bool {
 	return bytes.Equal(l.raw, raw) || slices.ContainsFunc(l.waitingPackets, func(kept []byte) bool { return bytes.Equal(kept, raw) })
 }
 
@@ -140,17 +144,17 @@
 
 // replacePacket makes the lookup send another packet of its flow, with the next
 // timer. The earlier denials still hold.
-func (l *lookup) replacePacket(now time.Time, p flow.Packet, raw []byte, query bool) {
-	l.query = query
-	l.packet, l.raw, l.unsent, l.replaced, l.asked = p, slices.Clone(raw), true, true, false
+func (l *lookup) replacePacket(now time.Time, p flow.Packet, raw []byte, usesQueries bool) {
+	l.usesQueries = usesQueries
+	l.packet, l.raw, l.needsForward, l.replacedSinceRound, l.isSent = p, slices.Clone(raw), true, true, false
 	l.startedAt, l.retryAt, l.retries = now, now, 0
 }
 
-// askNextAgents sends the packet of a lookup to the agents that were not asked yet, in
-// up to the given number of candidate lists of the given length.
-func (s *Steerer) askNextAgents(now time.Time, key flow.Key, l *lookup, lists, length int) []Action {
-	l.lastSentAt, l.retryAt, l.unsent, l.replaced = now, time.Time{}, l.query, false
-	l.overdue = false
+// sendNextLists sends the packet of a lookup, or a query for it, to the agents that have not
+// got it in this round, in up to the given number of candidate lists of the given length.
+func (s *Steerer) sendNextLists(now time.Time, key flow.Key, l *lookup, lists, length int) []Action {
+	l.lastSentAt, l.retryAt, l.needsForward, l.replacedSinceRound = now, time.Time{}, l.usesQueries, false
+	l.hellosRequested = false
 	var due []Action
 	for range lists {
 		if l.next == len(l.order) {
@@ -158,22 +162,23 @@
 		}
 		list := l.order[l.next:min(len(l.order), l.next+length)]
 		l.next += len(list)
-		due = append(due, s.askForKnowledge(now, key, list, l))
+		due = append(due, s.sendKnownOnly(now, key, list, l))
 	}
 	return due
 }
 
-// askForKnowledge sends the packet of a lookup, or a query for it, to agents that deliver it only if they know
-// its flow.
-func (s *Steerer) askForKnowledge(now time.Time, key flow.Key, list []netip.AddrPort, l *lookup) Action {
+// sendKnownOnly returns the action that sends the packet of a lookup, or a query for it, to the
+// agents of a list. Those that don't know the flow don't offer the packet to their backend
+// servers.
+func (s *Steerer) sendKnownOnly(now time.Time, key flow.Key, list []netip.AddrPort, l *lookup) Action {
 	a := s.forward(list, 0, true, l.raw)
-	a.Message.KnownOnly, a.Message.Query, a.Message.Offered = true, l.query, s.wasOffered(now, key)
-	a.Repeated, l.asked = l.asked, true
+	a.Message.KnownOnly, a.Message.Query, a.Message.Offered = true, l.usesQueries, s.wasOffered(now, key)
+	a.Repeated, l.isSent = l.isSent, true
 	return a
 }
 
-// wasOffered reports whether agents were lately asked to offer packets of a flow to backend
-// servers that may not hold it.
+// wasOffered reports whether packets of a flow were lately sent to agents to be offered to
+// backend servers that may not hold it.
 func (s *Steerer) wasOffered(now time.Time, key flow.Key) bool {
 	return s.offers.left(now, key) < offerBudget
 }
@@ -203,7 +208,7 @@
 	case !allAnswered:
 		return nil
 	case l.next < len(l.order):
-		return s.askNextAgents(now, key, l, maxListsPerRound, hop.MaxCandidates)
+		return s.sendNextLists(now, key, l, maxListsPerRound, hop.MaxCandidates)
 	case len(l.unsure) > 0:
 		s.endLookup(key)
 		return []Action{noHolderAction(Drop, p)}
@@ -243,12 +248,12 @@
 	var due []Action
 	for list := range slices.Chunk(offering, hop.MaxCandidates) {
 		a := s.forward(list, 0, true, l.raw)
-		a.Repeated = !l.unsent || len(l.offeredTo) > 0
+		a.Repeated = !l.needsForward || len(l.offeredTo) > 0
 		l.offeredTo = append(l.offeredTo, list...)
 		due = append(due, a)
 	}
 	l.unsure = slices.DeleteFunc(l.unsure, func(agent netip.AddrPort) bool { return slices.Contains(offering, agent) })
-	l.lastSentAt, l.unsent = now, l.query
+	l.lastSentAt, l.needsForward = now, l.usesQueries
 	return due
 }
 
--- a/internal/flowpath/flowsteer/lookupretry.go
+++ b/internal/flowpath/flowsteer/lookupretry.go
@@ -25,8 +25,8 @@
 			due = append(due, noHolderAction(Drop, l.packet))
 		case !l.isDue(now) || (l.deniedByAll && !(allDecided && s.viewFresh(l))) || l.retries >= maxLookupRetries:
 		default:
-			if l.retryAt.IsZero() && !l.overdue {
-				l.overdue = true
+			if l.retryAt.IsZero() && !l.hellosRequested {
+				l.hellosRequested = true
 				s.requestUnansweredHellos(now, l)
 			}
 			due = append(due, s.retryLookup(now, key, l)...)
@@ -46,11 +46,11 @@
 	}
 }
 
-// retryLookup asks the agents that have not denied a flow, in lists as short as
-// possible: an agent that is down keeps those behind it in its list from being asked,
-// and the answers of those before it from being known. If the retry budget doesn't cover
-// these, it asks in fewer lists, the likeliest holders first. If it covers none, the lookup
-// waits.
+// retryLookup sends the lookup again to the agents that have not denied a flow, in lists as
+// short as possible: an agent that is down passes the message to none behind it in its list,
+// and the balancer gets no answer of those before it. If the retry budget doesn't cover these
+// lists, it sends fewer and longer ones, the likeliest holders first. If the budget covers
+// none, the lookup waits.
 func (s *Steerer) retryLookup(now time.Time, key flow.Key, l *lookup) []Action {
 	undenied := slices.DeleteFunc(s.agents.rankForLookup(key.Hash(), s.targets(l.packet.To)), func(agent netip.AddrPort) bool {
 		return slices.Contains(l.deniedBy, agent)
@@ -65,24 +65,24 @@
 	l.retries++
 	l.order, l.next, l.unsure = undenied, 0, nil
 	l.likely = s.agents.likelyHolders(key.Hash(), s.targets(l.packet.To))
-	return s.askNextAgents(now, key, l, lists, length)
+	return s.sendNextLists(now, key, l, lists, length)
 }
 
-// retryLists returns in how many lists of which length agents are asked in a retry, and takes
-// these from the retry budget. It returns 0 lists if the budget covers none.
+// retryLists returns the number and length of the candidate lists of a retry, and charges
+// them to the retry budget. It returns 0 lists if the budget covers none.
 func (s *Steerer) retryLists(now time.Time, l *lookup, agents int) (lists, length int) {
 	packetLen := len(l.raw)
-	if l.query {
+	if l.usesQueries {
 		packetLen = headerLen
 	}
 	length = min((agents+maxShortLists-1)/maxShortLists, hop.MaxCandidates)
 	for lists = min((agents+length-1)/length, maxListsPerRound); lists > 0; lists-- {
 		length = min(max(length, (agents+lists-1)/lists), hop.MaxCandidates)
-		if s.budget.spend(now, lists*hop.ForwardSize(length, packetLen)) {
+		if s.retryBudget.spend(now, lists*hop.ForwardSize(length, packetLen)) {
 			return lists, length
 		}
 	}
-	if l.replaced {
+	if l.replacedSinceRound {
 		return 1, hop.MaxCandidates // the caller has sent the packet just now
 	}
 	return 0, 0
--- a/internal/flowpath/flowsteer/narrow_test.go
+++ b/internal/flowpath/flowsteer/narrow_test.go
@@ -148,7 +148,7 @@
 	is := is.New(t)
 	s := linkedSteerer(20, narrowRate)
 	is.True(!s.FromCaller(start, callerPacket(1, flow.Ack), make([]byte, headerLen)).Message.Query) // nothing to save
-	s.budget.left = 0
+	s.retryBudget.left = 0
 	p, raw := dataPacket(1, 0)
 	is.Equal(s.FromCaller(start, p, raw).Verdict, Keep)
 	sent := forwardActions(s.Tick(start))
@@ -168,7 +168,7 @@
 		is.True(a.Verdict == Send && a.Message.Type == hop.Hello)
 	}
 	is.Equal(s.lookups[p.CallerKey()].retries, 0)
-	s.budget = retryBudget{perSecond: 200, left: 200, refilledAt: start.Add(lookupTimeout)}
+	s.retryBudget = retryBudget{perSecond: 200, left: 200, refilledAt: start.Add(lookupTimeout)}
 	likeliest := s.agents.rankForLookup(p.CallerKey().Hash(), s.targets(p.To))[:hop.MaxCandidates]
 	sent := forwardActions(s.Tick(start.Add(lookupTimeout)))
 	is.Equal(len(sent), 1)
@@ -255,11 +255,11 @@
 	is := is.New(t)
 	s := New(self, "a", Options{LinkRate: 125_000})
 	s.SetLinkRate(1_250_000)
-	s.budget.refill(start)
-	s.budget.refill(start.Add(time.Second))
+	s.retryBudget.refill(start)
+	s.retryBudget.refill(start.Add(time.Second))
 	is.Equal(s.RetryBudget(), int64(retryShare*1_250_000))
 	s.SetLinkRate(12.5e6)
-	is.True(s.budget.spend(start, 1<<30))
+	is.True(s.retryBudget.spend(start, 1<<30))
 }
 
 // Guards against a packet that its holder never gets: the offer to the holder was lost, and the
--- a/internal/flowpath/flowsteer/opening.go
+++ b/internal/flowpath/flowsteer/opening.go
@@ -35,7 +35,7 @@
 	unanswered []netip.AddrPort // first agents of the lists that were sent and not declined
 	lastAsked  netip.AddrPort
 	askedAt    time.Time
-	// repeated is set if the opening was repeated by the timer since the caller's last copy.
+	// repeated is set if retryOpenings has repeated the opening since the caller's last copy.
 	repeated bool
 	overdue  bool      // the last list was not answered within placementTimeout
 	sentAt   time.Time // when the caller sent the opening
@@ -77,8 +77,8 @@
 }
 
 // HasForwarded reports whether this balancer has lately forwarded an opening of a flow, or
-// knows its holder. The flow may be open then although its first opening comes only now, after
-// a copy or as a duplicate.
+// knows its holder. The flow may then be open already although an opening of age 0 arrives
+// only now: it was overtaken by a copy, or is a duplicate.
 func (s *Steerer) HasForwarded(now time.Time, key flow.Key) bool {
 	_, known := s.flows.get(key, now)
 	return known || s.openings[key] != nil
@@ -114,17 +114,17 @@
 		case (len(o.remaining) == 0 || narrow) && now.Sub(o.askedAt) >= openingRetention:
 			delete(s.openings, key) // the next copy from the caller starts over
 		case len(o.remaining) == 0 || (narrow && o.repeated):
-		case s.budget.spend(now, hop.ForwardSize(min(len(o.remaining), hop.MaxCandidates), len(o.raw))):
+		case s.retryBudget.spend(now, hop.ForwardSize(min(len(o.remaining), hop.MaxCandidates), len(o.raw))):
 			o.repeated = true
-			due = append(due, s.askAgain(now, o))
+			due = append(due, s.repeatOpening(now, o))
 		}
 	}
 	return due
 }
 
-// askAgain sends an opening that no caller's packet repeats to the candidates that were not
-// tried yet.
-func (s *Steerer) askAgain(now time.Time, o *opening) Action {
+// repeatOpening sends an opening to the candidates that were not tried yet, without a copy from
+// the caller.
+func (s *Steerer) repeatOpening(now time.Time, o *opening) Action {
 	a := s.askNext(now, o)
 	a.Repeated = true
 	return a
@@ -180,7 +180,7 @@
 	o.unanswered = slices.Delete(o.unanswered, list, list+1)
 	if len(o.remaining) >= hop.MaxCandidates {
 		o.remaining = o.remaining[hop.MaxCandidates-1:]
-		return s.askAgain(now, o)
+		return s.repeatOpening(now, o)
 	}
 	o.remaining = nil // the declined list ended with the last of them
 	if len(o.unanswered) > 0 {
--- a/internal/flowpath/flowsteer/options.go
+++ b/internal/flowpath/flowsteer/options.go
@@ -14,5 +14,5 @@
 // configured.
 func (s *Steerer) SetLinkRate(rate float64) {
 	s.options.LinkRate = rate
-	s.budget.setLinkRate(s.options)
+	s.retryBudget.setLinkRate(s.options)
 }
--- a/internal/flowpath/flowsteer/retrybudget.go
+++ b/internal/flowpath/flowsteer/retrybudget.go
@@ -18,7 +18,7 @@
 )
 
 // retryBudget limits the bytes of the messages that a balancer with a narrow link repeats by
-// its timers. Without a limit they keep a saturated link saturated, because the answers that
+// its timers. Without a limit the repeats saturate the link for as long as the answers that
 // would end them are lost. It is a token bucket that holds what it earns in a second from the
 // link rate.
 type retryBudget struct {
@@ -53,7 +53,7 @@
 
 func (b *retryBudget) add(earned float64) { b.left = min(b.left+earned, b.perSecond) }
 
-// spend takes a number of bytes from the budget, and reports whether it covers them.
+// spend reports whether the budget covers a number of bytes, and subtracts them if it does.
 func (b *retryBudget) spend(now time.Time, size int) bool {
 	if b.perSecond == 0 {
 		return true
--- a/internal/flowpath/flowsteer/steer.go
+++ b/internal/flowpath/flowsteer/steer.go
@@ -46,8 +46,8 @@
 	Packet  flow.Packet  // Reset: the packet that is answered; Send of Service: the opening
 	Kind    errkind.Kind // Reset, Drop, Keep: why; 0 for Keep while agents are being asked
 	Service string       // the service that the packet was meant for, if known
-	// Repeated is set for a Send on the balancer's own account whose packet, or query for
-	// the packet, went to agents before. A copy that a caller sends is no repeat.
+	// Repeated is set for a Send that the balancer itself causes and whose packet, or a query
+	// for it, was sent to agents before. Forwarding a copy that the caller sent is no repeat.
 	Repeated bool
 	Lookup   LookupResult // Reset, Keep of kind PacketNoHolder: what the lookup found
 }
@@ -73,7 +73,7 @@
 	self        netip.AddrPort
 	domain      string
 	options     Options
-	budget      retryBudget
+	retryBudget retryBudget
 	view        view.View
 	confirmedAt view.Confirmations
 	agents      agentSet
@@ -94,15 +94,15 @@
 // messages of other nodes is self.
 func New(self netip.AddrPort, domain string, o Options) *Steerer {
 	return &Steerer{
-		self:     self,
-		domain:   domain,
-		options:  o,
-		budget:   newRetryBudget(o),
-		agents:   newAgentSet(),
-		flows:    newHolders(),
-		openings: map[flow.Key]*opening{},
-		lookups:  map[flow.Key]*lookup{},
-		offers:   newOfferLimiter(),
+		self:        self,
+		domain:      domain,
+		options:     o,
+		retryBudget: newRetryBudget(o),
+		agents:      newAgentSet(),
+		flows:       newHolders(),
+		openings:    map[flow.Key]*opening{},
+		lookups:     map[flow.Key]*lookup{},
+		offers:      newOfferLimiter(),
 
 		droppedRoutes: map[netip.AddrPort]bool{},
 		unroutedFlows: map[flow.Key]time.Time{},
@@ -202,7 +202,7 @@
 // ends no lookup.
 func (s *Steerer) Placed(now time.Time, m *hop.Message) []Action {
 	s.agents.recordLoad(now, m.Agent, m.Load)
-	s.budget.earnAnswer()
+	s.retryBudget.earnAnswer()
 	delete(s.openings, m.Key)
 	l := s.lookups[m.Key]
 	_, known := s.flows.get(m.Key, now)
@@ -215,7 +215,7 @@
 	}
 	s.endLookup(m.Key)
 	var due []Action
-	if l.unsent && !slices.Contains(l.offeredTo, m.Agent) {
+	if l.needsForward && !slices.Contains(l.offeredTo, m.Agent) {
 		due = append(due, s.forwardToHolder(m.Agent, l.raw))
 		due[0].Repeated = len(l.offeredTo) > 0
 	}
@@ -223,7 +223,7 @@
 		due = append(due, s.forwardToHolder(m.Agent, raw))
 	}
 	for i := range due {
-		due[i].Message.Offered = l.query && s.wasOffered(now, m.Key)
+		due[i].Message.Offered = l.usesQueries && s.wasOffered(now, m.Key)
 	}
 	return due
 }
@@ -236,7 +236,7 @@
 // Declined decides about a packet whose flow no listed candidate holds or accepts.
 func (s *Steerer) Declined(now time.Time, p flow.Packet, m *hop.Message) []Action {
 	key := p.CallerKey()
-	s.budget.earnAnswer()
+	s.retryBudget.earnAnswer()
 	if p.Opening() {
 		return []Action{s.declinedOpening(now, key, p, m)}
 	}
@@ -259,7 +259,7 @@
 // Tick returns the actions that are due: retries of unanswered openings and of
 // lookups, and hellos.
 func (s *Steerer) Tick(now time.Time) []Action {
-	s.budget.refill(now)
+	s.retryBudget.refill(now)
 	due := s.retryOpenings(now)
 	for _, agent := range s.agents.dueHellos(now) {
 		due = append(due, Action{Verdict: Send, To: agent, Message: hop.Message{Type: hop.Hello, Balancer: s.self}})
@@ -270,7 +270,7 @@
 
 // RetryBudget returns the bytes that the balancer may spend now on messages that it repeats
 // by its timers, 0 if they are not limited.
-func (s *Steerer) RetryBudget() int64 { return int64(s.budget.left) }
+func (s *Steerer) RetryBudget() int64 { return int64(s.retryBudget.left) }
 
 // CachedFlows returns the number of flows whose agent is cached.
 func (s *Steerer) CachedFlows() int { return s.flows.len() }
--- a/internal/flowpath/linkbudget/admission.go
+++ b/internal/flowpath/linkbudget/admission.go
@@ -12,7 +12,7 @@
 	// maxFlows is the maximum number of tracked flows. Others are admitted and count as
 	// background.
 	maxFlows = 16384
-	// maxRoutes is the maximum number of routes whose work is learned. Flows of others are
+	// maxRoutes is the maximum number of routes whose work is measured. Flows of others are
 	// admitted and count as background.
 	maxRoutes = 4096
 	// trackTime is the age up to which a flow counts as work. An older one counts as
@@ -57,9 +57,9 @@
 // isActive reports whether more is to be expected of the flow.
 func (f *trackedFlow) isActive(now time.Time) bool { return now.Sub(f.lastAt) < idleTime }
 
-// AdmitOpening decides about the first opening (age 0) of a flow. It tracks the flow if it
-// is admitted. A refused one has not been sent to any agent: the caller of this method
-// resets the flow.
+// AdmitOpening decides whether the first opening (age 0) of a flow is admitted, and tracks the
+// flow if it is. It must be called before the opening is sent to an agent. If the opening is
+// refused, the balancer must reset the flow in place of sending it.
 func (b *Budget) AdmitOpening(now time.Time, key flow.Key, route view.Route) (admitted bool, reason Reason) {
 	if !b.Enabled() {
 		return true, 0
@@ -80,7 +80,7 @@
 	}
 	r.priority = route.Priority
 	r.openings.add(now, workHalfLife, 1)
-	if reason, refuse := b.judge(now, r, route); refuse {
+	if reason, refused := b.refusalReason(now, r, route); refused {
 		b.refused[key] = now
 		b.counts.Refused[reason]++
 		return false, reason
@@ -90,14 +90,15 @@
 		f := &trackedFlow{key: key, route: r, openedAt: now, lastAt: now}
 		b.flows[key] = b.order.PushBack(f)
 		r.tracked++
-		b.expect(f, r.mean)
+		b.setOutstanding(f, r.mean)
 	}
 	return true, 0
 }
 
-// judge decides whether a new flow is refused. A flow whose kind has no outstanding work is
-// admitted, so that none is locked out however much work it has.
-func (b *Budget) judge(now time.Time, r *routeWork, route view.Route) (Reason, bool) {
+// refusalReason returns whether a new flow is refused, and why. While no heavy flow has
+// outstanding work, a heavy one is admitted, so that none is locked out however much work it
+// has.
+func (b *Budget) refusalReason(now time.Time, r *routeWork, route view.Route) (reason Reason, refused bool) {
 	if r.mean == 0 || b.outstanding <= 0 || b.hasStalled(now) || b.isRateDoubtful(now) || len(b.refused) >= maxRefused {
 		return 0, false
 	}
@@ -137,15 +138,16 @@
 	return time.Duration(min(work/spare, math.MaxInt32) * float64(time.Second))
 }
 
-// RefusedCopy reports whether an opening is a copy of one that was refused shortly before.
-// It must be dropped.
-func (b *Budget) RefusedCopy(now time.Time, key flow.Key) bool {
+// WasRefused reports whether an opening of a flow was refused less than refusalTime ago. A
+// further one must not be forwarded: it is a copy or a duplicate, or opens another flow from
+// the same port.
+func (b *Budget) WasRefused(now time.Time, key flow.Key) bool {
 	refusedAt, ok := b.refused[key]
 	return ok && now.Sub(refusedAt) < refusalTime
 }
 
-// expect sets what a flow is still expected to send.
-func (b *Budget) expect(f *trackedFlow, bytes float64) {
+// setOutstanding sets how many bytes a flow is still expected to send.
+func (b *Budget) setOutstanding(f *trackedFlow, bytes float64) {
 	b.outstanding += bytes - f.outstanding
 	f.route.outstanding += bytes - f.outstanding
 	f.outstanding = bytes
@@ -162,14 +164,15 @@
 		f.endSeq, f.hasData = end, true
 	}
 	f.bytes += bytes
-	b.expect(f, max(f.outstanding-bytes, 0))
+	b.setOutstanding(f, max(f.outstanding-bytes, 0))
 }
 
-// endFlow removes a flow that is closed or too old, and learns its work.
+// endFlow removes a flow that is closed or too old, and adds its bytes to the work of its
+// route.
 func (b *Budget) endFlow(now time.Time, key flow.Key) {
 	element := b.flows[key]
 	f := element.Value.(*trackedFlow)
-	b.expect(f, 0)
+	b.setOutstanding(f, 0)
 	f.route.finish(now, f.bytes)
 	f.route.tracked--
 	b.order.Remove(element)
@@ -180,9 +183,35 @@
 // the outstanding work.
 func (b *Budget) refresh(now time.Time) {
 	b.refreshedAt = now
+	b.removeExpired(now)
+	b.refreshRoutes(now)
+	b.outstanding = 0
+	for e := b.order.Front(); e != nil; e = e.Next() {
+		f := e.Value.(*trackedFlow)
+		expected := max(f.route.mean-f.bytes, 0)
+		if !f.isActive(now) {
+			expected = 0
+		}
+		f.outstanding = 0 // the sums are computed anew, without rounding errors
+		b.setOutstanding(f, expected)
+	}
+}
+
+// removeExpired removes flows older than trackTime and refusals older than refusalTime.
+func (b *Budget) removeExpired(now time.Time) {
 	for e := b.order.Front(); e != nil && now.Sub(e.Value.(*trackedFlow).openedAt) >= trackTime; e = b.order.Front() {
 		b.endFlow(now, e.Value.(*trackedFlow).key)
 	}
+	for key, refusedAt := range b.refused {
+		if now.Sub(refusedAt) >= refusalTime {
+			delete(b.refused, key)
+		}
+	}
+}
+
+// refreshRoutes computes the means of the routes and which of them are heavy, and removes
+// unused ones. It sets their outstanding work to 0.
+func (b *Budget) refreshRoutes(now time.Time) {
 	for address, r := range b.routes {
 		r.startRefresh(now)
 		if r.tracked == 0 && r.isUnused(now) {
@@ -204,21 +233,6 @@
 	for _, r := range b.routes {
 		r.heavy, r.outstanding = r.mean*openings > work*heavyMargin, 0
 	}
-	b.outstanding = 0
-	for e := b.order.Front(); e != nil; e = e.Next() {
-		f := e.Value.(*trackedFlow)
-		expected := max(f.route.mean-f.bytes, 0)
-		if !f.isActive(now) {
-			expected = 0
-		}
-		f.outstanding = 0 // the sums are computed anew, without rounding errors
-		b.expect(f, expected)
-	}
-	for key, refusedAt := range b.refused {
-		if now.Sub(refusedAt) >= refusalTime {
-			delete(b.refused, key)
-		}
-	}
 }
 
 // hasStalled reports whether the balancer stalls or has stalled shortly before, so that
--- a/internal/flowpath/linkbudget/linkbudget.go
+++ b/internal/flowpath/linkbudget/linkbudget.go
@@ -53,7 +53,7 @@
 	return [Reasons]string{"work-exceeds-allowance", "timeout-unreachable"}[r]
 }
 
-// Options holds what a budget needs to know of its link.
+// Options are the settings of a budget.
 type Options struct {
 	BytesPerSecond float64 // rate of the link in each direction, 0 if unknown
 }
@@ -107,9 +107,9 @@
 	return b
 }
 
-// Fresh returns a budget that has learned nothing but the rate of the link and keeps the
-// counts and the refused openings of b, whose copies must not be forwarded. It replaces b
-// after a panic, which may have left it half changed.
+// Fresh returns a new budget that takes over only the rate of the link, the counts and the
+// refused openings of b, whose copies must not be forwarded. It replaces b when the state of b
+// may be wrong, for example after a panic that may have left it half changed.
 func (b *Budget) Fresh() *Budget {
 	fresh := New(Options{BytesPerSecond: b.rate})
 	fresh.counts, fresh.refused = b.counts, b.refused
@@ -150,8 +150,8 @@
 	}
 }
 
-// Sent counts a sent datagram of the given length. repeated says that the balancer has
-// sent the same to any node before.
+// Sent counts a sent datagram of the given length. repeated is set if the balancer
+// has sent the same to any node before.
 func (b *Budget) Sent(now time.Time, kind Kind, bytes int, repeated bool) {
 	index := 0
 	if repeated {
--- a/internal/flowpath/linkbudget/linkbudget_test.go
+++ b/internal/flowpath/linkbudget/linkbudget_test.go
@@ -109,11 +109,11 @@
 	for key := range m.budget.flows {
 		admitted, _ := m.budget.AdmitOpening(m.now, key, burst.route)
 		is.True(admitted) // a duplicate of an opening that was admitted
-		is.True(!m.budget.RefusedCopy(m.now, key))
+		is.True(!m.budget.WasRefused(m.now, key))
 	}
 	for key, refusedAt := range m.budget.refused {
-		is.True(m.budget.RefusedCopy(refusedAt.Add(1400*time.Millisecond), key))
-		is.True(!m.budget.RefusedCopy(refusedAt.Add(1500*time.Millisecond), key))
+		is.True(m.budget.WasRefused(refusedAt.Add(1400*time.Millisecond), key))
+		is.True(!m.budget.WasRefused(refusedAt.Add(1500*time.Millisecond), key))
 	}
 }
 
--- a/internal/flowpath/linkbudget/patterns_test.go
+++ b/internal/flowpath/linkbudget/patterns_test.go
@@ -293,7 +293,7 @@
 			if c.heavy {
 				r.outstanding = b.outstanding
 			}
-			_, refused := b.judge(start, r, limited)
+			_, refused := b.refusalReason(start, r, limited)
 			is.Equal(refused, c.refused)
 		})
 	}
--- a/internal/flowpath/linkbudget/shed.go
+++ b/internal/flowpath/linkbudget/shed.go
@@ -15,8 +15,8 @@
 	shedShare = 1.05
 	// shedBurst is the time that the link may be used beyond that share.
 	shedBurst = 50 * time.Millisecond
-	// pauseInterval is the time between two changes of the paused flows. Each scans all flows. With 25 ms, half as
-	// many uploads were in time (at a share of 0.95).
+	// pauseInterval is the time between two changes of the paused flows. Each change scans all
+	// flows. With 25 ms, half as many uploads were in time (at a share of 0.95).
 	pauseInterval = 2 * time.Millisecond
 )
 
--- a/internal/flowpath/linkbudget/work.go
+++ b/internal/flowpath/linkbudget/work.go
@@ -6,20 +6,20 @@
 )
 
 const (
-	// workHalfLife is the time after which a finished flow counts half in what is known of
-	// its route.
+	// workHalfLife is the time after which a finished flow counts half in the mean of its
+	// route.
 	workHalfLife = 10 * time.Second
 	// maxWorkWeight is the maximum number of finished flows that the mean of a route rests on,
-	// so that a busy route whose uploads grow is learned anew within some tens of flows.
+	// so that the mean of a busy route whose uploads grow follows within some tens of flows.
 	maxWorkWeight = 32
-	// minWorkWeight is the weight below which a route counts as not learned. Its flows may have
+	// minWorkWeight is the weight below which a route counts as one without a mean. Its flows may have
 	// changed in the two minutes that a decay from maxWorkWeight takes.
 	minWorkWeight = 1.0 / 64
 	// maxAllowance is the longest delay up to which a heavy flow is admitted. Callers retransmit
 	// after 200 ms without an acknowledgement: beyond that, the link fills with copies of packets
 	// that are only delayed.
 	maxAllowance = 150 * time.Millisecond
-	// heavyMargin keeps rounding from making the only route of a balancer heavy.
+	// heavyMargin prevents rounding from making the only route of a balancer heavy.
 	heavyMargin = 1.001
 )
 
@@ -48,7 +48,7 @@
 	return s.value * decay(now.Sub(s.updatedAt), halfLife)
 }
 
-// routeWork is what is known of the flows of a route.
+// routeWork is the measured work of the flows of a route.
 type routeWork struct {
 	priority                   int
 	openings                   decayingSum // first openings, admitted or not
@@ -58,7 +58,7 @@
 	// Set by refresh.
 	finishedMean       float64
 	openBytes, openNum float64 // of open flows that have sent more than finishedMean
-	mean               float64 // bytes of a flow, 0 if not learned
+	mean               float64 // bytes of a flow, 0 without measured flows
 	heavy              bool
 	tracked            int     // open flows
 	outstanding        float64 // bytes that they are still expected to send
@@ -84,7 +84,7 @@
 	}
 }
 
-// isUnused reports whether nothing is known of the route, so that it can be removed.
+// isUnused reports whether the route has had no flow for so long that it can be removed.
 func (r *routeWork) isUnused(now time.Time) bool {
 	return r.finishedNum < minWorkWeight && r.openings.at(now, workHalfLife) < minWorkWeight
 }
--- a/internal/flowpath/overloadtest/model_test.go
+++ b/internal/flowpath/overloadtest/model_test.go
@@ -222,7 +222,7 @@
 		return true
 	}
 	if p.Age > 0 {
-		return !m.budget.RefusedCopy(m.time(), p.CallerKey())
+		return !m.budget.WasRefused(m.time(), p.CallerKey())
 	}
 	admitted, _ := m.budget.AdmitOpening(m.time(), p.CallerKey(), m.view.Configuration.Routes[p.To])
 	if !admitted {
--- a/pkg/flowbalancer/admission.go
+++ b/pkg/flowbalancer/admission.go
@@ -15,15 +15,15 @@
 // executes what happens instead: the reset of a new flow, or the drop of a copy of an
 // opening that was reset or of data that the caller retransmits.
 func (b *Balancer) admit(now time.Time, p flow.Packet, bytes int) bool {
-	if b.budget.ShedPacket(now, p, bytes) {
+	if b.linkBudget.ShedPacket(now, p, bytes) {
 		b.execute(flowsteer.Action{Verdict: flowsteer.Drop, Kind: errkind.LinkFull, Packet: p})
 		return false
 	}
-	b.budget.Received(now, p, bytes)
+	b.linkBudget.Received(now, p, bytes)
 	if !p.Opening() {
 		return true
 	}
-	if b.budget.RefusedCopy(now, p.CallerKey()) {
+	if b.linkBudget.WasRefused(now, p.CallerKey()) {
 		verdict := flowsteer.Drop
 		if p.Age == 0 {
 			verdict = flowsteer.Reset // a duplicate, or another flow from the same port
@@ -31,29 +31,29 @@
 		b.execute(flowsteer.Action{Verdict: verdict, Kind: errkind.LinkFull, Packet: p})
 		return false
 	}
-	if !b.budget.Enabled() || p.Age > 0 {
+	if !b.linkBudget.Enabled() || p.Age > 0 {
 		return true
 	}
 	route, ok := b.routes[p.To]
 	if !ok || b.steerer.HasForwarded(now, p.CallerKey()) {
 		return true
 	}
-	admitted, reason := b.budget.AdmitOpening(now, p.CallerKey(), route)
+	admitted, reason := b.linkBudget.AdmitOpening(now, p.CallerKey(), route)
 	if !admitted {
 		b.logger.Emit(event.NewFlowsRejected, event.Fields{
-			"route": route.Name, "to": p.To.String(), "reason": reason.String(), "link_bytes_per_s": int64(b.budget.Rate()),
+			"route": route.Name, "to": p.To.String(), "reason": reason.String(), "link_bytes_per_s": int64(b.linkBudget.Rate()),
 		})
 		b.execute(flowsteer.Action{Verdict: flowsteer.Reset, Kind: errkind.LinkFull, Packet: p})
 	}
 	return admitted
 }
 
-// tickBudget runs the timers of the link budget.
-func (b *Balancer) tickBudget(now time.Time) {
-	if b.budget.Tick(now) {
-		b.steerer.SetLinkRate(b.budget.Rate())
+// tickLinkBudget runs the timers of the link budget.
+func (b *Balancer) tickLinkBudget(now time.Time) {
+	if b.linkBudget.Tick(now) {
+		b.steerer.SetLinkRate(b.linkBudget.Rate())
 		b.logger.Emit(event.LinkRateRaised, event.Fields{
-			"configured_bytes_per_s": int64(b.settings.LinkRate), "bytes_per_s": int64(b.budget.Rate()),
+			"configured_bytes_per_s": int64(b.settings.LinkRate), "bytes_per_s": int64(b.linkBudget.Rate()),
 		})
 	}
 }
@@ -68,10 +68,10 @@
 // countSent counts b.buffer, which is sent next.
 func (b *Balancer) countSent(kind linkbudget.Kind, repeated bool) {
 	var now time.Time
-	if b.budget.Enabled() {
+	if b.linkBudget.Enabled() {
 		now = time.Now()
 	}
-	b.budget.Sent(now, kind, len(b.buffer), repeated)
+	b.linkBudget.Sent(now, kind, len(b.buffer), repeated)
 }
 
 // sentKind returns what the message of an action of verdict Send is for.
@@ -92,7 +92,7 @@
 // retryBudgetLeft returns how many bytes the steerer may send again now, -1 if it has no
 // limit.
 func (b *Balancer) retryBudgetLeft() int64 {
-	if !b.budget.Enabled() {
+	if !b.linkBudget.Enabled() {
 		return -1
 	}
 	return b.steerer.RetryBudget()
@@ -100,7 +100,7 @@
 
 // updateLinkGauges sets the gauges of the link.
 func (b *Balancer) updateLinkGauges() {
-	s, m := b.budget.Snapshot(), b.metrics.Link
+	s, m := b.linkBudget.Snapshot(), b.metrics.Link
 	m.ReceivedMessages.Update(s.Received.Messages)
 	m.ReceivedBytes.Update(s.Received.Bytes)
 	for kind := range linkbudget.Kinds {
@@ -115,5 +115,5 @@
 	}
 	m.ShedMessages.Update(s.Shed.Messages)
 	m.RetryBudget.Update(b.retryBudgetLeft())
-	m.Rate.Update(int64(b.budget.Rate()))
+	m.Rate.Update(int64(b.linkBudget.Rate()))
 }
--- a/pkg/flowbalancer/admission_test.go
+++ b/pkg/flowbalancer/admission_test.go
@@ -102,7 +102,7 @@
 		b.tick(b.now)
 		port := b.open(b.heavy, 0)
 		b.open(b.small, 1)
-		if b.budget.Snapshot().Refused[linkbudget.WorkExceedsAllowance] > 0 {
+		if b.linkBudget.Snapshot().Refused[linkbudget.WorkExceedsAllowance] > 0 {
 			return port
 		}
 	}
@@ -177,10 +177,10 @@
 	b.now = time.Now()
 	for range 1100 {
 		b.now = b.now.Add(time.Millisecond)
-		b.budget.Tick(b.now)
+		b.linkBudget.Tick(b.now)
 		b.NoErr(b.forward(b.now, held)) // 1.26 MB/s, the rate of the link
 	}
-	b.Equal(b.budget.Rate(), 10e6/8)
+	b.Equal(b.linkBudget.Rate(), 10e6/8)
 }
 
 // Guards against a reset of a flow that this balancer has forwarded: its first opening comes
--- a/pkg/flowbalancer/balancer.go
+++ b/pkg/flowbalancer/balancer.go
@@ -58,7 +58,7 @@
 	stopping     atomic.Bool
 
 	mu           sync.Mutex
-	budget       *linkbudget.Budget
+	linkBudget   *linkbudget.Budget
 	routes       map[netip.AddrPort]view.Route // of the current view
 	steerer      *flowsteer.Steerer
 	viewComplete bool
@@ -79,13 +79,13 @@
 func New(s platform.Settings, store follow.Store, logger *event.Logger) *Balancer {
 	registry := metrics.New()
 	return &Balancer{
-		budget:   linkbudget.New(linkbudget.Options{BytesPerSecond: s.LinkRate}),
-		settings: s,
-		store:    store,
-		logger:   logger,
-		registry: registry,
-		metrics:  metrics.NewFlowBalancer(registry),
-		steerer:  flowsteer.New(s.PeerAddress, s.Domain, flowsteer.Options{LinkRate: s.LinkRate}),
+		linkBudget: linkbudget.New(linkbudget.Options{BytesPerSecond: s.LinkRate}),
+		settings:   s,
+		store:      store,
+		logger:     logger,
+		registry:   registry,
+		metrics:    metrics.NewFlowBalancer(registry),
+		steerer:    flowsteer.New(s.PeerAddress, s.Domain, flowsteer.Options{LinkRate: s.LinkRate}),
 	}
 }
 
@@ -124,13 +124,14 @@
 }
 
 // replaceSteerer replaces the steerer and the link budget after a panic, which may have left
-// them half changed, by ones that know what they would know after a restart of the process.
+// them half changed, by ones as after a restart of the process, but with the counts, rate and refused openings
+// of the link budget.
 func (b *Balancer) replaceSteerer() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget = b.budget.Fresh()
+	b.linkBudget = b.linkBudget.Fresh()
 	b.metrics.Panics.Inc(1)
-	b.steerer = flowsteer.New(b.settings.PeerAddress, b.settings.Domain, flowsteer.Options{LinkRate: b.budget.Rate()})
+	b.steerer = flowsteer.New(b.settings.PeerAddress, b.settings.Domain, flowsteer.Options{LinkRate: b.linkBudget.Rate()})
 	b.updateView()
 }
 
@@ -193,7 +194,8 @@
 		}
 	}
 	b.heldPackets = nil
-	b.budget = b.budget.Fresh() // the held packets came over up to heldPacketTimeout, not at once
+	// The held packets arrived over up to heldPacketTimeout, but were counted at once.
+	b.linkBudget = b.linkBudget.Fresh()
 	s := b.settings
 	b.node.Announcer.Set(view.Member{
 		Name: MemberName(s.Address), Role: view.BalancerRole, Domain: s.Domain, Address: s.PeerAddress, Peer: s.PeerAddress,
@@ -287,7 +289,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateView()
-	b.tickBudget(now)
+	b.tickLinkBudget(now)
 	b.executeRepeats(b.steerer.Tick(now))
 	b.updateIsolation()
 }
