Use one term for a member lost by a restore, and split the announcer's call

Comments of the view, the follower, the store and the check of a configuration are reworded. No change of behaviour.

--- a/internal/control/configcheck/configcheck.go
+++ b/internal/control/configcheck/configcheck.go
@@ -57,7 +57,7 @@
 	return services
 }
 
-// Severity tells how serious a finding is.
+// Severity is how serious a finding is.
 type Severity string
 
 // The severities.
@@ -92,12 +92,12 @@
 type checker struct {
 	Configuration
 	findings []Finding
-	// usedRoutes and usedServices hold the index of the entry in force for each address and
-	// each name: the last one.
+	// usedRoutes and usedServices hold, for each address and each name, the index of the entry
+	// that is used: the last one.
 	usedRoutes   map[netip.AddrPort]int
 	usedServices map[string]int
 	routesTo     map[string][]int // routes by the services that receive their flows
-	named        map[string]bool  // services that a route names, also with a weight of 0
+	named        map[string]bool  // services that a route or its split names, also with a weight of 0
 }
 
 // Check returns the findings of a configuration, in the order of its entries.
@@ -142,7 +142,7 @@
 
 func (k *checker) checkRoutes() {
 	firstOfName := map[string]int{}
-	longer := k.longerThanLowerPriority()
+	timeoutRemarks := k.timeoutRemarks()
 	for i, r := range k.Routes {
 		path := k.routePath(i)
 		first, isDuplicate := firstOfName[r.Name]
@@ -164,7 +164,7 @@
 		}
 		k.checkTargets(path, r)
 		k.checkRouteLimits(path, r)
-		for _, text := range longer[i] {
+		for _, text := range timeoutRemarks[i] {
 			k.add(Remark, path, "%s", text)
 		}
 	}
@@ -205,10 +205,10 @@
 	}
 }
 
-// longerThanLowerPriority returns remarks, by the index of the route, on routes whose timeout
-// is longer than that of a route of lower priority to the same service. Each is compared with
-// the shortest of those only.
-func (k *checker) longerThanLowerPriority() map[int][]string {
+// timeoutRemarks returns remarks, by the index of the route, on routes whose timeout is longer
+// than that of a route of lower priority to the same service. Each is compared only with the
+// shortest of those.
+func (k *checker) timeoutRemarks() map[int][]string {
 	remarks := map[int][]string{}
 	seen := map[[2]int]bool{}
 	for _, routes := range k.routesTo {
@@ -241,7 +241,7 @@
 		}
 	}
 	for _, texts := range remarks {
-		slices.Sort(texts) // the services come in no order
+		slices.Sort(texts) // the services are visited in random order
 	}
 	return remarks
 }
--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -20,10 +20,11 @@
 // the latest. The store may execute a call that it doesn't answer seconds later.
 const maxCreationTime = 10 * time.Second
 
-// maxLossTime is how long after the last confirmation of the members in an era the member may
-// be written again in the next era without counting as new. Balancers rely on their members as
-// complete only 10 s after they have seen the new era, and learn of the write within 3 s.
-const maxLossTime = 5 * time.Second
+// maxRestoreLossAge is how long after the last confirmation of the members in an era a member that
+// the store lost by a restore may be written again without counting as new. Balancers rely on
+// their members as complete only 10 s after they have seen the new era, and receive the member
+// within 3 s of the write.
+const maxRestoreLossAge = 5 * time.Second
 
 // Announcer keeps the member of this process in the store equal to the last one
 // passed to Set, or absent after Withdraw. Each write is conditional on the
@@ -64,8 +65,8 @@
 	storedChanged  bool          // OnStored is to be called
 
 	era int64 // the highest era of the store that the view has shown
-	// lostWithEra is set while the store lacks the member since it was restored from a copy.
-	lostWithEra bool
+	// lostByRestore is set while the store lacks the member because it was restored from a copy.
+	lostByRestore bool
 }
 
 // NewAnnouncer returns an announcer that writes nothing before the first call of
@@ -209,14 +210,34 @@
 	}
 }
 
+// storeCall is a write or deletion of the member.
+type storeCall struct {
+	member    view.Member // Revision is the expected one, 0 to create the member
+	withdrawn bool        // the member is deleted
+	created   bool
+}
+
 // reconcile makes one attempt to bring the store to the desired state. After a
 // conflict it records the object's revision for the next attempt.
 func (a *Announcer) reconcile(ctx context.Context) error {
+	c := a.prepareCall()
+	revision, err := c.member.Revision, error(nil)
+	if !c.withdrawn {
+		revision, err = a.store.WriteMember(ctx, c.member)
+	} else if revision > 0 {
+		err = a.store.DeleteMember(ctx, c.member.Name, revision)
+	}
+	return a.recordResult(c, revision, err)
+}
+
+// prepareCall returns the call that brings the store to the desired state.
+func (a *Announcer) prepareCall() storeCall {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	m, withdrawn := a.desired, a.withdrawn
 	m.Revision = a.knownRevision
 	created := !withdrawn && m.Revision == 0
-	if created && !a.isStillKnown() {
+	if created && !a.isRecentRestoreLoss() {
 		// Whatever becomes of the call, it may create the member.
 		a.noteMaybeNew()
 		a.createdMS = time.Now().UnixMilli()
@@ -231,15 +252,15 @@
 		m.StoredMS = a.storedSince.Add(time.Millisecond - 1).UnixMilli()
 	}
 	m.Era, m.EraSeenMS = a.board.EraSeen()
-	a.mu.Unlock()
-	revision, err := m.Revision, error(nil)
-	if !withdrawn {
-		revision, err = a.store.WriteMember(ctx, m)
-	} else if m.Revision > 0 {
-		err = a.store.DeleteMember(ctx, m.Name, m.Revision)
-	}
+	return storeCall{member: m, withdrawn: withdrawn, created: created}
+}
+
+// recordResult records the result of a call: the revision of the member in the store, and the
+// error.
+func (a *Announcer) recordResult(c storeCall, revision view.Revision, err error) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	m, withdrawn := c.member, c.withdrawn
 	conflicts := errkind.Is(err, errkind.VersionConflict) && revision > 0 && revision != m.Revision
 	if !withdrawn && (err == nil || conflicts) && revision > 0 && revision.Era() < a.board.View().Members.Revision.Era() {
 		a.unansweredCall = m.Revision
@@ -267,13 +288,13 @@
 		}
 	} else {
 		a.noteStored()
-		a.lostWithEra = false
+		a.lostByRestore = false
 		a.knownRevision, a.storedMS = max(a.knownRevision, revision), m.StoredMS
 		a.acknowledged = m
 	}
 	if withdrawn == a.withdrawn && (withdrawn || announcesSame(m, a.desired)) {
 		a.markSynced()
-		a.logger.Emit(event.Announced, event.Fields{"member": m.Name, "state": m.State, "gone": withdrawn, "created": created, "revision": revision})
+		a.logger.Emit(event.Announced, event.Fields{"member": m.Name, "state": m.State, "gone": withdrawn, "created": c.created, "revision": revision})
 	}
 	return nil
 }
--- a/internal/control/follow/announceview.go
+++ b/internal/control/follow/announceview.go
@@ -59,24 +59,24 @@
 // noteRemoved records that the store no longer holds the member at the given
 // revision. The caller holds the lock.
 func (a *Announcer) noteRemoved(revision view.Revision) {
-	a.lostWithEra = a.stored && !a.withdrawn && revision > 0 && revision.Era() < a.era
+	a.lostByRestore = a.stored && !a.withdrawn && revision > 0 && revision.Era() < a.era
 	a.removedRevision = max(a.removedRevision, revision)
 	if a.knownRevision <= revision {
 		a.knownRevision = 0
-		if !a.isStillKnown() {
+		if !a.isRecentRestoreLoss() {
 			a.createdMS, a.storedMS = 0, 0
 		}
 	}
-	if !a.isStillKnown() {
+	if !a.isRecentRestoreLoss() {
 		a.noteMaybeNew()
 	}
 }
 
-// isStillKnown reports whether the store lacks the member only because it was restored from a
-// copy, so short a time ago that no balancer relies on its members as complete. The member then
-// doesn't count as new. The caller holds the lock.
-func (a *Announcer) isStillKnown() bool {
-	return a.lostWithEra && time.Since(a.board.EraNotBefore()) <= maxLossTime
+// isRecentRestoreLoss reports whether the store lacks the member only because it was restored
+// from a copy, so recently that no balancer relies on its members as complete. Writing the member
+// again then doesn't make it count as new. The caller holds the lock.
+func (a *Announcer) isRecentRestoreLoss() bool {
+	return a.lostByRestore && time.Since(a.board.EraNotBefore()) <= maxRestoreLossAge
 }
 
 // announcesSame reports whether a and b differ at most in what the announcer or the
--- a/internal/control/follow/changes.go
+++ b/internal/control/follow/changes.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// without returns a list without a name.
+// without removes a name from a list, in place, and returns the list.
 func without(names []string, name string) []string {
 	return slices.DeleteFunc(names, func(n string) bool { return n == name })
 }
@@ -98,8 +98,8 @@
 	return true
 }
 
-// logEra logs that the store was restored from a copy, once for each era, if the members that
-// were known before are of an earlier one.
+// logEra logs, once for each era, that the store was restored from a copy. It does so if the
+// members before the change were of an earlier era.
 func (f *Follower) logEra(before, after view.Members) {
 	era := after.Revision.Era()
 	if before.Revision == 0 || before.Revision.Era() >= era {
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -46,14 +46,15 @@
 	DeleteMember(ctx context.Context, name string, known view.Revision) error
 }
 
-// ErrNotSent is wrapped by the error of a watch that was not sent, because the store is known to
-// have no history of its era. Such an error doesn't show that the store answers.
+// ErrNotSent is wrapped by the error of a watch that was not sent, because its revision is of an
+// era that is over, of which the store has no history. Such an error doesn't show that the store
+// answers.
 var ErrNotSent = errors.New("not sent to the store")
 
-// EraObserver is a Store that distinguishes its eras and learns of them also from peers.
+// EraObserver is a Store that distinguishes eras, and to which those seen at peers are reported.
 type EraObserver interface {
-	// ObserveEra tells the store that an era has begun. From then on, revisions and responses
-	// of earlier eras don't count.
+	// ObserveEra reports to the store that an era has begun. From then on, the store refuses
+	// revisions and responses of earlier eras.
 	ObserveEra(era int64)
 }
 
@@ -71,7 +72,8 @@
 	Seeds []netip.AddrPort
 	// FirstStart is set when the whole system starts for the first time: the
 	// process polls the seeds before it calls the store, which delays no traffic
-	// because there is none yet. The era of the store that it sees first counts as old.
+	// because there is none yet. The first era of the store that it sees is taken for one that
+	// has lost no members.
 	FirstStart bool
 	// Dial opens connections to peers, by TCP if nil.
 	Dial DialFunc
@@ -87,8 +89,8 @@
 	storeUntried atomic.Bool
 	pendingCalls atomic.Int32 // of the store
 	loggedEra    atomic.Int64 // see logEra
-	// needsConfiguration is set when a peer's change of the configuration is relative to another
-	// one than this process has. The next peer is asked for the whole.
+	// needsConfiguration is set when a peer's change of the configuration doesn't apply to the
+	// one that this process has. The next request to a peer is for the whole configuration.
 	needsConfiguration atomic.Bool
 }
 
--- a/internal/control/follow/peer.go
+++ b/internal/control/follow/peer.go
@@ -58,11 +58,11 @@
 	// Path names the processes through which changes reach the peer, Source first and the
 	// peer last; empty from peers of earlier versions.
 	Path []string `json:",omitempty"`
-	// Eras holds the eras of the store above 0 of which the peer's sections are. Ages tell
-	// nothing of a section of another era.
+	// Eras holds the era of the store of each of the peer's sections, unless it is 0. Ages don't
+	// apply to a section that this process has in another era.
 	Eras map[view.Section]int64 `json:",omitempty"`
-	// MembersIncomplete says that the members may lack some, since the store was restored from
-	// a copy.
+	// MembersIncomplete is set while the peer's members may lack some, because the store was
+	// restored from a copy.
 	MembersIncomplete bool `json:",omitempty"`
 }
 
--- a/internal/control/view/board.go
+++ b/internal/control/view/board.go
@@ -95,8 +95,8 @@
 // the zero time for one that never was.
 type Confirmations struct {
 	Configuration time.Time
-	// Members is when the members were last known to be current and complete. It stays as it
-	// is while they may lack some, since the store was restored from a copy.
+	// Members is when the members were last known to be current and complete. It stays the same
+	// while they may lack some, because the store was restored from a copy.
 	Members time.Time
 	// StoredMembers is when the members were last known to be those in the store.
 	StoredMembers time.Time
@@ -117,8 +117,8 @@
 	Deltas             []Delta
 	ConfirmedAt        time.Time // all sections, the zero time if one never was
 	MembersConfirmedAt time.Time // the zero time if they never were
-	// MembersIncomplete says that the members may lack some, since the store was restored from
-	// a copy.
+	// MembersIncomplete is set while the members may lack some, because the store was restored
+	// from a copy.
 	MembersIncomplete bool
 	Eras              map[Section]int64 // of the sections of an era above 0
 }
@@ -162,9 +162,9 @@
 // time.
 func (b *Board) Confirm(s Section, at time.Time) { b.ConfirmInEra(s, b.View().Revision(s).Era(), at) }
 
-// ConfirmInEra records that a section was known to be current at the given time, by a response of
-// an era of the store or of a peer. It does nothing if the section is of another era than the
-// response.
+// ConfirmInEra records that a section was known to be current at the given time. era is that of
+// the response, of the store or a peer, that shows so. It does nothing if the section is of
+// another era.
 func (b *Board) ConfirmInEra(s Section, era int64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -189,11 +189,12 @@
 // for which the machine was suspended since, because the steady clock lacks it; the zero
 // time if it never was. The caller holds the lock.
 func (b *Board) confirmation(s Section) time.Time {
-	return b.age(b.confirmedAt[s])
+	return b.effectiveTime(b.confirmedAt[s])
 }
 
-// age returns the time of a confirmation as confirmation does.
-func (b *Board) age(c confirmation) time.Time {
+// effectiveTime returns the time of a confirmation, corrected for suspensions as by
+// Board.confirmation.
+func (b *Board) effectiveTime(c confirmation) time.Time {
 	if c.at.IsZero() {
 		return time.Time{}
 	}
--- a/internal/control/view/retention.go
+++ b/internal/control/view/retention.go
@@ -14,19 +14,20 @@
 // retentionTime. It leaves half of that time for the processes to write their members.
 const maxRetentionGap = retentionTime / 2
 
-// maxClockError is by how much the clocks of two processes are assumed to differ at most. One
-// that starts takes an era for old only if it was first seen longer ago than retentionTime and
-// this.
+// maxClockError is the maximum difference assumed between the clocks of two processes. A process
+// that starts takes an era for old only if the era was first seen more than retentionTime plus
+// maxClockError ago.
 const maxClockError = 5 * time.Second
 
-// retention is what a board keeps about the era of the store. An era begins when the store is
+// retention is the state of a board about the era of the store. An era begins when the store is
 // restored from a copy, so that its first listings lack what was written after the copy.
 type retention struct {
-	// until is when the section is settled: what is retained is given up. It is the zero time if a
-	// peer, or the members, have shown that the era is old; there is no entry in era 0.
+	// until is when a section may be settled: what is retained of it is then given up. It is the
+	// zero time if a peer, or the members, have shown that the era is old. There is no entry in
+	// era 0.
 	until map[Section]time.Time
-	// incomplete is set while the members may lack some that run. This is so after any change
-	// of era, also if none is retained: this process needn't have known all members.
+	// incomplete is set while the members may lack processes that run. It is set after any change
+	// of era, also if no member is retained: this process may not have known all.
 	incomplete bool
 	completeAt confirmation // of the members, before they became incomplete
 	// notBefore is the last confirmation of the members in the era before.
@@ -35,7 +36,7 @@
 	// The following are about the era of the members.
 	seenAt    time.Time // when this process first saw it
 	seenMS    int64     // when others first saw it, see settleOldEra; 0 if seenAt counts
-	seenFirst bool      // this process knows no earlier one
+	seenFirst bool      // this process had members of no earlier era
 	// nothingLost is set if the era that this process sees first can't have lost anything.
 	nothingLost bool
 }
@@ -50,8 +51,8 @@
 	}
 }
 
-// beginEra records that a section has got to a later era, or that it is known for the first
-// time (isFirst), in an era above 0, which may have begun just before. The caller holds the lock.
+// beginEra records that a section has changed to a later era or, if isFirst is set, that its first
+// state is of an era above 0, which may have begun just before. The caller holds the lock.
 func (b *Board) beginEra(s Section, isFirst bool) {
 	b.retention.until[s] = time.Now().Add(retentionTime)
 	if s != MembersSection {
@@ -67,8 +68,8 @@
 	b.retention.notBefore = b.confirmedAt[s]
 }
 
-// SetFirstStart records that the whole system starts for the first time: no store can have lost
-// members of it before this process has seen the first ones. It must be called before the
+// SetFirstStart records that the whole system starts for the first time: the store can't have lost
+// members before this process has seen the first ones. It must be called before the
 // first call of Apply, if at all.
 func (b *Board) SetFirstStart() {
 	b.mu.Lock()
@@ -145,14 +146,14 @@
 // time if they never were. The caller holds the lock.
 func (b *Board) completeAt() time.Time {
 	if b.retention.incomplete {
-		return b.age(b.retention.completeAt)
+		return b.effectiveTime(b.retention.completeAt)
 	}
 	return b.confirmation(MembersSection)
 }
 
-// ConfirmComplete records, by the response of a peer, that the members were known to be
-// current and complete at the given time. The peer has settled them, so the era began long
-// enough ago for this process to do so too. It does nothing if they are of another era.
+// ConfirmComplete records that, by the response of a peer, the members were known to be current
+// and complete at the given time. The peer has settled them, so the era began long enough ago for
+// this process to settle them too. It does nothing if they are of another era.
 func (b *Board) ConfirmComplete(era int64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -167,7 +168,7 @@
 func (b *Board) EraNotBefore() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.age(b.retention.notBefore)
+	return b.effectiveTime(b.retention.notBefore)
 }
 
 // settling returns the delta that gives up what is retained of a section, and whether anything
@@ -200,8 +201,8 @@
 	return d, false
 }
 
-// isHeldAgainst reports whether the configuration stays in force when d is applied: it is of an
-// earlier era of the store, or held since then, and d brings an older version or none.
+// isHeldAgainst reports whether the configuration stays in force when d is applied. This is so if
+// it is of an earlier era of the store, or already held, and d has an older version or none.
 func (c Configuration) isHeldAgainst(d Delta) bool {
 	if c.Revision == 0 || !c.Held && c.Revision.Era() == d.To.Era() {
 		return false
@@ -262,7 +263,7 @@
 		m.ByName[name] = known
 		if !ok || isRetainedByPeer {
 			if _, ok := m.Stored[name]; ok {
-				continue // the peer knows what the store has
+				continue // by the peer's delta
 			}
 			shown, ok = old.Stored[name]
 		}
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -205,7 +205,7 @@
 	// era 0. It is needed beside Delta.From because a process that holds a version has another
 	// configuration than others at that revision.
 	FromVersion int64 `json:",omitempty"`
-	// Held says that the store has an older version, or none.
+	// Held is set while the store has an older version, or none.
 	Held        bool             `json:",omitempty"`
 	Routes      []Route          // new or changed
 	Dropped     []netip.AddrPort `json:",omitempty"`
