Reword comments on retention, link admission and queries

Gate.FromPeer's handling of a flow that is being opened moves to openedFlow. No change of behaviour.

--- a/internal/base/metrics/names.go
+++ b/internal/base/metrics/names.go
@@ -56,7 +56,7 @@
 	FlowBalancerRejected         Name = "flow_balancer.rejected_openings"  // new flows rejected because the link is full, by reason
 	FlowBalancerShedMessages     Name = "flow_balancer.shed_messages"      // callers' packets dropped because the link is full
 	FlowBalancerLinkRate         Name = "flow_balancer.link_rate_bytes"    // bytes a second that the link carries, 0 if unknown
-	FlowBalancerStoreEra         Name = "flow_balancer.store_era"          // era of the store of which the members are
+	FlowBalancerStoreEra         Name = "flow_balancer.store_era"          // era of the store that the members are from
 )
 
 // Metrics of an agent of packet flows.
@@ -75,7 +75,7 @@
 	FlowAgentAnswerTime Name = "flow_agent.answer_us"     // microseconds from a request to the start of its response
 	FlowAgentReportAge  Name = "flow_agent.report_age_ms" // milliseconds since the backend server's last report
 	FlowAgentViewAge    Name = "flow_agent.view_age_ms"   // milliseconds since the view was known to be current, -1 if never
-	FlowAgentStoreEra   Name = "flow_agent.store_era"     // era of the store of which the members are
+	FlowAgentStoreEra   Name = "flow_agent.store_era"     // era of the store that the members are from
 )
 
 // Metrics of the control path of every process.
--- a/internal/control/view/evacuations.go
+++ b/internal/control/view/evacuations.go
@@ -21,13 +21,13 @@
 	// listed is the revision at which the section was last replaced as a whole after a gap. A
 	// listing tells nothing of the evacuations that began and ended before it.
 	listed Revision
-	// retained are the domains whose evacuation is not in the store, since it was restored from
-	// a copy.
+	// retained are the domains whose evacuation is not in the store, because it was restored
+	// from a copy.
 	retained map[string]bool
 }
 
 // Retained returns the failure domains that are taken out although their evacuation is not in
-// the store, since it was restored from a copy.
+// the store, because it was restored from a copy.
 func (e Evacuations) Retained() []string { return slices.Sorted(maps.Keys(e.retained)) }
 
 // LastEnd returns the revision at which it became known that an evacuation of a failure
--- a/internal/control/view/retention.go
+++ b/internal/control/view/retention.go
@@ -41,10 +41,10 @@
 	nothingLost bool
 }
 
-// extend begins the retention of a section anew if the section wasn't known to be current for
-// too long before, for example because the store failed again after it was restored. Other
-// processes couldn't write their members again meanwhile. It does nothing if a peer has settled
-// the section.
+// extend restarts the retention of a section if gap, the time since its last confirmation, is
+// too long, for example because the store failed again after it was restored. Other processes
+// couldn't write their members again meanwhile. It does nothing if a peer has settled the
+// section.
 func (r retention) extend(s Section, gap time.Duration) {
 	if until, ok := r.until[s]; ok && !until.IsZero() && gap > maxRetentionGap {
 		r.until[s] = time.Now().Add(retentionTime)
@@ -137,7 +137,7 @@
 	if s == MembersSection {
 		b.retention.incomplete = false
 	}
-	if d, ok := b.view.Get().settling(s); ok {
+	if d, ok := b.view.Get().settlingDelta(s); ok {
 		b.apply(d)
 	}
 }
@@ -171,9 +171,9 @@
 	return b.effectiveTime(b.retention.notBefore)
 }
 
-// settling returns the delta that gives up what is retained of a section, and whether anything
-// is. It leads to a revision of its own, so that it reaches peers.
-func (v View) settling(s Section) (Delta, bool) {
+// settlingDelta returns the delta that gives up what is retained of a section, and whether
+// anything is. It leads to a revision of its own, so that it reaches peers.
+func (v View) settlingDelta(s Section) (Delta, bool) {
 	from := v.Revision(s)
 	d := Delta{Section: s, From: from, To: from.settled()}
 	switch s {
@@ -237,16 +237,16 @@
 	return count
 }
 
-// retain keeps the members of old that are of an earlier era than d, which has been applied to
-// m otherwise, unless d shows that they were written or removed in the new era, or that a peer
-// has settled the section: the era then began long enough ago.
+// retain adds to m, to which d has been applied otherwise, the members of old that are of an
+// earlier era than d. It doesn't add those that d shows to be written or removed in the new era,
+// and none if d shows that a peer has settled the section: the era then began long enough ago.
 func (m *Members) retain(old Members, d Delta) {
 	if d.To.isSettled() {
 		m.dropRetained(old)
 		return
 	}
 	for _, stored := range d.Stored {
-		m.keepStored(stored, d)
+		m.addStored(stored, d)
 	}
 	for name, known := range old.ByName {
 		shown, ok := m.ByName[name]
@@ -268,13 +268,13 @@
 			shown, ok = old.Stored[name]
 		}
 		if ok {
-			m.keepStored(shown, d)
+			m.addStored(shown, d)
 		}
 	}
 }
 
-// keepStored records what the store has of a retained member, if it is of the era of d.
-func (m *Members) keepStored(stored Member, d Delta) {
+// addStored records the state of a retained member in the store, if that is of the era of d.
+func (m *Members) addStored(stored Member, d Delta) {
 	if stored.Revision.Era() != d.To.Era() {
 		return
 	}
@@ -284,7 +284,8 @@
 	m.Stored[stored.Name] = stored
 }
 
-// useStored puts what the store has of a retained member, if anything, in its place.
+// useStored replaces a retained member by its state in the store, or removes it if the store
+// lacks it.
 func (m *Members) useStored(name string) {
 	delete(m.ByName, name)
 	if stored, ok := m.Stored[name]; ok {
@@ -306,8 +307,8 @@
 	}
 }
 
-// isSuperseded reports whether a member that d shows takes the place of the one of an earlier
-// era that is known.
+// isSuperseded reports whether shown, the state of a member in d, replaces known, its state of
+// an earlier era.
 func (m Members) isSuperseded(known, shown Member, d Delta) bool {
 	stored, isStored := m.Stored[known.Name]
 	same := shown
@@ -328,26 +329,26 @@
 	return shown.Revision.Position() > known.Revision.Position()
 }
 
-// retain keeps the evacuations of old that are of an earlier era than d, which has been applied
-// to e otherwise, or that were retained before and have not ended by d, unless a peer has
-// settled the section.
+// retain adds to e, to which d has been applied otherwise, the evacuations of old that are of an
+// earlier era than d, or were retained before, and that have not ended by d. It adds none if d
+// shows that a peer has settled the section.
 func (e *Evacuations) retain(old Evacuations, d Delta) {
 	if d.To.isSettled() {
 		return
 	}
 	for _, domain := range d.Retained {
-		e.keep(domain)
+		e.addRetained(domain)
 	}
 	isFirst := old.Revision.Era() < d.To.Era()
 	for domain := range old.Domains {
 		if !e.Domains[domain] && (isFirst || old.retained[domain]) && !slices.Contains(d.Ended, domain) {
-			e.keep(domain)
+			e.addRetained(domain)
 		}
 	}
 }
 
-// keep adds a retained evacuation.
-func (e *Evacuations) keep(domain string) {
+// addRetained adds a retained evacuation.
+func (e *Evacuations) addRetained(domain string) {
 	if e.retained == nil {
 		e.retained = map[string]bool{}
 	}
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -191,7 +191,7 @@
 	// Ended are the failure domains of which an evacuation ended after From, also one that
 	// began after From.
 	Ended []string `json:",omitempty"`
-	// Retained are those of Domains whose evacuation is not in the store, since it was restored
+	// Retained are those of Domains whose evacuation is not in the store, because it was restored
 	// from a copy.
 	Retained []string `json:",omitempty"`
 	// followsGap is set on a full delta if the section wasn't known to be current shortly before.
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -30,7 +30,7 @@
 	PassOn                      // Message goes to To: another agent, or the balancer
 	Reset                       // is dropped, and the caller gets a reset
 	Drop
-	Notify // only NotifyBalancer gets a message: the packet is a query for its flow, which this agent holds
+	Notify // the packet is a query for a flow that this agent holds: only NotifyBalancer gets a message
 )
 
 // Action is the decision about one packet.
@@ -90,8 +90,8 @@
 }
 
 // FromPeer decides about a caller's packet that a balancer or another agent
-// forwarded. A query carries only the header p, and changes nothing but what p shows about a
-// flow that is being opened.
+// forwarded. A query carries only the header of the packet. It changes no state except that of
+// a flow that is being opened; see openedFlow.
 func (g *Gate) FromPeer(now time.Time, m *hop.Message, p flow.Packet) Action {
 	key := p.CallerKey()
 	if p.Has(flow.Open|flow.Ack) || (m.Query && p.Opening()) {
@@ -100,18 +100,7 @@
 	if p.Opening() {
 		return g.openFlow(now, m, p, key)
 	}
-	f := g.flows.get(key)
-	if f != nil && f.state == stateOpening {
-		if f.opens(p, fromCaller) {
-			g.flows.open(f)
-			f.openedAt = now // an earlier run may have got the opening
-		} else {
-			// The caller acknowledges another backend server's answer to the same
-			// opening or, if the agent has restarted since, data of this one.
-			g.flows.remove(key)
-			f = nil
-		}
-	}
+	f := g.openedFlow(now, key, p)
 	if f == nil {
 		return g.unknownFlow(now, m, key)
 	}
@@ -147,6 +136,24 @@
 	return a
 }
 
+// openedFlow returns the flow of a caller's packet that is no opening, nil if it is unknown. If
+// the flow is being opened, the packet opens it or shows that it is not the caller's flow.
+func (g *Gate) openedFlow(now time.Time, key flow.Key, p flow.Packet) *entry {
+	f := g.flows.get(key)
+	if f == nil || f.state != stateOpening {
+		return f
+	}
+	if !f.opens(p, fromCaller) {
+		// The caller acknowledges another backend server's answer to the same
+		// opening or, if the agent has restarted since, data of this one.
+		g.flows.remove(key)
+		return nil
+	}
+	g.flows.open(f)
+	f.openedAt = now // an earlier run may have got the opening
+	return f
+}
+
 // openFlow decides about an opening or a copy of it.
 func (g *Gate) openFlow(now time.Time, m *hop.Message, p flow.Packet, key flow.Key) Action {
 	f := g.flows.get(key)
--- a/internal/flowpath/flowgate/offer.go
+++ b/internal/flowpath/flowgate/offer.go
@@ -47,8 +47,8 @@
 // unknownFlow decides about a packet of a flow that this agent doesn't know. While
 // the agent learns, its backend server may hold the flow. The packet is not offered to
 // it while agents are asked whether they know the flow, because other backend servers
-// must not get many packets of a flow. The answer says if such a packet was offered lately,
-// so that a balancer also takes the offers that others have caused into account.
+// must not get many packets of a flow. The answer shows whether such a packet was offered
+// lately, so that a balancer also counts the offers that other balancers have caused.
 func (g *Gate) unknownFlow(now time.Time, m *hop.Message, key flow.Key) Action {
 	if at, ok := g.lastOffers[key]; ok && now.Sub(at) < offerReportTime {
 		m.Offered = true
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -299,9 +299,9 @@
 	return max(minIdleMargin, requestTimeout)
 }
 
-// retention returns how long a flow is kept after its last packet; open is that of an open
-// flow.
-func (f *entry) retention(open time.Duration) time.Duration {
+// retention returns how long a flow is kept after its last packet, given openRetention for an
+// open flow.
+func (f *entry) retention(openRetention time.Duration) time.Duration {
 	switch f.state {
 	case stateOpening:
 		return openingTimeout
@@ -310,5 +310,5 @@
 	case stateLost:
 		return lostRetention
 	}
-	return open
+	return openRetention
 }
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -185,7 +185,7 @@
 		return errkind.New(errkind.TunnelMalformed, "candidate list, position and datagram length are inconsistent")
 	}
 	if m.Query && !(m.ReportHolder && m.KnownOnly) {
-		return errkind.New(errkind.TunnelMalformed, "query doesn't ask for the holder, or asks for the offer of a packet that it lacks")
+		return errkind.New(errkind.TunnelMalformed, "query without the flags that request the holder and exclude offers")
 	}
 	for i := range count {
 		m.Candidates = append(m.Candidates, endpoint.Get(b[fixedHeaderLen+i*endpoint.Size:]))
--- a/internal/flowpath/linkbudget/admission.go
+++ b/internal/flowpath/linkbudget/admission.go
@@ -19,14 +19,14 @@
 	// background.
 	trackTime = 5 * time.Second
 	// idleTime is the time without a packet after which a flow has no outstanding work. Callers
-	// keep flows open between requests; counting such flows rejected openings at 70% of
-	// the link. It is longer than the delay of a first retransmission, 200 ms.
+	// keep flows open between requests. When such flows were counted, openings were rejected at
+	// 70% of the link. It is longer than the delay of a first retransmission, 200 ms.
 	idleTime = 250 * time.Millisecond
 	// refreshInterval is the maximum age of the means and sums on which decisions rest.
 	refreshInterval = 20 * time.Millisecond
 	// rateHalfLife makes the background rate an average over about a second.
 	rateHalfLife = 500 * time.Millisecond
-	// minSpareShare is the share of the link that counts as free for new flows at least.
+	// minSpareShare is the minimum share of the link that counts as free for new flows.
 	minSpareShare = 0.1
 	// maxTickGap is the time between two ticks beyond which the balancer has stalled. It is the
 	// same as in flowsteer.
@@ -37,7 +37,8 @@
 	// sooner.
 	refusalTime = 1500 * time.Millisecond
 	// maxRefused is the maximum number of refused openings that are remembered. Others are
-	// admitted: a refusal is only truthful if no copy of the opening reaches an agent.
+	// admitted: the reset of a refused flow means that it was not opened, which is only true if
+	// no copy of its opening reaches an agent.
 	maxRefused = 16384
 )
 
--- a/internal/flowpath/linkbudget/rate.go
+++ b/internal/flowpath/linkbudget/rate.go
@@ -41,8 +41,8 @@
 	w.bytes += float64(bytes)
 }
 
-// isRateDoubtful reports whether more is received now than a link of the rate carries. It is
-// then about to be replaced, and neither openings are rejected nor flows paused.
+// isRateDoubtful reports whether more is received now than a link of the rate carries. The rate
+// is then about to be raised. Until then no openings are rejected and no flows are paused.
 func (b *Budget) isRateDoubtful(now time.Time) bool {
 	return b.received.at(now, rateHalfLife)*math.Ln2/rateHalfLife.Seconds() > maxRateExcess*b.rate
 }
--- a/internal/flowpath/linkbudget/work.go
+++ b/internal/flowpath/linkbudget/work.go
@@ -116,7 +116,7 @@
 
 // allowance returns the delay up to which a heavy flow of a route is admitted: half of the
 // objective, so that the rest is left for the backend server and the way back. It is halved
-// while a route of a higher priority has heavy flows outstanding.
+// while a heavy route of a higher priority has outstanding work.
 func allowance(objective time.Duration, higherPriorityOutstanding bool) time.Duration {
 	limit := min(objective/2, maxAllowance)
 	if higherPriorityOutstanding {
--- a/pkg/flowbalancer/admission.go
+++ b/pkg/flowbalancer/admission.go
@@ -11,9 +11,9 @@
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/linkbudget"
 )
 
-// admit counts a caller's packet and reports whether the link has room for it. Otherwise it
-// executes what happens instead: the reset of a new flow, or the drop of a copy of an
-// opening that was reset or of data that the caller retransmits.
+// admit counts a caller's packet and reports whether the link has room for it. If not, it resets
+// the new flow, or drops the packet: a copy of an opening that was reset, or data that the
+// caller will retransmit.
 func (b *Balancer) admit(now time.Time, p flow.Packet, bytes int) bool {
 	if b.linkBudget.ShedPacket(now, p, bytes) {
 		b.execute(flowsteer.Action{Verdict: flowsteer.Drop, Kind: errkind.LinkFull, Packet: p})
