--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -191,7 +191,7 @@
 	// Ended are the failure domains of which an evacuation ended after From, also one that
 	// began after From.
 	Ended []string `json:",omitempty"`
-	// Retained are those of Domains whose evacuation is not in the store, since it was restored
+	// Retained are those of Domains whose evacuation is not in the store, because it was restored
 	// from a copy.
 	Retained []string `json:",omitempty"`
 	// followsGap is set on a full delta if the section wasn't known to be current shortly before.
@@ -205,7 +205,7 @@
 	// era 0. It is needed beside Delta.From because a process that holds a version has another
 	// configuration than others at that revision.
 	FromVersion int64 `json:",omitempty"`
-	// Held says that the store has an older version, or none.
+	// Held is set while the store has an older version, or none.
 	Held        bool             `json:",omitempty"`
 	Routes      []Route          // new or changed
 	Dropped     []netip.AddrPort `json:",omitempty"`
