--- a/internal/control/follow/era_test.go
+++ b/internal/control/follow/era_test.go
@@ -269,7 +269,7 @@
 
 // Guards against a member that doesn't tell processes that start how old the era is, and against
 // a write by each process because of the fields alone, in a new era or after a restart.
-func TestMembersTellTheAgeOfTheEra(t *testing.T) {
+func TestMembersCarryTheAgeOfTheEra(t *testing.T) {
 	is := is.New(t)
 	server := newStore(t)
 	server.NameEra()
--- a/internal/control/follow/poll_internal_test.go
+++ b/internal/control/follow/poll_internal_test.go
@@ -78,7 +78,7 @@
 
 // Guards against a store that isn't told of an era which this process has learned from a peer:
 // the announcer would write by revisions of the era before.
-func TestStoreLearnsTheEraOfPeers(t *testing.T) {
+func TestStoreObservesTheEraOfPeers(t *testing.T) {
 	is := is.New(t)
 	s := &observer{}
 	f := New(Options{Name: "agent-1", Store: s, Board: view.NewBoard(), Logger: event.Discard()})
--- a/internal/control/view/retention_test.go
+++ b/internal/control/view/retention_test.go
@@ -275,7 +275,7 @@
 // Guards against a leaving backend server that gets new flows again because a process got the
 // retained member from a peer, without the state that the store has, and takes this for a write
 // of the new era.
-func TestFollowersKnowWhatTheStoreHas(t *testing.T) {
+func TestFollowersReceiveTheStoredState(t *testing.T) {
 	is := is.New(t)
 	source, follower := boardInEra3(), NewBoard()
 	source.Apply(membersDelta(0, at(4, 30), true, map[string]int64{"a": 10, "b": 20}))
--- a/internal/flowpath/flowsteer/narrow_test.go
+++ b/internal/flowpath/flowsteer/narrow_test.go
@@ -144,7 +144,7 @@
 
 // Guards against data that replaces an acknowledgement in a lookup and then is repeated with
 // each list.
-func TestPacketThatReplacesAnotherIsAskedForByQuery(t *testing.T) {
+func TestReplacingPacketIsLookedUpByQuery(t *testing.T) {
 	is := is.New(t)
 	s := linkedSteerer(20, narrowRate)
 	is.True(!s.FromCaller(start, callerPacket(1, flow.Ack), make([]byte, headerLen)).Message.Query) // nothing to save
--- a/internal/flowpath/hop/hop_test.go
+++ b/internal/flowpath/hop/hop_test.go
@@ -62,7 +62,7 @@
 }
 
 // Guards against agents that offer a header without its data to their backend servers.
-func TestQueryAsksForKnowledgeOnly(t *testing.T) {
+func TestQueryIsForKnownFlowsOnly(t *testing.T) {
 	is := is.New(t)
 	for _, m := range []Message{{Type: Forward, Query: true, ReportHolder: true}, {Type: Forward, Query: true, KnownOnly: true}} {
 		is.True(errkind.Is(Decode(m.Append(nil), &Message{}), errkind.TunnelMalformed))
--- a/internal/flowpath/linkbudget/patterns_test.go
+++ b/internal/flowpath/linkbudget/patterns_test.go
@@ -244,7 +244,7 @@
 
 // Guards against rejections by a balancer that has just started and knows nothing, and against
 // one that learns only when the first flows have ended.
-func TestRestartWithoutLearnedWork(t *testing.T) {
+func TestRestartWithoutKnownWork(t *testing.T) {
 	is := is.New(t)
 	m := newModel(narrowRate, narrowRate)
 	m.play(time.Second, uploads(150), requests(100))
