Let a flow without a feed replace one in TestEachCutFeedBreaksItsFlow

The test expected a feed on each of the first 48 flows. It now checks every flow that was open before the close, and that 48 feeds were cut: as strict as before.

--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -189,13 +189,20 @@
 	service := ServiceLoad{Name: "gel", Address: s.addr, Callers: callers, Feeds: callers}
 	l := s.start(service, closedLater)
 	s.waitForLedger(l, "lines of all feeds", func(l Ledger) bool { return followedFeeds(l.Flows) == callers })
+	// A flow whose handshake failed on a busy machine has no feed; its successor has.
+	opened := len(l.Ledger().Flows)
 	closeConns(noError)
-	s.waitForLedger(l, "end of the flows", func(l Ledger) bool { return endedFlows(l.Flows[:callers]) == callers })
+	s.waitForLedger(l, "end of the flows", func(l Ledger) bool { return endedFlows(l.Flows[:opened]) == opened })
 	l.Close()
-	for _, f := range l.Ledger().Flows[:callers] {
-		is.Equal(f.Feeds[0].Reason, FeedCut)
-		is.Equal(f.Reason, ApplicationError)
+	cut := 0
+	for _, f := range l.Ledger().Flows[:opened] {
+		for _, feed := range f.Feeds {
+			cut++
+			is.Equal(feed.Reason, FeedCut)
+			is.Equal(f.Reason, ApplicationError)
+		}
 	}
+	is.Equal(cut, callers)
 }
 
 // Guards against orders that run twice. After a lost answer, the retry must use
