--- a/internal/flowpath/flow/flow.go
+++ b/internal/flowpath/flow/flow.go
@@ -11,6 +11,9 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/rendezvous"
 )
 
+// OpeningCopyDelay is how long after an opening its caller sends the first copy.
+const OpeningCopyDelay = 200 * time.Millisecond
+
 // Key identifies a flow in both directions.
 type Key struct {
 	Caller  netip.AddrPort
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -239,7 +239,7 @@
 			delete(g.offers, mark)
 		}
 	}
-	maps.DeleteFunc(g.lastOffers, func(_ flow.Key, at time.Time) bool { return now.Sub(at) >= offerReportTime })
+	maps.DeleteFunc(g.lastOffers, func(_ flow.Key, at time.Time) bool { return now.Sub(at) >= hop.OfferWindow })
 	maps.DeleteFunc(g.maybeOpened, func(_ flow.Key, until time.Time) bool { return !now.Before(until) })
 	return g.flows.sweep(now, g.backend.idleTimeout, g.routes)
 }
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 // answerOffered offers a request of an unknown flow to the backend server of a learning
@@ -211,7 +212,7 @@
 	is.True(!ask(start, true).Message.Offered)
 	is.Equal(ask(start, false).Verdict, Deliver)
 	is.True(ask(start.Add(time.Second), true).Message.Offered)
-	is.True(!ask(start.Add(offerReportTime), true).Message.Offered)
-	g.Tick(start.Add(offerReportTime))
+	is.True(!ask(start.Add(hop.OfferWindow), true).Message.Offered)
+	g.Tick(start.Add(hop.OfferWindow))
 	is.Equal(len(g.lastOffers), 0)
 }
--- a/internal/flowpath/flowgate/offer.go
+++ b/internal/flowpath/flowgate/offer.go
@@ -22,9 +22,6 @@
 	connAttemptInterval = 2 * time.Second
 	// maxOffers is the maximum number of offered packets that are remembered.
 	maxOffers = 4096
-	// offerReportTime is how long an agent reports that it has offered a packet of a flow. It
-	// equals flowsteer's offerWindow, in which balancers limit the offers of a flow.
-	offerReportTime = 2500 * time.Millisecond
 	// maxDenied is the maximum number of flows that are remembered as not held.
 	maxDenied = 1 << 16
 )
@@ -50,7 +47,7 @@
 // must not get many packets of a flow. The answer shows whether such a packet was offered
 // lately, so that a balancer also counts the offers that other balancers have caused.
 func (g *Gate) unknownFlow(now time.Time, m *hop.Message, key flow.Key) Action {
-	if at, ok := g.lastOffers[key]; ok && now.Sub(at) < offerReportTime {
+	if at, ok := g.lastOffers[key]; ok && now.Sub(at) < hop.OfferWindow {
 		m.Offered = true
 	}
 	_, denied := g.denied[key]
--- a/internal/flowpath/flowsteer/offers.go
+++ b/internal/flowpath/flowsteer/offers.go
@@ -4,16 +4,15 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flow"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/hop"
 )
 
 const (
 	// offerBudget is the maximum number of agents that offer packets of a flow to their
-	// backend servers within offerWindow, while an agent that hasn't answered may hold it.
+	// backend servers within hop.OfferWindow, while an agent that hasn't answered may hold it.
 	// That one may be away or busy. A flow counts as misdirected when other backend
 	// servers get three of its packets within 2 s and its own gets none.
 	offerBudget = 2
-	// offerWindow leaves time for an offer that is delivered late.
-	offerWindow = 2500 * time.Millisecond
 	// maxOfferRecords is the maximum number of flows whose offers are remembered. Others
 	// are not offered before all agents have answered.
 	maxOfferRecords = maxLookups
@@ -38,7 +37,7 @@
 	switch {
 	case !ok && len(o.records) >= maxOfferRecords:
 		return 0
-	case !ok || now.Sub(r.since) > offerWindow:
+	case !ok || now.Sub(r.since) > hop.OfferWindow:
 		return offerBudget
 	}
 	return max(offerBudget-r.count, 0)
@@ -51,7 +50,7 @@
 	if !ok && len(o.records) >= maxOfferRecords {
 		return
 	}
-	if now.Sub(r.since) > offerWindow {
+	if now.Sub(r.since) > hop.OfferWindow {
 		r.count = 0
 	}
 	o.records[key] = offerRecord{since: now, count: r.count + count}
@@ -60,7 +59,7 @@
 // expire forgets the flows whose window has ended.
 func (o *offerLimiter) expire(now time.Time) {
 	for key, r := range o.records {
-		if now.Sub(r.since) > offerWindow {
+		if now.Sub(r.since) > hop.OfferWindow {
 			delete(o.records, key)
 		}
 	}
--- a/internal/flowpath/flowsteer/offers_test.go
+++ b/internal/flowpath/flowsteer/offers_test.go
@@ -64,9 +64,9 @@
 		return n
 	}
 	is.Equal(offered(start), offerBudget)
-	is.Equal(offered(start.Add(offerWindow)), 0)
-	is.Equal(offered(start.Add(offerWindow+time.Millisecond)), offerBudget)
-	s.Tick(start.Add(3 * offerWindow))
+	is.Equal(offered(start.Add(hop.OfferWindow)), 0)
+	is.Equal(offered(start.Add(hop.OfferWindow+time.Millisecond)), offerBudget)
+	s.Tick(start.Add(3 * hop.OfferWindow))
 	is.Equal(len(s.offers.records), 0)
 }
 
--- a/internal/flowpath/flowsteer/opening.go
+++ b/internal/flowpath/flowsteer/opening.go
@@ -14,10 +14,8 @@
 const (
 	// placementTimeout is how long an agent may take to confirm that it holds a new
 	// flow. It covers a round trip between failure domains and a busy agent, and
-	// is shorter than openingCopyDelay.
+	// is shorter than flow.OpeningCopyDelay.
 	placementTimeout = 80 * time.Millisecond
-	// openingCopyDelay is how long after an opening its caller sends the first copy.
-	openingCopyDelay = 200 * time.Millisecond
 	// maxOpenings is the maximum number of new flows that wait for an agent's
 	// answer.
 	maxOpenings = 4096
@@ -90,7 +88,7 @@
 // opened it by one of them.
 func (s *Steerer) rejectOpening(now, sentAt time.Time, p flow.Packet, kind errkind.Kind, service string) Action {
 	a := Action{Verdict: Reset, Kind: kind, Packet: p, Service: service}
-	if now.Sub(sentAt) >= openingCopyDelay || s.agents.stalledWithin(now, openingCopyDelay) {
+	if now.Sub(sentAt) >= flow.OpeningCopyDelay || s.agents.stalledWithin(now, flow.OpeningCopyDelay) {
 		a.Verdict = Drop
 	}
 	return a
--- a/internal/flowpath/flowsteer/steer_test.go
+++ b/internal/flowpath/flowsteer/steer_test.go
@@ -145,7 +145,7 @@
 			is := is.New(t)
 			p := callerPacket(1, flow.Open)
 			is.Equal(newSteerer(v).FromCaller(start, p, nil).Verdict, Reset)
-			p.Age = openingCopyDelay
+			p.Age = flow.OpeningCopyDelay
 			is.Equal(newSteerer(v).FromCaller(start, p, nil).Verdict, Drop)
 		})
 	}
@@ -163,15 +163,15 @@
 		return s.Declined(start.Add(after), p, &a.Message)[0].Verdict
 	}
 	is := is.New(t)
-	is.Equal(verdict(0, openingCopyDelay-time.Millisecond), Reset)
-	is.Equal(verdict(0, openingCopyDelay), Drop)
-	is.Equal(verdict(openingCopyDelay, 0), Drop)
+	is.Equal(verdict(0, flow.OpeningCopyDelay-time.Millisecond), Reset)
+	is.Equal(verdict(0, flow.OpeningCopyDelay), Drop)
+	is.Equal(verdict(flow.OpeningCopyDelay, 0), Drop)
 
 	// The balancer gets the opening late, and a copy before the candidates decline.
 	s := newSteerer(testView(3))
 	p := callerPacket(1, flow.Open)
 	first := s.FromCaller(start, p, []byte("syn"))
-	p.Age = openingCopyDelay
+	p.Age = flow.OpeningCopyDelay
 	second := s.FromCaller(start.Add(time.Millisecond), p, []byte("syn"))
 	is.Equal(s.Declined(start.Add(2*time.Millisecond), p, &first.Message)[0].Verdict, Drop)
 	is.Equal(s.Declined(start.Add(2*time.Millisecond), p, &second.Message)[0].Verdict, Drop)
@@ -712,10 +712,10 @@
 	is.Equal(reject(s, resumed), Drop) // the timers run next
 	s.Tick(resumed)
 	is.Equal(reject(s, resumed), Drop) // other packets lie unread before it
-	for at := resumed; !at.After(resumed.Add(openingCopyDelay)); at = at.Add(maxTickGap) {
+	for at := resumed; !at.After(resumed.Add(flow.OpeningCopyDelay)); at = at.Add(maxTickGap) {
 		s.Tick(at)
 	}
-	is.Equal(reject(s, resumed.Add(openingCopyDelay)), Reset)
+	is.Equal(reject(s, resumed.Add(flow.OpeningCopyDelay)), Reset)
 	delete(s.view.Configuration.Routes, route)
 	is.Equal(s.FromCaller(resumed.Add(time.Second), callerPacket(1, flow.Open), nil).Verdict, Drop) // no route yet
 }
--- a/internal/flowpath/hop/hop.go
+++ b/internal/flowpath/hop/hop.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/endpoint"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
@@ -46,6 +47,11 @@
 // DatagramOverhead is the length of the IP and UDP headers of a datagram.
 const DatagramOverhead = 28
 
+// OfferWindow is the time in which balancers limit how many agents offer packets of a flow to
+// their backend servers, and for which an agent reports an offer. It leaves time for one that
+// is delivered late.
+const OfferWindow = 2500 * time.Millisecond
+
 // MaxHeader is the maximum length in bytes of the header before a forwarded
 // packet.
 const MaxHeader = fixedHeaderLen + MaxCandidates*endpoint.Size
--- a/internal/flowpath/linkbudget/admission.go
+++ b/internal/flowpath/linkbudget/admission.go
@@ -31,8 +31,6 @@
 	// maxTickGap is the time between two ticks beyond which the balancer has stalled. It is the
 	// same as in flowsteer.
 	maxTickGap = 100 * time.Millisecond
-	// openingCopyDelay is how long after an opening its caller sends the first copy.
-	openingCopyDelay = 200 * time.Millisecond
 	// refusalTime is how long copies of a refused opening are dropped. Its caller gives up
 	// sooner.
 	refusalTime = 1500 * time.Millisecond
@@ -239,7 +237,7 @@
 // hasStalled reports whether the balancer stalls or has stalled shortly before, so that
 // openings may have lain unread.
 func (b *Budget) hasStalled(now time.Time) bool {
-	return b.isLate(now) || (!b.stallEndedAt.IsZero() && now.Sub(b.stallEndedAt) < openingCopyDelay)
+	return b.isLate(now) || (!b.stallEndedAt.IsZero() && now.Sub(b.stallEndedAt) < flow.OpeningCopyDelay)
 }
 
 // isLate reports whether Tick is overdue.
