--- a/internal/flowpath/flowsteer/contact.go
+++ b/internal/flowpath/flowsteer/contact.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
+	"github.com/knapweedpier/knapweedpier/internal/flowpath/linkbudget"
 )
 
 const (
@@ -37,9 +38,8 @@
 	// takes to start on a slow, busy host.
 	restartTimeout = 6 * time.Second
 	// maxTickGap is how much of the time between two calls of Tick counts as silence
-	// of the agents at most. After a longer gap their answers may lie unread. A usage
-	// cap of the processor stalls a balancer for up to a tenth of a second.
-	maxTickGap = 100 * time.Millisecond
+	// of the agents at most. After a longer gap their answers may lie unread.
+	maxTickGap = linkbudget.MaxTickGap
 )
 
 // contact holds what the balancer knows about a node to which it sends hellos.
--- a/internal/flowpath/linkbudget/admission.go
+++ b/internal/flowpath/linkbudget/admission.go
@@ -28,9 +28,6 @@
 	rateHalfLife = 500 * time.Millisecond
 	// minSpareShare is the minimum share of the link that counts as free for new flows.
 	minSpareShare = 0.1
-	// maxTickGap is the time between two ticks beyond which the balancer has stalled. It is the
-	// same as in flowsteer.
-	maxTickGap = 100 * time.Millisecond
 	// refusalTime is how long copies of a refused opening are dropped. Its caller gives up
 	// sooner.
 	refusalTime = 1500 * time.Millisecond
@@ -40,6 +37,11 @@
 	maxRefused = 16384
 )
 
+// MaxTickGap is the time between two ticks of a balancer beyond which it has stalled, so that
+// datagrams may have lain unread. A usage cap of the processor stalls it for up to a tenth of a
+// second.
+const MaxTickGap = 100 * time.Millisecond
+
 // trackedFlow is a flow that was opened through this balancer.
 type trackedFlow struct {
 	key      flow.Key
@@ -242,7 +244,7 @@
 
 // isLate reports whether Tick is overdue.
 func (b *Budget) isLate(now time.Time) bool {
-	return !b.lastTick.IsZero() && now.Sub(b.lastTick) > maxTickGap
+	return !b.lastTick.IsZero() && now.Sub(b.lastTick) > MaxTickGap
 }
 
 // Tick runs the timers. It must be called every 20 ms: openings are admitted after a
