Log when and why an agent ceases to learn, and what excludes earlier handovers

On call, a reset of a flow that its agent denied (events 1502 and 1503) didn't show why the agent was sure not to hold it: it had learned for long enough, had a handover, or took its backend server for one that started later. Nor did the log of the process before show why it had accepted new flows.

Event 1521 and the gauge flow_agent.learning show when an agent ceases to learn, by what, and how old the configuration is by which it does. Event 1522 shows what excluded earlier handovers, and how old the view was. No decision changes.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -74,6 +74,8 @@
 	HandoverWritten          ID = 1518
 	HandoverTakenOver        ID = 1519
 	NewFlowsRejected         ID = 1520
+	LearningChanged          ID = 1521
+	HandoversExcluded        ID = 1522
 )
 
 // Events of the balancer.
@@ -175,6 +177,8 @@
 	{HandoverWritten, log.InfoLevel, false, "flows written for the next process of the agent", "None; with an error the next process learns the flows from packets."},
 	{HandoverTakenOver, log.InfoLevel, false, "flows of the earlier process taken over", "None; with an error the agent learns the flows from packets."},
 	{NewFlowsRejected, log.WarnLevel, true, "new flows rejected because the link is full", "See OPERATIONS.md, link of a balancer full."},
+	{LearningChanged, log.InfoLevel, false, "agent began or ceased to learn flows from packets", "None, unless flows are reset after it: see the reason."},
+	{HandoversExcluded, log.InfoLevel, false, "no earlier handover can deny new flows any more", "None."},
 }
 
 var byID = indexByID(catalogue)
--- a/internal/base/metrics/flows.go
+++ b/internal/base/metrics/flows.go
@@ -68,7 +68,7 @@
 	Flows, InProgress, Waiting Gauge
 	OpenTime, AnswerTime       Histogram
 	ReportAge, ViewAge         Gauge
-	StoreEra                   Gauge
+	StoreEra, Learning         Gauge
 }
 
 // NewFlowAgent registers the metrics of an agent of packet flows.
@@ -89,5 +89,6 @@
 		ReportAge:  r.registerGauge(FlowAgentReportAge),
 		ViewAge:    r.registerGauge(FlowAgentViewAge),
 		StoreEra:   r.registerGauge(FlowAgentStoreEra),
+		Learning:   r.registerGauge(FlowAgentLearning),
 	}
 }
--- a/internal/base/metrics/names.go
+++ b/internal/base/metrics/names.go
@@ -76,6 +76,7 @@
 	FlowAgentReportAge  Name = "flow_agent.report_age_ms" // milliseconds since the backend server's last report
 	FlowAgentViewAge    Name = "flow_agent.view_age_ms"   // milliseconds since the view was known to be current, -1 if never
 	FlowAgentStoreEra   Name = "flow_agent.store_era"     // era of the store that the members are from
+	FlowAgentLearning   Name = "flow_agent.learning"      // 1 while the backend server may hold flows that the agent doesn't know, 0 otherwise
 )
 
 // Metrics of the control path of every process.
--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -55,7 +55,8 @@
 	refilledAt              time.Time
 	learnUntil              time.Time // packets of unknown flows are offered to the backend server before then
 	learnUntilBefore        time.Time // learnUntil before a handover ended learning, zero if none did
-	takenOver               Run       // run of the handover of an earlier process of this agent, if there was one
+	learningReason          LearningReason
+	takenOver               Run // run of the handover of an earlier process of this agent, if there was one
 
 	serviceKnown  bool // the configuration of the service is known
 	coldPerSecond float64
@@ -225,7 +226,7 @@
 // no packet since its start has then been idle for longer than flows may be.
 func (b *backend) endLearningBy(end time.Time) {
 	if end.Before(b.learnUntil) {
-		b.learnUntil = end
+		b.learnUntil, b.learningReason = end, LearnedByIdleTimeout
 	}
 	if end.Before(b.learnUntilBefore) {
 		b.learnUntilBefore = end
--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -121,6 +121,7 @@
 	}
 	if learnUntil := now.Add(h.LearnFor); learnUntil.Before(g.backend.learnUntil) {
 		g.backend.learnUntilBefore, g.backend.learnUntil = g.backend.learnUntil, learnUntil
+		g.backend.learningReason = LearnedByHandover
 	}
 	g.backend.takenOver = h.Run
 	g.keepOffersOfOpenFlows()
--- a/internal/flowpath/flowgate/options.go
+++ b/internal/flowpath/flowgate/options.go
@@ -41,8 +41,9 @@
 		maybeOpened: map[flow.Key]time.Time{},
 	}
 	g.backend.handoverPending = o.HandoverPending
+	g.backend.learningReason = LearnedNothing
 	if o.Learning {
-		g.backend.learnUntil = now.Add(o.LearnFor)
+		g.backend.learnUntil, g.backend.learningReason = now.Add(o.LearnFor), LearnsSinceStart
 	}
 	return g
 }
--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -39,7 +39,7 @@
 	b.maybeCold = false
 	b.coldUntil = now.Add(r.ColdFor)
 	if g.sawWholeRun(r.Started) {
-		b.learnUntil = time.Time{}
+		b.learnUntil, b.learningReason = time.Time{}, LearnedByRunSinceStart
 		clear(g.maybeOpened)
 	}
 	if !newRun {
@@ -47,7 +47,7 @@
 	}
 	if !g.sawWholeRun(r.Started) && b.learnUntilBefore.After(b.learnUntil) {
 		// The handover says nothing of this run.
-		b.learnUntil = b.learnUntilBefore
+		b.learnUntil, b.learningReason = b.learnUntilBefore, LearnsUnreportedRun
 	}
 	b.learnUntilBefore = time.Time{}
 	b.sentOpenings.sentAt = time.Time{}
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -70,6 +70,7 @@
 	// process has taken over, 0 if it has taken none over.
 	takenOverMember view.Revision
 	refusal         errkind.Kind // why the agent accepts no new flows, or only a few; 0 if it accepts all
+	learning        bool         // as last logged; see updateLearning
 	buffer          []byte
 
 	balancers []netip.AddrPort // all balancers in the view
@@ -298,6 +299,7 @@
 	}
 	a.deliverQueued(now)
 	a.checkEarlierHandovers(now)
+	a.updateLearning(now)
 	a.updateRefusal(now)
 	for _, action := range a.gate.PassOnUnanswered(now) {
 		a.sendMessage(action.To, action.Message)
--- a/pkg/flowagent/earlierhandovers.go
+++ b/pkg/flowagent/earlierhandovers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
+	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
 const (
@@ -35,29 +36,49 @@
 	announced     bool      // the member was announced anew because of them
 }
 
-// isExcludedBy reports whether a view proves that no handover can be used, or whether so
+// handoverEvidence is what shows that no handover of an earlier process can be used any more.
+type handoverEvidence string
+
+const (
+	noEvidence       handoverEvidence = ""
+	handoverTaken    handoverEvidence = "taken-over"   // its deletion was acknowledged
+	memberRead       handoverEvidence = "member-read"  // the store holds no announcement of a restart
+	memberWritten    handoverEvidence = "member-write" // the store has acknowledged a member without one
+	currentView      handoverEvidence = "current-view" // the same, in a view that was current after the start
+	earlierView      handoverEvidence = "earlier-view" // the same, in a view of before the start
+	handoversExpired handoverEvidence = "age"          // none counts as complete any more
+)
+
+// evidence returns what shows that no handover can be used: a view, or that so
 // much time has passed that none counts as complete. Without the store the proof is weaker:
 // a restarted agent must serve although the store is down, and a wrong view needs a store
 // that answered the earlier process, but neither the peers shortly before nor this process.
-func (h *earlierHandovers) isExcludedBy(now time.Time, restartAnnounced bool, confirmedAt time.Time) bool {
+func (h *earlierHandovers) evidence(now time.Time, restartAnnounced bool, confirmedAt time.Time) handoverEvidence {
 	switch {
 	case now.Sub(h.startedAt) >= maxCompleteAge:
-		return true
+		return handoversExpired
 	case restartAnnounced || confirmedAt.IsZero():
-		return false
+		return noEvidence
 	case confirmedAt.Sub(h.startedAt) > ageResolution:
-		return true
+		return currentView
+	case h.storeSilent && now.Sub(h.startedAt) >= peerViewDelay && h.startedAt.Sub(confirmedAt) <= maxPeerViewAge:
+		return earlierView
 	}
-	return h.storeSilent && now.Sub(h.startedAt) >= peerViewDelay && h.startedAt.Sub(confirmedAt) <= maxPeerViewAge
+	return noEvidence
 }
 
 // ruleOutHandovers ends the refusal of new flows because of handovers of earlier processes. The
 // caller holds the lock.
-func (a *Agent) ruleOutHandovers(now time.Time) {
+func (a *Agent) ruleOutHandovers(now time.Time, evidence handoverEvidence) {
 	if a.earlierHandovers.ruledOut {
 		return
 	}
 	a.earlierHandovers.ruledOut = true
+	fields := event.Fields{"evidence": evidence, "running_ms": now.Sub(a.earlierHandovers.startedAt).Milliseconds()}
+	if _, confirmed := a.node.Board.Snapshot(); !confirmed.StoredMembers.IsZero() {
+		fields["view_after_start_ms"] = confirmed.StoredMembers.Sub(a.earlierHandovers.startedAt).Milliseconds()
+	}
+	a.logger.Emit(event.HandoversExcluded, fields)
 	a.gate.EndHandoverPending()
 	a.updateRefusal(now)
 }
@@ -74,8 +95,12 @@
 	member, listed := v.Members.ByName[name]
 	acknowledged := a.node.Announcer.Acknowledged()
 	written := acknowledged.Name == name && !acknowledged.Restarting
-	if written || a.earlierHandovers.isExcludedBy(now, listed && member.Restarting, confirmed.StoredMembers) {
-		a.ruleOutHandovers(now)
+	evidence := a.earlierHandovers.evidence(now, listed && member.Restarting, confirmed.StoredMembers)
+	if written {
+		evidence = memberWritten
+	}
+	if evidence != noEvidence {
+		a.ruleOutHandovers(now, evidence)
 		return
 	}
 	noReport := a.lastReport.Instance == "" && !a.backendLeft && !a.restarting
@@ -88,26 +113,29 @@
 
 // recordTakeOverEnd records how the tries to take a handover over have ended.
 func (a *Agent) recordTakeOverEnd(ctx context.Context, err error) {
-	ruledOut, silent := a.noHandoverLeft(ctx, err)
+	evidence, silent := a.noHandoverLeft(ctx, err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.earlierHandovers.takeOverEnded, a.earlierHandovers.storeSilent = true, silent
-	if ruledOut {
-		a.ruleOutHandovers(time.Now())
+	if evidence != noEvidence {
+		a.ruleOutHandovers(time.Now(), evidence)
 	}
 }
 
-// noHandoverLeft reports whether the store has shown that no handover of an earlier process
-// can be used any more, from the error of the take-over, and whether it has not answered.
-func (a *Agent) noHandoverLeft(ctx context.Context, err error) (ruledOut, silent bool) {
+// noHandoverLeft returns what the store has shown against handovers of earlier processes, from
+// the error of the take-over, and whether it has not answered.
+func (a *Agent) noHandoverLeft(ctx context.Context, err error) (evidence handoverEvidence, silent bool) {
 	if err == nil {
-		return true, false
+		return handoverTaken, false
 	}
 	if !errkind.Is(err, errkind.NotFound) && !errkind.Is(err, errkind.HandoverUnusable) {
-		return false, true
+		return noEvidence, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
 	announced, err := a.store.RestartAnnounced(ctx, MemberName(a.settings.Address))
-	return err == nil && !announced, err != nil
+	if err == nil && !announced {
+		return memberRead, false
+	}
+	return noEvidence, err != nil
 }
--- a/pkg/flowagent/earlierhandovers_test.go
+++ b/pkg/flowagent/earlierhandovers_test.go
@@ -40,7 +40,7 @@
 			if c.confirmedAt != 0 {
 				confirmedAt = started.Add(c.confirmedAt)
 			}
-			is.Equal(s.isExcludedBy(started.Add(c.runningFor), c.announced, confirmedAt), c.want)
+			is.Equal(s.evidence(started.Add(c.runningFor), c.announced, confirmedAt) != noEvidence, c.want)
 		})
 	}
 }
--- a/pkg/flowagent/packets.go
+++ b/pkg/flowagent/packets.go
@@ -156,6 +156,11 @@
 	a.metrics.ReportAge.Update(a.gate.ReportAge(time.Now()).Milliseconds())
 	a.metrics.ViewAge.Update(a.node.Board.AgeMS())
 	a.metrics.StoreEra.Update(a.node.Board.View().Members.Revision.Era())
+	learning := int64(0)
+	if learns, _ := a.gate.Learning(time.Now()); learns {
+		learning = 1
+	}
+	a.metrics.Learning.Update(learning)
 }
 
 // recordAction counts an action, and logs it if it delivers an opening, passes a
@@ -238,3 +243,22 @@
 	}
 	a.logger.Emit(event.NewFlowAcceptanceChanged, fields)
 }
+
+// updateLearning logs whether the agent learns flows from packets, if that has changed. An
+// agent that doesn't denies all flows that it doesn't know. The caller holds the lock.
+func (a *Agent) updateLearning(now time.Time) {
+	learns, reason := a.gate.Learning(now)
+	if learns == a.learning {
+		return
+	}
+	a.learning = learns
+	v, confirmed := a.node.Board.Snapshot()
+	fields := event.Fields{
+		"learning": learns, "reason": reason, "running_ms": now.Sub(a.earlierHandovers.startedAt).Milliseconds(),
+		"idle_timeout_ms": v.Configuration.IdleTimeout.Milliseconds(),
+	}
+	if !confirmed.Configuration.IsZero() {
+		fields["configuration_age_ms"] = now.Sub(confirmed.Configuration).Milliseconds()
+	}
+	a.logger.Emit(event.LearningChanged, fields)
+}
