Judge idle flows by the timeout that is known to be in force

Cause: an agent that learns denies unknown flows once it has run for the idle timeout and 5 s. The end was computed from the least timeout of all configurations since the start, so a raised one had no effect. Event 1521 shows it: learning ended 20.0 s after the start, by idle-timeout, with a timeout of 40 s in force, and all agents denied the flows (1503, dead 0). Ruled out: a refused connection and a report of another run (the reason in 1521), lost offers (no event 1516).

The rule's premise is that the timeout is constant. Related paths with the same premise: a configuration that is old because the store is away, a handover of a learning agent, a timeout that is lowered while packets are on the way, the table of known flows, and the lifetime of flows after a reload.

Now flows are judged at the last time at which the configuration was known to be current, by the timeout in force then or within the margin before. That a flow has exceeded a timeout while it was in force is proof that it may be discarded, whatever comes later.

Four tests fail on: TestLearningFollowsARaisedIdleTimeout, TestHandedOverLearningFollowsARaisedIdleTimeout, TestOldConfigurationEndsNoFlow and TestLoweredIdleTimeoutLeavesTimeForPacketsOnTheWay.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -22,7 +22,7 @@
 	// minProcessGap is the shortest time from the end of a process of an agent to the
 	// start of the next one.
 	minProcessGap = 50 * time.Millisecond
-	// defaultIdleTimeout applies until the configuration is known.
+	// defaultIdleTimeout applies while no configuration is known.
 	defaultIdleTimeout = 60 * time.Second
 )
 
@@ -53,15 +53,12 @@
 	coldUntil               time.Time
 	tokens                  float64 // openings that a cold backend server may get now (token bucket)
 	refilledAt              time.Time
-	learnUntil              time.Time // packets of unknown flows are offered to the backend server before then
-	learnUntilBefore        time.Time // learnUntil before a handover ended learning, zero if none did
-	learningReason          LearningReason
+	learning                learning
 	takenOver               Run // run of the handover of an earlier process of this agent, if there was one
 
 	serviceKnown  bool // the configuration of the service is known
 	coldPerSecond float64
 	maxFlows      int
-	idleTimeout   time.Duration
 
 	sentOpenings answerTracker // openings; only packets of the backend server's own answer them
 	sentOffers   answerTracker // packets of unknown flows; bounced packets answer them as well
@@ -86,7 +83,7 @@
 }
 
 func newBackend(l Limits, now time.Time) backend {
-	return backend{limits: l, refilledAt: now, maybeCold: true, idleTimeout: defaultIdleTimeout}
+	return backend{limits: l, refilledAt: now, maybeCold: true}
 }
 
 // noteFlowLoss records that the backend server lost its flows, so it may be cold.
@@ -202,14 +199,12 @@
 // Leaving reports whether the backend server is known to be leaving.
 func (g *Gate) Leaving() bool { return g.backend.stateKnown && g.backend.report.State == view.Leaving }
 
-// SetService applies the configuration of the service and the idle timeout.
-func (g *Gate) SetService(s view.Service, idle time.Duration) {
+// SetService applies the configuration of the service and the idle timeout, which was last known
+// to be in force at confirmedAt. It is also called to confirm an unchanged configuration.
+func (g *Gate) SetService(s view.Service, idle time.Duration, confirmedAt time.Time) {
 	g.backend.serviceKnown = s.Name != ""
 	g.backend.coldPerSecond, g.backend.maxFlows = s.ColdPerSecond, s.MaxFlows
-	if idle > 0 {
-		g.backend.idleTimeout = idle
-		g.backend.endLearningBy(g.started.Add(idle + idleMargin(g.longestTimeout())))
-	}
+	g.idle.confirm(idle, confirmedAt, idleMargin(g.longestTimeout()))
 }
 
 // longestTimeout returns the longest timeout of a route's requests, 0 without routes.
@@ -222,17 +217,6 @@
 	return longest
 }
 
-// endLearningBy ends learning at a time at the latest. Each flow of which the agent has seen
-// no packet since its start has then been idle for longer than flows may be.
-func (b *backend) endLearningBy(end time.Time) {
-	if end.Before(b.learnUntil) {
-		b.learnUntil, b.learningReason = end, LearnedByIdleTimeout
-	}
-	if end.Before(b.learnUntilBefore) {
-		b.learnUntilBefore = end
-	}
-}
-
 // SetEvacuation records whether the failure domain is evacuated, and when the last end of an
 // evacuation became known. After an evacuation the backend server may be cold, so it counts
 // as cold until it reports again, also if the agent has never seen the evacuation.
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -72,7 +72,8 @@
 	backend  backend
 	health   health
 	started  time.Time // start of this gate
-	replaces bool      // see Options.Replaces
+	idle     idleLimit
+	replaces bool // see Options.Replaces
 	flows    table
 	queue    queue
 	routes   map[netip.AddrPort]view.Route
@@ -84,8 +85,11 @@
 	stopping   bool
 	sweptAt    time.Time
 
+	flowLifetime time.Duration
+
 	// maybeOpened holds the flows that were being opened when the handover was written, and
-	// until when their packets are offered to the backend server.
+	// since when this process runs without having seen them. Their packets are offered to the
+	// backend server.
 	maybeOpened map[flow.Key]time.Time
 }
 
@@ -172,7 +176,7 @@
 	g.backend.noteOpening(now)
 	g.health.noteNewFlow(now)
 	f = g.flows.add(key, now)
-	f.firstOpeningAt, f.maybeOpen = now.Add(-p.Age), now.Before(g.backend.learnUntil)
+	f.firstOpeningAt, f.maybeOpen = now.Add(-p.Age), g.learns(now)
 	delete(g.denied, key)
 	return Action{Verdict: Deliver, Mark: g.keepOffer(now, m, key, nil), Key: key, NotifyBalancer: m.Balancer}
 }
@@ -230,7 +234,7 @@
 		return nil
 	}
 	g.sweptAt = now
-	if !now.Before(g.backend.learnUntil) {
+	if !g.learns(now) {
 		clear(g.denied)
 	}
 	g.recordOverdue(now)
@@ -240,8 +244,8 @@
 		}
 	}
 	maps.DeleteFunc(g.lastOffers, func(_ flow.Key, at time.Time) bool { return now.Sub(at) >= hop.OfferWindow })
-	maps.DeleteFunc(g.maybeOpened, func(_ flow.Key, until time.Time) bool { return !now.Before(until) })
-	return g.flows.sweep(now, g.backend.idleTimeout, g.routes)
+	maps.DeleteFunc(g.maybeOpened, func(_ flow.Key, since time.Time) bool { return !g.mayLive(now, since) })
+	return g.sweepFlows(now)
 }
 
 // Load returns the load that the agent reports to balancers.
--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -35,10 +35,10 @@
 func newGate(learning bool) *Gate {
 	g := New(Options{
 		Self: self, Service: serviceID, Limits: Limits{ReportInterval: time.Second, ColdBurst: 2},
-		Learning: learning, LearnFor: time.Minute,
+		Learning: learning, FlowLifetime: time.Minute,
 	}, start)
 	g.SetMemberStored(time.Time{}, true)
-	g.SetService(view.Service{Name: "comptoir", MaxFlows: 100}, 15*time.Second)
+	g.SetService(view.Service{Name: "comptoir", MaxFlows: 100}, 15*time.Second, start)
 	g.SetRoutes(map[netip.AddrPort]view.Route{
 		orders: {Address: orders, Priority: 1, Objective: 300 * time.Millisecond, Timeout: 2 * time.Second},
 		feeds:  {Address: feeds, Priority: 2, Objective: 250 * time.Millisecond, Timeout: 1500 * time.Millisecond},
@@ -98,7 +98,7 @@
 	}{
 		{"leaving", func(g *Gate) { g.RefuseNewFlows() }, errkind.BackendLeaving},
 		{"evacuated", func(g *Gate) { g.SetEvacuation(true, 0) }, errkind.DomainOut},
-		{"all flows taken", func(g *Gate) { g.SetService(view.Service{Name: "comptoir", MaxFlows: 1}, 0) }, errkind.ConnectionsFull},
+		{"all flows taken", func(g *Gate) { g.SetService(view.Service{Name: "comptoir", MaxFlows: 1}, 0, start) }, errkind.ConnectionsFull},
 		{"other service", func(g *Gate) { g.service = 8 }, errkind.PacketWrongTarget},
 	}
 	for _, c := range cases {
@@ -585,7 +585,7 @@
 	const rate, burst = 6.0, 2.0
 	proptest.Check(t, func(t *rapid.T) {
 		g := newGate(false)
-		g.SetService(view.Service{Name: "comptoir", ColdPerSecond: rate}, 0)
+		g.SetService(view.Service{Name: "comptoir", ColdPerSecond: rate}, 0, start)
 		switch rapid.IntRange(0, 3).Draw(t, "case") {
 		case 0:
 			r := report(1)
--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -25,8 +25,13 @@
 type Handover struct {
 	Run Run
 	// LearnFor is how much longer the backend server may hold flows that are not
-	// in Flows, 0 if Flows is complete.
+	// in Flows at most, 0 if Flows is complete.
 	LearnFor time.Duration
+	// UnseenFor is the time before the handover in which the agent has seen no packet of those
+	// flows, 0 if it is unknown. The next process compares it with the idle timeout then in force.
+	UnseenFor time.Duration
+	// MayLackFlows is set if a process between may have opened flows that are not in Flows.
+	MayLackFlows bool
 	// MayBeStale is set if a process between may have passed packets of the flows. It has
 	// opened none, but those that were being opened may be open.
 	MayBeStale bool
@@ -63,7 +68,11 @@
 // Handover returns what the next process of this agent has to know. The caller must
 // pass no packets to g afterwards: the next process would not know what they change.
 func (g *Gate) Handover(now time.Time) Handover {
-	h := Handover{Run: g.knownRun(), LearnFor: max(g.backend.learnUntil.Sub(now), 0), Flows: make([]FlowRecord, 0, len(g.flows.entries))}
+	h := Handover{Run: g.knownRun(), Flows: make([]FlowRecord, 0, len(g.flows.entries))}
+	if learns, _ := g.Learning(now); learns {
+		h.UnseenFor = now.Sub(g.backend.learning.unseenSince)
+		h.LearnFor = g.flowLifetime - h.UnseenFor
+	}
 	for key, f := range g.flows.entries {
 		if f.state != stateLost {
 			h.Flows = append(h.Flows, f.record(key, now))
@@ -116,13 +125,14 @@
 		r := &h.Flows[i]
 		g.flows.takeOver(now, r)
 		if h.MayBeStale && !r.Opened && !r.Ended {
-			g.maybeOpened[r.Key] = g.backend.learnUntil
+			g.maybeOpened[r.Key] = now
 		}
 	}
-	if learnUntil := now.Add(h.LearnFor); learnUntil.Before(g.backend.learnUntil) {
-		g.backend.learnUntilBefore, g.backend.learnUntil = g.backend.learnUntil, learnUntil
-		g.backend.learningReason = LearnedByHandover
+	var unseenSince time.Time
+	if h.UnseenFor > 0 && !h.MayLackFlows {
+		unseenSince = now.Add(-h.UnseenFor)
 	}
+	g.backend.learning.takeOver(h.LearnFor == 0 && !h.MayLackFlows, unseenSince)
 	g.backend.takenOver = h.Run
 	g.keepOffersOfOpenFlows()
 	return nil
--- a/internal/flowpath/flowgate/handover_test.go
+++ b/internal/flowpath/flowgate/handover_test.go
@@ -16,7 +16,7 @@
 // successor returns the gate of the next process of g's agent after the handover.
 func successor(t rapid.TB, g *Gate, now time.Time) *Gate {
 	t.Helper()
-	next := New(Options{Self: self, Service: serviceID, Limits: g.backend.limits, Learning: true, LearnFor: time.Minute}, now)
+	next := New(Options{Self: self, Service: serviceID, Limits: g.backend.limits, Learning: true, FlowLifetime: time.Minute}, now)
 	next.SetMemberStored(time.Time{}, true)
 	next.SetRoutes(g.routes)
 	if err := next.TakeOver(now, g.Handover(now)); err != nil {
@@ -99,7 +99,8 @@
 				t.Fatalf("verdict about %+v: %v, before the handover %v", p, got, want)
 			}
 			for _, gate := range []*Gate{g, next} {
-				gate.flows.sweep(now, g.backend.idleTimeout, nil)
+				confirmIdleTimeout(gate, 15*time.Second, now)
+				gate.sweepFlows(now)
 				gate.Release(now)
 			}
 			if nothingQueued && (g.InProgress() != next.InProgress() || g.OpenFlows() != next.OpenFlows()) {
@@ -211,6 +212,7 @@
 	now := start.Add(5 * time.Second)
 	next := successor(t, g, now)
 	unknown := func(now time.Time) Verdict {
+		confirmIdleTimeout(next, 15*time.Second, now)
 		return next.FromPeer(now, forward(self, other), dataPacket(1, orders, 200, 10)).Verdict
 	}
 	is.Equal(unknown(now.Add(14*time.Second)), Deliver)
@@ -260,7 +262,7 @@
 // handover of the process before. Flows that are open are served meanwhile.
 func TestNoNewFlowsWhileAHandoverIsPending(t *testing.T) {
 	is := is.New(t)
-	g := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute, HandoverPending: true}, start)
+	g := New(Options{Self: self, Service: serviceID, Learning: true, FlowLifetime: time.Minute, HandoverPending: true}, start)
 	g.SetMemberStored(time.Time{}, true)
 	_, err := g.Report(start, report(1))
 	is.NoErr(err)
@@ -287,7 +289,7 @@
 			now := start.Add(2 * time.Second)
 			h := g.Handover(start)
 			h.MayBeStale = true
-			next := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute}, now)
+			next := New(Options{Self: self, Service: serviceID, Learning: true, FlowLifetime: time.Minute}, now)
 			is.NoErr(next.TakeOver(now, h))
 			progressed := ackPacket(1, 9000, 10)
 			for _, g := range []*Gate{next, staleSuccessor(t, next, now)} {
@@ -307,7 +309,7 @@
 	t.Helper()
 	h := g.Handover(now)
 	h.MayBeStale = true
-	next := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute}, now)
+	next := New(Options{Self: self, Service: serviceID, Learning: true, FlowLifetime: time.Minute}, now)
 	if err := next.TakeOver(now, h); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -166,22 +166,124 @@
 	is.Equal(g.InProgress(), 0)
 }
 
+// confirmIdleTimeout makes a gate receive that an idle timeout is in force.
+func confirmIdleTimeout(g *Gate, idle time.Duration, at time.Time) {
+	g.SetService(view.Service{Name: "comptoir", MaxFlows: 100}, idle, at)
+}
+
+// offersUnknown reports whether a gate offers a packet of an unknown flow to its backend server.
+func offersUnknown(g *Gate, now time.Time) bool {
+	m := forward(self, other)
+	m.ReportHolder = true
+	return g.FromPeer(now, m, dataPacket(1, orders, 910, 10)).Verdict == Deliver
+}
+
+// startedGate returns the gate of an agent that has just started beside a backend server that
+// may hold flows. No configuration is known.
+func startedGate(now time.Time) *Gate {
+	return New(Options{Self: self, Service: serviceID, Learning: true, FlowLifetime: time.Minute}, now)
+}
+
 // Guards against packets of other servers' flows that an agent offers to its backend server
 // for a whole flow lifetime after a restart: a flow of which it has seen nothing for longer
 // than the idle timeout has ended.
 func TestLearningEndsWithTheIdleTimeout(t *testing.T) {
 	is := is.New(t)
 	const idle = 15 * time.Second
-	offers := func(g *Gate, now time.Time) bool {
-		m := forward(self, other)
-		m.ReportHolder = true
-		return g.FromPeer(now, m, dataPacket(1, orders, 910, 10)).Verdict == Deliver
+	g := startedGate(start)
+	is.True(offersUnknown(g, start.Add(idle+minIdleMargin))) // the idle timeout isn't known yet
+	before := start.Add(idle + minIdleMargin - time.Millisecond)
+	confirmIdleTimeout(g, idle, before)
+	is.True(offersUnknown(g, before))
+	confirmIdleTimeout(g, idle, start.Add(idle+minIdleMargin))
+	is.True(!offersUnknown(g, start.Add(idle+minIdleMargin)))
+}
+
+// Guards against an agent that denies flows because they have been idle for longer than a former
+// idle timeout: the operator raised it while the agent was learning (review/6).
+func TestLearningFollowsARaisedIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	const idle, raised = 15 * time.Second, 40 * time.Second
+	g := startedGate(start)
+	confirmIdleTimeout(g, idle, start.Add(time.Second))
+	confirmIdleTimeout(g, raised, start.Add(3*time.Second))
+	for _, after := range []time.Duration{idle + minIdleMargin, raised, raised + minIdleMargin - time.Millisecond} {
+		confirmIdleTimeout(g, raised, start.Add(after))
+		g.Tick(start.Add(after))
+		is.True(offersUnknown(g, start.Add(after)))
+	}
+	confirmIdleTimeout(g, raised, start.Add(raised+minIdleMargin))
+	is.True(!offersUnknown(g, start.Add(raised+minIdleMargin)))
+}
+
+// Guards against the same after a planned restart: the earlier process was learning, and handed
+// over how long it would have learned by the former idle timeout.
+func TestHandedOverLearningFollowsARaisedIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	const idle, raised = 15 * time.Second, 40 * time.Second
+	g := readyGate(t, true)
+	now := start.Add(5 * time.Second)
+	confirmIdleTimeout(g, idle, now)
+	next := successor(t, g, now)
+	confirmIdleTimeout(next, raised, now.Add(time.Second))
+	for _, after := range []time.Duration{idle + minIdleMargin, raised + minIdleMargin - 6*time.Second} {
+		confirmIdleTimeout(next, raised, now.Add(after))
+		next.Tick(now.Add(after))
+		is.True(offersUnknown(next, now.Add(after)))
+	}
+	// The earlier process had learned for 5 s.
+	confirmIdleTimeout(next, raised, now.Add(raised))
+	is.True(!offersUnknown(next, now.Add(raised)))
+}
+
+// Guards against an agent that denies flows by an idle timeout that may have been raised since
+// its configuration was last known to be current, because the store is away.
+func TestOldConfigurationEndsNoFlow(t *testing.T) {
+	is := is.New(t)
+	const idle = 15 * time.Second
+	confirmed := start.Add(idle)
+	g := startedGate(start)
+	confirmIdleTimeout(g, idle, confirmed)
+	known := readyGate(t, false)
+	establishFlow(known, start, 1, orders)
+	confirmIdleTimeout(known, idle, confirmed)
+	for _, after := range []time.Duration{idle + minIdleMargin, 50 * time.Second} {
+		g.Tick(start.Add(after))
+		is.True(offersUnknown(g, start.Add(after)))
+		known.Tick(start.Add(after))
+		is.Equal(known.OpenFlows(), 1)
 	}
-	g := New(Options{Self: self, Service: serviceID, Learning: true, LearnFor: time.Minute}, start)
-	is.True(offers(g, start.Add(idle+minIdleMargin))) // the idle timeout isn't known yet
-	g.SetService(view.Service{Name: "comptoir"}, idle)
-	is.True(offers(g, start.Add(idle+minIdleMargin-time.Millisecond)))
-	is.True(!offers(g, start.Add(idle+minIdleMargin)))
+	// Flows of before the start are older than flows may be, and the table doesn't grow for
+	// as long as the store is away.
+	is.True(!offersUnknown(g, start.Add(time.Minute)))
+	known.Tick(start.Add(time.Minute + minIdleMargin + time.Second))
+	is.Equal(known.OpenFlows(), 0)
+}
+
+// Guards against the end of a flow that sent a packet under an idle timeout which was lowered
+// before the packet arrived.
+func TestLoweredIdleTimeoutLeavesTimeForPacketsOnTheWay(t *testing.T) {
+	is := is.New(t)
+	const idle, lowered = 40 * time.Second, 15 * time.Second
+	g, known := startedGate(start), readyGate(t, false)
+	establishFlow(known, start, 1, orders)
+	for _, gate := range []*Gate{g, known} {
+		loweredAt := start.Add(30 * time.Second)
+		confirmIdleTimeout(gate, idle, start)
+		confirmIdleTimeout(gate, idle, loweredAt)
+		confirmIdleTimeout(gate, lowered, loweredAt.Add(time.Millisecond))
+		confirmIdleTimeout(gate, lowered, loweredAt.Add(minIdleMargin))
+	}
+	arrival := start.Add(30*time.Second + minIdleMargin)
+	known.Tick(arrival)
+	is.Equal(known.OpenFlows(), 1)
+	is.True(offersUnknown(g, arrival))
+	for _, gate := range []*Gate{g, known} {
+		confirmIdleTimeout(gate, lowered, arrival.Add(time.Second))
+	}
+	known.Tick(arrival.Add(time.Second))
+	is.Equal(known.OpenFlows(), 0)
+	is.True(!offersUnknown(g, arrival.Add(time.Second)))
 }
 
 // Guards against a flow that its agent forgets, so that balancers reset it, while its caller
@@ -192,7 +294,8 @@
 		is := is.New(t)
 		g := readyGate(t, false)
 		g.SetRoutes(map[netip.AddrPort]view.Route{orders: {Address: orders, Timeout: timeout}})
-		g.SetService(view.Service{Name: "comptoir", MaxFlows: 100}, idle)
+		confirmIdleTimeout(g, idle, start)
+		confirmIdleTimeout(g, idle, start.Add(sinceLastPacket))
 		establishFlow(g, start, 1, orders)
 		g.Tick(start.Add(sinceLastPacket))
 		is.Equal(g.FromPeer(start.Add(sinceLastPacket), forward(self), dataPacket(1, orders, 101, 10)).Verdict, Deliver)
@@ -216,3 +319,13 @@
 	g.Tick(start.Add(hop.OfferWindow))
 	is.Equal(len(g.lastOffers), 0)
 }
+
+// Guards against an agent that denies flows by a former lifetime of flows: the operator raised it
+// in the settings while the agent was learning.
+func TestLearningFollowsARaisedFlowLifetime(t *testing.T) {
+	is := is.New(t)
+	g := startedGate(start)
+	g.SetFlowLifetime(2 * time.Minute)
+	is.True(offersUnknown(g, start.Add(time.Minute)))
+	is.True(!offersUnknown(g, start.Add(2*time.Minute)))
+}
--- a/internal/flowpath/flowgate/offer.go
+++ b/internal/flowpath/flowgate/offer.go
@@ -68,7 +68,7 @@
 // mayHold reports whether the backend server may hold a flow that this agent doesn't know:
 // the agent learns, or the flow was being opened when an earlier process handed over.
 func (g *Gate) mayHold(now time.Time, key flow.Key) bool {
-	return now.Before(g.backend.learnUntil) || now.Before(g.maybeOpened[key])
+	return g.learns(now) || g.mayLive(now, g.maybeOpened[key])
 }
 
 // ConnAttemptDue reports whether a connection attempt is to show whether the backend
--- a/internal/flowpath/flowgate/options.go
+++ b/internal/flowpath/flowgate/options.go
@@ -13,10 +13,11 @@
 	Service uint32
 	Limits  Limits
 	// Learning is set if the backend server may hold flows from before the start
-	// of this process. Packets of unknown flows are then offered to it for
-	// LearnFor.
+	// of this process. Packets of unknown flows are then offered to it until such flows
+	// must be over.
 	Learning bool
-	LearnFor time.Duration
+	// FlowLifetime is how long a flow may last.
+	FlowLifetime time.Duration
 	// HandoverPending is set if a later process may still use a handover of a process
 	// before this one as complete, and so deny flows that are opened here. The gate then
 	// accepts no new flows before EndHandoverPending.
@@ -34,16 +35,18 @@
 		replaces: o.Replaces,
 		backend:  newBackend(o.Limits, now),
 		flows:    newTable(),
-		offers:   map[uint32]offer{},
-		denied:   map[flow.Key]struct{}{},
+
+		flowLifetime: o.FlowLifetime,
+		offers:       map[uint32]offer{},
+		denied:       map[flow.Key]struct{}{},
 
 		lastOffers:  map[flow.Key]time.Time{},
 		maybeOpened: map[flow.Key]time.Time{},
 	}
 	g.backend.handoverPending = o.HandoverPending
-	g.backend.learningReason = LearnedNothing
+	g.backend.learning.reason = LearnedNothing
 	if o.Learning {
-		g.backend.learnUntil, g.backend.learningReason = now.Add(o.LearnFor), LearnsSinceStart
+		g.backend.learning = learning{unseenSince: now, reason: LearnsSinceStart}
 	}
 	return g
 }
--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -39,17 +39,16 @@
 	b.maybeCold = false
 	b.coldUntil = now.Add(r.ColdFor)
 	if g.sawWholeRun(r.Started) {
-		b.learnUntil, b.learningReason = time.Time{}, LearnedByRunSinceStart
+		b.learning.end(LearnedByRunSinceStart)
 		clear(g.maybeOpened)
 	}
 	if !newRun {
 		return nil, nil
 	}
-	if !g.sawWholeRun(r.Started) && b.learnUntilBefore.After(b.learnUntil) {
-		// The handover says nothing of this run.
-		b.learnUntil, b.learningReason = b.learnUntilBefore, LearnsUnreportedRun
+	if !g.sawWholeRun(r.Started) {
+		b.learning.resume()
 	}
-	b.learnUntilBefore = time.Time{}
+	b.learning.withoutHandover = time.Time{}
 	b.sentOpenings.sentAt = time.Time{}
 	g.health.reset(now)
 	return g.markLost(lastOfOldRun, r.Started, now), nil
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -1,6 +1,7 @@
 package flowgate
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -265,23 +266,35 @@
 	}
 }
 
-// sweep removes flows whose retention has expired, and stops counting requests
+// sweepFlows removes flows whose retention has expired, and stops counting requests
 // that have waited for an answer for longer than defaultTimeout. It returns the flows
 // of those requests.
-func (t *table) sweep(now time.Time, idle time.Duration, routes map[netip.AddrPort]view.Route) []flow.Key {
+func (g *Gate) sweepFlows(now time.Time) []flow.Key {
 	var unanswered []flow.Key
-	for key, f := range t.entries {
+	for key, f := range g.flows.entries {
 		if f.awaitsAnswer && now.Sub(f.requestDeliveredAt) > defaultTimeout {
-			t.endRequest(f)
+			g.flows.endRequest(f)
 			unanswered = append(unanswered, key)
 		}
-		if now.Sub(f.lastPacketAt) > f.retention(idle+idleMargin(routeTimeout(routes, key.Service))) {
-			t.remove(key)
+		if g.isExpired(now, f, idleMargin(routeTimeout(g.routes, key.Service))) {
+			g.flows.remove(key)
 		}
 	}
 	return unanswered
 }
 
+// isExpired reports whether the retention of a flow has expired. That of an open flow depends on
+// the idle timeout in force. A flow that is older than flows may be is over although no timeout
+// is known to be in force: otherwise the table would grow as long as the store is away.
+func (g *Gate) isExpired(now time.Time, f *entry, margin time.Duration) bool {
+	idle := now.Sub(f.lastPacketAt)
+	if f.state != stateOpen {
+		return idle > f.retention()
+	}
+	isOld := now.Sub(f.openedAt) > g.flowLifetime+margin
+	return g.idle.isExceeded(f.lastPacketAt, margin) || (isOld && idle > cmp.Or(g.idle.timeout, defaultIdleTimeout)+margin)
+}
+
 // routeTimeout returns the timeout of the requests of a route, 0 if there is no route.
 func routeTimeout(routes map[netip.AddrPort]view.Route, to netip.AddrPort) time.Duration {
 	r, ok := routes[to]
@@ -299,16 +312,13 @@
 	return max(minIdleMargin, requestTimeout)
 }
 
-// retention returns how long a flow is kept after its last packet, given openRetention for an
-// open flow.
-func (f *entry) retention(openRetention time.Duration) time.Duration {
+// retention returns how long a flow that isn't open is kept after its last packet.
+func (f *entry) retention() time.Duration {
 	switch f.state {
-	case stateOpening:
-		return openingTimeout
 	case stateEnded:
 		return endedRetention
 	case stateLost:
 		return lostRetention
 	}
-	return openRetention
+	return openingTimeout
 }
--- a/internal/flowpath/flowsteer/path_test.go
+++ b/internal/flowpath/flowsteer/path_test.go
@@ -183,10 +183,10 @@
 func (p *path) startAgent(a *pathAgent, learning bool) {
 	a.gate = flowgate.New(flowgate.Options{
 		Self: a.address, Service: flowsteer.ServiceID(service), Limits: flowgate.Limits{ReportInterval: time.Hour, ColdBurst: 1},
-		Learning: learning, LearnFor: time.Hour,
+		Learning: learning, FlowLifetime: time.Hour,
 	}, p.now)
 	a.gate.SetMemberStored(time.Time{}, true)
-	a.gate.SetService(view.Service{Name: service}, time.Hour)
+	a.gate.SetService(view.Service{Name: service}, time.Hour, time.Time{})
 	if p.loses("report of an earlier run") {
 		p.reportLate(a)
 	}
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -101,8 +101,8 @@
 		Service:  flowsteer.ServiceID(s.Service),
 		Limits:   backendLimits(s),
 		Learning: !s.FirstStart,
-		LearnFor: s.FlowLifetime,
 
+		FlowLifetime:    s.FlowLifetime,
 		HandoverPending: !s.FirstStart,
 	}
 }
@@ -117,7 +117,7 @@
 	options := gateOptions(a.settings)
 	options.Learning, options.Replaces, options.HandoverPending = true, true, !a.earlierHandovers.ruledOut
 	a.gate = flowgate.New(options, time.Now())
-	a.applyView(a.node.Board.View())
+	a.applyView(a.node.Board.Snapshot())
 	if a.lastReport.Instance != "" {
 		// A new gate refuses no report.
 		_, _ = a.gate.Report(time.Now(), a.lastReport)
@@ -206,12 +206,13 @@
 	return nil
 }
 
-// Reload applies the limits of the backend server. Addresses stay as they were
+// Reload applies the limits of the backend server and the lifetime of flows. Addresses stay as they were
 // at the start.
 func (a *Agent) Reload(s platform.Settings) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.gate.SetLimits(backendLimits(s))
+	a.gate.SetFlowLifetime(s.FlowLifetime)
 }
 
 // backendLimits returns the limits that the settings give for the backend server.
@@ -231,14 +232,13 @@
 func (a *Agent) followView() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.applyView(a.node.Board.View())
+	a.applyView(a.node.Board.Snapshot())
 }
 
 // applyView passes the relevant parts of a view to the gate. The caller holds the lock.
-func (a *Agent) applyView(v view.View) {
+func (a *Agent) applyView(v view.View, confirmed view.Confirmations) {
 	s := a.settings
-	a.gate.SetRoutes(v.Configuration.Routes)
-	a.gate.SetService(v.Configuration.Services[s.Service], v.Configuration.IdleTimeout)
+	a.applyConfiguration(v, confirmed)
 	evacuated := v.Evacuations.Domains[s.Domain]
 	if evacuated != a.evacuated {
 		id := event.DomainRestored
@@ -268,6 +268,14 @@
 	}
 }
 
+// applyConfiguration passes the configuration of a view to the gate, and when it was known to be
+// in force. The caller holds the lock.
+func (a *Agent) applyConfiguration(v view.View, confirmed view.Confirmations) {
+	c := v.Configuration
+	a.gate.SetRoutes(c.Routes)
+	a.gate.SetService(c.Services[a.settings.Service], c.IdleTimeout, confirmed.Configuration)
+}
+
 // updateMemberStored passes on whether and since when the store holds this agent's
 // member. The caller holds the lock.
 func (a *Agent) updateMemberStored() {
@@ -294,6 +302,7 @@
 		return
 	}
 	now := time.Now()
+	a.applyConfiguration(a.node.Board.Snapshot())
 	for _, key := range a.gate.Tick(now) {
 		a.logger.Emit(event.RequestUnanswered, flowFields(key))
 	}
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -167,7 +167,7 @@
 	case age > maxHandoverAge:
 		return errkind.Errorf(errkind.HandoverUnusable, "handover was written %v from now", age)
 	case age > maxCompleteAge || !isRecent(h, sinceBoot):
-		h.LearnFor = a.settings.FlowLifetime
+		h.LearnFor, h.MayLackFlows = a.settings.FlowLifetime, true
 	}
 	h.MayBeStale = sinceBoot-h.SinceBoot >= minStaleAge
 	if err := a.gate.TakeOver(now, h.Handover); err != nil {
