Accept no flow by a view of before the start of an agent

Cause: an agent that restarts accepts new flows only if no later process can use an earlier handover as complete. Without the store it took a view of up to 2.5 s before its start for proof that no restart was announced. Events show it: process 2 accepted flows 0.45 s after its start by earlier-view, a view of 0.40 s before the start, while the announcement came 0.31 s before it; process 3 took the handover, 2.36 s old, for complete and never learned. Ruled out: a late deletion (process 2 sent none) and the end of learning by a report.

A view of before the start can't prove that no announcement came after it, so this evidence is gone. Now a handover is complete only for a process that has started at most 0.75 s after it was written, and a process without proof accepts new flows 0.75 s after its start. The order of the processes of one machine then suffices, whatever the store and the peers say, and however the process between ends.

--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 	"github.com/knapweedpier/knapweedpier/internal/base/metrics"
+	"github.com/knapweedpier/knapweedpier/internal/base/suspension"
 	"github.com/knapweedpier/knapweedpier/internal/base/udp"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
@@ -66,6 +67,7 @@
 	handedOver       bool // the flows were exported for the next process; see writeHandover
 	evacuated        bool // the failure domain is evacuated
 	earlierHandovers earlierHandovers
+	startedSinceBoot time.Duration // start of this process, by the time since the start of the machine
 	// takenOverMember is the revision of the member to which the handover belongs that this
 	// process has taken over, 0 if it has taken none over.
 	takenOverMember view.Revision
@@ -91,6 +93,7 @@
 		takeOverEnded:    make(chan struct{}),
 		gate:             flowgate.New(gateOptions(s), now),
 		earlierHandovers: earlierHandovers{startedAt: now, ruledOut: s.FirstStart},
+		startedSinceBoot: suspension.SinceBoot(),
 	}
 }
 
--- a/pkg/flowagent/earlierhandovers.go
+++ b/pkg/flowagent/earlierhandovers.go
@@ -4,20 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/knapweedpier/knapweedpier/internal/base/delay"
 	"github.com/knapweedpier/knapweedpier/internal/base/errkind"
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
 )
 
-const (
-	// peerViewDelay is how long an agent that the store doesn't answer waits before it
-	// relies on a view that was current shortly before it started. An announcement of an
-	// earlier process has reached the peers by then: they pause watches for 300 ms.
-	peerViewDelay = 400 * time.Millisecond
-	// maxPeerViewAge is the maximum age of that view.
-	maxPeerViewAge = 2500 * time.Millisecond
-	// ageResolution is the resolution of the ages that peers send.
-	ageResolution = time.Millisecond
-)
+// ageResolution is the resolution of the ages that peers send.
+const ageResolution = time.Millisecond
 
 // earlierHandovers is what a process has found out about handovers of earlier processes of its
 // agent. While a later process may use one of them as complete, this process accepts no new
@@ -32,7 +25,6 @@
 	startedAt     time.Time // start of this process
 	ruledOut      bool      // no handover of an earlier process can be used any more
 	takeOverEnded bool      // all tries to take a handover over have ended
-	storeSilent   bool      // they ended without an answer of the store
 	announced     bool      // the member was announced anew because of them
 }
 
@@ -45,24 +37,18 @@
 	memberRead       handoverEvidence = "member-read"  // the store holds no announcement of a restart
 	memberWritten    handoverEvidence = "member-write" // the store has acknowledged a member without one
 	currentView      handoverEvidence = "current-view" // the same, in a view that was current after the start
-	earlierView      handoverEvidence = "earlier-view" // the same, in a view of before the start
 	handoversExpired handoverEvidence = "age"          // none counts as complete any more
 )
 
-// evidence returns what shows that no handover can be used: a view, or that so
-// much time has passed that none counts as complete. Without the store the proof is weaker:
-// a restarted agent must serve although the store is down, and a wrong view needs a store
-// that answered the earlier process, but neither the peers shortly before nor this process.
+// evidence returns what shows that no handover can be used as complete: a view that was current
+// after the start, or the time since then. A view of before the start proves nothing, however
+// recent it is: the earlier process may have announced its restart since.
 func (h *earlierHandovers) evidence(now time.Time, restartAnnounced bool, confirmedAt time.Time) handoverEvidence {
 	switch {
-	case now.Sub(h.startedAt) >= maxCompleteAge:
+	case now.Sub(h.startedAt) >= maxSuccessionTime:
 		return handoversExpired
-	case restartAnnounced || confirmedAt.IsZero():
-		return noEvidence
-	case confirmedAt.Sub(h.startedAt) > ageResolution:
+	case !restartAnnounced && !confirmedAt.IsZero() && confirmedAt.Sub(h.startedAt) > ageResolution:
 		return currentView
-	case h.storeSilent && now.Sub(h.startedAt) >= peerViewDelay && h.startedAt.Sub(confirmedAt) <= maxPeerViewAge:
-		return earlierView
 	}
 	return noEvidence
 }
@@ -111,31 +97,42 @@
 	}
 }
 
+// awaitExpiry checks earlier handovers once none counts as complete any more.
+func (a *Agent) awaitExpiry(ctx context.Context) {
+	delay.Sleep(ctx, maxSuccessionTime-time.Since(a.earlierHandovers.startedAt))
+	if ctx.Err() != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.checkEarlierHandovers(time.Now())
+}
+
 // recordTakeOverEnd records how the tries to take a handover over have ended.
 func (a *Agent) recordTakeOverEnd(ctx context.Context, err error) {
-	evidence, silent := a.noHandoverLeft(ctx, err)
+	evidence := a.noHandoverLeft(ctx, err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.earlierHandovers.takeOverEnded, a.earlierHandovers.storeSilent = true, silent
+	a.earlierHandovers.takeOverEnded = true
 	if evidence != noEvidence {
 		a.ruleOutHandovers(time.Now(), evidence)
 	}
 }
 
 // noHandoverLeft returns what the store has shown against handovers of earlier processes, from
-// the error of the take-over, and whether it has not answered.
-func (a *Agent) noHandoverLeft(ctx context.Context, err error) (evidence handoverEvidence, silent bool) {
+// the error of the take-over.
+func (a *Agent) noHandoverLeft(ctx context.Context, err error) handoverEvidence {
 	if err == nil {
-		return handoverTaken, false
+		return handoverTaken
 	}
 	if !errkind.Is(err, errkind.NotFound) && !errkind.Is(err, errkind.HandoverUnusable) {
-		return noEvidence, true
+		return noEvidence
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
 	announced, err := a.store.RestartAnnounced(ctx, MemberName(a.settings.Address))
-	if err == nil && !announced {
-		return memberRead, false
+	if err != nil || announced {
+		return noEvidence
 	}
-	return noEvidence, err != nil
+	return memberRead
 }
--- a/pkg/flowagent/earlierhandovers_test.go
+++ b/pkg/flowagent/earlierhandovers_test.go
@@ -7,7 +7,6 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
-	"github.com/knapweedpier/knapweedpier/internal/base/suspension"
 	"github.com/knapweedpier/knapweedpier/internal/flowpath/flowgate"
 	"github.com/knapweedpier/knapweedpier/platform"
 )
@@ -17,30 +16,26 @@
 func TestEvidenceAgainstHandovers(t *testing.T) {
 	started := time.Now()
 	for name, c := range map[string]struct {
-		silent      bool
 		runningFor  time.Duration
 		announced   bool
 		confirmedAt time.Duration // since the start; 0 if never
-		want        bool
+		want        handoverEvidence
 	}{
-		"nothing known":                     {false, time.Second, false, 0, false},
-		"current view without announcement": {false, time.Second, false, 10 * time.Millisecond, true},
-		"current view with announcement":    {true, time.Second, true, 10 * time.Millisecond, false},
-		"view of before the start":          {false, time.Second, false, -time.Second, false},
-		"same, no answer of the store":      {true, time.Second, false, -time.Second, true},
-		"same, peers may get it now":        {true, 399 * time.Millisecond, false, -time.Second, false},
-		"same, with announcement":           {true, time.Second, true, -time.Second, false},
-		"old view, no answer of the store":  {true, time.Second, false, -2600 * time.Millisecond, false},
-		"no handover is complete any more":  {true, maxCompleteAge, true, 0, true},
+		"nothing known":                       {maxSuccessionTime - 1, false, 0, noEvidence},
+		"current view without announcement":   {100 * time.Millisecond, false, 10 * time.Millisecond, currentView},
+		"current view with announcement":      {maxSuccessionTime - 1, true, 10 * time.Millisecond, noEvidence},
+		"view of just before the start":       {maxSuccessionTime - 1, false, -time.Millisecond, noEvidence},
+		"no handover is complete any more":    {maxSuccessionTime, true, 0, handoversExpired},
+		"same, with a view of before a start": {maxSuccessionTime, false, -time.Second, handoversExpired},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := earlierHandovers{startedAt: started, storeSilent: c.silent}
+			s := earlierHandovers{startedAt: started}
 			var confirmedAt time.Time
 			if c.confirmedAt != 0 {
 				confirmedAt = started.Add(c.confirmedAt)
 			}
-			is.Equal(s.evidence(started.Add(c.runningFor), c.announced, confirmedAt) != noEvidence, c.want)
+			is.Equal(s.evidence(started.Add(c.runningFor), c.announced, confirmedAt), c.want)
 		})
 	}
 }
@@ -49,11 +44,12 @@
 // because the version that wrote it doesn't state the time since the start of the machine.
 func TestOnlyARecentHandoverEndsLearning(t *testing.T) {
 	for name, c := range map[string]struct {
-		age, ageSinceBoot time.Duration
-		earlierVersion    bool
-		complete          bool
+		age, gap       time.Duration
+		earlierVersion bool
+		complete       bool
 	}{
-		"recent":                   {time.Second, time.Second, false, true},
+		"recent":                   {time.Second, maxSuccessionTime - 50*time.Millisecond, false, true},
+		"a process between":        {time.Second, maxSuccessionTime + 50*time.Millisecond, false, false},
 		"time of day set back":     {-time.Second, 4 * time.Second, false, false},
 		"time of day set forward":  {8 * time.Second, time.Second, false, false},
 		"before a machine restart": {time.Second, -time.Hour, false, false},
@@ -62,7 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			a := New(platform.Settings{Service: "comptoir", FlowLifetime: time.Minute}, nil, event.Discard())
-			h := platform.Handover{Written: time.Now().Add(-c.age), SinceBoot: suspension.SinceBoot() - c.ageSinceBoot, Service: "comptoir"}
+			h := platform.Handover{Written: time.Now().Add(-c.age), SinceBoot: a.startedSinceBoot - c.gap, Service: "comptoir"}
 			if c.earlierVersion {
 				h.SinceBoot = 0
 			}
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -31,8 +31,13 @@
 	// maxHandoverAge is the maximum age at which a handover is used. It is measured by the
 	// clock of the machine, which may be off by seconds.
 	maxHandoverAge = 10 * time.Second
-	// maxCompleteAge is the maximum age at which a handover ends learning: an older one may
-	// lack flows that a process between has accepted; see earlierHandovers.
+	// maxSuccessionTime is the maximum time from the writing of a handover to the start of a
+	// process that uses it as complete. A process that can't exclude earlier handovers accepts
+	// no new flows for as long, so that any process after it finds them older. A planned restart
+	// takes 0.6 s with a restart delay of 0.5 s.
+	maxSuccessionTime = 750 * time.Millisecond
+	// maxCompleteAge is the maximum age of a complete handover by the time of day, which tells
+	// handovers of before a restart of the machine.
 	maxCompleteAge = 3 * time.Second
 	// minStaleAge is the minimum age of a handover that was written by a process before the
 	// last one: two processes have started since.
@@ -89,6 +94,7 @@
 // Until then no report is applied, because it makes the agent write its member anew.
 func (a *Agent) startTakeOver() {
 	defer close(a.reportable)
+	a.node.Go(a.awaitExpiry)
 	a.node.Go(func(ctx context.Context) {
 		defer close(a.takeOverEnded)
 		a.takeOver(ctx)
@@ -166,7 +172,7 @@
 		return errkind.Errorf(errkind.HandoverUnusable, "handover is of service %s", h.Service)
 	case age > maxHandoverAge:
 		return errkind.Errorf(errkind.HandoverUnusable, "handover was written %v from now", age)
-	case age > maxCompleteAge || !isRecent(h, sinceBoot):
+	case age > maxCompleteAge || !a.directlyFollows(h):
 		h.LearnFor, h.MayLackFlows = a.settings.FlowLifetime, true
 	}
 	h.MayBeStale = sinceBoot-h.SinceBoot >= minStaleAge
@@ -177,9 +183,10 @@
 	return nil
 }
 
-// isRecent reports whether a handover is at most maxCompleteAge old by the time since the
-// start of the machine, which the time of day may be off from in both directions.
-func isRecent(h *platform.Handover, sinceBoot time.Duration) bool {
-	age := sinceBoot - h.SinceBoot
-	return h.SinceBoot > 0 && age >= 0 && age <= maxCompleteAge
+// directlyFollows reports whether no process can have accepted new flows between the one that
+// wrote a handover and this one, by the time since the start of the machine, which isn't stepped
+// like the time of day.
+func (a *Agent) directlyFollows(h *platform.Handover) bool {
+	gap := a.startedSinceBoot - h.SinceBoot
+	return h.SinceBoot > 0 && gap >= 0 && gap <= maxSuccessionTime
 }
