End learning by the first report of a run, not by the clock alone

Cause: an agent that started before its backend server by the time of day ceased to learn and denied unknown flows. A step between the two starts makes an older server look younger. Event 1521 shows it: learning ended by run-since-start 0.4 s after the start of the agent, at a report with sequence 3 of a run that had started 1.2 s before. Ruled out: flows marked as lost (no event 1508), a handover (not-found).

Now the report must also be the first of its run: then no earlier process of the agent has received one, and servers report as soon as they start. A gate that replaces another one after a panic doesn't count the report that it receives from that one.

--- a/internal/flowpath/flowgate/learning.go
+++ b/internal/flowpath/flowgate/learning.go
@@ -51,7 +51,7 @@
 // of the backend server.
 func (l *learning) resume() {
 	if !l.withoutHandover.IsZero() {
-		l.unseenSince, l.reason = l.withoutHandover, LearnsUnreportedRun
+		l.unseenSince, l.reason, l.withoutHandover = l.withoutHandover, LearnsUnreportedRun, time.Time{}
 	}
 }
 
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -329,3 +329,40 @@
 	is.True(offersUnknown(g, start.Add(time.Minute)))
 	is.True(!offersUnknown(g, start.Add(2*time.Minute)))
 }
+
+// Guards against an agent that denies flows because its clock was behind when it started, or was
+// ahead when its backend server did: the server seems to have started later, although an earlier
+// process of the agent has opened flows at it (review/8).
+func TestSteppedClockEndsNoLearning(t *testing.T) {
+	for name, c := range map[string]struct {
+		sequence uint64
+		started  time.Duration // of the backend server, after the start of the agent by the time of day
+		learns   bool
+	}{
+		"an earlier process has had a report":      {2, 2 * time.Second, true},
+		"first report of a run of before":          {firstSequence, -time.Second, true},
+		"first report of a run that started since": {firstSequence, time.Second, false},
+		"server and agent start with their host":   {firstSequence, -minProcessGap / 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := startedGate(start)
+			r := report(c.sequence)
+			r.Started = start.Add(c.started)
+			_, err := g.Report(start.Add(time.Second), r)
+			is.NoErr(err)
+			is.Equal(offersUnknown(g, start.Add(2*time.Second)), c.learns)
+		})
+	}
+}
+
+// Guards against the same after a panic: the new gate receives the first report of a run from the
+// gate before, through which packets of the run have passed.
+func TestRestoredReportEndsNoLearning(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{Self: self, Service: serviceID, Learning: true, FlowLifetime: time.Minute, Replaces: true}, start)
+	r := report(firstSequence)
+	r.Started = start.Add(time.Second) // the clock was ahead
+	is.NoErr(g.RestoreReport(start, r))
+	is.True(offersUnknown(g, start))
+}
--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -18,9 +18,29 @@
 	ColdFor  time.Duration // how much longer the backend server will be cold
 }
 
+// firstSequence is the sequence number of the first report of a run.
+const firstSequence = 1
+
 // Report applies a report of the backend server. It returns the flows that were
 // lost with an earlier run. Errors have kind ReportStale.
 func (g *Gate) Report(now time.Time, r Report) ([]LostFlow, error) {
+	lost, err := g.applyReport(now, r)
+	if err == nil && g.sawWholeRun(r) {
+		g.backend.learning.end(LearnedByRunSinceStart)
+		clear(g.maybeOpened)
+	}
+	return lost, err
+}
+
+// RestoreReport applies the last report that the gate before this one received; see
+// Options.Replaces. Errors have kind ReportStale.
+func (g *Gate) RestoreReport(now time.Time, r Report) error {
+	_, err := g.applyReport(now, r)
+	return err
+}
+
+// applyReport is Report but for what a report shows of flows that the agent doesn't know.
+func (g *Gate) applyReport(now time.Time, r Report) ([]LostFlow, error) {
 	b := &g.backend
 	reportedBefore, known, reported := !b.reportedAt.IsZero(), g.knownRun(), Run{Instance: r.Instance, Started: r.Started}
 	if known.isKnown() && r.Started.Before(known.Started) {
@@ -38,27 +58,28 @@
 	b.sentOffers.answeredAt = now
 	b.maybeCold = false
 	b.coldUntil = now.Add(r.ColdFor)
-	if g.sawWholeRun(r.Started) {
-		b.learning.end(LearnedByRunSinceStart)
-		clear(g.maybeOpened)
-	}
 	if !newRun {
 		return nil, nil
 	}
-	if !g.sawWholeRun(r.Started) {
-		b.learning.resume()
-	}
-	b.learning.withoutHandover = time.Time{}
+	b.learning.resume()
 	b.sentOpenings.sentAt = time.Time{}
 	g.health.reset(now)
 	return g.markLost(lastOfOldRun, r.Started, now), nil
 }
 
-// sawWholeRun reports whether all packets of a run of the backend server that began at
-// started have passed through this gate. When a host starts, its backend server may begin
+// sawWholeRun reports whether all packets of the run of the backend server that has sent a report
+// have passed through this gate: the report is the first of the run, so that no earlier process
+// of the agent has received one, and the run started after the gate. The times of both starts alone
+// prove nothing, because the time of day may be stepped between them.
+func (g *Gate) sawWholeRun(r Report) bool {
+	return r.Sequence <= firstSequence && g.precedes(r.Started)
+}
+
+// precedes reports whether this gate started before a run of the backend server that began at a time
+// of day, by that clock. When a host starts, its backend server may begin
 // a little sooner than its agent; an earlier process of the agent ended at least
 // minProcessGap before this one began.
-func (g *Gate) sawWholeRun(started time.Time) bool {
+func (g *Gate) precedes(started time.Time) bool {
 	if g.replaces {
 		return started.After(g.started)
 	}
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -123,7 +123,7 @@
 	a.applyView(a.node.Board.Snapshot())
 	if a.lastReport.Instance != "" {
 		// A new gate refuses no report.
-		_, _ = a.gate.Report(time.Now(), a.lastReport)
+		_ = a.gate.RestoreReport(time.Now(), a.lastReport)
 	}
 	if a.backendLeft {
 		a.gate.RefuseNewFlows()
