Tell flows of an earlier run from its last report, also after a handover

Callers could see open flows reset by an agent that had restarted as planned: the backend server had started again shortly before, while the clock was ahead, and reported to the next process of the agent only.

Cause: when a new run reports, the flows of the earlier run are marked as lost. A flow in the table of the same process counts only if it was opened before the last report of the earlier run; one that was handed over counted by the time of day alone.

A handover now has the time since the last report of its run, and both kinds of flows are told apart by it. Flows of which this isn't known are left to the backend server, which returns their packets if it doesn't hold them.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -54,7 +54,8 @@
 	tokens                  float64 // openings that a cold backend server may get now (token bucket)
 	refilledAt              time.Time
 	learning                learning
-	takenOver               Run // run of the handover of an earlier process of this agent, if there was one
+	takenOverReportAt       time.Time // when the last report of takenOver was received, zero if unknown
+	takenOver               Run       // run of the handover of an earlier process of this agent, if there was one
 
 	serviceKnown  bool // the configuration of the service is known
 	coldPerSecond float64
--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -24,6 +24,9 @@
 // backend server. The next process of the agent takes it over.
 type Handover struct {
 	Run Run
+	// ReportAge is the time before the handover at which the last report of Run was received, 0
+	// if it is unknown.
+	ReportAge time.Duration
 	// LearnFor is how much longer the backend server may hold flows that are not
 	// in Flows at most, 0 if Flows is complete.
 	LearnFor time.Duration
@@ -68,7 +71,7 @@
 // Handover returns what the next process of this agent has to know. The caller must
 // pass no packets to g afterwards: the next process would not know what they change.
 func (g *Gate) Handover(now time.Time) Handover {
-	h := Handover{Run: g.knownRun(), Flows: make([]FlowRecord, 0, len(g.flows.entries))}
+	h := Handover{Run: g.knownRun(), ReportAge: g.runReportAge(now), Flows: make([]FlowRecord, 0, len(g.flows.entries))}
 	if learns, _ := g.Learning(now); learns {
 		h.UnseenFor = now.Sub(g.backend.learning.unseenSince)
 		h.LearnFor = g.flowLifetime - h.UnseenFor
@@ -134,6 +137,9 @@
 	}
 	g.backend.learning.takeOver(h.LearnFor == 0 && !h.MayLackFlows, unseenSince)
 	g.backend.takenOver = h.Run
+	if h.ReportAge > 0 {
+		g.backend.takenOverReportAt = now.Add(-h.ReportAge)
+	}
 	g.keepOffersOfOpenFlows()
 	return nil
 }
@@ -159,7 +165,6 @@
 		}
 	}
 	f := t.add(r.Key, now)
-	f.takenOver = true
 	f.openedAt, f.lastPacketAt = now.Add(-r.Age), now.Add(-r.IdleFor)
 	if !r.Adopted {
 		f.firstOpeningAt = now.Add(-r.OpeningAge)
@@ -189,3 +194,21 @@
 	r := g.backend.report
 	return Run{Instance: r.Instance, Started: r.Started, Sequence: r.Sequence}
 }
+
+// runReportedAt returns when the last report of the known run was received, by this process or by
+// the one that handed it over; the zero time if that is unknown.
+func (g *Gate) runReportedAt() time.Time {
+	if g.backend.reportedAt.IsZero() {
+		return g.backend.takenOverReportAt
+	}
+	return g.backend.reportedAt
+}
+
+// runReportAge returns the time since runReportedAt, 0 if that is unknown.
+func (g *Gate) runReportAge(now time.Time) time.Duration {
+	at := g.runReportedAt()
+	if at.IsZero() {
+		return 0
+	}
+	return max(now.Sub(at), time.Nanosecond)
+}
--- a/internal/flowpath/flowgate/handover_test.go
+++ b/internal/flowpath/flowgate/handover_test.go
@@ -194,6 +194,23 @@
 	is.Equal(lost[0].Key.Caller, caller(1))
 }
 
+// Guards against the loss of a flow that the current run of the backend server opened before it
+// had reported, and that was handed over: the clock was ahead at the start of the run, so that
+// it seems to have started after the flow was opened.
+func TestSteppedClockLosesNoHandedOverFlow(t *testing.T) {
+	is := is.New(t)
+	g := readyGate(t, false)
+	establishFlow(g, start, 1, orders) // at the run that reports at the same time
+	establishFlow(g, start.Add(1500*time.Millisecond), 2, orders)
+	next := successor(t, g, start.Add(2*time.Second))
+	last := successor(t, next, start.Add(3*time.Second)) // without a report in between
+	current := Report{Instance: "i-2", Started: start.Add(3 * time.Second), Sequence: 2, Slots: 2}
+	lost, err := last.Report(start.Add(3100*time.Millisecond), current)
+	is.NoErr(err)
+	is.Equal(len(lost), 1)
+	is.Equal(lost[0].Key.Caller, caller(1))
+}
+
 // Guards against a report of an earlier run, or an older one of the same run, that
 // arrives after the restart and marks the flows as lost.
 func TestLateReportAfterHandoverIsStale(t *testing.T) {
--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -53,7 +53,7 @@
 	if reportedBefore && sameRun && b.report.State == view.Leaving {
 		r.State = view.Leaving
 	}
-	newRun, lastOfOldRun := known.isKnown() && !sameRun, b.reportedAt
+	newRun, lastOfOldRun := known.isKnown() && !sameRun, g.runReportedAt()
 	b.stateKnown, b.reportedAt, b.report = true, now, r
 	b.sentOffers.answeredAt = now
 	b.maybeCold = false
@@ -101,14 +101,15 @@
 	Ack uint32 // the caller's last acknowledgement number
 }
 
-// markLost marks as lost the flows that were opened before the current run started and
-// were taken over or opened before the last report of an earlier run, and returns them.
-// Others may belong to the current run, because a report may arrive after its run has
-// ended; the backend server returns their packets if they don't.
+// markLost marks as lost the flows that were opened before the current run started and before the
+// last report of an earlier run, and returns them. The second condition doesn't depend on the time
+// of day, which may be stepped; the first covers a report that arrives after its run has ended.
+// Other flows may belong to the current run; the backend server returns their packets if they
+// don't.
 func (g *Gate) markLost(lastReport, started, now time.Time) []LostFlow {
 	var lostFlows []LostFlow
 	for key, f := range g.flows.entries {
-		ofEarlierRun := f.openedAt.Before(started) && (f.takenOver || f.openedAt.Before(lastReport))
+		ofEarlierRun := f.openedAt.Before(started) && !f.openedAt.After(lastReport)
 		if f.state != stateOpen || !ofEarlierRun {
 			continue
 		}
--- a/internal/flowpath/flowgate/table.go
+++ b/internal/flowpath/flowgate/table.go
@@ -60,7 +60,6 @@
 	backendSeq             uint32         // sequence number of that answer
 	adopted                bool           // the entry was made by a packet of the backend server
 	maybeOpen              bool           // an earlier process of the agent may have seen the flow being opened
-	takenOver              bool           // the entry is from an earlier process of the agent
 	callerEndSeq           uint32         // sequence number after the last data of the caller
 	callerAck              uint32         // the caller's last acknowledgement number
 	callerSentData         bool           // callerEndSeq is valid
