Measure the age of a member also by the time since the start of the machine

Callers could see a flow reset soon after its opening: a new agent restarted within 2.5 s of the creation of its member while the time of day was stepped forward, and took new flows at once. A balancer whose view was up to 2 s old lacked that agent, had the flow denied by all others and reset it.

Cause: the process after a restart computes the age of its member from a time of day that the process before wrote.

Members now also have these times since the start of the machine, which isn't stepped. The younger age counts; after a restart of the machine only the time of day is known, as before. The announcer keeps the result on the steady clock.

--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -57,8 +57,8 @@
 
 	stored         bool          // the member is known to be in the store
 	storedSince    time.Time     // see Stored
-	createdMS      int64         // Member.CreatedMS of the object
-	storedMS       int64         // Member.StoredMS of the object
+	created        stamp         // Member.CreatedMS and CreatedBootMS of the object
+	storedAt       stamp         // Member.StoredMS and StoredBootMS of the object
 	unansweredCall view.Revision // a write or removal at this revision may still take effect
 	maybeNew       bool          // this process may have created or removed the member
 	acknowledged   view.Member   // see Acknowledged
@@ -128,10 +128,10 @@
 	switch {
 	case a.maybeNew:
 		a.storedSince = now
-	case a.storedMS > 0:
-		a.storedSince = time.UnixMilli(a.storedMS)
-	case a.createdMS > 0:
-		a.storedSince = time.UnixMilli(a.createdMS).Add(maxCreationTime)
+	case a.storedAt.isKnown():
+		a.storedSince = a.storedAt.time(now)
+	case a.created.isKnown():
+		a.storedSince = a.created.time(now).Add(maxCreationTime)
 	}
 	if a.storedSince.After(now) {
 		a.storedSince = now
@@ -240,16 +240,16 @@
 	if created && !a.isRecentRestoreLoss() {
 		// Whatever becomes of the call, it may create the member.
 		a.noteMaybeNew()
-		a.createdMS = time.Now().UnixMilli()
+		a.created = stampOf(time.Now())
 	}
 	if !withdrawn && m.Revision > 0 && m.Revision == a.unansweredCall {
 		// A write that changes nothing would leave the revision as it is.
-		a.createdMS = time.Now().UnixMilli()
+		a.created = stampOf(time.Now())
 	}
-	m.CreatedMS = a.createdMS
+	m.CreatedMS, m.CreatedBootMS = a.created.wallMS, a.created.bootMS
 	if a.stored && !a.storedSince.IsZero() {
-		// Rounded up: rounded down, it would name a time before the store held the member.
-		m.StoredMS = a.storedSince.Add(time.Millisecond - 1).UnixMilli()
+		stored := stampOf(a.storedSince)
+		m.StoredMS, m.StoredBootMS = stored.wallMS, stored.bootMS
 	}
 	m.Era, m.EraSeenMS = a.board.EraSeen()
 	return storeCall{member: m, withdrawn: withdrawn, created: created}
@@ -289,7 +289,7 @@
 	} else {
 		a.noteStored()
 		a.lostByRestore = false
-		a.knownRevision, a.storedMS = max(a.knownRevision, revision), m.StoredMS
+		a.knownRevision, a.storedAt = max(a.knownRevision, revision), stamp{m.StoredMS, m.StoredBootMS}
 		a.acknowledged = m
 	}
 	if withdrawn == a.withdrawn && (withdrawn || announcesSame(m, a.desired)) {
--- a/internal/control/follow/announce_test.go
+++ b/internal/control/follow/announce_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpier/knapweedpier/internal/base/event"
+	"github.com/knapweedpier/knapweedpier/internal/base/suspension"
 	"github.com/knapweedpier/knapweedpier/internal/control/follow"
 	"github.com/knapweedpier/knapweedpier/internal/control/view"
 	"github.com/knapweedpier/knapweedpier/platform/platformtest"
@@ -185,6 +186,39 @@
 	is.Equal(storedMember(t, server).StoredMS, ceilMS(since))
 }
 
+// Guards against an agent that takes flows before balancers can know it, so that they reset them: it
+// was new when its process ended, and the time of day was stepped forward before the next one.
+func TestClockStepMakesNoAgentOlder(t *testing.T) {
+	sinceBoot := suspension.SinceBoot()
+	for name, c := range map[string]struct {
+		change func(m *view.Member, age time.Duration)
+		oldest time.Duration // age that the member may have at most
+	}{
+		"time of storage": {func(m *view.Member, age time.Duration) {
+			m.StoredMS, m.StoredBootMS = time.Now().Add(-age).UnixMilli(), (sinceBoot - time.Second).Milliseconds()
+		}, 2 * time.Second},
+		"time of creation": {func(m *view.Member, age time.Duration) {
+			m.CreatedMS, m.CreatedBootMS = time.Now().Add(-age).UnixMilli(), (sinceBoot - time.Second).Milliseconds()
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := platformtest.New()
+			defer server.Close()
+			m := agentMember
+			c.change(&m, 15*time.Second) // 14 s of them by the step
+			spec, err := json.Marshal(m)
+			is.NoErr(err)
+			server.PutMember("agent-1", string(spec))
+			began := time.Now()
+			a, _ := newAnnouncer(t, server)
+			since, ok := a.Stored("agent-1")
+			is.True(ok)
+			is.True(!since.Before(began.Add(-c.oldest)))
+		})
+	}
+}
+
 // Guards against an agent that waits like a new one after a restart, because its object
 // doesn't tell when the store was known to hold it, and against a write for each balancer.
 func TestOnlyAgentsWriteWhenTheyWereStored(t *testing.T) {
--- a/internal/control/follow/announceview.go
+++ b/internal/control/follow/announceview.go
@@ -27,7 +27,7 @@
 // lacksStoredMS reports whether the object is to be written once more, so that it tells a
 // later process of an agent that it isn't new. The caller holds the lock.
 func (a *Announcer) lacksStoredMS() bool {
-	return a.desired.Role == view.AgentRole && a.stored && !a.storedSince.IsZero() && a.storedMS == 0
+	return a.desired.Role == view.AgentRole && a.stored && !a.storedSince.IsZero() && !a.storedAt.isKnown()
 }
 
 // observeView takes over newer revisions of the member from the members of the view,
@@ -42,11 +42,11 @@
 	switch {
 	case ok && m.Revision > a.removedRevision:
 		if m.Revision > a.knownRevision {
-			a.knownRevision, a.storedMS = m.Revision, m.StoredMS
+			a.knownRevision, a.storedAt = m.Revision, stamp{m.StoredMS, m.StoredBootMS}
 			a.synced = false
 		}
-		if a.createdMS == 0 {
-			a.createdMS = m.CreatedMS
+		if !a.created.isKnown() {
+			a.created = stamp{m.CreatedMS, m.CreatedBootMS}
 		}
 		a.noteStored()
 	case a.synced && !a.withdrawn && members.Revision >= a.knownRevision:
@@ -64,7 +64,7 @@
 	if a.knownRevision <= revision {
 		a.knownRevision = 0
 		if !a.isRecentRestoreLoss() {
-			a.createdMS, a.storedMS = 0, 0
+			a.created, a.storedAt = stamp{}, stamp{}
 		}
 	}
 	if !a.isRecentRestoreLoss() {
@@ -85,6 +85,8 @@
 	a.Revision, b.Revision = 0, 0
 	a.CreatedMS, b.CreatedMS = 0, 0
 	a.StoredMS, b.StoredMS = 0, 0
+	a.CreatedBootMS, b.CreatedBootMS = 0, 0
+	a.StoredBootMS, b.StoredBootMS = 0, 0
 	a.Era, b.Era = 0, 0
 	a.EraSeenMS, b.EraSeenMS = 0, 0
 	return a == b
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -122,6 +122,10 @@
 	// StoredMS is when a process of the agent knew that the store held the object, in
 	// Unix milliseconds of its own clock; 0 if unknown.
 	StoredMS int64 `json:",omitempty"`
+	// CreatedBootMS and StoredBootMS are the same times in milliseconds since the start of the
+	// writer's machine, which aren't stepped like the time of day; 0 if unknown.
+	CreatedBootMS int64 `json:",omitempty"`
+	StoredBootMS  int64 `json:",omitempty"`
 	// Restarting is set if the agent's process has stopped while its backend server
 	// runs on, so that a new process of the agent follows. The new process clears it
 	// with the first report of the backend server.
