Accept a run that began earlier by the clock once the known one is silent

A backend server that started again while the time of day of its machine was set back got no flows until its next start, and its agent didn't confirm that it leaves.

Cause: the agent refuses reports of a run that began before the one it knows, as late reports of an earlier run. With a stepped clock a later run has the earlier time.

Open flows aren't judged by it: the backend server returns packets of flows that it doesn't hold.

--- a/internal/flowpath/flowgate/gate_test.go
+++ b/internal/flowpath/flowgate/gate_test.go
@@ -578,6 +578,28 @@
 	is.Equal(g.FromPeer(start.Add(2*time.Second), forward(self, other), dataPacket(1, feeds, 900, 10)).Verdict, Deliver)
 }
 
+// Guards against a backend server that gets no flows until its next start, and whose leave is not
+// confirmed: it started while the time of day was set back, so that its reports seemed to be of an
+// earlier run.
+func TestRunOfSteppedClockReplacesASilentOne(t *testing.T) {
+	for name, known := range map[string]func() *Gate{
+		"reported":    func() *Gate { return readyGate(t, false) },
+		"handed over": func() *Gate { return successor(t, readyGate(t, false), start) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := known()
+			r := Report{Instance: "i-2", Started: report(1).Started.Add(-time.Second), Sequence: 1, State: view.Ready, Slots: 2}
+			silentFrom := start.Add(maxMissedReports * time.Second)
+			_, err := g.Report(silentFrom.Add(-time.Millisecond), r)
+			is.True(errkind.Is(err, errkind.ReportStale))
+			_, err = g.Report(silentFrom.Add(time.Second), r)
+			is.NoErr(err)
+			is.Equal(g.Refusal(silentFrom.Add(time.Second)), errkind.Kind(0))
+		})
+	}
+}
+
 // Guards against a cold backend server that gets more new flows than its cold rate
 // and burst allow. After a restart of the agent and after an evacuation, also one that the
 // agent has never seen (review/3), the backend server counts as cold until it reports.
--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -43,7 +43,7 @@
 func (g *Gate) applyReport(now time.Time, r Report) ([]LostFlow, error) {
 	b := &g.backend
 	reportedBefore, known, reported := !b.reportedAt.IsZero(), g.knownRun(), Run{Instance: r.Instance, Started: r.Started}
-	if known.isKnown() && r.Started.Before(known.Started) {
+	if known.isKnown() && r.Started.Before(known.Started) && !g.isRunSilent(now) {
 		return nil, errkind.New(errkind.ReportStale, "report is of an earlier run of the backend server")
 	}
 	sameRun := known.sameAs(reported)
@@ -67,6 +67,13 @@
 	return g.markLost(lastOfOldRun, r.Started, now), nil
 }
 
+// isRunSilent reports whether the reports of the known run have stopped. A run that seems to have
+// started earlier, because the time of day was set back, then replaces it.
+func (g *Gate) isRunSilent(now time.Time) bool {
+	at := g.runReportedAt()
+	return !at.IsZero() && now.Sub(at) > maxMissedReports*g.backend.limits.ReportInterval
+}
+
 // sawWholeRun reports whether all packets of the run of the backend server that has sent a report
 // have passed through this gate: the report is the first of the run, so that no earlier process
 // of the agent has received one, and the run started after the gate. The times of both starts alone
