End learning at the second report of a run that no agent has acknowledged

Since only the first report of a run ends learning.

If the first report that a process receives is the second of its run and came to the first port, no earlier process has acknowledged one: the report after an acknowledgement would have gone to the named port, or failed there and taken a number. The next report, at the named port, shows that the server does as told. The time of day must still agree.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -42,6 +42,8 @@
 	stateKnown bool // report.State was reported, or was announced by an earlier process of this agent
 	reportedAt time.Time
 	report     Report
+	// firstReport is that of the run that has reported to this gate last.
+	firstReport firstReport
 
 	handoverPending         bool      // see Options.HandoverPending
 	memberStored            bool      // the store holds the agent's member, so that balancers can know it
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -356,6 +356,39 @@
 	}
 }
 
+// Guards against the same at the second report of a run, and against an agent that learns for
+// long after a loss of power: its backend server had sent the first report before the agent
+// listened. Acknowledgements name another address for later reports.
+func TestOnlyUnacknowledgedRunsEndLearning(t *testing.T) {
+	const toNamedAddress, toFirstAddress = true, false
+	for name, c := range map[string]struct {
+		second, third bool // where these reports go
+		sequence      uint64
+		learns        bool
+	}{
+		"first report failed":                      {toFirstAddress, toNamedAddress, 2, false},
+		"two reports failed":                       {toFirstAddress, toNamedAddress, 3, true},
+		"first report acknowledged":                {toNamedAddress, toNamedAddress, 2, true},
+		"acknowledgements are ignored":             {toFirstAddress, toFirstAddress, 2, true},
+		"acknowledged by a process without a name": {toNamedAddress, toFirstAddress, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := startedGate(start)
+			for i, followsAck := range []bool{c.second, c.third} {
+				r := report(c.sequence + uint64(i))
+				r.Started, r.FollowsAck = start, followsAck
+				_, err := g.Report(start.Add(time.Duration(i)*time.Second), r)
+				is.NoErr(err)
+				if i == 0 {
+					is.True(offersUnknown(g, start))
+				}
+			}
+			is.Equal(offersUnknown(g, start.Add(2*time.Second)), c.learns)
+		})
+	}
+}
+
 // Guards against the same after a panic: the new gate receives the first report of a run from the
 // gate before, through which packets of the run have passed.
 func TestRestoredReportEndsNoLearning(t *testing.T) {
--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -16,6 +16,18 @@
 	State    view.State
 	Slots    int
 	ColdFor  time.Duration // how much longer the backend server will be cold
+	// FollowsAck is set if an agent has acknowledged an earlier report of the run for certain: the
+	// report was sent to the address that acknowledgements name.
+	FollowsAck bool
+}
+
+// firstReport is what the first report of a run to this gate shows.
+type firstReport struct {
+	run Run
+	// maybeUnacknowledged is set if no agent has acknowledged a report of the run before, if the
+	// backend server sends its reports where acknowledgements tell it to. One after an
+	// acknowledgement is then sent to the address that it names, and a failed one takes a number.
+	maybeUnacknowledged bool
 }
 
 // firstSequence is the sequence number of the first report of a run.
@@ -75,11 +87,16 @@
 }
 
 // sawWholeRun reports whether all packets of the run of the backend server that has sent a report
-// have passed through this gate: the report is the first of the run, so that no earlier process
-// of the agent has received one, and the run started after the gate. The times of both starts alone
-// prove nothing, because the time of day may be stepped between them.
+// have passed through this gate: no earlier process of the agent has acknowledged a report of the
+// run, and the run started after the gate. The times of both starts alone prove nothing, because
+// the time of day may be stepped between them.
 func (g *Gate) sawWholeRun(r Report) bool {
-	return r.Sequence <= firstSequence && g.precedes(r.Started)
+	first, run := &g.backend.firstReport, Run{Instance: r.Instance, Started: r.Started}
+	if !first.run.sameAs(run) {
+		*first = firstReport{run: run, maybeUnacknowledged: !r.FollowsAck && r.Sequence <= firstSequence+1}
+	}
+	isFirst := r.Sequence <= firstSequence || (first.maybeUnacknowledged && r.FollowsAck)
+	return isFirst && g.precedes(r.Started)
 }
 
 // precedes reports whether this gate started before a run of the backend server that began at a time
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -155,8 +155,10 @@
 		return err
 	}
 	a.node.Announcer.OnStored, a.node.Announcer.OnAnswered = a.onMemberStored, a.onMemberStored
-	if err := a.node.Serve(s.ReportAddress, platform.ReportHandler(a)); err != nil {
-		return err
+	for _, address := range a.reportAddresses() {
+		if err := a.node.Serve(address, platform.ReportHandler(a, address, s.LaterReportAddress)); err != nil {
+			return err
+		}
 	}
 	if err := a.node.Serve(s.ProbeAddress, platform.ProbeHandler(func() bool { return true })); err != nil {
 		return err
@@ -178,6 +180,14 @@
 	return nil
 }
 
+// reportAddresses returns the addresses at which the agent receives reports.
+func (a *Agent) reportAddresses() []netip.AddrPort {
+	if later := a.settings.LaterReportAddress; later.IsValid() {
+		return []netip.AddrPort{later, a.settings.ReportAddress}
+	}
+	return []netip.AddrPort{a.settings.ReportAddress}
+}
+
 // Stop refuses new flows, announces whether the backend server runs on, also to the
 // balancers directly, as the store may not answer in time, waits up to drainTimeout for
 // requests that are queued or in progress, hands the flows over to the next process if the
--- a/pkg/flowagent/reports.go
+++ b/pkg/flowagent/reports.go
@@ -54,7 +54,7 @@
 	a.updateRefusal(now)
 	if r.Instance != a.lastReport.Instance || !r.Started.Equal(a.lastReport.Started) || r.State != a.lastReport.State {
 		a.logger.Emit(event.BackendReported, event.Fields{
-			"instance": r.Instance, "started": r.Started.UnixMilli(), "state": r.State, "cold_ms": r.ColdFor.Milliseconds(), "sequence": r.Sequence,
+			"instance": r.Instance, "started": r.Started.UnixMilli(), "state": r.State, "cold_ms": r.ColdFor.Milliseconds(), "sequence": r.Sequence, "follows_ack": r.FollowsAck,
 		})
 	}
 	a.lastReport = r
