Compute the longest timeout of the routes once

Since an agent that learns computed the longest timeout of all routes for each packet of an unknown flow.

The gate now computes it when the routes change, and a tick passes only the idle timeout and its confirmation.

--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -207,17 +207,7 @@
 func (g *Gate) SetService(s view.Service, idle time.Duration, confirmedAt time.Time) {
 	g.backend.serviceKnown = s.Name != ""
 	g.backend.coldPerSecond, g.backend.maxFlows = s.ColdPerSecond, s.MaxFlows
-	g.idle.confirm(idle, confirmedAt, idleMargin(g.longestTimeout()))
-}
-
-// longestTimeout returns the longest timeout of a route's requests, 0 without routes.
-func (g *Gate) longestTimeout() time.Duration {
-	longest := time.Duration(0)
-	for _, r := range g.routes {
-		_, timeout := r.Limits()
-		longest = max(longest, timeout)
-	}
-	return longest
+	g.idle.confirm(idle, confirmedAt, idleMargin(g.longestTimeout))
 }
 
 // SetEvacuation records whether the failure domain is evacuated, and when the last end of an
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -77,8 +77,10 @@
 	flows    table
 	queue    queue
 	routes   map[netip.AddrPort]view.Route
-	offers   map[uint32]offer
-	lastMark uint32
+	// longestTimeout is that of a route's requests, 0 without routes.
+	longestTimeout time.Duration
+	offers         map[uint32]offer
+	lastMark       uint32
 	// lastOffers holds, by unknown flow, when a packet was last offered to the backend server.
 	lastOffers map[flow.Key]time.Time
 	denied     map[flow.Key]struct{} // flows that the backend server doesn't hold, learned from offers
@@ -280,7 +282,13 @@
 
 // SetRoutes replaces the routes, which give the objective, timeout and priority of
 // requests.
-func (g *Gate) SetRoutes(routes map[netip.AddrPort]view.Route) { g.routes = routes }
+func (g *Gate) SetRoutes(routes map[netip.AddrPort]view.Route) {
+	g.routes, g.longestTimeout = routes, 0
+	for _, r := range routes {
+		_, timeout := r.Limits()
+		g.longestTimeout = max(g.longestTimeout, timeout)
+	}
+}
 
 // InProgress returns the number of delivered requests whose answer has not started.
 func (g *Gate) InProgress() int { return g.flows.inProgress }
--- a/internal/flowpath/flowgate/learning.go
+++ b/internal/flowpath/flowgate/learning.go
@@ -69,7 +69,7 @@
 // isIdleTooLong reports whether a flow of any route that was seen last at a time is over because
 // it has been idle for too long.
 func (g *Gate) isIdleTooLong(lastSeen time.Time) bool {
-	return g.idle.isExceeded(lastSeen, idleMargin(g.longestTimeout()))
+	return g.idle.isExceeded(lastSeen, idleMargin(g.longestTimeout))
 }
 
 // expireLearning ends learning once the flows that are still unknown must be over.
--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -251,7 +251,8 @@
 // applyView passes the relevant parts of a view to the gate. The caller holds the lock.
 func (a *Agent) applyView(v view.View, confirmed view.Confirmations) {
 	s := a.settings
-	a.applyConfiguration(v, confirmed)
+	a.gate.SetRoutes(v.Configuration.Routes)
+	a.confirmConfiguration(v, confirmed)
 	evacuated := v.Evacuations.Domains[s.Domain]
 	if evacuated != a.evacuated {
 		id := event.DomainRestored
@@ -281,11 +282,10 @@
 	}
 }
 
-// applyConfiguration passes the configuration of a view to the gate, and when it was known to be
-// in force. The caller holds the lock.
-func (a *Agent) applyConfiguration(v view.View, confirmed view.Confirmations) {
+// confirmConfiguration passes the configuration of the service and the idle timeout to the gate,
+// and when they were known to be in force. The caller holds the lock.
+func (a *Agent) confirmConfiguration(v view.View, confirmed view.Confirmations) {
 	c := v.Configuration
-	a.gate.SetRoutes(c.Routes)
 	a.gate.SetService(c.Services[a.settings.Service], c.IdleTimeout, confirmed.Configuration)
 }
 
@@ -315,7 +315,7 @@
 		return
 	}
 	now := time.Now()
-	a.applyConfiguration(a.node.Board.Snapshot())
+	a.confirmConfiguration(a.node.Board.Snapshot())
 	for _, key := range a.gate.Tick(now) {
 		a.logger.Emit(event.RequestUnanswered, flowFields(key))
 	}
