--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -24,9 +24,9 @@
 // firstReport is what the first report of a run to this gate shows.
 type firstReport struct {
 	run Run
-	// maybeUnacknowledged is set if no agent has acknowledged a report of the run before, if the
-	// backend server sends its reports where acknowledgements tell it to. One after an
-	// acknowledgement is then sent to the address that it names, and a failed one takes a number.
+	// maybeUnacknowledged is set if no agent has acknowledged a report of the run before, provided
+	// that the backend server uses the address that acknowledgements name: a report after an
+	// acknowledgement arrives there, or fails there and takes a sequence number.
 	maybeUnacknowledged bool
 }
 
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -36,8 +36,8 @@
 	// no new flows for as long, so that any process after it finds them older. A planned restart
 	// takes 0.6 s with a restart delay of 0.5 s.
 	maxSuccessionTime = 750 * time.Millisecond
-	// maxCompleteAge is the maximum age of a complete handover by the time of day, which tells
-	// handovers of before a restart of the machine.
+	// maxCompleteAge is the maximum age of a complete handover by the time of day, which excludes
+	// handovers from before a restart of the machine.
 	maxCompleteAge = 3 * time.Second
 	// minStaleAge is the minimum age of a handover that was written by a process before the
 	// last one: two processes have started since.
