Close the stand-in's listener also before it is served

Cause: the stand-in's backend server serves in a goroutine. If the test closes it before that has begun, the HTTP server doesn't know the listener yet, and the listener goes on accepting until the goroutine runs. The agent then connects, sends the request and loses the connection; that the outcome is unknown is a true answer. The product is not at fault.

Close now closes the listener itself. TestClosedServerRefusesConnections failed before.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -82,6 +82,7 @@
 	mu               sync.Mutex
 	epoch            uint64 // incremented by each restart; each connection belongs to one epoch
 	startedAt        time.Time
+	listener         net.Listener
 	conns            map[net.Conn]struct{}
 	inProgress       int
 	drainStarted     chan struct{} // closed while draining
@@ -127,7 +128,7 @@
 		return netip.AddrPort{}, errkind.Wrap(err, errkind.SettingInvalid, "listen")
 	}
 	s.mu.Lock()
-	s.startedAt = time.Now()
+	s.startedAt, s.listener = time.Now(), l
 	s.mu.Unlock()
 	go s.http.Serve(l) // ends with Close
 	return l.Addr().(*net.TCPAddr).AddrPort(), nil
@@ -135,7 +136,14 @@
 
 // Close stops listening and closes all connections.
 func (s *Server) Close() error {
-	return s.http.Close()
+	err := s.http.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		// The HTTP server doesn't close a listener that it hasn't begun to serve.
+		_ = s.listener.Close()
+	}
+	return err
 }
 
 type epochKey struct{}
--- a/standin/backend/backend_test.go
+++ b/standin/backend/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -75,3 +76,20 @@
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(s.Ledger().Runs["x"], 0)
 }
+
+// Guards against a server that still accepts connections when Close has returned, because the
+// goroutine that serves had not begun: a request on such a connection is lost in place of refused.
+func TestClosedServerRefusesConnections(t *testing.T) {
+	for range 200 {
+		s := New(Options{})
+		addr, err := s.Start("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = s.Close()
+		if conn, err := net.Dial("tcp", addr.String()); err == nil {
+			_ = conn.Close()
+			t.Fatal("a closed server accepted a connection")
+		}
+	}
+}
