Let no request take a connection whose reader has ended

A request of the own way in (HTTP/3) could wait until its deadline, with an unknown outcome, although the backend server had got it on a connection that nobody read.

Cause: when data comes on an idle connection, for example a second copy of an answer, its reader goroutine finds no request in progress and closes the connection. Between the two, a request could take the connection: the kernel's buffer is empty, so it seems alive, and the write succeeds.

The reader now marks the connection as ended under the lock under which a request becomes the current one. A request that comes later is refused before a byte is sent.

TestRequestTakesNoEndedConnection plays the moment without goroutines.

--- a/internal/requestpath/backendconn/conn.go
+++ b/internal/requestpath/backendconn/conn.go
@@ -26,6 +26,7 @@
 	firstAnswerAt time.Time // time of the first answer; zero before
 	idleSince     time.Time
 	current       *exchange // request in progress, nil while idle
+	ended         bool      // the reader goroutine has found no request in progress, and ends
 }
 
 // nextID returns the ID of the next request; see RequestIDHeader.
@@ -56,7 +57,7 @@
 // carry another request.
 func (c *conn) readAnswer() bool {
 	_, err := c.reader.Peek(1)
-	x := c.currentExchange()
+	x := c.currentOrEnd()
 	if x == nil {
 		return false // closed, or data without a request
 	}
@@ -103,16 +104,24 @@
 	}
 }
 
-func (c *conn) currentExchange() *exchange {
+// currentOrEnd returns the request in progress. If there is none, the connection takes no further
+// one, because nobody would read its answer.
+func (c *conn) currentOrEnd() *exchange {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	c.ended = c.current == nil
 	return c.current
 }
 
-func (c *conn) setCurrent(x *exchange) {
+// setCurrent makes x the request in progress. It reports false if the connection has ended.
+func (c *conn) setCurrent(x *exchange) bool {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	if c.ended {
+		return false
+	}
 	c.current = x
+	return true
 }
 
 // isAlive reports whether the kernel has received no close, reset or unexpected
--- a/internal/requestpath/backendconn/exchange.go
+++ b/internal/requestpath/backendconn/exchange.go
@@ -62,7 +62,11 @@
 // late answer is discarded with its connection. Errors are of type *Error.
 func (l *Lease) Do(ctx context.Context, call Call) (*http.Response, error) {
 	x := &exchange{ctx: ctx, conn: l.conn, id: l.conn.nextID(), req: call.Request, call: call, result: make(chan readResult, 1), reusable: make(chan bool, 1)}
-	l.conn.setCurrent(x)
+	if !l.conn.setCurrent(x) {
+		l.conn.netConn.Close()
+		x.releaseSlot(admission.ConnectionLost)
+		return nil, &Error{ConnLost: true, err: errIdleClosed}
+	}
 	call.Request.Header.Set(RequestIDHeader, x.id)
 	x.stopWatchingCtx = context.AfterFunc(ctx, x.abandon)
 	if err := x.write(); err != nil {
--- a/internal/requestpath/backendconn/latecopy_test.go
+++ b/internal/requestpath/backendconn/latecopy_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -98,3 +101,28 @@
 		})
 	}
 }
+
+// Guards against a request that waits for its deadline, and whose outcome is then unknown: the
+// reader goroutine had received a second copy of an answer and found no request in progress, but
+// had not closed the connection yet when the request took it.
+func TestRequestTakesNoEndedConnection(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	go func() {
+		fmt.Fprint(theirs, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.Copy(io.Discard, theirs)
+	}()
+	p := newPool(netip.AddrPort{}, &atomic.Int64{})
+	c := &conn{pool: p, netConn: ours, reader: bufio.NewReader(ours), writer: bufio.NewWriter(nil)}
+	p.busy = append(p.busy, c)
+	is.True(!c.readAnswer()) // the reader goroutine would close the connection next
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, _, err := send(ctx, &Lease{conn: c}, "GET", "/", "")
+	var failed *Error
+	is.True(errors.As(err, &failed))
+	is.True(failed.ConnLost)
+	is.True(!failed.Sent)
+	is.Equal(p.InProgress(), 0)
+}
