--- a/internal/control/follow/announce.go
+++ b/internal/control/follow/announce.go
@@ -129,9 +129,9 @@
 	case a.maybeNew:
 		a.storedSince = now
 	case a.storedAt.isKnown():
-		a.storedSince = a.storedAt.time(now)
+		a.storedSince = a.storedAt.resolve(now)
 	case a.created.isKnown():
-		a.storedSince = a.created.time(now).Add(maxCreationTime)
+		a.storedSince = a.created.resolve(now).Add(maxCreationTime)
 	}
 	if a.storedSince.After(now) {
 		a.storedSince = now
--- a/internal/control/follow/announce_test.go
+++ b/internal/control/follow/announce_test.go
@@ -139,11 +139,7 @@
 		server.Delete("members", "agent-1")
 		old := agentMember
 		old.CreatedMS = createdMS
-		spec, err := json.Marshal(old)
-		if err != nil {
-			t.Fatal(err)
-		}
-		server.PutMember("agent-1", string(spec))
+		putMember(t, server, old)
 		for _, m := range []view.Member{agentMember, leaving, agentMember} {
 			expect(nil, m, true, false)
 			var stored view.Member
@@ -154,6 +150,16 @@
 	}
 }
 
+// putMember writes a member as an earlier process did.
+func putMember(t *testing.T, server *platformtest.Store, m view.Member) {
+	t.Helper()
+	spec, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.PutMember(m.Name, string(spec))
+}
+
 // Guards against an agent that takes flows before balancers can know it: the creation of
 // its member got no answer and took effect seconds later, after a restart.
 func TestLateCreationCountsAsNew(t *testing.T) {
@@ -163,9 +169,7 @@
 	sent := time.Now().Add(-5 * time.Second)
 	m := agentMember
 	m.CreatedMS = sent.UnixMilli()
-	spec, err := json.Marshal(m)
-	is.NoErr(err)
-	server.PutMember("agent-1", string(spec))
+	putMember(t, server, m)
 
 	began := time.Now()
 	first, _ := newAnnouncer(t, server)
@@ -207,9 +211,7 @@
 			defer server.Close()
 			m := agentMember
 			c.change(&m, 15*time.Second) // 14 s of them by the step
-			spec, err := json.Marshal(m)
-			is.NoErr(err)
-			server.PutMember("agent-1", string(spec))
+			putMember(t, server, m)
 			began := time.Now()
 			a, _ := newAnnouncer(t, server)
 			since, ok := a.Stored("agent-1")
--- a/internal/control/follow/stamp.go
+++ b/internal/control/follow/stamp.go
@@ -26,9 +26,9 @@
 // isKnown reports whether s names a time.
 func (s stamp) isKnown() bool { return s.wallMS > 0 }
 
-// time returns the time of the stamp, which is the later one if the time of day has been stepped
+// resolve returns the time of the stamp on the steady clock, which is the later one if the time of day has been stepped
 // forward since. If the machine has started anew, only the time of day is known.
-func (s stamp) time(now time.Time) time.Time {
+func (s stamp) resolve(now time.Time) time.Time {
 	age := now.Sub(time.UnixMilli(s.wallMS))
 	if s.bootMS > 0 {
 		sinceBoot := suspension.SinceBoot() - time.Duration(s.bootMS)*time.Millisecond
--- a/internal/flowpath/flowgate/backend.go
+++ b/internal/flowpath/flowgate/backend.go
@@ -126,7 +126,13 @@
 
 // reportsStopped reports whether the backend server's reports have stopped.
 func (b *backend) reportsStopped(now time.Time) bool {
-	return !b.reportedAt.IsZero() && now.Sub(b.reportedAt) > maxMissedReports*b.limits.ReportInterval
+	return b.isSilent(now, b.reportedAt)
+}
+
+// isSilent reports whether maxMissedReports have been missed since a report, the zero time for
+// none.
+func (b *backend) isSilent(now, lastReport time.Time) bool {
+	return !lastReport.IsZero() && now.Sub(lastReport) > maxMissedReports*b.limits.ReportInterval
 }
 
 // isUnresponsive reports whether the backend server has left openings unanswered
--- a/internal/flowpath/flowgate/gate.go
+++ b/internal/flowpath/flowgate/gate.go
@@ -236,6 +236,7 @@
 		return nil
 	}
 	g.sweptAt = now
+	g.expireLearning(now)
 	if !g.learns(now) {
 		clear(g.denied)
 	}
--- a/internal/flowpath/flowgate/handover.go
+++ b/internal/flowpath/flowgate/handover.go
@@ -28,7 +28,7 @@
 	// if it is unknown.
 	ReportAge time.Duration
 	// LearnFor is how much longer the backend server may hold flows that are not
-	// in Flows at most, 0 if Flows is complete.
+	// in Flows at most, 0 if the agent knew all flows.
 	LearnFor time.Duration
 	// UnseenFor is the time before the handover in which the agent has seen no packet of those
 	// flows, 0 if it is unknown. The next process compares it with the idle timeout then in force.
@@ -41,6 +41,9 @@
 	Flows      []FlowRecord
 }
 
+// isComplete reports whether Flows holds all flows that the backend server may hold.
+func (h *Handover) isComplete() bool { return h.LearnFor == 0 && !h.MayLackFlows }
+
 // FlowRecord is one flow of a handover. Times are durations before the handover,
 // because the two processes share no monotonic clock.
 type FlowRecord struct {
@@ -72,9 +75,8 @@
 // pass no packets to g afterwards: the next process would not know what they change.
 func (g *Gate) Handover(now time.Time) Handover {
 	h := Handover{Run: g.knownRun(), ReportAge: g.runReportAge(now), Flows: make([]FlowRecord, 0, len(g.flows.entries))}
-	if learns, _ := g.Learning(now); learns {
-		h.UnseenFor = now.Sub(g.backend.learning.unseenSince)
-		h.LearnFor = g.flowLifetime - h.UnseenFor
+	if g.learns(now) {
+		h.UnseenFor, h.LearnFor = now.Sub(g.backend.learning.unseenSince), g.LearnFor(now)
 	}
 	for key, f := range g.flows.entries {
 		if f.state != stateLost {
@@ -135,7 +137,7 @@
 	if h.UnseenFor > 0 && !h.MayLackFlows {
 		unseenSince = now.Add(-h.UnseenFor)
 	}
-	g.backend.learning.takeOver(h.LearnFor == 0 && !h.MayLackFlows, unseenSince)
+	g.backend.learning.takeOver(h.isComplete(), unseenSince)
 	g.backend.takenOver = h.Run
 	if h.ReportAge > 0 {
 		g.backend.takenOverReportAt = now.Add(-h.ReportAge)
@@ -191,8 +193,7 @@
 	if g.backend.reportedAt.IsZero() {
 		return g.backend.takenOver
 	}
-	r := g.backend.report
-	return Run{Instance: r.Instance, Started: r.Started, Sequence: r.Sequence}
+	return g.backend.report.run()
 }
 
 // runReportedAt returns when the last report of the known run was received, by this process or by
--- a/internal/flowpath/flowgate/learning.go
+++ b/internal/flowpath/flowgate/learning.go
@@ -7,13 +7,13 @@
 
 // The reasons.
 const (
-	LearnsSinceStart       LearningReason = "start"           // learns: an earlier process may have opened flows
-	LearnsUnreportedRun    LearningReason = "other-run"       // learns: the handover is of another run of the backend server
-	LearnedNothing         LearningReason = "first-start"     // the whole system starts for the first time
-	LearnedByIdleTimeout   LearningReason = "idle-timeout"    // flows that are still unknown have been idle for too long
-	LearnedByFlowLifetime  LearningReason = "flow-lifetime"   // flows that are still unknown are too old
-	LearnedByHandover      LearningReason = "handover"        // an earlier process handed all flows over
-	LearnedByRunSinceStart LearningReason = "run-since-start" // the backend server started after the agent
+	LearnsSinceStart    LearningReason = "start"           // learns: an earlier process may have opened flows
+	LearnsUnreportedRun LearningReason = "other-run"       // learns: the handover is of another run of the backend server
+	KnowsFromFirstStart LearningReason = "first-start"     // the whole system starts for the first time
+	KnowsByIdleTimeout  LearningReason = "idle-timeout"    // flows that are still unknown have been idle for too long
+	KnowsByFlowLifetime LearningReason = "flow-lifetime"   // flows that are still unknown are too old
+	KnowsByHandover     LearningReason = "handover"        // an earlier process handed all flows over
+	KnowsRunSinceStart  LearningReason = "run-since-start" // the backend server started after the agent
 )
 
 // learning holds which flows the backend server may hold although the agent doesn't know them:
@@ -41,7 +41,7 @@
 	}
 	l.withoutHandover = l.unseenSince
 	if complete {
-		l.end(LearnedByHandover)
+		l.end(KnowsByHandover)
 	} else if !unseenSince.IsZero() && unseenSince.Before(l.unseenSince) {
 		l.unseenSince = unseenSince
 	}
@@ -74,23 +74,33 @@
 
 // expireLearning ends learning once the flows that are still unknown must be over.
 func (g *Gate) expireLearning(now time.Time) {
-	l := &g.backend.learning
-	if l.unseenSince.IsZero() || g.learns(now) {
-		return
+	if learns, reason := g.Learning(now); !learns {
+		g.backend.learning.end(reason)
 	}
-	reason := LearnedByFlowLifetime
-	if g.isIdleTooLong(l.unseenSince) {
-		reason = LearnedByIdleTimeout
-	}
-	l.end(reason)
 }
 
 // Learning reports whether the backend server may hold flows that the agent doesn't know, and
 // why or why not.
 func (g *Gate) Learning(now time.Time) (bool, LearningReason) {
-	g.expireLearning(now)
 	l := &g.backend.learning
-	return !l.unseenSince.IsZero(), l.reason
+	switch {
+	case l.unseenSince.IsZero():
+		return false, l.reason
+	case g.learns(now):
+		return true, l.reason
+	case g.isIdleTooLong(l.unseenSince):
+		return false, KnowsByIdleTimeout
+	}
+	return false, KnowsByFlowLifetime
+}
+
+// LearnFor returns how much longer the backend server may hold flows that the agent doesn't know
+// at most, 0 if it knows all.
+func (g *Gate) LearnFor(now time.Time) time.Duration {
+	if !g.learns(now) {
+		return 0
+	}
+	return g.flowLifetime - now.Sub(g.backend.learning.unseenSince)
 }
 
 // SetFlowLifetime sets how long a flow may last.
--- a/internal/flowpath/flowgate/learning_test.go
+++ b/internal/flowpath/flowgate/learning_test.go
@@ -200,7 +200,7 @@
 }
 
 // Guards against an agent that denies flows because they have been idle for longer than a former
-// idle timeout: the operator raised it while the agent was learning (review/6).
+// idle timeout: the operator raised it while the agent was learning.
 func TestLearningFollowsARaisedIdleTimeout(t *testing.T) {
 	is := is.New(t)
 	const idle, raised = 15 * time.Second, 40 * time.Second
@@ -216,8 +216,8 @@
 	is.True(!offersUnknown(g, start.Add(raised+minIdleMargin)))
 }
 
-// Guards against the same after a planned restart: the earlier process was learning, and handed
-// over how long it would have learned by the former idle timeout.
+// Guards against an agent that denies flows by a former idle timeout after a planned restart: the
+// earlier process was learning, and handed over how long it would have learned by that timeout.
 func TestHandedOverLearningFollowsARaisedIdleTimeout(t *testing.T) {
 	is := is.New(t)
 	const idle, raised = 15 * time.Second, 40 * time.Second
@@ -332,7 +332,7 @@
 
 // Guards against an agent that denies flows because its clock was behind when it started, or was
 // ahead when its backend server did: the server seems to have started later, although an earlier
-// process of the agent has opened flows at it (review/8).
+// process of the agent has opened flows at it.
 func TestSteppedClockEndsNoLearning(t *testing.T) {
 	for name, c := range map[string]struct {
 		sequence uint64
@@ -356,9 +356,10 @@
 	}
 }
 
-// Guards against the same at the second report of a run, and against an agent that learns for
-// long after a loss of power: its backend server had sent the first report before the agent
-// listened. Acknowledgements name another address for later reports.
+// Guards against an agent that takes the second report of a run for proof that no earlier process
+// has received one, and against one that learns for long after a loss of power: its backend server
+// had sent the first report before the agent listened. Acknowledgements name another address for
+// later reports.
 func TestOnlyUnacknowledgedRunsEndLearning(t *testing.T) {
 	const toNamedAddress, toFirstAddress = true, false
 	for name, c := range map[string]struct {
@@ -389,8 +390,8 @@
 	}
 }
 
-// Guards against the same after a panic: the new gate receives the first report of a run from the
-// gate before, through which packets of the run have passed.
+// Guards against an agent that denies flows after a panic: the new gate receives the first report of
+// a run from the gate before, through which packets of the run have passed.
 func TestRestoredReportEndsNoLearning(t *testing.T) {
 	is := is.New(t)
 	g := New(Options{Self: self, Service: serviceID, Learning: true, FlowLifetime: time.Minute, Replaces: true}, start)
--- a/internal/flowpath/flowgate/options.go
+++ b/internal/flowpath/flowgate/options.go
@@ -44,7 +44,7 @@
 		maybeOpened: map[flow.Key]time.Time{},
 	}
 	g.backend.handoverPending = o.HandoverPending
-	g.backend.learning.reason = LearnedNothing
+	g.backend.learning.reason = KnowsFromFirstStart
 	if o.Learning {
 		g.backend.learning = learning{unseenSince: now, reason: LearnsSinceStart}
 	}
--- a/internal/flowpath/flowgate/report.go
+++ b/internal/flowpath/flowgate/report.go
@@ -21,6 +21,9 @@
 	FollowsAck bool
 }
 
+// run returns the run of the report.
+func (r Report) run() Run { return Run{Instance: r.Instance, Started: r.Started, Sequence: r.Sequence} }
+
 // firstReport is what the first report of a run to this gate shows.
 type firstReport struct {
 	run Run
@@ -37,11 +40,22 @@
 // lost with an earlier run. Errors have kind ReportStale.
 func (g *Gate) Report(now time.Time, r Report) ([]LostFlow, error) {
 	lost, err := g.applyReport(now, r)
-	if err == nil && g.sawWholeRun(r) {
-		g.backend.learning.end(LearnedByRunSinceStart)
+	if err != nil {
+		return nil, err
+	}
+	g.backend.noteFirstReport(r)
+	if g.sawWholeRun(r) {
+		g.backend.learning.end(KnowsRunSinceStart)
 		clear(g.maybeOpened)
 	}
-	return lost, err
+	return lost, nil
+}
+
+// noteFirstReport records what a report shows if it is the first of its run to this gate.
+func (b *backend) noteFirstReport(r Report) {
+	if run := r.run(); !b.firstReport.run.sameAs(run) {
+		b.firstReport = firstReport{run: run, maybeUnacknowledged: !r.FollowsAck && r.Sequence <= firstSequence+1}
+	}
 }
 
 // RestoreReport applies the last report that the gate before this one received; see
@@ -54,8 +68,10 @@
 // applyReport is Report but for what a report shows of flows that the agent doesn't know.
 func (g *Gate) applyReport(now time.Time, r Report) ([]LostFlow, error) {
 	b := &g.backend
-	reportedBefore, known, reported := !b.reportedAt.IsZero(), g.knownRun(), Run{Instance: r.Instance, Started: r.Started}
-	if known.isKnown() && r.Started.Before(known.Started) && !g.isRunSilent(now) {
+	reportedBefore, known, reported := !b.reportedAt.IsZero(), g.knownRun(), r.run()
+	// A run that seems to have started earlier, because the time of day was set back, replaces one
+	// whose reports have stopped.
+	if known.isKnown() && r.Started.Before(known.Started) && !b.isSilent(now, g.runReportedAt()) {
 		return nil, errkind.New(errkind.ReportStale, "report is of an earlier run of the backend server")
 	}
 	sameRun := known.sameAs(reported)
@@ -79,24 +95,13 @@
 	return g.markLost(lastOfOldRun, r.Started, now), nil
 }
 
-// isRunSilent reports whether the reports of the known run have stopped. A run that seems to have
-// started earlier, because the time of day was set back, then replaces it.
-func (g *Gate) isRunSilent(now time.Time) bool {
-	at := g.runReportedAt()
-	return !at.IsZero() && now.Sub(at) > maxMissedReports*g.backend.limits.ReportInterval
-}
-
 // sawWholeRun reports whether all packets of the run of the backend server that has sent a report
 // have passed through this gate: no earlier process of the agent has acknowledged a report of the
 // run, and the run started after the gate. The times of both starts alone prove nothing, because
 // the time of day may be stepped between them.
 func (g *Gate) sawWholeRun(r Report) bool {
-	first, run := &g.backend.firstReport, Run{Instance: r.Instance, Started: r.Started}
-	if !first.run.sameAs(run) {
-		*first = firstReport{run: run, maybeUnacknowledged: !r.FollowsAck && r.Sequence <= firstSequence+1}
-	}
-	isFirst := r.Sequence <= firstSequence || (first.maybeUnacknowledged && r.FollowsAck)
-	return isFirst && g.precedes(r.Started)
+	unacknowledged := r.Sequence <= firstSequence || (g.backend.firstReport.maybeUnacknowledged && r.FollowsAck)
+	return unacknowledged && g.precedes(r.Started)
 }
 
 // precedes reports whether this gate started before a run of the backend server that began at a time
--- a/pkg/flowagent/earlierhandovers_test.go
+++ b/pkg/flowagent/earlierhandovers_test.go
@@ -63,7 +63,8 @@
 				h.SinceBoot = 0
 			}
 			h.Run = flowgate.Run{Instance: "i-1", Started: time.Now().Add(-time.Hour)}
-			is.NoErr(a.applyHandover(&h))
+			_, err := a.applyHandover(&h)
+			is.NoErr(err)
 			is.Equal(a.gate.Handover(time.Now()).LearnFor == 0, c.complete)
 		})
 	}
--- a/pkg/flowagent/handover.go
+++ b/pkg/flowagent/handover.go
@@ -119,10 +119,11 @@
 	began := time.Now()
 	h, err := a.takeHandover(ctx)
 	a.recordTakeOverEnd(ctx, err)
+	learnFor := time.Duration(0)
 	if err == nil {
-		err = a.applyHandover(&h)
+		learnFor, err = a.applyHandover(&h)
 	}
-	fields := event.Fields{"flows": len(h.Flows), "learn_ms": h.LearnFor.Milliseconds(), "ms": time.Since(began).Milliseconds()}
+	fields := event.Fields{"flows": len(h.Flows), "learn_ms": learnFor.Milliseconds(), "ms": time.Since(began).Milliseconds()}
 	if !h.Written.IsZero() {
 		fields["age_ms"], fields["member"] = time.Since(h.Written).Milliseconds(), h.Member
 	}
@@ -161,26 +162,26 @@
 }
 
 // applyHandover passes a handover to the gate, as one that is not complete unless it is
-// recent. Errors have kind HandoverUnusable.
-func (a *Agent) applyHandover(h *platform.Handover) error {
+// recent, and returns how much longer the agent learns at most. Errors have kind HandoverUnusable.
+func (a *Agent) applyHandover(h *platform.Handover) (learnFor time.Duration, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	sinceBoot := suspension.SinceBoot()
 	switch age := now.Sub(h.Written).Abs(); {
 	case h.Service != a.settings.Service:
-		return errkind.Errorf(errkind.HandoverUnusable, "handover is of service %s", h.Service)
+		return 0, errkind.Errorf(errkind.HandoverUnusable, "handover is of service %s", h.Service)
 	case age > maxHandoverAge:
-		return errkind.Errorf(errkind.HandoverUnusable, "handover was written %v from now", age)
+		return 0, errkind.Errorf(errkind.HandoverUnusable, "handover was written %v from now", age)
 	case age > maxCompleteAge || !a.directlyFollows(h):
-		h.LearnFor, h.MayLackFlows = a.settings.FlowLifetime, true
+		h.MayLackFlows = true
 	}
 	h.MayBeStale = sinceBoot-h.SinceBoot >= minStaleAge
 	if err := a.gate.TakeOver(now, h.Handover); err != nil {
-		return err
+		return 0, err
 	}
 	a.takenOverMember = h.Member
-	return nil
+	return a.gate.LearnFor(now), nil
 }
 
 // directlyFollows reports whether no process can have accepted new flows between the one that
