Keep reloaded settings when the gate is replaced

After a panic an agent made its new gate from the settings of its start. If the operator had raised the lifetime of flows by SIGHUP since, the agent denied flows by the former one while it learned; the report interval and the burst of a cold server fell back as well.

TestReplacedGateKeepsReloadedSettings fails before.

--- a/pkg/flowagent/agent.go
+++ b/pkg/flowagent/agent.go
@@ -57,6 +57,7 @@
 	takeOverEnded chan struct{} // closed when all tries to take a handover over have ended
 
 	mu               sync.Mutex
+	reloaded         platform.Settings // settings, or those of the last Reload
 	gate             *flowgate.Gate
 	lastReport       flowgate.Report
 	backendLeft      bool // the backend server reported that it has ended
@@ -84,6 +85,7 @@
 	now := time.Now()
 	return &Agent{
 		settings:   s,
+		reloaded:   s,
 		store:      store,
 		logger:     logger,
 		registry:   registry,
@@ -117,7 +119,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.metrics.Panics.Inc(1)
-	options := gateOptions(a.settings)
+	options := gateOptions(a.reloaded)
 	options.Learning, options.Replaces, options.HandoverPending = true, true, !a.earlierHandovers.ruledOut
 	a.gate = flowgate.New(options, time.Now())
 	a.applyView(a.node.Board.Snapshot())
@@ -224,6 +226,7 @@
 func (a *Agent) Reload(s platform.Settings) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.reloaded.ReportInterval, a.reloaded.ColdBurst, a.reloaded.FlowLifetime = s.ReportInterval, s.ColdBurst, s.FlowLifetime
 	a.gate.SetLimits(backendLimits(s))
 	a.gate.SetFlowLifetime(s.FlowLifetime)
 }
--- a/pkg/flowagent/agent_test.go
+++ b/pkg/flowagent/agent_test.go
@@ -243,6 +243,20 @@
 	is.Equal(a.gate.FromPeer(time.Now(), m, p).Verdict, flowgate.Deliver) // offered, not denied
 }
 
+// Guards against an agent that denies flows after a panic by a former lifetime of flows: the
+// operator had raised it in the settings.
+func TestReplacedGateKeepsReloadedSettings(t *testing.T) {
+	is := is.New(t)
+	s := platform.Settings{FlowLifetime: time.Minute}
+	a := New(s, nil, event.Discard())
+	board := view.NewBoard()
+	a.node = &flownode.Node{Board: board, Announcer: follow.NewAnnouncer(nil, board, event.Discard()), Logger: event.Discard()}
+	s.FlowLifetime = 2 * time.Minute
+	a.Reload(s)
+	a.replaceGate()
+	is.True(a.gate.LearnFor(time.Now()) > time.Minute)
+}
+
 // Guards against a member that is withdrawn, so that balancers reset the open flows of its
 // backend server, because the end of an earlier run under the same id is received after the
 // present run has registered (review/2).
